--- /dev/null
+++ b/packages/spanfall-api/src/spanfall_api/__init__.py
@@ -0,0 +1,1 @@
+"""Define the border of spanfall: settings, objects, problems and frames."""
--- /dev/null
+++ b/packages/spanfall-cli/src/spanfall_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Offer the command line of operators."""
--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decide for spanfall: pure systems over tables, without I/O or a clock."""
--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/admission.py
@@ -0,0 +1,141 @@
+"""Decide whether a request may enter the queue of its pool.
+
+Limits are checked in the order rate, concurrency, queue, deadline, so that a
+refusal names the first limit that the caller can do something about.
+"""
+
+from heapq import heappush
+
+from spanfall_core.effects import Effect, Refuse
+from spanfall_core.reasons import RefusalReason
+from spanfall_core.tables import (
+    Pool,
+    Request,
+    RequestState,
+    ServiceKind,
+    Workspace,
+)
+from spanfall_core.upstreams import usable_slots
+
+#: Longest Retry-After that a refusal suggests, in seconds.
+MAX_RETRY_AFTER = 30.0
+#: Retry-After where nothing better is known, in seconds.
+DEFAULT_RETRY_AFTER = 1.0
+
+
+def refill_bucket(workspace: Workspace, now: float) -> None:
+    """Add the tokens that the workspace earned since the last refill."""
+    earned = (now - workspace.refilled_at) * workspace.rate
+    workspace.bucket = min(workspace.burst, workspace.bucket + max(0, earned))
+    workspace.refilled_at = now
+
+
+def expected_wait(pool: Pool, now: float) -> float:
+    """Estimate the seconds until a request queued now is dispatched."""
+    slots = usable_slots(pool, now)
+    if not slots:
+        return 0.0
+    busy = sum(row.in_flight for row in pool.upstreams.values())
+    ahead = pool.queued + 1 - max(0, slots - busy)
+    if ahead <= 0:
+        return 0.0
+    return ahead * mean_run_seconds(pool) / slots
+
+
+def mean_run_seconds(pool: Pool) -> float:
+    """Estimate how long a request occupies a slot, from measured averages."""
+    rows = pool.upstreams.values()
+    if not rows:
+        return 0.0
+    return sum(row.call_seconds for row in rows) / len(rows)
+
+
+def check_limits(
+    pool: Pool,
+    workspace: Workspace,
+    req: Request,
+    now: float,
+) -> tuple[RefusalReason, float] | None:
+    """Return the first limit that the request exceeds and when to retry."""
+    if workspace.rate:
+        refill_bucket(workspace, now)
+        if workspace.bucket < 1:
+            missing = (1 - workspace.bucket) / workspace.rate
+            return RefusalReason.RATE_LIMITED, missing
+    in_use = workspace.running + workspace.queued
+    limit = workspace.max_running + workspace.max_queued
+    if workspace.max_running and in_use >= limit:
+        return RefusalReason.CONCURRENCY_LIMITED, mean_run_seconds(pool)
+    wait = expected_wait(pool, now)
+    if pool.queued >= pool.policy.max_queued:
+        return RefusalReason.QUEUE_FULL, wait
+    if req.deadline is not None and now + wait > req.deadline:
+        return RefusalReason.DEADLINE, wait
+    return None
+
+
+def admit(pool: Pool, req: Request, now: float) -> list[Effect]:
+    """Queue the request, or refuse it as not run.
+
+    A request that was accepted elsewhere and is handed over (attempt above
+    one) is never refused by a limit: it has been counted before.
+    """
+    workspace = find_workspace(pool, req.workspace)
+    over = None
+    if req.attempt == 1:
+        over = check_limits(pool, workspace, req, now)
+    if over is not None:
+        reason, wait = over
+        retry_after = min(MAX_RETRY_AFTER, max(DEFAULT_RETRY_AFTER, wait))
+        return [Refuse(req.request_id, reason, retry_after=retry_after)]
+    if workspace.rate and req.attempt == 1:
+        workspace.bucket -= 1
+    credit = pool.retry_credit + pool.policy.retry_ratio
+    pool.retry_credit = min(pool.policy.retry_burst, credit)
+    pool.requests[req.request_id] = req
+    enqueue(pool, req)
+    return []
+
+
+def find_workspace(pool: Pool, name: str) -> Workspace:
+    """Return the row of a workspace, made without limits if unknown."""
+    workspace = pool.workspaces.get(name)
+    if workspace is None:
+        workspace = Workspace(name)
+        pool.workspaces[name] = workspace
+    return workspace
+
+
+def enqueue(pool: Pool, req: Request) -> None:
+    """Put the request into its workspace's queue, by priority and deadline."""
+    workspace = find_workspace(pool, req.workspace)
+    queue = pool.queues.setdefault(req.workspace, [])
+    if not workspace.queued and not workspace.running:
+        workspace.virtual_time = max(
+            workspace.virtual_time,
+            pool.virtual_time,
+        )
+    pool.sequence += 1
+    entry = (-req.priority, due_time(req), pool.sequence, req.request_id)
+    heappush(queue, entry)
+    req.state = RequestState.QUEUED
+    workspace.queued += 1
+    pool.queued += 1
+
+
+def due_time(req: Request) -> float:
+    """Return when a queued request is refused.
+
+    The deadline bounds the begin of an answer; a stream that has begun is
+    bounded only by the longest life of a request.
+    """
+    if req.progress or req.deadline is None:
+        return req.expires_at
+    return min(req.deadline, req.expires_at)
+
+
+def expected_tokens(req: Request) -> int:
+    """Return how many tokens the request may still produce."""
+    if req.kind is ServiceKind.APPLICATION:
+        return 0
+    return max(0, req.max_tokens - req.progress)
--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/dispatch.py
@@ -0,0 +1,191 @@
+"""Take requests from the queues to upstreams, fairly between workspaces.
+
+Start-time fair queueing: each workspace has a virtual time that grows by the
+cost of its dispatches over its weight; the lowest one is served next (Goyal,
+Vin and Cheng, 1996).
+"""
+
+from heapq import heappop, heappush
+
+from spanfall_core.effects import Dispatch, Effect, Refuse, Right
+from spanfall_core.reasons import RefusalReason, RunState
+from spanfall_core.routing import (
+    Chooser,
+    choose_by_score,
+    free_upstreams,
+    remember_prefix,
+)
+from spanfall_core.tables import (
+    Pool,
+    Request,
+    RequestState,
+    ServiceKind,
+    Upstream,
+    Workspace,
+)
+from spanfall_core.upstreams import record_success, usable_slots
+
+#: Tokens that count as one unit of work in fair shares.
+WORK_UNIT_TOKENS = 100
+
+
+def run_tick(
+    pool: Pool,
+    now: float,
+    choose: Chooser = choose_by_score,
+) -> list[Effect]:
+    """Refuse what is late, then dispatch while there are free slots."""
+    effects: list[Effect] = list(expire(pool, now))
+    while pool.queued:
+        workspace = next_workspace(pool)
+        if workspace is None:
+            break
+        effect = dispatch_next(pool, workspace, now, choose)
+        if effect is None:
+            break
+        effects.append(effect)
+    return effects
+
+
+def expire(pool: Pool, now: float) -> list[Refuse]:
+    """Refuse the queued requests whose deadline has passed."""
+    late = [
+        req
+        for entries in pool.queues.values()
+        for _, due, _, request_id in entries
+        if due <= now and (req := pool.requests.get(request_id)) is not None
+    ]
+    refusals = []
+    for req in late:
+        remove_queued(pool, req)
+        finish(pool, req)
+        refusals.append(refuse_queued(req, RefusalReason.DEADLINE))
+    return refusals
+
+
+def refuse_queued(req: Request, reason: RefusalReason) -> Refuse:
+    """Refuse a queued request, saying whether an earlier run may have run."""
+    if req.may_have_run and not req.idempotent:
+        return Refuse(
+            req.request_id,
+            RefusalReason.OUTCOME_UNKNOWN,
+            RunState.UNKNOWN,
+        )
+    if req.progress:
+        return Refuse(req.request_id, reason, RunState.UNKNOWN)
+    return Refuse(req.request_id, reason, RunState.NOT_RUN, 1)
+
+
+def remove_queued(pool: Pool, req: Request) -> None:
+    """Take a request out of its queue."""
+    queue = pool.queues[req.workspace]
+    queue[:] = [entry for entry in queue if entry[3] != req.request_id]
+    queue.sort()
+    workspace = pool.workspaces[req.workspace]
+    workspace.queued -= 1
+    pool.queued -= 1
+
+
+def next_workspace(pool: Pool) -> Workspace | None:
+    """Return the workspace to serve next, or None if all are at a limit."""
+    ready = [
+        pool.workspaces[name]
+        for name, entries in pool.queues.items()
+        if entries and has_room(pool.workspaces[name])
+    ]
+    if not ready:
+        return None
+    return min(ready, key=lambda row: (row.virtual_time, row.name))
+
+
+def has_room(workspace: Workspace) -> bool:
+    """Tell whether the workspace may have one more request running."""
+    limit = workspace.max_running
+    return not limit or workspace.running < limit
+
+
+def dispatch_next(
+    pool: Pool,
+    workspace: Workspace,
+    now: float,
+    choose: Chooser,
+) -> Dispatch | None:
+    """Dispatch the first request of the workspace if a slot is free."""
+    queue = pool.queues[workspace.name]
+    entry = heappop(queue)
+    req = pool.requests[entry[3]]
+    rows = free_upstreams(pool, req, now)
+    if not rows:
+        heappush(queue, entry)
+        return None
+    workspace.queued -= 1
+    pool.queued -= 1
+    row = choose(pool, req, rows)
+    charge(pool, workspace, req)
+    return start_run(pool, req, row, now)
+
+
+def charge(pool: Pool, workspace: Workspace, req: Request) -> None:
+    """Advance the virtual time of the workspace by the work it takes."""
+    pool.virtual_time = max(pool.virtual_time, workspace.virtual_time)
+    work = 1.0
+    if req.kind is ServiceKind.MODEL:
+        work += max(0, req.max_tokens - req.progress) / WORK_UNIT_TOKENS
+    workspace.virtual_time += work / workspace.weight
+    workspace.running += 1
+
+
+def start_run(
+    pool: Pool,
+    req: Request,
+    row: Upstream,
+    now: float,
+) -> Dispatch:
+    """Occupy a slot of the upstream and return the dispatch."""
+    row.in_flight += 1
+    req.upstream_id = row.upstream_id
+    req.run += 1
+    req.dispatched_at = now
+    right = needed_right(req)
+    waits = right is not Right.NONE
+    req.state = RequestState.AWAITING_RIGHT if waits else RequestState.RUNNING
+    remember_prefix(pool, req, now)
+    return Dispatch(req.request_id, row.upstream_id, req.run, right)
+
+
+def needed_right(req: Request) -> Right:
+    """Return what proves that no other process runs the request."""
+    if req.idempotent:
+        return Right.NONE
+    return Right.CLAIM if req.key else Right.PERMIT
+
+
+def release(pool: Pool, req: Request) -> None:
+    """Free the slot that the run of the request occupies."""
+    if req.state not in {RequestState.RUNNING, RequestState.AWAITING_RIGHT}:
+        return
+    row = pool.upstreams.get(req.upstream_id)
+    if row is not None:
+        row.in_flight = max(0, row.in_flight - 1)
+    workspace = pool.workspaces[req.workspace]
+    workspace.running = max(0, workspace.running - 1)
+
+
+def finish(pool: Pool, req: Request) -> None:
+    """Forget a request that has its final outcome."""
+    release(pool, req)
+    req.state = RequestState.DONE
+    pool.requests.pop(req.request_id, None)
+
+
+def complete(pool: Pool, req: Request, now: float) -> None:
+    """Take a fully answered request out of the pool."""
+    row = pool.upstreams.get(req.upstream_id)
+    if row is not None:
+        record_success(row, now - req.dispatched_at, req.progress)
+    finish(pool, req)
+
+
+def has_capacity(pool: Pool, now: float) -> bool:
+    """Tell whether any upstream of the pool is usable now."""
+    return usable_slots(pool, now) > 0
--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/membership.py
@@ -0,0 +1,128 @@
+"""Keep the member list, one record a data centre, each with a version.
+
+Inside a data centre nodes send heartbeats to their delegate, which alone
+changes the record; the others take whatever record has a higher version.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from spanfall_core.placement import Place
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """Describe a node; a higher incarnation is a later start of it."""
+
+    node_id: str
+    incarnation: int
+    data_centre: str
+    address: str
+    draining: bool = False
+
+
+@dataclass(slots=True)
+class Record:
+    """Hold the members of one data centre as of a version."""
+
+    version: int = 0
+    members: dict[str, Member] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class MemberTable:
+    """Hold the records of all data centres, and heartbeats of the own one.
+
+    ``revision`` counts the changes of the table, for caches built on it.
+    """
+
+    records: dict[str, Record] = field(default_factory=dict)
+    heard: dict[str, float] = field(default_factory=dict)
+    revision: int = 0
+    homes: dict[str, tuple[str, ...]] = field(default_factory=dict)
+
+
+def merge_record(
+    table: MemberTable,
+    data_centre: str,
+    version: int,
+    members: Iterable[Member],
+) -> bool:
+    """Take a record if it is newer; return whether it was."""
+    record = table.records.setdefault(data_centre, Record())
+    if version <= record.version:
+        return False
+    record.version = version
+    record.members = {member.node_id: member for member in members}
+    note_change(table)
+    return True
+
+
+def note_change(table: MemberTable) -> None:
+    """Count a change and drop what was computed from the old table."""
+    table.revision += 1
+    table.homes.clear()
+
+
+def hear(table: MemberTable, member: Member, now: float) -> bool:
+    """Note a heartbeat at the delegate; return whether the list changed."""
+    table.heard[member.node_id] = now
+    record = table.records.setdefault(member.data_centre, Record())
+    known = record.members.get(member.node_id)
+    if known == member:
+        return False
+    if known is not None and known.incarnation > member.incarnation:
+        return False
+    record.members[member.node_id] = member
+    record.version += 1
+    note_change(table)
+    return True
+
+
+def expire(
+    table: MemberTable,
+    data_centre: str,
+    before: float,
+) -> list[str]:
+    """Remove members not heard since a time; return their ids."""
+    record = table.records.setdefault(data_centre, Record())
+    silent = [
+        node_id
+        for node_id in record.members
+        if table.heard.get(node_id, 0) < before
+    ]
+    for node_id in silent:
+        record.members.pop(node_id)
+        table.heard.pop(node_id, None)
+    if silent:
+        record.version += 1
+        note_change(table)
+    return silent
+
+
+def all_members(table: MemberTable) -> list[Member]:
+    """Return the members of all data centres."""
+    return [
+        member
+        for record in table.records.values()
+        for member in record.members.values()
+    ]
+
+
+def find_member(table: MemberTable, node_id: str) -> Member | None:
+    """Return the member with an id, or None."""
+    found = (
+        record.members[node_id]
+        for record in table.records.values()
+        if node_id in record.members
+    )
+    return next(found, None)
+
+
+def list_places(table: MemberTable) -> list[Place]:
+    """Return the nodes that may be homes: all but the draining ones."""
+    return [
+        Place(member.node_id, member.data_centre)
+        for member in all_members(table)
+        if not member.draining
+    ]
--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/reclaim.py
@@ -0,0 +1,175 @@
+"""Choose what to do with the streams of an upstream that leaves.
+
+For each stream the ways are: finish in place, move its KV cache to another
+upstream, or resume elsewhere from the prompt and the tokens so far. The
+cheapest by the weights of the deployment is taken.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum, unique
+
+from spanfall_core.dispatch import release
+from spanfall_core.effects import Effect, Move, Stop
+from spanfall_core.reasons import RetryReason
+from spanfall_core.recovery import requeue
+from spanfall_core.routing import (
+    forget_prefixes,
+    free_upstreams,
+    remember_prefix,
+    score,
+    uncached_tokens,
+)
+from spanfall_core.tables import (
+    Pool,
+    Request,
+    RequestState,
+    ServiceKind,
+    Upstream,
+    UpstreamState,
+)
+
+#: Part of the notice kept free, so that a stream ends before the host does.
+SAFETY_SECONDS = 0.5
+
+
+@unique
+class Way(StrEnum):
+    """Name the ways to treat a stream of a leaving upstream."""
+
+    FINISH = 'finish'
+    MOVE = 'move'
+    RESUME = 'resume'
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Hold the way chosen for one stream and its target, if it moves."""
+
+    way: Way
+    target: Upstream | None = None
+
+
+def mark_leaving(
+    pool: Pool,
+    upstream_id: str,
+    incarnation: int,
+    leaves_at: float,
+) -> bool:
+    """Stop new work to an upstream; return whether this was news."""
+    row = pool.upstreams.get(upstream_id)
+    if row is None or incarnation < row.incarnation:
+        return False
+    if row.state is not UpstreamState.ACTIVE:
+        known = leaves_at if row.leaves_at is None else row.leaves_at
+        row.leaves_at = min(known, leaves_at)
+        return False
+    row.state = UpstreamState.LEAVING
+    row.leaves_at = leaves_at
+    return True
+
+
+def evacuate(pool: Pool, upstream_id: str, now: float) -> list[Effect]:
+    """Return the effects that save the streams of a leaving upstream."""
+    row = pool.upstreams[upstream_id]
+    runs = [
+        req
+        for req in pool.requests.values()
+        if req.upstream_id == upstream_id and req.state is RequestState.RUNNING
+    ]
+    return [
+        effect
+        for req in runs
+        for effect in apply_choice(
+            pool,
+            req,
+            choose_way(pool, req, row, now),
+            now,
+        )
+    ]
+
+
+def remaining_seconds(req: Request, row: Upstream, now: float) -> float:
+    """Estimate how long the run needs to end on its upstream."""
+    if req.kind is ServiceKind.APPLICATION:
+        return max(0, row.call_seconds - (now - req.dispatched_at))
+    return max(0, req.max_tokens - req.progress) * row.token_seconds
+
+
+def choose_way(
+    pool: Pool,
+    req: Request,
+    row: Upstream,
+    now: float,
+) -> Choice:
+    """Choose the cheapest way that keeps the request whole.
+
+    Applications have no state to move: their calls finish in place, and
+    what the end of the host cuts short is decided by recovery.
+    """
+    until = float('inf') if row.leaves_at is None else row.leaves_at
+    left = until - now - SAFETY_SECONDS
+    needed = remaining_seconds(req, row, now)
+    if req.kind is ServiceKind.APPLICATION or needed <= left:
+        return Choice(Way.FINISH)
+    rows = free_upstreams(pool, req, now)
+    if not rows or left < pool.policy.export_seconds:
+        return Choice(Way.RESUME)
+    if 'kv-move' in pool.policy.disabled:
+        return Choice(Way.RESUME)
+    target = min(
+        rows,
+        key=lambda other: (score(pool, req, other), other.upstream_id),
+    )
+    lost = uncached_tokens(pool, req, target)
+    redo = lost * pool.policy.prefill_token_seconds
+    move_is_cheaper = pool.policy.export_seconds < redo * (
+        1 + pool.policy.recompute_weight
+    )
+    return Choice(Way.MOVE, target) if move_is_cheaper else Choice(Way.RESUME)
+
+
+def apply_choice(
+    pool: Pool,
+    req: Request,
+    choice: Choice,
+    now: float,
+) -> list[Effect]:
+    """Change the tables as chosen and return the effects."""
+    if choice.way is Way.FINISH:
+        return []
+    if choice.way is Way.RESUME or choice.target is None:
+        return resume_elsewhere(pool, req)
+    return [move_run(pool, req, choice.target, now)]
+
+
+def resume_elsewhere(pool: Pool, req: Request) -> list[Effect]:
+    """Stop the run and queue the rest of the request."""
+    stop = Stop(req.request_id, req.upstream_id, req.run)
+    return [stop, requeue(pool, req, RetryReason.UPSTREAM_LEAVING)]
+
+
+def move_run(
+    pool: Pool,
+    req: Request,
+    target: Upstream,
+    now: float,
+) -> Move:
+    """Occupy a slot of the target and release the one of the source."""
+    source_id = req.upstream_id
+    release(pool, req)
+    pool.workspaces[req.workspace].running += 1
+    target.in_flight += 1
+    req.upstream_id = target.upstream_id
+    req.run += 1
+    req.dispatched_at = now
+    req.avoid.add(source_id)
+    remember_prefix(pool, req, now)
+    return Move(req.request_id, source_id, target.upstream_id, req.run)
+
+
+def mark_gone(pool: Pool, upstream_id: str) -> None:
+    """Record that the host is gone, with its cache."""
+    row = pool.upstreams.get(upstream_id)
+    if row is not None:
+        row.state = UpstreamState.GONE
+        forget_prefixes(pool, upstream_id)
--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/routing.py
@@ -0,0 +1,125 @@
+"""Choose the upstream of a request by cost, latency and recomputed tokens.
+
+A policy is a function from a pool, a request and the usable upstreams to one
+of them; the baselines of the bench are such functions, too.
+"""
+
+from collections.abc import Callable, Sequence
+
+from spanfall_core.tables import Pool, Request, ServiceKind, Upstream
+from spanfall_core.upstreams import open_slots
+
+#: Tokens of prompt in one block of the prefix index.
+BLOCK_TOKENS = 64
+#: Most blocks of (prefix, upstream) kept for one service.
+MAX_PREFIX_ENTRIES = 50_000
+#: Chance a second that a reclaimable host is taken, assumed for scoring:
+#: once in two hours.
+RECLAIM_RATE = 1 / 7200
+
+Chooser = Callable[[Pool, Request, Sequence[Upstream]], Upstream]
+
+
+def cached_tokens(pool: Pool, req: Request, upstream_id: str) -> int:
+    """Return how many prompt tokens the upstream has cached, as we know."""
+    count = 0
+    for block in req.prefix:
+        if (block, upstream_id) not in pool.prefixes:
+            break
+        count += 1
+    return count * BLOCK_TOKENS
+
+
+def remember_prefix(pool: Pool, req: Request, now: float) -> None:
+    """Note that the upstream of the request now caches its prompt."""
+    for block in req.prefix:
+        entry = (block, req.upstream_id)
+        pool.prefixes[entry] = now
+        pool.prefixes.move_to_end(entry)
+    while len(pool.prefixes) > MAX_PREFIX_ENTRIES:
+        pool.prefixes.popitem(last=False)
+
+
+def forget_prefixes(pool: Pool, upstream_id: str) -> None:
+    """Drop all prefixes of an upstream that is gone or lost its cache."""
+    stale = [entry for entry in pool.prefixes if entry[1] == upstream_id]
+    for entry in stale:
+        pool.prefixes.pop(entry)
+
+
+def uncached_tokens(pool: Pool, req: Request, row: Upstream) -> int:
+    """Return the tokens that the upstream must compute before it decodes."""
+    if req.kind is ServiceKind.APPLICATION:
+        return 0
+    known = cached_tokens(pool, req, row.upstream_id)
+    return max(0, req.prompt_tokens + req.progress - known)
+
+
+def score(pool: Pool, req: Request, row: Upstream) -> float:
+    """Return the expected price of running the request there; low is good.
+
+    The three terms are money (price a second of a slot), seconds beyond the
+    first-token target, and tokens that must be computed again, now or after
+    a reclaim, each with the weight of the deployment.
+    """
+    policy = pool.policy
+    prefill = uncached_tokens(pool, req, row)
+    first = prefill * policy.prefill_token_seconds
+    load = (row.in_flight + 1) / max(1, row.slots)
+    first *= 1 + load
+    if req.kind is ServiceKind.MODEL:
+        left = max(0, req.max_tokens - req.progress)
+        seconds = left * row.token_seconds
+    else:
+        left = 0
+        seconds = row.call_seconds
+    money = row.price * (first + seconds) / max(1, row.slots)
+    late = max(0, first - policy.first_token_target)
+    risk = RECLAIM_RATE * seconds if row.reclaimable else 0.0
+    redo = prefill + risk * (req.prompt_tokens + req.progress + left / 2)
+    return (
+        policy.cost_weight * money
+        + policy.latency_weight * (late + load * seconds)
+        + policy.recompute_weight * redo * policy.prefill_token_seconds
+    )
+
+
+def choose_by_score(
+    pool: Pool,
+    req: Request,
+    rows: Sequence[Upstream],
+) -> Upstream:
+    """Return the upstream with the lowest expected price."""
+    return min(rows, key=lambda row: (score(pool, req, row), row.upstream_id))
+
+
+def choose_least_reported(
+    pool: Pool,
+    req: Request,
+    rows: Sequence[Upstream],
+) -> Upstream:
+    """Return the upstream with the least reported load (baseline)."""
+    return min(rows, key=lambda row: (row.reported_load, row.upstream_id))
+
+
+def choose_round_robin(
+    pool: Pool,
+    req: Request,
+    rows: Sequence[Upstream],
+) -> Upstream:
+    """Return the upstreams in turn (baseline)."""
+    return rows[pool.sequence % len(rows)]
+
+
+def free_upstreams(pool: Pool, req: Request, now: float) -> list[Upstream]:
+    """Return the upstreams with a free slot, without those to avoid.
+
+    If only upstreams to avoid are usable, they are returned: one more try
+    there is better than no try.
+    """
+    free = [
+        row
+        for row in pool.upstreams.values()
+        if row.in_flight < open_slots(pool, row, now)
+    ]
+    return [row for row in free if row.upstream_id not in req.avoid] or free
--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/tables.py
@@ -0,0 +1,158 @@
+"""Hold the rows that the systems of a home read and write.
+
+Times are seconds of the timer service; sizes are bytes unless named tokens.
+A pool is the state of one service at its home: its upstreams, workspaces and
+requests.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from enum import StrEnum, unique
+
+from spanfall_core.reasons import RetryReason
+
+#: Decode speed assumed for an upstream that has not been measured yet.
+DEFAULT_TOKEN_SECONDS = 0.02
+#: Service time assumed for an application call before the first answer.
+DEFAULT_CALL_SECONDS = 0.05
+#: Retries that a pool may spend before any request earned one.
+DEFAULT_RETRY_CREDIT = 20.0
+
+
+@unique
+class ServiceKind(StrEnum):
+    """Tell model pools, which can resume, from plain applications."""
+
+    MODEL = 'model'
+    APPLICATION = 'application'
+
+
+@unique
+class UpstreamState(StrEnum):
+    """Give the life-cycle states of an upstream."""
+
+    ACTIVE = 'active'
+    LEAVING = 'leaving'
+    GONE = 'gone'
+
+
+@unique
+class RequestState(StrEnum):
+    """Give the life-cycle states of a request at its home."""
+
+    QUEUED = 'queued'
+    AWAITING_RIGHT = 'awaiting-right'
+    RUNNING = 'running'
+    DONE = 'done'
+
+
+@dataclass(slots=True)
+class Upstream:
+    """Describe one worker of a service and what runs on it now."""
+
+    upstream_id: str
+    address: str
+    data_centre: str
+    host_class: str = 'standard'
+    price: float = 1.0
+    slots: int = 1
+    reclaimable: bool = True
+    incarnation: int = 0
+    state: UpstreamState = UpstreamState.ACTIVE
+    leaves_at: float | None = None
+    in_flight: int = 0
+    failures: int = 0
+    ejected_until: float = 0.0
+    active_since: float = 0.0
+    token_seconds: float = DEFAULT_TOKEN_SECONDS
+    call_seconds: float = DEFAULT_CALL_SECONDS
+    reported_load: float = 0.0
+
+
+@dataclass(slots=True)
+class Workspace:
+    """Hold the limits of a workspace and what it uses of them."""
+
+    name: str
+    weight: float = 1.0
+    rate: float = 0.0
+    burst: float = 1.0
+    max_running: int = 0
+    max_queued: int = 0
+    bucket: float = 0.0
+    refilled_at: float = 0.0
+    running: int = 0
+    queued: int = 0
+    virtual_time: float = 0.0
+
+
+@dataclass(slots=True)
+class Request:
+    """Describe one accepted request at its home."""
+
+    request_id: str
+    workspace: str
+    attempt: int = 1
+    kind: ServiceKind = ServiceKind.MODEL
+    idempotent: bool = True
+    key: str = ''
+    priority: int = 0
+    deadline: float | None = None
+    expires_at: float = float('inf')
+    arrived_at: float = 0.0
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    prefix: tuple[int, ...] = ()
+    progress: int = 0
+    state: RequestState = RequestState.QUEUED
+    upstream_id: str = ''
+    run: int = 0
+    retries: int = 0
+    dispatched_at: float = 0.0
+    may_have_run: bool = False
+    avoid: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class Policy:
+    """Hold the settings that the systems of one pool obey."""
+
+    max_queued: int = 1000
+    max_retries: int = 6
+    retry_ratio: float = 0.2
+    retry_burst: float = 20.0
+    eject_after: int = 3
+    eject_seconds: float = 5.0
+    slow_start_seconds: float = 5.0
+    cost_weight: float = 1.0
+    recompute_weight: float = 1.0
+    latency_weight: float = 1.0
+    first_token_target: float = 0.57
+    prefill_token_seconds: float = 0.0002
+    export_seconds: float = 0.25
+    disabled: frozenset[str] = frozenset()
+
+
+@dataclass(slots=True)
+class Pool:
+    """Hold all state of one service at its home."""
+
+    service: str
+    kind: ServiceKind = ServiceKind.MODEL
+    policy: Policy = field(default_factory=Policy)
+    upstreams: dict[str, Upstream] = field(default_factory=dict)
+    workspaces: dict[str, Workspace] = field(default_factory=dict)
+    requests: dict[str, Request] = field(default_factory=dict)
+    queues: dict[str, list[tuple[int, float, int, str]]] = field(
+        default_factory=dict,
+    )
+    prefixes: OrderedDict[tuple[int, str], float] = field(
+        default_factory=OrderedDict,
+    )
+    sequence: int = 0
+    queued: int = 0
+    retry_credit: float = DEFAULT_RETRY_CREDIT
+    virtual_time: float = 0.0
+    retries: dict[RetryReason, int] = field(default_factory=dict)
+    recomputed_tokens: int = 0
+    moved_tokens: int = 0
--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/upstreams.py
@@ -0,0 +1,71 @@
+"""Keep the state of upstreams: leaving, ejected, slow start, speed.
+
+Whichever source says first that an upstream leaves wins; only a higher
+incarnation undoes it.
+"""
+
+from spanfall_core.tables import Pool, Upstream, UpstreamState
+
+#: Share of its slots that an upstream offers at the begin of slow start.
+SLOW_START_SHARE = 0.25
+#: Weight of the newest sample in moving averages.
+SMOOTHING = 0.2
+
+
+def is_usable(row: Upstream, now: float) -> bool:
+    """Tell whether new work may go to the upstream."""
+    return row.state is UpstreamState.ACTIVE and row.ejected_until <= now
+
+
+def open_slots(pool: Pool, row: Upstream, now: float) -> int:
+    """Return how many slots the upstream offers, free or not."""
+    if not is_usable(row, now):
+        return 0
+    window = pool.policy.slow_start_seconds
+    age = now - row.active_since
+    if not row.active_since or window <= 0 or age >= window:
+        return row.slots
+    share = max(SLOW_START_SHARE, age / window)
+    return max(1, int(row.slots * share))
+
+
+def usable_slots(pool: Pool, now: float) -> int:
+    """Return the slots that the whole pool offers, free or not."""
+    return sum(open_slots(pool, row, now) for row in pool.upstreams.values())
+
+
+def put_upstream(pool: Pool, row: Upstream, now: float) -> None:
+    """Add an upstream, or update it without losing what is known of it.
+
+    A higher incarnation is a new process: it starts active and empty-handed.
+    """
+    known = pool.upstreams.get(row.upstream_id)
+    if known is None or row.incarnation > known.incarnation:
+        row.active_since = now if known is not None else 0.0
+        row.in_flight = known.in_flight if known is not None else 0
+        pool.upstreams[row.upstream_id] = row
+        return
+    known.address = row.address
+    known.data_centre = row.data_centre
+    known.host_class = row.host_class
+    known.price = row.price
+    known.slots = row.slots
+    known.reclaimable = row.reclaimable
+
+
+def record_failure(pool: Pool, row: Upstream, now: float) -> None:
+    """Count a failure and eject the upstream after several in a row."""
+    row.failures += 1
+    if row.failures >= pool.policy.eject_after:
+        row.ejected_until = now + pool.policy.eject_seconds
+        row.failures = 0
+        row.active_since = row.ejected_until
+
+
+def record_success(row: Upstream, seconds: float, tokens: int) -> None:
+    """Take the duration of a finished run into the averages."""
+    row.failures = 0
+    row.call_seconds += SMOOTHING * (seconds - row.call_seconds)
+    if tokens:
+        sample = seconds / tokens
+        row.token_seconds += SMOOTHING * (sample - row.token_seconds)
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/__init__.py
@@ -0,0 +1,1 @@
+"""Run a node of spanfall: adapters around the decisions of the core."""
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/callers.py
@@ -0,0 +1,529 @@
+"""Serve callers: completions, application calls, and reattachment."""
+
+import logging
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+from functools import partial, wraps
+from uuid import uuid4
+
+import anyio
+from pydantic import ValidationError
+from spanfall_api.completions import (
+    CHARS_PER_TOKEN,
+    CHAT_PATH,
+    TEXT_PATH,
+    parse_request,
+    token_limit,
+)
+from spanfall_api.frames import End, Header, Refused, Submit
+from spanfall_api.objects import Service, Workspace
+from spanfall_api.problems import RefusedError
+from spanfall_core.reasons import RefusalReason, RunState
+from spanfall_core.tables import ServiceKind
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from spanfall_node.bodies import read_body
+from spanfall_node.catalog import Catalog
+from spanfall_node.context import Context
+from spanfall_node.entry import Entry, Relay
+from spanfall_node.log import request_id_var
+from spanfall_node.members import Members
+from spanfall_node.rendering import (
+    REQUEST_ID_HEADER,
+    make_envelope,
+    refusal_of,
+    render_problem,
+    resume_event,
+    stream_events,
+    whole_completion,
+)
+from spanfall_node.rules import Call, Target, route
+from spanfall_node.upstream_calls import HOP_HEADERS
+
+logger = logging.getLogger(__name__)
+
+MILLISECONDS = 1000
+EVENT_STREAM = 'text/event-stream'
+#: Headers of a caller that are meant for spanfall alone.
+OWN_HEADERS = frozenset(
+    (
+        'authorization',
+        'spanfall-deadline-ms',
+        'spanfall-priority',
+    ),
+)
+METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
+#: Largest priority that a caller may ask for, either way.
+MAX_PRIORITY = 100
+#: Letter in a request id that says how its answer is rendered.
+CHAT_MARK = 'c'
+TEXT_MARK = 't'
+CALL_MARK = 'a'
+
+Endpoint = Callable[['Callers', Request], Awaitable[Response]]
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """Hold what the headers of a request ask for."""
+
+    priority: int | None
+    deadline: float | None
+    key: str
+
+
+def read_terms(req: Request) -> Terms:
+    """Return the terms of a request, or raise RefusedError."""
+    priority = read_number(req, 'spanfall-priority')
+    deadline = read_number(req, 'spanfall-deadline-ms')
+    if deadline is not None and deadline <= 0:
+        raise RefusedError(RefusalReason.BAD_REQUEST, 'deadline is not over 0')
+    if priority is not None and abs(priority) > MAX_PRIORITY:
+        raise RefusedError(
+            RefusalReason.BAD_REQUEST,
+            f'priority is not within {MAX_PRIORITY}',
+        )
+    seconds = None if deadline is None else deadline / MILLISECONDS
+    return Terms(priority, seconds, req.headers.get('idempotency-key', ''))
+
+
+def read_number(req: Request, name: str) -> int | None:
+    """Return a header as a whole number, or raise RefusedError."""
+    text = req.headers.get(name)
+    if text is None:
+        return None
+    try:
+        return int(text)
+    except ValueError as exc:
+        raise RefusedError(
+            RefusalReason.BAD_REQUEST,
+            f'{name} is not a whole number',
+        ) from exc
+
+
+def refusing(endpoint: Endpoint) -> Endpoint:
+    """Render the refusals of an endpoint and count them."""
+
+    @wraps(endpoint)
+    async def wrapped(self: 'Callers', req: Request) -> Response:
+        try:
+            return await endpoint(self, req)
+        except RefusedError as exc:
+            self.count_refusal(exc.reason)
+            return render_problem(exc, request_id_var.get())
+
+    return wrapped
+
+
+class Callers:
+    """Answer requests on the caller port."""
+
+    def __init__(
+        self,
+        context: Context,
+        catalog: Catalog,
+        members: Members,
+        entry: Entry,
+    ) -> None:
+        """Serve from the catalog, through the entry."""
+        self.stopping = anyio.Event()
+        self.is_ready: Callable[[], bool] = lambda: True
+        self._context = context
+        self._catalog = catalog
+        self._members = members
+        self._entry = entry
+
+    def build_app(self) -> Starlette:
+        """Return the ASGI application."""
+        return Starlette(
+            routes=[
+                Route(CHAT_PATH, self.complete, methods=['POST']),
+                Route(TEXT_PATH, self.complete, methods=['POST']),
+                Route('/v1/models', self.list_models, methods=['GET']),
+                Route(
+                    '/v1/requests/{request_id}',
+                    self.reattach,
+                    methods=['GET'],
+                ),
+                Route(
+                    '/services/{service}/{path:path}',
+                    self.pass_through,
+                    methods=list(METHODS),
+                ),
+            ],
+        )
+
+    def count_refusal(self, reason: RefusalReason) -> None:
+        """Count one refusal."""
+        self._context.metrics.refusals.labels(reason.value).inc()
+
+    @refusing
+    async def list_models(self, req: Request) -> Response:
+        """List the model services that the workspace may call."""
+        workspace = self._authenticate(req)
+        models = [
+            {'id': service.name, 'object': 'model', 'owned_by': 'spanfall'}
+            for service in self._catalog.services.values()
+            if service.kind is ServiceKind.MODEL
+            and route(self._catalog, Call(workspace, service.name))[1]
+        ]
+        return JSONResponse({'object': 'list', 'data': models})
+
+    @refusing
+    async def complete(self, req: Request) -> Response:
+        """Answer a completion, streamed or whole."""
+        workspace = self._admit(req)
+        raw = await read_body(req, self._context.cfg.limits)
+        try:
+            body = parse_request(req.url.path, raw)
+        except ValidationError as exc:
+            raise RefusedError(
+                RefusalReason.BAD_REQUEST,
+                f'{exc.error_count()} faults: {exc.errors()[0]["msg"]}',
+            ) from exc
+        limit = self._context.cfg.limits.max_tokens
+        if token_limit(body) > limit:
+            raise RefusedError(
+                RefusalReason.BAD_REQUEST,
+                f'max_tokens is over {limit}',
+            )
+        target, service = self._route(Call(workspace, body.model))
+        path = req.url.path
+        mark = CHAT_MARK if path == CHAT_PATH else TEXT_MARK
+        submit = self._build(req, workspace, target, service, mark)
+        submit = submit.model_copy(update={'path': path, 'body': raw})
+        relay = self._open(submit)
+        if body.stream:
+            return await self._answer_stream(relay, body.model, 0)
+        tokens = len(body.prompt_text()) // CHARS_PER_TOKEN
+        return await self._answer_whole(relay, body.model, tokens)
+
+    @refusing
+    async def pass_through(self, req: Request) -> Response:
+        """Pass a call on to an application service."""
+        workspace = self._admit(req)
+        raw = await read_body(req, self._context.cfg.limits)
+        path = '/' + req.path_params['path']
+        call = Call(
+            workspace,
+            req.path_params['service'],
+            req.method,
+            path,
+            is_model=False,
+        )
+        target, service = self._route(call)
+        if service.kind is not ServiceKind.APPLICATION:
+            raise RefusedError(
+                RefusalReason.UNKNOWN_SERVICE,
+                'this service is a model; use the completions interface',
+            )
+        submit = self._build(req, workspace, target, service, CALL_MARK)
+        query = f'?{req.url.query}' if req.url.query else ''
+        submit = submit.model_copy(
+            update={
+                'method': req.method,
+                'path': path + query,
+                'headers': self._pass_headers(req, submit.request_id),
+                'body': raw,
+            },
+        )
+        return await self._answer_call(self._open(submit))
+
+    @refusing
+    async def reattach(self, req: Request) -> Response:
+        """Go on with an answer after the event that a caller saw last."""
+        workspace = self._authenticate(req)
+        request_id = req.path_params['request_id']
+        request_id_var.set(request_id)
+        parts = request_id.split('.')
+        if len(parts) != _ID_PARTS:
+            raise RefusedError(RefusalReason.UNKNOWN_REQUEST)
+        offset = read_number(req, 'last-event-id') or 0
+        service, entry_id, tail = parts
+        relay = await self._find_answer(
+            request_id,
+            workspace.name,
+            (entry_id, *self._members.homes_of(service)),
+            offset,
+        )
+        if tail.startswith(CALL_MARK):
+            return await self._answer_call(relay)
+        return await self._answer_stream(relay, service, offset)
+
+    async def _find_answer(
+        self,
+        request_id: str,
+        workspace: str,
+        nodes: tuple[str, ...],
+        offset: int,
+    ) -> Relay:
+        own = self._entry.relays.get(request_id)
+        if own is not None and own.submit.workspace == workspace:
+            if own.answer.start <= offset and not own.attached:
+                own.has_caller = True
+                return own
+        tail = request_id.rpartition('.')[2]
+        is_call = tail.startswith(CALL_MARK)
+        submit = Submit(
+            request_id=request_id,
+            attempt=1,
+            service=request_id.partition('.')[0],
+            workspace=workspace,
+            service_kind=(
+                ServiceKind.APPLICATION if is_call else ServiceKind.MODEL
+            ),
+            idempotent=True,
+            life=self._context.cfg.times.answer_hold,
+            path=CHAT_PATH if tail.startswith(CHAT_MARK) else TEXT_PATH,
+        )
+        for node_id in dict.fromkeys(nodes):
+            relay = self._entry.attach(node_id, submit, offset)
+            await relay.answer.wait_beyond(offset)
+            if not isinstance(relay.answer.outcome, Refused):
+                return relay
+        raise RefusedError(
+            RefusalReason.UNKNOWN_REQUEST,
+            run=RunState.UNKNOWN,
+        )
+
+    def _authenticate(self, req: Request) -> Workspace:
+        scheme, _, token = req.headers.get('authorization', '').partition(' ')
+        if scheme.lower() != 'bearer':
+            raise RefusedError(RefusalReason.UNAUTHENTICATED)
+        workspace = self._catalog.find_workspace(token.strip())
+        if workspace is None:
+            raise RefusedError(RefusalReason.UNAUTHENTICATED)
+        return workspace
+
+    def _admit(self, req: Request) -> Workspace:
+        request_id_var.set('')
+        if self._context.draining:
+            raise RefusedError(RefusalReason.NODE_DRAINING, retry_after=1)
+        if not self.is_ready():
+            raise RefusedError(RefusalReason.NODE_NOT_READY, retry_after=1)
+        if self._entry.load() >= self._context.cfg.limits.open_requests:
+            raise RefusedError(RefusalReason.QUEUE_FULL, retry_after=1)
+        return self._authenticate(req)
+
+    def _route(self, call: Call) -> tuple[Target, Service]:
+        target, service = route(self._catalog, call)
+        if service is None:
+            raise RefusedError(
+                RefusalReason.UNKNOWN_SERVICE,
+                f'no service {target.service} for this workspace',
+            )
+        return target, service
+
+    def _build(
+        self,
+        req: Request,
+        workspace: Workspace,
+        target: Target,
+        service: Service,
+        mark: str,
+    ) -> Submit:
+        terms = read_terms(req)
+        deadline = terms.deadline
+        if deadline is None and target.deadline_ms is not None:
+            deadline = target.deadline_ms / MILLISECONDS
+        if deadline is None:
+            deadline = service.queue_seconds
+        priority = target.priority
+        if terms.priority is not None:
+            priority = terms.priority
+        node_id = self._context.node_id
+        request_id = f'{service.name}.{node_id}.{mark}{uuid4().hex}'
+        request_id_var.set(request_id)
+        return Submit(
+            request_id=request_id,
+            attempt=1,
+            service=service.name,
+            workspace=workspace.name,
+            service_kind=service.kind,
+            idempotent=target.idempotent,
+            key=terms.key,
+            priority=priority,
+            deadline=deadline,
+            life=service.life_seconds,
+        )
+
+    def _pass_headers(
+        self,
+        req: Request,
+        request_id: str,
+    ) -> tuple[Header, ...]:
+        passed = [
+            (name, text)
+            for name, text in req.headers.items()
+            if name not in HOP_HEADERS and name not in OWN_HEADERS
+        ]
+        return (*passed, (REQUEST_ID_HEADER.lower(), request_id))
+
+    def _open(self, submit: Submit) -> Relay:
+        metrics = self._context.metrics
+        metrics.requests.labels(submit.service).inc()
+        return self._entry.open(submit)
+
+    async def _answer_stream(
+        self,
+        relay: Relay,
+        model: str,
+        offset: int,
+    ) -> Response:
+        await self._first_part(relay, offset)
+        path = relay.submit.path
+        now = int(self._context.timers.epoch())
+        envelope = make_envelope(path, relay.request_id, model, now)
+        events = stream_events(
+            relay.answer,
+            path,
+            envelope,
+            offset,
+            partial(self._entry.note_read, relay),
+        )
+        return StreamingResponse(
+            self._guard(relay, events, offset),
+            media_type=EVENT_STREAM,
+            headers={
+                REQUEST_ID_HEADER: relay.request_id,
+                'Cache-Control': 'no-cache',
+            },
+        )
+
+    async def _answer_whole(
+        self,
+        relay: Relay,
+        model: str,
+        prompt_tokens: int,
+    ) -> Response:
+        answer = relay.answer
+        await self._first_part(relay, 0)
+        while answer.outcome is None:
+            offset = answer.offset
+            await self._wait_or_stop(relay, offset)
+            self._entry.note_read(relay, offset)
+        if isinstance(answer.outcome, Refused):
+            raise refusal_of(answer.outcome)
+        self._count_answer(relay)
+        path = relay.submit.path
+        now = int(self._context.timers.epoch())
+        envelope = make_envelope(path, relay.request_id, model, now)
+        return Response(
+            whole_completion(answer, path, envelope, prompt_tokens),
+            media_type='application/json',
+            headers={REQUEST_ID_HEADER: relay.request_id},
+        )
+
+    async def _answer_call(self, relay: Relay) -> Response:
+        answer = relay.answer
+        await answer.wait_head()
+        if isinstance(answer.outcome, Refused):
+            raise refusal_of(answer.outcome)
+        assert answer.head is not None
+        headers = dict(answer.head.headers)
+        headers[REQUEST_ID_HEADER] = relay.request_id
+        return StreamingResponse(
+            self._body_chunks(relay),
+            status_code=answer.head.status,
+            headers=headers,
+        )
+
+    async def _body_chunks(self, relay: Relay) -> AsyncIterator[bytes]:
+        answer = relay.answer
+        offset = answer.start
+        while True:
+            await answer.wait_beyond(offset)
+            for piece in answer.read(offset):
+                yield piece
+            offset = answer.offset
+            self._entry.note_read(relay, offset)
+            if isinstance(answer.outcome, End):
+                self._count_answer(relay)
+                return
+            if answer.outcome is not None:
+                # Only an abort tells the caller that the body is cut short.
+                raise refusal_of(answer.outcome)
+
+    async def _first_part(self, relay: Relay, offset: int) -> None:
+        started = self._context.timers.now()
+        await self._wait_or_stop(relay, offset)
+        elapsed = self._context.timers.now() - started
+        service = relay.submit.service
+        self._context.metrics.first_token.labels(service).observe(elapsed)
+        outcome = relay.answer.outcome
+        if isinstance(outcome, Refused) and relay.answer.offset <= offset:
+            raise refusal_of(outcome)
+
+    async def _wait_or_stop(self, relay: Relay, offset: int) -> None:
+        """Wait for more of the answer; at the end of a drain, refuse."""
+        if relay.answer.offset > offset or relay.answer.outcome is not None:
+            return
+        await first_of(
+            partial(relay.answer.wait_beyond, offset),
+            self.stopping.wait,
+        )
+        if relay.answer.offset > offset or relay.answer.outcome is not None:
+            return
+        raise RefusedError(
+            RefusalReason.NODE_DRAINING,
+            f'go on at /v1/requests/{relay.request_id}',
+            RunState.UNKNOWN,
+            1,
+        )
+
+    async def _guard(
+        self,
+        relay: Relay,
+        events: AsyncIterator[bytes],
+        offset: int,
+    ) -> AsyncIterator[bytes]:
+        """Yield events; end with a resume hint when the node stops."""
+        whole = False
+        try:
+            async for event in events:
+                yield event
+                if self.stopping.is_set() and relay.answer.outcome is None:
+                    yield resume_event(relay.request_id, relay.answer.offset)
+                    whole = True
+                    return
+            whole = True
+            self._count_answer(relay)
+        finally:
+            if not whole:
+                self._caller_left(relay)
+
+    def _caller_left(self, relay: Relay) -> None:
+        """Cancel the request unless its caller comes back in time."""
+        relay.has_caller = False
+
+        def cancel(now: float) -> None:
+            if not relay.has_caller:
+                self._entry.cancel(relay)
+
+        self._context.timers.once(self._context.cfg.times.reattach, cancel)
+
+    def _count_answer(self, relay: Relay) -> None:
+        metrics = self._context.metrics
+        service = relay.submit.service
+        if isinstance(relay.answer.outcome, End):
+            metrics.answers.labels(service).inc()
+            metrics.tokens.labels(service).inc(relay.answer.offset)
+
+
+#: Service, entry node, and mark with a random number.
+_ID_PARTS = 3
+
+
+async def first_of(*waits: Callable[[], Awaitable[object]]) -> None:
+    """Return as soon as one of the waits is over."""
+    async with anyio.create_task_group() as tasks:
+
+        async def run(wait: Callable[[], Awaitable[object]]) -> None:
+            await wait()
+            tasks.cancel_scope.cancel()
+
+        for wait in waits:
+            tasks.start_soon(run, wait)
--- /dev/null
+++ b/packages/spanfall-standins/src/spanfall_standins/engine.py
@@ -0,0 +1,297 @@
+"""Stand in for a model engine with continuous batching.
+
+Tokens are paced by batch steps: each step every running stream gets one
+token; a step takes longer as the batch grows. Prefill takes time for each
+prompt token that is not in the prefix cache, a bounded table of blocks.
+"""
+
+import json
+import logging
+from collections import OrderedDict
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from functools import partial
+from itertools import count
+
+import anyio
+import httpx
+from pydantic import BaseModel
+from spanfall_api.completions import (
+    CHARS_PER_TOKEN,
+    CHAT_PATH,
+    TEXT_PATH,
+    ChatRequest,
+    EngineOptions,
+    TextRequest,
+    parse_request,
+    token_limit,
+)
+from spanfall_node.held import prefix_blocks
+from spanfall_node.upstream_calls import (
+    FINISH_EXPORTED,
+    LEAVING_HEADER,
+    NOT_RUN,
+    RUN_HEADER,
+)
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from spanfall_standins.faults import Faults, set_faults
+from spanfall_standins.texts import prompt_seed, token_text
+
+logger = logging.getLogger(__name__)
+
+_UNAVAILABLE = 503
+_NOT_FOUND = 404
+_CONFLICT = 409
+
+
+class EngineSpeed(BaseModel):
+    """Set the size and pace of an engine; times are seconds."""
+
+    slots: int = 8
+    prefill_token_seconds: float = 0.0002
+    step_seconds: float = 0.02
+    step_per_stream: float = 0.001
+    cache_blocks: int = 2000
+
+
+@dataclass(slots=True)
+class Stream:
+    """Hold one running stream of an engine."""
+
+    request_id: str
+    prompt: str
+    prompt_tokens: int
+    offset: int
+    limit: int
+    exporting: bool = False
+    exported: anyio.Event = field(default_factory=anyio.Event)
+
+
+@dataclass(slots=True)
+class RunRecord:
+    """Record one run for checks from outside."""
+
+    request_id: str
+    start: int
+    computed: int
+    tokens: int = 0
+    ended: str = 'running'
+
+
+class Engine:
+    """Serve completions as an engine would, from made-up text."""
+
+    def __init__(self, name: str, speed: EngineSpeed) -> None:
+        """Start empty, with the given size and pace."""
+        self.name = name
+        self.speed = speed
+        self.faults = Faults()
+        self.records: list[RunRecord] = []
+        self.streams: dict[str, Stream] = {}
+        self.exports: dict[str, Stream] = {}
+        self.leaving: float | None = None
+        self.prefill_total = 0
+        self._cache: OrderedDict[int, None] = OrderedDict()
+        self._handles = count(1)
+
+    def build_app(self) -> Starlette:
+        """Return the ASGI application."""
+        return Starlette(
+            routes=[
+                Route(CHAT_PATH, self.complete, methods=['POST']),
+                Route(TEXT_PATH, self.complete, methods=['POST']),
+                Route('/v1/kv/export', self.export, methods=['POST']),
+                Route('/v1/kv/import/{handle}', self.hand_over),
+                Route('/v1/load', self.load),
+                Route('/_faults', self.change_faults, methods=['POST']),
+                Route('/_leave', self.leave, methods=['POST']),
+                Route('/_records', self.show_records),
+            ],
+        )
+
+    async def complete(self, req: Request) -> Response:
+        """Stream a completion, or refuse it as not run."""
+        broken = await self.faults.before()
+        if broken is not None:
+            return broken
+        raw = await req.body()
+        body = parse_request(req.url.path, raw)
+        extra = json.loads(raw).get('spanfall', {'request_id': 'direct'})
+        options = EngineOptions.model_validate(extra)
+        if self.leaving is not None or len(self.streams) >= self.speed.slots:
+            return self._refuse()
+        stream = await self._begin(body, options)
+        text = partial(self._event, req.url.path)
+        return StreamingResponse(
+            self._generate(stream, text),
+            media_type='text/event-stream',
+        )
+
+    async def export(self, req: Request) -> Response:
+        """Stop a stream and keep its state under a handle."""
+        broken = await self.faults.before()
+        if broken is not None:
+            return broken
+        request_id = (await req.json())['request_id']
+        stream = self.streams.get(request_id)
+        if stream is None:
+            return JSONResponse({'error': 'unknown'}, status_code=_NOT_FOUND)
+        stream.exporting = True
+        with anyio.move_on_after(1):
+            await stream.exported.wait()
+        if not stream.exported.is_set():
+            return JSONResponse({'error': 'busy'}, status_code=_CONFLICT)
+        handle = f'{self.name}-{next(self._handles)}'
+        self.exports[handle] = stream
+        return JSONResponse({'handle': handle, 'tokens': stream.offset})
+
+    async def hand_over(self, req: Request) -> Response:
+        """Give exported state to the engine that imports it."""
+        stream = self.exports.pop(req.path_params['handle'], None)
+        if stream is None or self.faults.down:
+            return JSONResponse({'error': 'unknown'}, status_code=_NOT_FOUND)
+        return JSONResponse({'tokens': stream.prompt_tokens + stream.offset})
+
+    async def load(self, req: Request) -> Response:
+        """Report how many streams run."""
+        return JSONResponse(
+            {'running': len(self.streams), 'slots': self.speed.slots},
+        )
+
+    async def change_faults(self, req: Request) -> Response:
+        """Change the faults in force."""
+        return await set_faults(self.faults, req)
+
+    async def leave(self, req: Request) -> Response:
+        """Refuse new work from now on, as a host that is taken back does."""
+        self.leaving = float((await req.json())['seconds'])
+        return JSONResponse({'leaving': self.leaving})
+
+    async def show_records(self, req: Request) -> Response:
+        """Show all runs, for checks from outside."""
+        rows = [
+            {
+                'request_id': row.request_id,
+                'start': row.start,
+                'computed': row.computed,
+                'tokens': row.tokens,
+                'ended': row.ended,
+            }
+            for row in self.records
+        ]
+        return JSONResponse(
+            {'records': rows, 'prefill_total': self.prefill_total},
+        )
+
+    def _refuse(self) -> Response:
+        headers = {RUN_HEADER: NOT_RUN}
+        if self.leaving is not None:
+            headers[LEAVING_HEADER] = str(self.leaving)
+        return JSONResponse(
+            {'error': 'no slot'},
+            status_code=_UNAVAILABLE,
+            headers=headers,
+        )
+
+    async def _begin(
+        self,
+        body: ChatRequest | TextRequest,
+        options: EngineOptions,
+    ) -> Stream:
+        prompt = body.prompt_text()
+        stream = Stream(
+            options.request_id,
+            prompt,
+            len(prompt) // CHARS_PER_TOKEN,
+            len(options.resume),
+            token_limit(body),
+        )
+        self.streams[stream.request_id] = stream
+        imported = await self._import(options)
+        total = stream.prompt_tokens + stream.offset
+        computed = max(0, total - max(imported, self._look_up(prompt)))
+        self.prefill_total += computed
+        self.records.append(
+            RunRecord(stream.request_id, stream.offset, computed),
+        )
+        await anyio.sleep(computed * self.speed.prefill_token_seconds)
+        return stream
+
+    async def _import(self, options: EngineOptions) -> int:
+        if not options.kv_handle:
+            return 0
+        address = f'{options.kv_source}/v1/kv/import/{options.kv_handle}'
+        try:
+            async with httpx.AsyncClient(trust_env=False) as client:
+                reply = await client.get(address)
+        except httpx.HTTPError as exc:
+            logger.info('No import: %r', exc)
+            return 0
+        if reply.is_error:
+            return 0
+        return int(reply.json()['tokens'])
+
+    def _look_up(self, prompt: str) -> int:
+        """Return the cached tokens of a prompt, and cache all of it."""
+        blocks = prefix_blocks('', prompt)
+        known = 0
+        for block in blocks:
+            if block not in self._cache:
+                break
+            known += 1
+        for block in blocks:
+            self._cache[block] = None
+            self._cache.move_to_end(block)
+        while len(self._cache) > self.speed.cache_blocks:
+            self._cache.popitem(last=False)
+        return known * (len(prompt) // CHARS_PER_TOKEN) // max(1, len(blocks))
+
+    async def _generate(
+        self,
+        stream: Stream,
+        event: 'EventMaker',
+    ) -> AsyncIterator[bytes]:
+        record = self.records[-1]
+        seed = prompt_seed(stream.prompt)
+        try:
+            while stream.offset < stream.limit and not stream.exporting:
+                await anyio.sleep(self._step())
+                if self.faults.down or self._is_cut(record):
+                    raise ConnectionAbortedError
+                text = token_text(seed, stream.offset)
+                stream.offset += 1
+                record.tokens += 1
+                yield event(text, None)
+            reason = FINISH_EXPORTED if stream.exporting else 'length'
+            record.ended = reason
+            yield event('', reason)
+            yield b'data: [DONE]\n\n'
+        finally:
+            if record.ended == 'running':
+                record.ended = 'cut'
+            stream.exported.set()
+            if self.streams.get(stream.request_id) is stream:
+                self.streams.pop(stream.request_id)
+
+    def _is_cut(self, record: RunRecord) -> bool:
+        limit = self.faults.cut_after
+        return bool(limit) and record.tokens >= limit
+
+    def _step(self) -> float:
+        batch = len(self.streams)
+        return self.speed.step_seconds + batch * self.speed.step_per_stream
+
+    def _event(self, path: str, text: str, reason: str | None) -> bytes:
+        choice: dict[str, object] = {'index': 0, 'finish_reason': reason}
+        if path == CHAT_PATH:
+            choice['delta'] = {'content': text}
+        else:
+            choice['text'] = text
+        return f'data: {json.dumps({"choices": [choice]})}\n\n'.encode()
+
+
+EventMaker = partial[bytes]
