Prove resume, second copies and drain on a small fleet

Cause: the promises had mechanisms but no proof. Change: tests that kill or reclaim the engine, the home and the entry of a running stream, once and twice, and compare the text byte by byte; the same with resume or second copies switched off, which must fail. Conclusion: streams survive each single loss that the tests provoke.

--- /dev/null
+++ b/tests/test_reclaim.py
@@ -0,0 +1,200 @@
+"""Provoke the loss of upstreams, homes and entries under running streams."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import pytest
+from spanfall_api.frames import UpstreamNotice
+from spanfall_node.node import Node
+from spanfall_standins.fleet import Fleet, run_fleet
+from support import (
+    SMALL,
+    Seen,
+    chat,
+    chat_body,
+    expected_text,
+    new_client,
+    quick_options,
+    reattach,
+    run_async,
+    running_engine,
+    wait_until,
+)
+
+TOKENS = 300
+
+Disturb = Callable[[Fleet, Node, Seen], Awaitable[None]]
+
+
+def tell_leaving(fleet: Fleet, name: str, seconds: float) -> None:
+    """Give notice of an upstream to all homes, and let it refuse work."""
+    fleet.workers[name].leaving = seconds
+    notice = UpstreamNotice(upstream_id=name, incarnation=1, seconds=seconds)
+    for node in fleet.live_nodes():
+        node.home.upstream_leaves(notice)
+
+
+async def reclaim_running(fleet: Fleet, seen: Seen, *, announced: bool) -> None:
+    """Take away the engine that runs the stream of ``seen``."""
+    name = running_engine(fleet, seen.request_id)
+    if announced:
+        tell_leaving(fleet, name, 0.7)
+        await wait_until(
+            lambda: running_engine(fleet, seen.request_id) not in {'', name},
+        )
+    fleet.hosts[name].kill()
+
+
+def stream_through(
+    disturb: Disturb,
+    *off: str,
+    at_home: bool = False,
+) -> Seen:
+    """Stream a chat, disturb it twice on the way, return what was seen."""
+    seen = Seen()
+
+    async def main() -> None:
+        async with run_fleet(SMALL, quick_options(*off)) as fleet:
+            home = fleet.acting_home('writer')
+            entry = home if at_home else fleet.entry_apart_from(home)
+            async with (
+                new_client('managers') as client,
+                anyio.create_task_group() as tasks,
+            ):
+                body = chat_body('audit', TOKENS)
+                tasks.start_soon(chat, fleet, entry, client, seen, body)
+                for offset in (TOKENS // 5, TOKENS // 2):
+                    await wait_until(lambda at=offset: seen.last_id >= at)
+                    await disturb(fleet, entry, seen)
+
+    run_async(main)
+    return seen
+
+
+
+@pytest.mark.parametrize('announced', [True, False])
+def test_stream_survives_two_lost_engines(announced: bool) -> None:
+    async def disturb(fleet: Fleet, entry: Node, seen: Seen) -> None:
+        await reclaim_running(fleet, seen, announced=announced)
+
+    seen = stream_through(disturb)
+    assert seen.finished, seen.error
+    assert seen.text == expected_text('audit', TOKENS)
+
+
+def test_without_resume_the_stream_breaks() -> None:
+    async def disturb(fleet: Fleet, entry: Node, seen: Seen) -> None:
+        if not seen.error:
+            await reclaim_running(fleet, seen, announced=False)
+            await wait_until(lambda: bool(seen.error))
+
+    seen = Seen()
+
+    async def main() -> None:
+        async with run_fleet(SMALL, quick_options('resume')) as fleet:
+            entry = fleet.entry_apart_from(fleet.acting_home('writer'))
+            async with (
+                new_client('managers') as client,
+                anyio.create_task_group() as tasks,
+            ):
+                body = chat_body('audit', TOKENS)
+                tasks.start_soon(chat, fleet, entry, client, seen, body)
+                await wait_until(lambda: seen.last_id >= TOKENS // 5)
+                await disturb(fleet, entry, seen)
+
+    run_async(main)
+    assert not seen.finished
+    assert seen.error == 'upstream-failed'
+
+
+def test_stream_survives_two_lost_homes() -> None:
+    async def disturb(fleet: Fleet, entry: Node, seen: Seen) -> None:
+        homes = [
+            node
+            for node in fleet.live_nodes()
+            if seen.request_id in node.home.held and node is not entry
+        ]
+        for node in homes:
+            node.kill()
+
+    seen = stream_through(disturb)
+    assert seen.finished, seen.error
+    assert seen.text == expected_text('audit', TOKENS)
+
+
+def lose_entry(*, at_home: bool, off: tuple[str, ...] = ()) -> Seen:
+    """Kill the entry in the middle of a stream and reattach elsewhere."""
+    seen = Seen()
+
+    async def main() -> None:
+        async with run_fleet(SMALL, quick_options(*off)) as fleet:
+            home = fleet.acting_home('writer')
+            entry = home if at_home else fleet.entry_apart_from(home)
+            async with new_client('managers') as client:
+                async with anyio.create_task_group() as tasks:
+                    body = chat_body('audit', TOKENS)
+                    tasks.start_soon(chat, fleet, entry, client, seen, body)
+                    await wait_until(lambda: seen.last_id >= TOKENS // 3)
+                    entry.kill()
+                assert not seen.finished
+                seen.error = ''
+                other = fleet.entry_apart_from(entry)
+                await reattach(fleet, other, client, seen)
+
+    run_async(main)
+    return seen
+
+
+@pytest.mark.parametrize('at_home', [True, False])
+def test_caller_reattaches_after_its_entry_died(at_home: bool) -> None:
+    seen = lose_entry(at_home=at_home)
+    assert seen.finished, seen.error
+    assert seen.text == expected_text('audit', TOKENS)
+
+
+def test_without_second_copy_an_entry_at_home_loses_the_stream() -> None:
+    seen = lose_entry(at_home=True, off=('two-copies',))
+    assert not seen.finished
+    assert 'unknown-request' in seen.error
+
+
+def test_drained_home_hands_its_streams_on() -> None:
+    async def main() -> None:
+        async with run_fleet(SMALL, quick_options(drain=1.0)) as fleet:
+            home = fleet.acting_home('writer')
+            entry = fleet.entry_apart_from(home)
+            seen = Seen()
+            async with (
+                new_client('managers') as client,
+                anyio.create_task_group() as tasks,
+            ):
+                body = chat_body('drain', TOKENS * 3)
+                tasks.start_soon(chat, fleet, entry, client, seen, body)
+                await wait_until(lambda: seen.last_id >= TOKENS // 5)
+                home.stop()
+                await home.stopped.wait()
+            assert seen.finished, seen.error
+            assert seen.text == expected_text('drain', TOKENS * 3)
+
+    run_async(main)
+
+
+def test_drained_entry_ends_with_a_resume_hint() -> None:
+    async def main() -> None:
+        async with run_fleet(SMALL, quick_options(drain=0.5)) as fleet:
+            home = fleet.acting_home('writer')
+            entry = fleet.entry_apart_from(home)
+            seen = Seen()
+            async with new_client('managers') as client:
+                async with anyio.create_task_group() as tasks:
+                    body = chat_body('drain', TOKENS * 3)
+                    tasks.start_soon(chat, fleet, entry, client, seen, body)
+                    await wait_until(lambda: seen.last_id >= TOKENS // 5)
+                    entry.stop()
+                assert seen.resumed, seen.error
+                other = fleet.entry_apart_from(entry)
+                await reattach(fleet, other, client, seen)
+            assert seen.finished, seen.error
+            assert seen.text == expected_text('drain', TOKENS * 3)
+
+    run_async(main)
