Split the home and the member list into modules of one job

Change: rights, handover, outcomes, heartbeats and config_spread are modules of their own; a cutter stand-in closes sockets without a word, and tests cut before, in and after a request that may run once. Conclusion: each cut ends as outcome-unknown and at most one run.

--- a/packages/spanfall-node/src/spanfall_node/delegates.py
+++ b/packages/spanfall-node/src/spanfall_node/delegates.py
@@ -13,10 +13,12 @@
 from pydantic import TypeAdapter
 from spanfall_api.frames import MemberEntry, MemberList
 
-from spanfall_node.config_store import LOG_PREFIX, ConfigStore
+from spanfall_node.config_spread import ConfigSpread
+from spanfall_node.config_store import LOG_PREFIX
 from spanfall_node.context import Context
+from spanfall_node.heartbeats import Heartbeats
 from spanfall_node.keyvalue import StoreError, WatchEvent
-from spanfall_node.members import Members, to_entry
+from spanfall_node.members import Members, entry_of
 
 logger = logging.getLogger(__name__)
 
@@ -39,12 +41,14 @@
         self,
         context: Context,
         members: Members,
-        config: ConfigStore,
+        heartbeats: Heartbeats,
+        spread: ConfigSpread,
     ) -> None:
         """Take part once ``run`` is started."""
         self._context = context
         self._members = members
-        self._config = config
+        self._heartbeats = heartbeats
+        self._spread = spread
         self._lease = 0
         self._key = f'delegates/{context.cfg.data_centre}'
         self._written = 0
@@ -81,11 +85,11 @@
             self._follow(_HOLDER.validate_json(entry.value))
             return
         lease = await store.grant(int(self._context.cfg.times.lease))
-        own = to_entry(self._members.own_member())
+        own = entry_of(self._members.own_member())
         raw = own.model_dump_json().encode()
         if await store.create(self._key, raw, lease):
             self._lease = lease
-            self._members.assume()
+            self._heartbeats.assume()
 
     def _follow(self, holder: MemberEntry) -> None:
         if holder.node_id == self._context.node_id:
@@ -93,7 +97,7 @@
         if holder.node_id in self._members.suspects:
             return
         if self._members.acting or not self._members.delegate:
-            self._members.resign(holder)
+            self._members.follow(holder)
 
     async def _while_acting(
         self,
@@ -116,7 +120,7 @@
     async def _watch_config(self) -> None:
         listing = await self._context.store.list_prefix(LOG_PREFIX)
         for entry in sorted(listing.entries, key=lambda row: row.revision):
-            self._members.take_document(entry.value, None)
+            self._spread.take_document(entry.value, None)
         await self._watch(LOG_PREFIX, listing.revision, self._take_log_event)
 
     async def _watch_members(self) -> None:
@@ -138,12 +142,12 @@
         async for event in self._context.store.watch(prefix, revision):
             if not self._members.acting:
                 return
-            self._config.note_contact()
+            self._spread.note_contact()
             if not event.deleted:
                 take(event)
 
     def _take_log_event(self, event: WatchEvent) -> None:
-        self._members.take_document(event.entry.value, None)
+        self._spread.take_document(event.entry.value, None)
 
     def _take_member_event(self, event: WatchEvent) -> None:
         self._take_record(event.entry.value)
@@ -152,7 +156,7 @@
         self._members.take_record(_RECORD.validate_json(raw))
 
     async def _write_record(self) -> None:
-        record = self._members.own_record()
+        record = self._members.record_of(self._members.data_centre)
         if record.version == self._written:
             return
         key = MEMBERS_PREFIX + record.data_centre
--- a/packages/spanfall-node/src/spanfall_node/node.py
+++ b/packages/spanfall-node/src/spanfall_node/node.py
@@ -15,11 +15,13 @@
 from spanfall_node.callers import Callers
 from spanfall_node.catalog import Catalog
 from spanfall_node.claim_store import ClaimStore
+from spanfall_node.config_spread import ConfigSpread
 from spanfall_node.config_store import ConfigStore
 from spanfall_node.context import Context
 from spanfall_node.delegates import Delegates
 from spanfall_node.entry import Entry
 from spanfall_node.etcd import EtcdKeyValue
+from spanfall_node.heartbeats import Heartbeats
 from spanfall_node.home import Home
 from spanfall_node.keyvalue import KeyValue, StoreError
 from spanfall_node.links import Links
@@ -126,8 +128,16 @@
         context = self.context
         self.catalog = Catalog()
         self.config = ConfigStore(context, self.catalog)
-        self.members = Members(context, self.config)
-        self.delegates = Delegates(context, self.members, self.config)
+        self.members = Members(context)
+        context.links.address_of = self.members.find_address
+        self.spread = ConfigSpread(context, self.members, self.config)
+        self.heartbeats = Heartbeats(context, self.members, self.spread)
+        self.delegates = Delegates(
+            context,
+            self.members,
+            self.heartbeats,
+            self.spread,
+        )
         self.claims = ClaimStore(context)
         self.home = Home(context, self.catalog, self.members, self.claims)
         self.entry = Entry(context, self.members)
@@ -156,7 +166,9 @@
         self.ports.peer = context.links.port
         self.home.start()
         self.entry.start()
-        self.members.start(f'{peer.host}:{self.ports.peer}')
+        self.members.address = f'{peer.host}:{self.ports.peer}'
+        self.spread.start()
+        self.heartbeats.start()
         tasks.start_soon(context.timers.run)
         tasks.start_soon(self._load_config)
         tasks.start_soon(self.delegates.run)
@@ -213,11 +225,11 @@
         context = self.context
         context.draining = True
         logger.info('Stopping: draining for %s s at most', self.cfg.times.drain)
-        context.timers.once(0, self.members.beat)
-        self.home.hand_back_queued()
+        context.timers.once(0, self.heartbeats.beat)
+        self.home.handover.hand_back_queued()
         seconds = self.cfg.times.drain
         await self._wait_idle(seconds * DRAIN_SHARE)
-        self.home.hand_back_running()
+        self.home.handover.hand_back_running()
         await anyio.sleep(FLUSH_SECONDS)
         self.callers.stopping.set()
         await self._wait_idle(seconds * (1 - DRAIN_SHARE))
@@ -225,5 +237,5 @@
 
     async def _wait_idle(self, seconds: float) -> None:
         with anyio.move_on_after(seconds):
-            while self.home.load() or self.entry.load():
+            while self.home.held.load() or self.entry.load():
                 await anyio.sleep(DRAIN_LOOK)
