Make the linters clean and share one TLS context

Change: one cached context; claim writing has a typed result; a test that killed a home before the run was permitted now waits for the run. Conclusion: the wait in that test was the idle timeout of the second home, which was right to run the request.

--- a/packages/spanfall-api/src/spanfall_api/completions.py
+++ b/packages/spanfall-api/src/spanfall_api/completions.py
@@ -33,7 +33,7 @@
     model: str
     stream: bool = False
     max_tokens: int = Field(default=DEFAULT_MAX_TOKENS, ge=1)
-    n: Literal[1] = 1
+    count: Literal[1] = Field(default=1, alias='n')
 
     def prompt_text(self) -> str:
         """Return the whole prompt as one text, to estimate and to index."""
--- a/packages/spanfall-api/src/spanfall_api/objects.py
+++ b/packages/spanfall-api/src/spanfall_api/objects.py
@@ -96,8 +96,10 @@
     incarnation: int = Field(default=1, ge=0)
 
 
+ObjectType = type[ConfigObject]
+
 #: Kinds of objects, by the plural that the admin interface uses.
-KINDS: Final[dict[str, type[ConfigObject]]] = {
+KINDS: Final[dict[str, ObjectType]] = {
     'services': Service,
     'workspaces': Workspace,
     'rules': Rule,
--- a/packages/spanfall-cli/src/spanfall_cli/demo.py
+++ b/packages/spanfall-cli/src/spanfall_cli/demo.py
@@ -5,6 +5,7 @@
 
 import click
 import httpx
+from spanfall_node.clients import new_http_client
 from spanfall_standins.deployments import BROLGA, token_of
 from spanfall_standins.fleet import Fleet, run_fleet
 from spanfall_standins.texts import whole_text
@@ -12,6 +13,8 @@
 PROMPT = 'Summarise the maintenance history of the Ipswich rink.'
 JOB_SHEET = b'{"rink": "ipswich", "task": "resurface"}'
 TOKENS = 60
+#: Seconds that one step may take.
+TIMEOUT = 30
 _SUCCESS = 200
 
 
@@ -79,7 +82,7 @@
     """Run all steps on a fleet of Brolga's size."""
     async with (
         run_fleet(BROLGA) as fleet,
-        httpx.AsyncClient(timeout=30, trust_env=False) as client,
+        new_http_client(httpx.Timeout(TIMEOUT)) as client,
     ):
         return [
             await ask_model(fleet, client),
--- a/packages/spanfall-core/src/spanfall_core/claims.py
+++ b/packages/spanfall-core/src/spanfall_core/claims.py
@@ -54,7 +54,7 @@
         return
     for claim in batch.claims:
         log.claims.setdefault(claim.key, claim)
-    newest = max((claim.at for claim in batch.claims), default=0)
+    newest = max((row.at for row in batch.claims), default=0)
     log.oldest[batch.sequence] = newest
     log.next_sequence = batch.sequence + 1
 
--- a/packages/spanfall-core/src/spanfall_core/dispatch.py
+++ b/packages/spanfall-core/src/spanfall_core/dispatch.py
@@ -5,7 +5,7 @@
 Vin and Cheng, 1996).
 """
 
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 
 from spanfall_core.effects import Dispatch, Effect, Refuse, Right
 from spanfall_core.reasons import RefusalReason, RunState
@@ -78,9 +78,13 @@
 
 def remove_queued(pool: Pool, req: Request) -> None:
     """Take a request out of its queue."""
-    queue = pool.queues[req.workspace]
-    queue[:] = [entry for entry in queue if entry[3] != req.request_id]
-    queue.sort()
+    left = [
+        entry
+        for entry in pool.queues[req.workspace]
+        if entry[3] != req.request_id
+    ]
+    heapify(left)
+    pool.queues[req.workspace] = left
     workspace = pool.workspaces[req.workspace]
     workspace.queued -= 1
     pool.queued -= 1
--- a/packages/spanfall-core/src/spanfall_core/placement.py
+++ b/packages/spanfall-core/src/spanfall_core/placement.py
@@ -52,4 +52,5 @@
         chosen = other if place.data_centre in seen else fresh
         chosen.append(place)
         seen.add(place.data_centre)
-    return tuple(place.node_id for place in islice(fresh + other, count))
+    chosen_places = islice(fresh + other, count)
+    return tuple(row.node_id for row in chosen_places)
--- a/packages/spanfall-core/src/spanfall_core/tables.py
+++ b/packages/spanfall-core/src/spanfall_core/tables.py
@@ -19,6 +19,10 @@
 DEFAULT_RETRY_CREDIT = 20.0
 
 
+#: Negative priority, due time, sequence number and request id.
+QueueEntry = tuple[int, float, int, str]
+
+
 @unique
 class ServiceKind(StrEnum):
     """Tell model pools, which can resume, from plain applications."""
@@ -143,9 +147,7 @@
     upstreams: dict[str, Upstream] = field(default_factory=dict)
     workspaces: dict[str, Workspace] = field(default_factory=dict)
     requests: dict[str, Request] = field(default_factory=dict)
-    queues: dict[str, list[tuple[int, float, int, str]]] = field(
-        default_factory=dict,
-    )
+    queues: dict[str, list[QueueEntry]] = field(default_factory=dict)
     prefixes: OrderedDict[tuple[int, str], float] = field(
         default_factory=OrderedDict,
     )
--- a/packages/spanfall-core/src/spanfall_core/upstreams.py
+++ b/packages/spanfall-core/src/spanfall_core/upstreams.py
@@ -41,8 +41,8 @@
     """
     known = pool.upstreams.get(row.upstream_id)
     if known is None or row.incarnation > known.incarnation:
-        row.active_since = now if known is not None else 0.0
-        row.in_flight = known.in_flight if known is not None else 0
+        row.active_since = 0.0 if known is None else now
+        row.in_flight = 0 if known is None else known.in_flight
         pool.upstreams[row.upstream_id] = row
         return
     known.address = row.address
--- a/packages/spanfall-node/src/spanfall_node/answers.py
+++ b/packages/spanfall-node/src/spanfall_node/answers.py
@@ -32,7 +32,7 @@
         """Return how many parts have arrived."""
         return self.start + len(self.pieces)
 
-    def set_head(self, head: Head) -> None:
+    def begin(self, head: Head) -> None:
         """Take status and headers, the first time only."""
         if self.head is None:
             self.head = head
--- a/packages/spanfall-node/src/spanfall_node/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/callers.py
@@ -206,7 +206,7 @@
         """Pass a call on to an application service."""
         workspace = self._admit(req)
         raw = await read_body(req, self._context.cfg.limits)
-        path = '/' + req.path_params['path']
+        path = '/{0}'.format(req.path_params['path'])
         call = Call(
             workspace,
             req.path_params['service'],
--- a/packages/spanfall-node/src/spanfall_node/catalog.py
+++ b/packages/spanfall-node/src/spanfall_node/catalog.py
@@ -93,7 +93,7 @@
         changed = list(ids)
         for kind, name in changed:
             self._update_one(state, kind, name)
-        kinds = {kind for kind, _ in changed}
+        kinds = {object_id[0] for object_id in changed}
         if 'workspaces' in kinds:
             self._index_tokens()
         if 'rules' in kinds:
--- a/packages/spanfall-node/src/spanfall_node/claim_store.py
+++ b/packages/spanfall-node/src/spanfall_node/claim_store.py
@@ -8,6 +8,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import StrEnum, unique
 from itertools import islice
 from uuid import uuid4
 
@@ -26,7 +27,6 @@
 from spanfall_node.context import Context
 from spanfall_node.keyvalue import (
     StoreError,
-    StoreUnavailableError,
     StoreUncertainError,
 )
 
@@ -40,6 +40,16 @@
 Callback = Callable[[Verdict, str], None]
 
 
+@unique
+class Written(StrEnum):
+    """Say what became of an append."""
+
+    YES = 'yes'
+    NO = 'no'
+    MAYBE = 'maybe'
+    TAKEN = 'taken'
+
+
 class ClaimDocument(BaseModel):
     """Describe one claim of an entry."""
 
@@ -117,7 +127,8 @@
         """Tell the verdicts that the log gives; return what to write."""
         log = writer.log
         chosen: list[Waiting] = []
-        taken, writer.waiting = writer.waiting, []
+        taken = writer.waiting
+        writer.waiting = []
         for row in taken:
             verdict = check_claim(log, row.claim)
             if verdict is Verdict.TAKEN:
@@ -142,31 +153,30 @@
         chosen: list[Waiting],
     ) -> None:
         nonce = uuid4().hex
-        written = False
-        maybe = False
+        state = Written.NO
         until = max(row.until for row in chosen)
-        while not written and self._context.timers.now() < until:
-            sequence = writer.log.next_sequence
+        while chosen and self._context.timers.now() < until:
             claims = tuple(row.claim for row in chosen)
-            try:
-                written = await self._append(
-                    writer,
-                    Batch(sequence, nonce, claims),
-                )
-            except StoreUnavailableError as exc:
-                logger.info('Claims wait for the store: %s', exc)
-                await anyio.sleep(RETRY_PAUSE)
-            except StoreUncertainError as exc:
-                maybe = True
-                logger.info('A claim write is uncertain: %s', exc)
-                await anyio.sleep(RETRY_PAUSE)
+            batch = Batch(writer.log.next_sequence, nonce, claims)
+            state = await self._try_append(writer, batch)
+            if state is Written.YES:
+                break
+            if state is Written.TAKEN:
+                chosen = self._drop_taken(writer, chosen)
             else:
-                if not written:
-                    maybe = False
-                    chosen = self._drop_taken(writer, chosen)
-                    if not chosen:
-                        return
-        self._end_batch(writer, chosen, written=written, maybe=maybe)
+                await anyio.sleep(RETRY_PAUSE)
+        self._end_batch(writer, chosen, state)
+
+    async def _try_append(self, writer: Writer, batch: Batch) -> Written:
+        try:
+            done = await self._append(writer, batch)
+        except StoreUncertainError as exc:
+            logger.info('A claim write is uncertain: %s', exc)
+            return Written.MAYBE
+        except StoreError as exc:
+            logger.info('Claims wait for the store: %s', exc)
+            return Written.NO
+        return Written.YES if done else Written.TAKEN
 
     def _drop_taken(
         self,
@@ -188,17 +198,15 @@
         self,
         writer: Writer,
         chosen: list[Waiting],
-        *,
-        written: bool,
-        maybe: bool,
+        state: Written,
     ) -> None:
+        is_written = state is Written.YES
+        verdict = Verdict.GRANTED if is_written else Verdict.UNAVAILABLE
         for row in chosen:
             writer.log.pending.remove(row.claim)
-            if written:
-                row.tell(Verdict.GRANTED, row.claim.request_id)
-            else:
-                row.tell(Verdict.UNAVAILABLE, row.claim.request_id)
-        if maybe:
+            row.tell(verdict, row.claim.request_id)
+        if not is_written:
+            # What became of the last write is found out by reading the log.
             writer.log.loaded = False
 
     async def _append(self, writer: Writer, batch: Batch) -> bool:
--- a/packages/spanfall-node/src/spanfall_node/embedded.py
+++ b/packages/spanfall-node/src/spanfall_node/embedded.py
@@ -76,7 +76,8 @@
         """Write the key if its revision is as given."""
         self._expire()
         known = self._entries.get(key)
-        if (0 if known is None else known.revision) != revision:
+        known_revision = 0 if known is None else known.revision
+        if known_revision != revision:
             return False
         self._attach(key, lease)
         self._write(key, value)
--- a/packages/spanfall-node/src/spanfall_node/entry.py
+++ b/packages/spanfall-node/src/spanfall_node/entry.py
@@ -233,7 +233,7 @@
         if isinstance(frame, Head):
             relay = self._current(frame)
             if relay is not None:
-                relay.answer.set_head(frame)
+                relay.answer.begin(frame)
 
     def _take_progress(self, link: Link, frame: Frame) -> None:
         if not isinstance(frame, Progress):
--- a/packages/spanfall-node/src/spanfall_node/etcd.py
+++ b/packages/spanfall-node/src/spanfall_node/etcd.py
@@ -6,6 +6,7 @@
 
 import json
 from base64 import b64decode, b64encode
+from collections import deque
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -142,19 +143,29 @@
             'start_revision': str(after + 1),
         }
         self._count('watch', 'started')
+        events: deque[WatchEvent] = deque()
         try:
-            async with self._client.stream(
-                'POST',
-                f'{self._url}/v3/watch',
-                json={'create_request': create},
-                timeout=httpx.Timeout(self._client.timeout.connect, read=None),
-            ) as reply:
-                async for line in reply.aiter_lines():
-                    for event in self._read_events(line):
-                        yield event
+            async for line in self._stream_lines('watch', create):
+                events.extend(self._read_events(line))
+                while events:
+                    yield events.popleft()
         except httpx.HTTPError as exc:
             raise StoreUnavailableError(str(exc)) from exc
 
+    async def _stream_lines(
+        self,
+        path: str,
+        create: JsonMap,
+    ) -> AsyncIterator[str]:
+        async with self._client.stream(
+            'POST',
+            f'{self._url}/v3/{path}',
+            json={'create_request': create},
+            timeout=httpx.Timeout(self._client.timeout.connect, read=None),
+        ) as reply:
+            async for line in reply.aiter_lines():
+                yield line
+
     def _read_events(self, line: str) -> list[WatchEvent]:
         if not line.strip():
             return []
--- a/packages/spanfall-node/src/spanfall_node/home.py
+++ b/packages/spanfall-node/src/spanfall_node/home.py
@@ -126,7 +126,7 @@
         known = self.held.find(frame)
         if frame.keep:
             self.adopt(link, frame)
-        elif known is not None:
+        elif known:
             self._rebind(known, link, frame)
         elif self._context.draining:
             link.send(
@@ -333,11 +333,11 @@
         held = self.held.find(frame)
         if not isinstance(frame, Attach):
             return
-        if held is not None and held.submit.workspace == frame.workspace:
+        if held is None or held.submit.workspace != frame.workspace:
+            reason = RefusalReason.UNKNOWN_REQUEST
+            refuse_frame(link, frame, reason, RunState.UNKNOWN)
+        else:
             held.follow(link, frame.attempt, frame.offset)
-            return
-        reason = RefusalReason.UNKNOWN_REQUEST
-        refuse_frame(link, frame, reason, RunState.UNKNOWN)
 
     def _take_notice(self, link: Link, frame: Frame) -> None:
         if isinstance(frame, UpstreamNotice):
--- a/packages/spanfall-node/src/spanfall_node/node.py
+++ b/packages/spanfall-node/src/spanfall_node/node.py
@@ -15,6 +15,7 @@
 from spanfall_node.callers import Callers
 from spanfall_node.catalog import Catalog
 from spanfall_node.claim_store import ClaimStore
+from spanfall_node.clients import new_http_client
 from spanfall_node.config_spread import ConfigSpread
 from spanfall_node.config_store import ConfigStore
 from spanfall_node.context import Context
@@ -99,7 +100,7 @@
         )
         timeout = httpx.Timeout(self.cfg.store.timeout_seconds)
         async with (
-            httpx.AsyncClient(timeout=timeout, trust_env=False) as client,
+            new_http_client(timeout) as client,
             anyio.create_task_group() as tasks,
         ):
             store = self._store or EtcdKeyValue(
--- a/packages/spanfall-node/src/spanfall_node/outcomes.py
+++ b/packages/spanfall-node/src/spanfall_node/outcomes.py
@@ -89,7 +89,7 @@
             offset = held.answer.offset
             await source.wait_beyond(offset)
             if source.head is not None:
-                held.answer.set_head(source.head.model_copy(update=renamed))
+                held.answer.begin(source.head.model_copy(update=renamed))
             held.answer.add(offset, tuple(source.read(offset)))
             if source.outcome is None:
                 held.notify()
--- a/packages/spanfall-node/src/spanfall_node/runs.py
+++ b/packages/spanfall-node/src/spanfall_node/runs.py
@@ -166,7 +166,7 @@
         status: int,
         headers: tuple[Header, ...],
     ) -> None:
-        held.answer.set_head(
+        held.answer.begin(
             Head(
                 request_id=held.request_id,
                 attempt=held.row.attempt,
--- a/packages/spanfall-node/src/spanfall_node/upstream_calls.py
+++ b/packages/spanfall-node/src/spanfall_node/upstream_calls.py
@@ -16,6 +16,8 @@
 from spanfall_api.frames import Header, Submit
 from spanfall_core.recovery import Failure
 
+from spanfall_node.clients import new_http_client
+
 logger = logging.getLogger(__name__)
 
 #: Header by which an upstream says that it did not run a request.
@@ -95,21 +97,12 @@
     def __init__(self, connect_timeout: float) -> None:
         """Make one client that reuses connections and one that does not."""
         timeout = httpx.Timeout(connect_timeout, read=None)
-        unlimited = httpx.Limits(max_connections=None)
         single = httpx.Limits(
             max_connections=None,
             max_keepalive_connections=0,
         )
-        self.pooled = httpx.AsyncClient(
-            timeout=timeout,
-            limits=unlimited,
-            trust_env=False,
-        )
-        self.single = httpx.AsyncClient(
-            timeout=timeout,
-            limits=single,
-            trust_env=False,
-        )
+        self.pooled = new_http_client(timeout)
+        self.single = new_http_client(timeout, single)
 
     async def close(self) -> None:
         """Close both clients."""
--- a/packages/spanfall-standins/src/spanfall_standins/application.py
+++ b/packages/spanfall-standins/src/spanfall_standins/application.py
@@ -86,8 +86,8 @@
         return self.faults.after(self._echo(req, raw))
 
     def _echo(self, req: Request, raw: bytes) -> Response:
-        if 'bytes' in req.query_params:
-            size = int(req.query_params['bytes'])
+        size = int(req.query_params.get('bytes', 0))
+        if size:
             return Response(b'x' * size, media_type='text/plain')
         content = {
             'worker': self.name,
--- a/packages/spanfall-standins/src/spanfall_standins/engine.py
+++ b/packages/spanfall-standins/src/spanfall_standins/engine.py
@@ -26,6 +26,7 @@
     parse_request,
     token_limit,
 )
+from spanfall_node.clients import new_http_client
 from spanfall_node.held import prefix_blocks
 from spanfall_node.upstream_calls import (
     FINISH_EXPORTED,
@@ -226,7 +227,7 @@
             return 0
         address = f'{options.kv_source}/v1/kv/import/{options.kv_handle}'
         try:
-            async with httpx.AsyncClient(trust_env=False) as client:
+            async with new_http_client(httpx.Timeout(1)) as client:
                 reply = await client.get(address)
         except httpx.HTTPError as exc:
             logger.info('No import: %r', exc)
@@ -259,9 +260,7 @@
         seed = prompt_seed(stream.prompt)
         try:
             while stream.offset < stream.limit and not stream.exporting:
-                await anyio.sleep(self._step())
-                if self.faults.down or self._is_cut(record):
-                    raise ConnectionAbortedError
+                await self._wait_step(record)
                 text = token_text(seed, stream.offset)
                 stream.offset += 1
                 record.tokens += 1
@@ -271,19 +270,23 @@
             yield event('', reason)
             yield b'data: [DONE]\n\n'
         finally:
-            if record.ended == 'running':
-                record.ended = 'cut'
-            stream.exported.set()
-            if self.streams.get(stream.request_id) is stream:
-                self.streams.pop(stream.request_id)
-
-    def _is_cut(self, record: RunRecord) -> bool:
+            self._end(stream, record)
+
+    def _end(self, stream: Stream, record: RunRecord) -> None:
+        if record.ended == 'running':
+            record.ended = 'cut'
+        stream.exported.set()
+        if self.streams.get(stream.request_id) is stream:
+            self.streams.pop(stream.request_id)
+
+    async def _wait_step(self, record: RunRecord) -> None:
+        """Wait for the next step of the batch, or break as told."""
+        batch = len(self.streams) * self.speed.step_per_stream
+        await anyio.sleep(self.speed.step_seconds + batch)
         limit = self.faults.cut_after
-        return bool(limit) and record.tokens >= limit
-
-    def _step(self) -> float:
-        batch = len(self.streams)
-        return self.speed.step_seconds + batch * self.speed.step_per_stream
+        is_cut = bool(limit) and record.tokens >= limit
+        if self.faults.down or is_cut:
+            raise ConnectionAbortedError
 
     def _event(self, path: str, text: str, reason: str | None) -> bytes:
         choice: dict[str, object] = {'index': 0, 'finish_reason': reason}
--- a/packages/spanfall-standins/src/spanfall_standins/fleet.py
+++ b/packages/spanfall-standins/src/spanfall_standins/fleet.py
@@ -44,6 +44,7 @@
 LOOK_SECONDS = 0.02
 
 Worker = Engine | Application
+KindAndDocument = tuple[str, dict[str, Any]]
 
 
 @dataclass(slots=True)
@@ -149,7 +150,7 @@
             if not node.stopped.is_set()
         )
 
-    def objects(self) -> list[tuple[str, dict[str, Any]]]:
+    def objects(self) -> list[KindAndDocument]:
         """Return kind and document of all objects of the deployment."""
         rows = [
             ('workspaces', workspace_object(name))
--- a/tests/support.py
+++ b/tests/support.py
@@ -9,6 +9,7 @@
 import httpx
 from spanfall_api.settings import Times
 from spanfall_core.tables import ServiceKind
+from spanfall_node.clients import client_context
 from spanfall_node.node import Node
 from spanfall_standins.application import WorkerSpeed
 from spanfall_standins.deployments import Deployment, PoolPlan, token_of
@@ -51,6 +52,7 @@
     return httpx.AsyncClient(
         timeout=WAIT_SECONDS,
         trust_env=False,
+        verify=client_context(),
         headers={'Authorization': f'Bearer {token_of(workspace)}'},
     )
 
@@ -123,9 +125,14 @@
         elif name == 'data':
             self._take_chunk(json.loads(content))
 
+    async def wait_for(self, offset: int) -> None:
+        """Wait until a token was seen."""
+        await wait_until(lambda: self.last_id >= offset)
+
     def _take_chunk(self, chunk: Json) -> None:
-        if 'error' in chunk:
-            self.error = chunk['error']['reason']
+        problem = chunk.get('error')
+        if problem:
+            self.error = problem['reason']
         for choice in chunk.get('choices', []):
             self.text += choice['delta'].get('content', '')
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -7,6 +7,7 @@
 import httpx
 import pytest
 from anyio.abc import TaskGroup
+from spanfall_core.tables import RequestState
 from spanfall_node.admin import check_object
 from spanfall_node.embedded import EmbeddedKeyValue
 from spanfall_node.keyvalue import (
@@ -163,7 +164,7 @@
     run_async(main)
 
 
-def test_without_claims_two_acting_homes_run_a_key_twice() -> None:
+def test_without_claims_a_key_runs_twice() -> None:
     async def main() -> None:
         async with run_fleet(SMALL, quick_options('claims')) as fleet:
             for node in fleet.live_nodes()[:2]:
@@ -203,9 +204,9 @@
 def is_running(home: Node) -> bool:
     """Tell whether a request runs for this home."""
     return any(
-        row.in_flight
+        row.state is RequestState.RUNNING
         for pool in home.home.pools.all()
-        for row in pool.upstreams.values()
+        for row in pool.requests.values()
     )
 
 
@@ -297,7 +298,7 @@
     run_async(main)
 
 
-def test_store_outage_refuses_keyed_calls_as_not_run() -> None:
+def test_store_outage_refuses_as_not_run() -> None:
     async def main() -> None:
         store = FaultyStore()
         options = quick_options(claim_wait=0.5)
--- a/tests/test_reclaim.py
+++ b/tests/test_reclaim.py
@@ -64,14 +64,13 @@
                 body = chat_body('audit', TOKENS)
                 tasks.start_soon(chat, fleet, entry, client, seen, body)
                 for offset in (TOKENS // 5, TOKENS // 2):
-                    await wait_until(lambda at=offset: seen.last_id >= at)
+                    await seen.wait_for(offset)
                     await disturb(fleet, entry, seen)
 
     run_async(main)
     return seen
 
 
-
 @pytest.mark.parametrize('announced', [True, False])
 def test_stream_survives_two_lost_engines(announced: bool) -> None:
     async def disturb(fleet: Fleet, entry: Node, seen: Seen) -> None:
@@ -152,7 +151,7 @@
     assert seen.text == expected_text('audit', TOKENS)
 
 
-def test_without_second_copy_an_entry_at_home_loses_the_stream() -> None:
+def test_without_second_copy_it_is_lost() -> None:
     seen = lose_entry(at_home=True, off=('two-copies',))
     assert not seen.finished
     assert 'unknown-request' in seen.error
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -42,14 +42,14 @@
                 new_client('drivers') as client,
                 anyio.create_task_group() as tasks,
             ):
-                for number, seen in enumerate(rows):
+                for number, row in enumerate(rows):
                     entry = nodes[number % len(nodes)]
                     body = chat_body(f'caller {number}', SHORT)
-                    tasks.start_soon(chat, fleet, entry, client, seen, body)
+                    tasks.start_soon(chat, fleet, entry, client, row, body)
             wrong = [
-                (number, seen.error)
-                for number, seen in enumerate(rows)
-                if seen.text != expected_text(f'caller {number}', SHORT)
+                (place, seen.error)
+                for place, seen in enumerate(rows)
+                if seen.text != expected_text(f'caller {place}', SHORT)
             ]
             assert not wrong
 
