--- a/packages/spanfall-api/src/spanfall_api/settings.py
+++ b/packages/spanfall-api/src/spanfall_api/settings.py
@@ -70,6 +70,16 @@
     expires_at: float | None = None
 
 
+class PeerListen(Listen):
+    """Describe the port for other nodes.
+
+    ``advertise`` is the ``host:port`` under which they reach it, where that
+    is not the address it listens on.
+    """
+
+    advertise: str = ''
+
+
 class AdminListen(Listen):
     """Describe the admin port; it has no way to run without tokens."""
 
@@ -150,7 +160,7 @@
     data_centre: str
     region: str = 'default'
     caller: Listen = Field(default_factory=Listen)
-    peer: Listen = Field(default_factory=Listen)
+    peer: PeerListen = Field(default_factory=PeerListen)
     admin: AdminListen
     store: Store
     seeds: tuple[Seed, ...] = ()
--- a/packages/spanfall-cli/src/spanfall_cli/main.py
+++ b/packages/spanfall-cli/src/spanfall_cli/main.py
@@ -16,6 +16,7 @@
 from spanfall_node.log import set_up_logging
 
 from spanfall_cli.demo import run_demo, show_steps
+from spanfall_cli.objects import COMMANDS
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
@@ -29,7 +30,7 @@
 )
 
 
-@click.group()
+@click.group(commands=COMMANDS)
 @click.version_option(package_name='spanfall-cli')
 def main() -> None:
     """Operate spanfall: settings, objects, fleet, traces and bench."""
--- a/packages/spanfall-node/src/spanfall_node/admin.py
+++ b/packages/spanfall-node/src/spanfall_node/admin.py
@@ -117,6 +117,7 @@
     ) -> None:
         """Serve from the catalog; commit through the configuration store."""
         self.is_ready: Callable[[], bool] = lambda: True
+        self.stop: Callable[[], None] = lambda: None
         self._context = context
         self._catalog = catalog
         self._members = members
@@ -382,6 +383,14 @@
         revision = await admin.commit(token, edits, ask.operation_id)
         return {'revision': revision, 'objects': len(edits)}
 
+    @app.post('/admin/v1/drain')
+    async def drain(token: token_type) -> dict[str, Any]:
+        if token.role is not Role.ADMIN:
+            raise RefusedError(RefusalReason.FORBIDDEN, 'the role is not admin')
+        logger.info('audit: %s begins a planned stop', token.name)
+        admin.stop()
+        return {'node': admin._context.node_id, 'draining': True}
+
     @app.get('/admin/v1/{kind}')
     async def list_objects(kind: str, token: token_type) -> dict[str, Any]:
         return {'objects': admin.list_kind(kind)}
--- a/packages/spanfall-node/src/spanfall_node/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/callers.py
@@ -423,13 +423,16 @@
         if isinstance(answer.outcome, Refused):
             raise refusal_of(answer.outcome)
         assert answer.head is not None
-        headers = dict(answer.head.headers)
-        headers[REQUEST_ID_HEADER] = relay.request_id
-        return StreamingResponse(
+        reply = StreamingResponse(
             self._body_chunks(relay),
             status_code=answer.head.status,
-            headers=headers,
+            headers={REQUEST_ID_HEADER: relay.request_id},
+        )
+        reply.raw_headers.extend(
+            (name.encode('latin-1'), text.encode('latin-1'))
+            for name, text in answer.head.headers
         )
+        return reply
 
     async def _body_chunks(self, relay: Relay) -> AsyncIterator[bytes]:
         answer = relay.answer
--- a/packages/spanfall-node/src/spanfall_node/delegates.py
+++ b/packages/spanfall-node/src/spanfall_node/delegates.py
@@ -51,7 +51,7 @@
         self._spread = spread
         self._lease = 0
         self._key = f'delegates/{context.cfg.data_centre}'
-        self._written = 0
+        self._written = (0, 0)
 
     async def run(self) -> None:
         """Contend, renew and watch until cancelled."""
@@ -90,6 +90,8 @@
         if await store.create(self._key, raw, lease):
             self._lease = lease
             self._heartbeats.assume()
+            # The old record may have lapsed and been dropped elsewhere.
+            self._members.outbid(0)
 
     def _follow(self, holder: MemberEntry) -> None:
         if holder.node_id == self._context.node_id:
@@ -143,22 +145,28 @@
             if not self._members.acting:
                 return
             self._spread.note_contact()
-            if not event.deleted:
-                take(event)
+            take(event)
 
     def _take_log_event(self, event: WatchEvent) -> None:
-        self._spread.take_document(event.entry.value, None)
+        if not event.deleted:
+            self._spread.take_document(event.entry.value, None)
 
     def _take_member_event(self, event: WatchEvent) -> None:
-        self._take_record(event.entry.value)
+        if event.deleted:
+            data_centre = event.entry.key.removeprefix(MEMBERS_PREFIX)
+            self._members.drop_record(data_centre)
+        else:
+            self._take_record(event.entry.value)
 
     def _take_record(self, raw: bytes) -> None:
         self._members.take_record(_RECORD.validate_json(raw))
 
     async def _write_record(self) -> None:
         record = self._members.record_of(self._members.data_centre)
-        if record.version == self._written:
+        written = (record.version, self._lease)
+        if written == self._written:
             return
         key = MEMBERS_PREFIX + record.data_centre
-        await self._context.store.put(key, record.model_dump_json().encode())
-        self._written = record.version
+        raw = record.model_dump_json().encode()
+        await self._context.store.put(key, raw, self._lease)
+        self._written = written
--- a/packages/spanfall-node/src/spanfall_node/embedded.py
+++ b/packages/spanfall-node/src/spanfall_node/embedded.py
@@ -83,9 +83,10 @@
         self._write(key, value)
         return True
 
-    async def put(self, key: str, value: bytes) -> None:
-        """Write the key, whatever it holds."""
+    async def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Write the key, whatever it holds; it ends with the lease."""
         self._expire()
+        self._attach(key, lease)
         self._write(key, value)
 
     async def delete(self, key: str) -> None:
@@ -137,12 +138,13 @@
         return list(history)[start:]
 
     def _attach(self, key: str, lease: int) -> None:
-        if not lease:
-            return
         row = self._leases.get(lease)
-        if row is None:
+        if lease and row is None:
             raise StoreUnavailableError('the lease has lapsed')
-        row.keys.add(key)
+        for other in self._leases.values():
+            other.keys.discard(key)
+        if row is not None:
+            row.keys.add(key)
 
     def _write(self, key: str, value: bytes) -> None:
         if len(value) > MAX_VALUE_BYTES:
--- a/packages/spanfall-node/src/spanfall_node/entry.py
+++ b/packages/spanfall-node/src/spanfall_node/entry.py
@@ -253,6 +253,7 @@
         relay = self._current(frame)
         if relay is None:
             return
+        self._members.trust(link.peer_id)
         if frame.offset != relay.answer.offset:
             reason = DropReason.OFFSET_GAP
             self._context.metrics.drops.labels(reason.value).inc()
--- a/packages/spanfall-node/src/spanfall_node/etcd.py
+++ b/packages/spanfall-node/src/spanfall_node/etcd.py
@@ -108,9 +108,13 @@
         reply = await self._call('replace', 'kv/txn', txn, writes=True)
         return bool(reply.get('succeeded'))
 
-    async def put(self, key: str, value: bytes) -> None:
-        """Write the key, whatever it holds."""
-        put = {'key': self._key(key), 'value': b64encode(value).decode()}
+    async def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Write the key, whatever it holds; it ends with the lease."""
+        put = {
+            'key': self._key(key),
+            'value': b64encode(value).decode(),
+            'lease': str(lease),
+        }
         await self._call('put', 'kv/put', put, writes=True)
 
     async def delete(self, key: str) -> None:
--- a/packages/spanfall-node/src/spanfall_node/keyvalue.py
+++ b/packages/spanfall-node/src/spanfall_node/keyvalue.py
@@ -68,8 +68,8 @@
     ) -> bool:
         """Write the key if its revision is as given; zero is absent."""
 
-    async def put(self, key: str, value: bytes) -> None:
-        """Write the key, whatever it holds."""
+    async def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Write the key, whatever it holds; it ends with the lease."""
 
     async def delete(self, key: str) -> None:
         """Delete the key, if it is there."""
--- a/packages/spanfall-node/src/spanfall_node/members.py
+++ b/packages/spanfall-node/src/spanfall_node/members.py
@@ -18,6 +18,11 @@
 
 logger = logging.getLogger(__name__)
 
+#: A node that is not reached is left out for at most 2**4 member timeouts.
+MAX_DOUBLINGS = 4
+#: A record that is outbid rises by more than any other delegate added.
+VERSION_STEP = 1000
+
 Listener = Callable[[], None]
 
 
@@ -59,6 +64,7 @@
         self.address = ''
         self.suspects: dict[str, float] = {}
         self._context = context
+        self._failures: dict[str, int] = {}
         self._addresses = {
             seed.node_id: seed.address for seed in context.cfg.seeds
         }
@@ -104,13 +110,19 @@
         return known
 
     def suspect(self, node_id: str) -> None:
-        """Leave a node out of homes for as long as a member times out."""
+        """Leave a node out of homes, longer each time in a row."""
         if node_id == self._context.node_id:
             return
-        now = self._context.timers.now()
-        self.suspects[node_id] = now + self._context.cfg.times.member_timeout
+        count = self._failures.get(node_id, 0)
+        self._failures[node_id] = min(MAX_DOUBLINGS, count + 1)
+        pause = self._context.cfg.times.member_timeout * 2**count
+        self.suspects[node_id] = self._context.timers.now() + pause
         self.table.homes.clear()
 
+    def trust(self, node_id: str) -> None:
+        """Note that a node was reached."""
+        self._failures.pop(node_id, None)
+
     def follow(self, holder: MemberEntry) -> None:
         """Follow another delegate, by its entry in the store."""
         if self.acting:
@@ -146,11 +158,14 @@
         )
 
     def take_record(self, frame: MemberList) -> None:
-        """Take a record if it is newer; outbid one that claims our own."""
-        record = self.table.records.get(frame.data_centre)
+        """Take a record if it is newer; outbid one that claims our own.
+
+        Our own write comes back from the store and is no other claim.
+        """
         if self.acting and frame.data_centre == self.data_centre:
-            if record is not None and frame.version >= record.version:
-                record.version = frame.version + 1
+            known = self.record_of(frame.data_centre)
+            if frame.version >= known.version and frame != known:
+                self.outbid(frame.version)
             return
         members = map(member_of, frame.members)
         if merge_record(
@@ -161,6 +176,23 @@
         ):
             self.tell_changed()
 
+    def outbid(self, version: int) -> None:
+        """Give the own record a version above another one."""
+        record = self.table.records[self.data_centre]
+        record.version = max(record.version, version) + VERSION_STEP
+        self.tell_changed()
+
+    def drop_record(self, data_centre: str) -> None:
+        """Take out a data centre whose delegate's lease has lapsed."""
+        record = self.table.records.get(data_centre)
+        if record is None or data_centre == self.data_centre:
+            return
+        if record.members:
+            logger.warning('Data centre %s is gone from the list', data_centre)
+            version = record.version + 1
+            merge_record(self.table, data_centre, version, ())
+            self.tell_changed()
+
     def tell_changed(self) -> None:
         """Tell listeners that the list has changed."""
         self._context.metrics.members.set(len(all_members(self.table)))
--- a/packages/spanfall-node/src/spanfall_node/node.py
+++ b/packages/spanfall-node/src/spanfall_node/node.py
@@ -152,6 +152,7 @@
         self.admin = Admin(context, self.catalog, self.members, self.config)
         self.callers.is_ready = self.is_ready
         self.admin.is_ready = self.is_ready
+        self.admin.stop = self.stop
 
     async def _start(self, tasks: TaskGroup) -> None:
         context = self.context
@@ -167,7 +168,9 @@
         self.ports.peer = context.links.port
         self.home.start()
         self.entry.start()
-        self.members.address = f'{peer.host}:{self.ports.peer}'
+        self.members.address = (
+            peer.advertise or f'{peer.host}:{self.ports.peer}'
+        )
         self.spread.start()
         self.heartbeats.start()
         tasks.start_soon(context.timers.run)
--- a/packages/spanfall-node/src/spanfall_node/upstream_calls.py
+++ b/packages/spanfall-node/src/spanfall_node/upstream_calls.py
@@ -31,15 +31,18 @@
 _SUCCESS = 200
 _TOO_MANY = 429
 
-#: Headers that belong to one connection and are not passed on (RFC 9110).
+#: Headers that belong to one connection and are not passed on (RFC 9110),
+#: and those that our own servers add.
 HOP_HEADERS = frozenset(
     (
         'connection',
         'content-length',
+        'date',
         'host',
         'keep-alive',
         'proxy-authenticate',
         'proxy-authorization',
+        'server',
         'te',
         'trailer',
         'transfer-encoding',
@@ -95,19 +98,32 @@
     """Hold the HTTP clients of a node."""
 
     def __init__(self, connect_timeout: float) -> None:
-        """Make one client that reuses connections and one that does not."""
-        timeout = httpx.Timeout(connect_timeout, read=None)
+        """Make a client that does not reuse connections.
+
+        Clients that do are made one an upstream: finding a free connection
+        takes time in proportion to all connections of a client.
+        """
+        self._timeouts = httpx.Timeout(connect_timeout, read=None)
+        self._pooled: dict[str, httpx.AsyncClient] = {}
         single = httpx.Limits(
             max_connections=None,
             max_keepalive_connections=0,
         )
-        self.pooled = new_http_client(timeout)
-        self.single = new_http_client(timeout, single)
+        self._single = new_http_client(self._timeouts, single)
 
     async def close(self) -> None:
-        """Close both clients."""
-        await self.pooled.aclose()
-        await self.single.aclose()
+        """Close all clients."""
+        for client in self._pooled.values():
+            await client.aclose()
+        await self._single.aclose()
+
+    def pooled(self, address: str) -> httpx.AsyncClient:
+        """Return the client that reuses connections to an upstream."""
+        client = self._pooled.get(address)
+        if client is None:
+            client = new_http_client(self._timeouts)
+            self._pooled[address] = client
+        return client
 
     async def call_model(
         self,
@@ -122,7 +138,7 @@
         body['stream'] = True
         body['spanfall'] = options.model_dump()
         try:
-            async with self.pooled.stream(
+            async with self.pooled(address).stream(
                 'POST',
                 address + submit.path,
                 json=body,
@@ -141,7 +157,9 @@
         take: TakePieces,
     ) -> RunOutcome:
         """Pass a call on and hand back status, headers and body."""
-        client = self.pooled if submit.idempotent else self.single
+        client = self._single
+        if submit.idempotent:
+            client = self.pooled(address)
         try:
             async with client.stream(
                 submit.method,
@@ -163,7 +181,7 @@
     async def export(self, address: str, request_id: str) -> str | None:
         """Ask an engine to export a run; return the handle, or None."""
         try:
-            reply = await self.pooled.post(
+            reply = await self.pooled(address).post(
                 f'{address}/v1/kv/export',
                 json={'request_id': request_id},
             )
@@ -177,7 +195,7 @@
     def _timeout(self, idle_seconds: float) -> httpx.Timeout:
         return httpx.Timeout(
             idle_seconds,
-            connect=self.pooled.timeout.connect,
+            connect=self._timeouts.connect,
         )
 
     async def _read_tokens(
--- a/packages/spanfall-standins/src/spanfall_standins/keyvalue.py
+++ b/packages/spanfall-standins/src/spanfall_standins/keyvalue.py
@@ -115,7 +115,11 @@
 
     async def put(self, call: JsonMap) -> JsonMap:
         """Put one key."""
-        await self.table.put(decode_key(call), b64decode(call['value']))
+        await self.table.put(
+            decode_key(call),
+            b64decode(call['value']),
+            int(call.get('lease', 0)),
+        )
         return {}
 
     async def delete(self, call: JsonMap) -> JsonMap:
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,150 @@
+"""Check the member list through joins, losses and store outages."""
+
+import time
+
+import pytest
+from spanfall_core.membership import all_members
+from spanfall_core.placement import Place, choose_homes
+from spanfall_node.embedded import EmbeddedKeyValue
+from spanfall_node.keyvalue import StoreUnavailableError
+from spanfall_node.node import Node
+from spanfall_standins.fleet import Fleet, run_fleet
+from support import SMALL, quick_options, run_async, wait_until
+
+SERVICES = 300
+NODES = 30
+
+
+def known_ids(node: Node) -> list[str]:
+    """Return the ids of the members that a node knows."""
+    return sorted(row.node_id for row in all_members(node.members.table))
+
+
+def agree(fleet: Fleet) -> bool:
+    """Tell whether all live nodes know just the live nodes."""
+    live = sorted(node.cfg.node_id for node in fleet.live_nodes())
+    return all(known_ids(node) == live for node in fleet.live_nodes())
+
+
+def test_lost_and_restarted_nodes() -> None:
+    async def main() -> None:
+        async with run_fleet(SMALL, quick_options()) as fleet:
+            fleet.nodes['north-4'].kill()
+            await wait_until(lambda: agree(fleet))
+            await fleet.start_node('north-4', 'north')
+            await wait_until(lambda: agree(fleet))
+
+    run_async(main)
+
+
+@pytest.mark.parametrize('store_down', [False, True])
+def test_lost_delegate_is_replaced(store_down: bool) -> None:
+    async def main() -> None:
+        store = OutageStore()
+        async with run_fleet(SMALL, quick_options(), store) as fleet:
+            store.down = store_down
+            north = [
+                node
+                for node in fleet.live_nodes()
+                if node.cfg.data_centre == 'north'
+            ]
+            acting = next(node for node in north if node.members.acting)
+            other = next(node for node in north if node is not acting)
+            acting.kill()
+            await wait_until(lambda: other.members.acting)
+            own = other.cfg.node_id
+            await wait_until(lambda: known_ids(other)[0] == own)
+
+    run_async(main)
+
+
+def test_lost_data_centre_leaves_the_list() -> None:
+    async def main() -> None:
+        options = quick_options(lease=2)
+        async with run_fleet(SMALL, options) as fleet:
+            fleet.nodes['south-2'].kill()
+            await wait_until(lambda: agree(fleet))
+            await fleet.start_node('south-2', 'south')
+            await wait_until(lambda: agree(fleet))
+
+    run_async(main)
+
+
+def test_records_are_written_on_change_only() -> None:
+    async def main() -> None:
+        store = OutageStore()
+        async with run_fleet(SMALL, quick_options(lease=2), store) as fleet:
+            await wait_until(lambda: agree(fleet))
+            await wait_renewals(store)
+            before = store.puts
+            await wait_renewals(store)
+            assert store.puts == before
+
+    run_async(main)
+
+
+async def wait_renewals(store: 'OutageStore') -> None:
+    """Wait until each delegate has renewed its lease."""
+    target = store.renewals + 2 * len(SMALL.data_centres)
+    await wait_until(lambda: store.renewals >= target)
+
+
+def test_homes_move_little() -> None:
+    """A lost node moves only what it held (rendezvous hashing)."""
+    places = [Place(f'node-{number}', 'dc') for number in range(NODES)]
+    names = [f'service-{number}' for number in range(SERVICES)]
+    before = {name: choose_homes(name, places)[0] for name in names}
+    left = [place for place in places if place.node_id != 'node-7']
+    after = {name: choose_homes(name, left)[0] for name in names}
+    moved = [name for name in names if before[name] != after[name]]
+    assert moved
+    assert all(before[name] == 'node-7' for name in moved)
+
+
+def test_homes_are_in_different_data_centres() -> None:
+    places = [Place(f'node-{number}', f'dc{number % 3}') for number in range(9)]
+    homes = choose_homes('service', places)
+    assert len({int(home.removeprefix('node-')) % 3 for home in homes}) == 3
+
+
+class OutageStore(EmbeddedKeyValue):
+    """Answer nothing while ``down``, and count what is written."""
+
+    def __init__(self) -> None:
+        """Start without faults."""
+        super().__init__(time.monotonic)
+        self.down = False
+        self.puts = 0
+        self.renewals = 0
+
+    async def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Count a write."""
+        self._check()
+        self.puts += 1
+        await super().put(key, value, lease)
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Count a renewal."""
+        self._check()
+        self.renewals += 1
+        return await super().keep_alive(lease)
+
+    async def get(self, key: str) -> object:
+        """Read, unless the store is down."""
+        self._check()
+        return await super().get(key)
+
+    async def replace(
+        self,
+        key: str,
+        value: bytes,
+        revision: int,
+        lease: int = 0,
+    ) -> bool:
+        """Write, unless the store is down."""
+        self._check()
+        return await super().replace(key, value, revision, lease)
+
+    def _check(self) -> None:
+        if self.down:
+            raise StoreUnavailableError('down')
