--- a/packages/spanfall-api/src/spanfall_api/frames.py
+++ b/packages/spanfall-api/src/spanfall_api/frames.py
@@ -169,6 +169,7 @@
     kind: Literal['member-list'] = 'member-list'
     data_centre: str
     version: int
+    delegate: str
     members: tuple[MemberEntry, ...]
 
 
--- a/packages/spanfall-core/src/spanfall_core/membership.py
+++ b/packages/spanfall-core/src/spanfall_core/membership.py
@@ -23,9 +23,10 @@
 
 @dataclass(slots=True)
 class Record:
-    """Hold the members of one data centre as of a version."""
+    """Hold the members of one data centre, as its delegate told them."""
 
     version: int = 0
+    delegate: str = ''
     members: dict[str, Member] = field(default_factory=dict)
 
 
@@ -42,18 +43,26 @@
     homes: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
 
+def make_record(
+    version: int,
+    delegate: str,
+    members: Iterable[Member],
+) -> Record:
+    """Return a record of the members."""
+    rows = {member.node_id: member for member in members}
+    return Record(version, delegate, rows)
+
+
 def merge_record(
     table: MemberTable,
     data_centre: str,
-    version: int,
-    members: Iterable[Member],
+    newer: Record,
 ) -> bool:
     """Take a record if it is newer; return whether it was."""
-    record = table.records.setdefault(data_centre, Record())
-    if version <= record.version:
+    known = table.records.get(data_centre)
+    if known is not None and newer.version <= known.version:
         return False
-    record.version = version
-    record.members = {member.node_id: member for member in members}
+    table.records[data_centre] = newer
     note_change(table)
     return True
 
--- a/packages/spanfall-node/src/spanfall_node/config_spread.py
+++ b/packages/spanfall-node/src/spanfall_node/config_spread.py
@@ -1,7 +1,7 @@
 """Spread accepted changes of configuration between nodes.
 
-The node that accepts a change sends it to its delegate and to one node of
-each data centre; delegates also watch the store, and hand changes down to
+The node that accepts a change sends it to the delegates of all data centres;
+delegates also watch the store, and hand changes down to
 the nodes that send them heartbeats. A node with a gap asks for what it
 misses.
 """
@@ -78,7 +78,10 @@
         change = load_change(document)
         fresh = change.revision > self.revision
         self._config.note_contact()
-        if not self._config.take_change(change) and link is not None:
+        if self._config.take_change(change):
+            # Changes apply without gaps, so what is here is whole.
+            self._config.loaded = True
+        elif link is not None:
             link.send(ConfigPull(after=self.revision))
         if fresh:
             self._remember(change.revision, document)
@@ -129,12 +132,8 @@
             self._context.links.open(node_id).send(frame)
 
     def _push_targets(self) -> Iterable[str]:
-        """Return one node of each data centre, and the own delegate."""
-        targets = {
-            min(record.members)
-            for record in self._members.table.records.values()
-            if record.members
-        }
+        """Return the delegates of all data centres."""
+        targets = self._members.other_delegates()
         if self._members.delegate:
             targets.add(self._members.delegate)
         targets.discard(self._context.node_id)
--- a/packages/spanfall-node/src/spanfall_node/heartbeats.py
+++ b/packages/spanfall-node/src/spanfall_node/heartbeats.py
@@ -17,6 +17,9 @@
 
 logger = logging.getLogger(__name__)
 
+#: Delegates compare what they have every so many heartbeats.
+BEATS_ABROAD = 2
+
 
 class Heartbeats:
     """Take part in keeping the member list."""
@@ -32,6 +35,7 @@
         self._members = members
         self._spread = spread
         self._sent: dict[str, int] = {}
+        self._beats = 0
 
     def start(self) -> None:
         """Subscribe to frames and to the heartbeat period."""
@@ -67,6 +71,9 @@
         known = [] if record is None else list(record.members)
         members.table.heard = dict.fromkeys(known, now)
         hear(members.table, members.own_member(), now)
+        members.table.records[
+            members.data_centre
+        ].delegate = self._context.node_id
         logger.info('Acting as delegate of %s', members.data_centre)
         members.tell_changed()
 
@@ -79,6 +86,18 @@
             logger.warning('No heartbeat any more from %s', ', '.join(gone))
         if gone or changed:
             members.tell_changed()
+        self._beats += 1
+        if self._beats % BEATS_ABROAD == 0:
+            self._beat_abroad()
+
+    def _beat_abroad(self) -> None:
+        """Compare records and configuration with the other delegates."""
+        beat = self._own_heartbeat()
+        own = self._members.record_of(self._members.data_centre)
+        for node_id in self._members.other_delegates():
+            link = self._context.links.open(node_id)
+            link.send(own)
+            link.send(beat)
 
     def _own_heartbeat(self) -> Heartbeat:
         own = self._members.own_member()
@@ -99,6 +118,7 @@
         if not isinstance(frame, Heartbeat):
             return
         if frame.data_centre != self._members.data_centre:
+            self._bring_up_to_date(link, frame)
             return
         self.assume()
         self._spread.followers[frame.node_id] = link
--- a/packages/spanfall-node/src/spanfall_node/members.py
+++ b/packages/spanfall-node/src/spanfall_node/members.py
@@ -10,6 +10,7 @@
     all_members,
     find_member,
     list_places,
+    make_record,
     merge_record,
 )
 from spanfall_core.placement import choose_homes
@@ -148,12 +149,28 @@
         nodes.add(self._context.node_id)
         return min(nodes)
 
+    def other_delegates(self) -> set[str]:
+        """Return whom to ask in each other data centre.
+
+        Seeds stand in for the delegates of data centres not known yet.
+        """
+        found = {
+            name: record.delegate
+            for name, record in self.table.records.items()
+            if record.delegate
+        }
+        for seed in self._context.cfg.seeds:
+            found.setdefault(seed.data_centre, seed.node_id)
+        found.pop(self.data_centre, None)
+        return set(found.values())
+
     def record_of(self, data_centre: str) -> MemberList:
         """Return the record of a data centre as a message."""
         record = self.table.records[data_centre]
         return MemberList(
             data_centre=data_centre,
             version=record.version,
+            delegate=record.delegate,
             members=tuple(map(entry_of, record.members.values())),
         )
 
@@ -167,13 +184,12 @@
             if frame.version >= known.version and frame != known:
                 self.outbid(frame.version)
             return
-        members = map(member_of, frame.members)
-        if merge_record(
-            self.table,
-            frame.data_centre,
+        newer = make_record(
             frame.version,
-            members,
-        ):
+            frame.delegate,
+            map(member_of, frame.members),
+        )
+        if merge_record(self.table, frame.data_centre, newer):
             self.tell_changed()
 
     def outbid(self, version: int) -> None:
@@ -189,8 +205,8 @@
             return
         if record.members:
             logger.warning('Data centre %s is gone from the list', data_centre)
-            version = record.version + 1
-            merge_record(self.table, data_centre, version, ())
+            empty = make_record(record.version + 1, '', ())
+            merge_record(self.table, data_centre, empty)
             self.tell_changed()
 
     def tell_changed(self) -> None:
--- a/packages/spanfall-standins/src/spanfall_standins/fleet.py
+++ b/packages/spanfall-standins/src/spanfall_standins/fleet.py
@@ -17,6 +17,7 @@
     Limits,
     NodeSettings,
     Role,
+    Seed,
     Store,
     Times,
 )
@@ -118,6 +119,14 @@
             data_centre=place,
             admin=AdminListen(tokens=(token,)),
             store=Store(kind='embedded'),
+            seeds=tuple(
+                Seed(
+                    node_id=node.cfg.node_id,
+                    data_centre=node.cfg.data_centre,
+                    address=f'127.0.0.1:{node.ports.peer}',
+                )
+                for node in self.live_nodes()
+            ),
             times=self._options.times,
             limits=self._options.limits,
             mechanisms_off=self._options.mechanisms_off,
