Make a decision independent of the queue's length

Cause: each decision scanned the whole queue for late requests: 2,855 us at 6,400 queued requests, 128 us at 100. Change: a heap by due time beside the queues; entries that are out of date are skipped when met.

--- a/packages/spanfall-core/src/spanfall_core/admission.py
+++ b/packages/spanfall-core/src/spanfall_core/admission.py
@@ -116,8 +116,10 @@
             pool.virtual_time,
         )
     pool.sequence += 1
-    entry = (-req.priority, due_time(req), pool.sequence, req.request_id)
-    heappush(queue, entry)
+    req.sequence = pool.sequence
+    due = due_time(req)
+    heappush(queue, (-req.priority, due, req.sequence, req.request_id))
+    heappush(pool.due, (due, req.sequence, req.request_id))
     req.state = RequestState.QUEUED
     workspace.queued += 1
     pool.queued += 1
--- a/packages/spanfall-core/src/spanfall_core/dispatch.py
+++ b/packages/spanfall-core/src/spanfall_core/dispatch.py
@@ -5,7 +5,7 @@
 Vin and Cheng, 1996).
 """
 
-from heapq import heapify, heappop, heappush
+from heapq import heappop
 
 from spanfall_core.effects import Dispatch, Effect, Refuse, Right
 from spanfall_core.reasons import RefusalReason, RunState
@@ -49,20 +49,29 @@
 
 def expire(pool: Pool, now: float) -> list[Refuse]:
     """Refuse the queued requests whose deadline has passed."""
-    late = [
-        req
-        for entries in pool.queues.values()
-        for _, due, _, request_id in entries
-        if due <= now and (req := pool.requests.get(request_id)) is not None
-    ]
     refusals = []
-    for req in late:
-        remove_queued(pool, req)
-        finish(pool, req)
-        refusals.append(refuse_queued(req, RefusalReason.DEADLINE))
+    while pool.due and pool.due[0][0] <= now:
+        _, sequence, request_id = heappop(pool.due)
+        req = find_queued(pool, sequence, request_id)
+        if req is not None:
+            remove_queued(pool, req)
+            finish(pool, req)
+            refusals.append(refuse_queued(req, RefusalReason.DEADLINE))
     return refusals
 
 
+def find_queued(
+    pool: Pool,
+    sequence: int,
+    request_id: str,
+) -> Request | None:
+    """Return the request of a queue entry, or None if it is out of date."""
+    req = pool.requests.get(request_id)
+    if req is None or req.sequence != sequence:
+        return None
+    return req if req.state is RequestState.QUEUED else None
+
+
 def refuse_queued(req: Request, reason: RefusalReason) -> Refuse:
     """Refuse a queued request, saying whether an earlier run may have run."""
     if req.may_have_run and not req.idempotent:
@@ -77,16 +86,9 @@
 
 
 def remove_queued(pool: Pool, req: Request) -> None:
-    """Take a request out of its queue."""
-    left = [
-        entry
-        for entry in pool.queues[req.workspace]
-        if entry[3] != req.request_id
-    ]
-    heapify(left)
-    pool.queues[req.workspace] = left
-    workspace = pool.workspaces[req.workspace]
-    workspace.queued -= 1
+    """Take a request out of its queue; its entries are skipped later."""
+    req.state = RequestState.DONE
+    pool.workspaces[req.workspace].queued -= 1
     pool.queued -= 1
 
 
@@ -94,8 +96,8 @@
     """Return the workspace to serve next, or None if all are at a limit."""
     ready = [
         pool.workspaces[name]
-        for name, entries in pool.queues.items()
-        if entries and has_room(pool.workspaces[name])
+        for name in pool.queues
+        if pool.workspaces[name].queued and has_room(pool.workspaces[name])
     ]
     if not ready:
         return None
@@ -115,13 +117,11 @@
     choose: Chooser,
 ) -> Dispatch | None:
     """Dispatch the first request of the workspace if a slot is free."""
-    queue = pool.queues[workspace.name]
-    entry = heappop(queue)
-    req = pool.requests[entry[3]]
+    req = first_queued(pool, workspace.name)
     rows = free_upstreams(pool, req, now)
     if not rows:
-        heappush(queue, entry)
         return None
+    heappop(pool.queues[workspace.name])
     workspace.queued -= 1
     pool.queued -= 1
     row = choose(pool, req, rows)
@@ -129,6 +129,17 @@
     return start_run(pool, req, row, now)
 
 
+def first_queued(pool: Pool, workspace: str) -> Request:
+    """Return the first request of a queue that has one."""
+    queue = pool.queues[workspace]
+    while True:
+        _, _, sequence, request_id = queue[0]
+        req = find_queued(pool, sequence, request_id)
+        if req is not None:
+            return req
+        heappop(queue)
+
+
 def charge(pool: Pool, workspace: Workspace, req: Request) -> None:
     """Advance the virtual time of the workspace by the work it takes."""
     pool.virtual_time = max(pool.virtual_time, workspace.virtual_time)
--- a/packages/spanfall-core/src/spanfall_core/tables.py
+++ b/packages/spanfall-core/src/spanfall_core/tables.py
@@ -21,6 +21,8 @@
 
 #: Negative priority, due time, sequence number and request id.
 QueueEntry = tuple[int, float, int, str]
+#: Due time, sequence number and request id.
+DueEntry = tuple[float, int, str]
 
 
 @unique
@@ -110,6 +112,7 @@
     progress: int = 0
     state: RequestState = RequestState.QUEUED
     upstream_id: str = ''
+    sequence: int = 0
     run: int = 0
     retries: int = 0
     dispatched_at: float = 0.0
@@ -139,7 +142,11 @@
 
 @dataclass(slots=True)
 class Pool:
-    """Hold all state of one service at its home."""
+    """Hold all state of one service at its home.
+
+    ``queues`` and ``due`` are heaps. An entry counts only while its request
+    is queued under the same sequence number; others are skipped when met.
+    """
 
     service: str
     kind: ServiceKind = ServiceKind.MODEL
@@ -148,6 +155,7 @@
     workspaces: dict[str, Workspace] = field(default_factory=dict)
     requests: dict[str, Request] = field(default_factory=dict)
     queues: dict[str, list[QueueEntry]] = field(default_factory=dict)
+    due: list[DueEntry] = field(default_factory=list)
     prefixes: OrderedDict[tuple[int, str], float] = field(
         default_factory=OrderedDict,
     )
