--- a/Makefile
+++ b/Makefile
@@ -20,16 +20,19 @@
 	$(BIN)/pytest
 
 fmt: $(VENV)/.installed
-	$(BIN)/ruff format packages tests
+	$(BIN)/ruff format packages tests bench
 
 lint: $(VENV)/.installed
-	$(BIN)/ruff format --check packages tests
-	$(BIN)/ruff check packages tests
-	$(BIN)/flake8 packages tests
+	$(BIN)/ruff format --check packages tests bench
+	$(BIN)/ruff check packages tests bench
+	$(BIN)/flake8 packages tests bench
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 
 check: lint test
 
+capacity: $(VENV)/.installed
+	$(BIN)/python bench/capacity.py
+
 clean:
 	rm -rf $(VENV) .mypy_cache .ruff_cache .pytest_cache
--- a/bench/tables.py
+++ b/bench/tables.py
@@ -7,6 +7,8 @@
 from itertools import count
 from typing import Any
 
+from spanfall_api.changes import dump_change, load_change
+from spanfall_api.frames import Heartbeat, decode_batch, encode_batch
 from spanfall_core.admission import admit
 from spanfall_core.configuration import Change, ConfigState, Edit, apply_change
 from spanfall_core.dispatch import complete, run_tick
@@ -14,6 +16,7 @@
 from spanfall_core.membership import (
     Member,
     MemberTable,
+    hear,
     make_record,
     merge_record,
 )
@@ -28,6 +31,9 @@
 QUEUE_SIZES = (100, 400, 1600, 6400)
 POOL_SIZES = (5, 20, 80, 320)
 REPEATS = 200
+HEARTBEAT_SIZES = (1000, 2000, 4000, 8000)
+CHANGE_SIZES = (500, 1000, 2000, 4000)
+KNOWN = 'brisbane-depot-1'
 
 
 def grown_bytes(build: Callable[[], Any]) -> int:
@@ -181,11 +187,54 @@
     return (time.perf_counter() - started) / REPEATS * 1_000_000
 
 
+def heartbeat_cpu() -> Points:
+    """Return processor seconds against heartbeats decoded and heard."""
+    versions = tuple((f'data-centre-{number}', 10**6) for number in range(11))
+    beat = Heartbeat(
+        node_id='brisbane-depot-1',
+        incarnation=1_796_222_359_000,
+        data_centre='brisbane-depot',
+        address='10.0.0.1:21300',
+        revision=1_000_000,
+        members=versions,
+    )
+    message = encode_batch([beat])
+    table = build_members(52)
+    points: Points = []
+    for size in HEARTBEAT_SIZES:
+        started = time.process_time()
+        for _ in range(size):
+            decode_batch(message)
+            hear(table, table.records['brisbane-depot'].members[KNOWN], 1)
+        points.append((size, time.process_time() - started))
+    return points
+
+
+def change_cpu() -> Points:
+    """Return processor seconds against changes decoded and applied."""
+    state, catalog = build_config(1000)
+    points: Points = []
+    for size in CHANGE_SIZES:
+        started = time.process_time()
+        for number in range(size):
+            name = f'frostmind-{number % 1000}'
+            stored = state.objects['upstreams', name]
+            edit = Edit('upstreams', name, stored.document)
+            revision = state.revision + 1
+            change = Change(revision, f'c-{revision}', 'bench', (edit,))
+            apply_change(state, load_change(dump_change(change)))
+            catalog.update(state, [('upstreams', name)])
+        points.append((size, time.process_time() - started))
+    return points
+
+
 SLOPES: dict[str, tuple[tuple[str, str], Callable[[], Points]]] = {
     'member-memory': (('members', 'bytes'), member_memory),
     'object-memory': (('objects', 'bytes'), object_memory),
     'upstream-memory': (('upstreams', 'bytes'), upstream_memory),
     'queue-memory': (('queued requests', 'bytes'), queue_memory),
     'decision-by-queue': (('queued requests', 'us'), decision_by_queue),
+    'heartbeat-cpu': (('heartbeats', 's'), heartbeat_cpu),
+    'change-cpu': (('changes', 's'), change_cpu),
     'decision-by-pool': (('upstreams', 'us'), decision_by_pool),
 }
--- a/packages/spanfall-node/src/spanfall_node/metrics.py
+++ b/packages/spanfall-node/src/spanfall_node/metrics.py
@@ -6,7 +6,13 @@
 
 from enum import StrEnum
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+)
 from spanfall_core.reasons import DropReason, RefusalReason, RetryReason
 
 #: Bucket bounds, in seconds, around the target of 0.57 s (letter 1).
@@ -33,6 +39,7 @@
     def __init__(self) -> None:
         """Create all metrics, with a zero for each known reason."""
         self.registry = CollectorRegistry()
+        ProcessCollector(registry=self.registry)
         self.refusals = self._by_reason(
             'spanfall_refusals',
             'Requests refused, by reason',
--- a/packages/spanfall-standins/src/spanfall_standins/examples.py
+++ b/packages/spanfall-standins/src/spanfall_standins/examples.py
@@ -29,9 +29,8 @@
 Json = dict[str, Any]
 
 
-def node_document(plan: Deployment, number: int) -> Json:
-    """Return the settings of one node of a deployment."""
-    base = BASE_PORTS[plan.name]
+def node_document(plan: Deployment, number: int, base: int) -> Json:
+    """Return the settings of one node, with ports counted from a base."""
     places = plan.node_places()
     node_id, place = places[number]
     token = {
@@ -57,9 +56,8 @@
     }
 
 
-def standin_document(plan: Deployment) -> Json:
+def standin_document(plan: Deployment, base: int) -> Json:
     """Return the settings of all stand-ins of a deployment."""
-    base = BASE_PORTS[plan.name]
     ports = count(base + WORKER_OFFSET)
     document: Json = {'store_port': base, 'engines': [], 'applications': []}
     for pool in plan.pools:
@@ -72,9 +70,9 @@
     return document
 
 
-def object_document(plan: Deployment) -> list[Json]:
+def object_document(plan: Deployment, base: int) -> list[Json]:
     """Return all objects of a deployment, as ``spanfall apply`` reads."""
-    ports = count(BASE_PORTS[plan.name] + WORKER_OFFSET)
+    ports = count(base + WORKER_OFFSET)
     rows = [
         {'kind': 'workspaces', 'object': workspace_object(name)}
         for name in plan.workspaces
@@ -91,22 +89,23 @@
 
 def example_files(plan: Deployment) -> dict[str, str]:
     """Return the content of each example file by its name."""
+    base = BASE_PORTS[plan.name]
     files = {
         f'node-{number + 1}.jsonc': render(
             f'Node {node_id} of {plan.name}; `spanfall settings show` lists '
             'all defaults.',
-            node_document(plan, number),
+            node_document(plan, number, base),
         )
         for number, (node_id, _) in enumerate(plan.node_places())
     }
     files['standins.jsonc'] = render(
         f'All stand-ins of {plan.name}: python -m spanfall_standins.',
-        standin_document(plan),
+        standin_document(plan, base),
     )
     files['objects.jsonc'] = render(
         f'All objects of {plan.name}, for `spanfall apply`. The bearer token '
         "of a workspace is its name and '-token'.",
-        object_document(plan),
+        object_document(plan, base),
     )
     return files
 
