Learn of leaving upstreams from the platform and spread it

Cause: only an upstream's own refusal told that it leaves. Change: delegates read the cloud's notices and the lagging host list through one port; notices spread between delegates and to their nodes; a pool made later knows them, too. Conclusion: whichever source comes first counts.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -9,7 +9,7 @@
 import control
 import tables
 import traffic
-from fits import Slope, fit, load_all, save
+from fits import Slope, fit, save, stored_slopes
 from page import PAGE, fill_in
 
 UNITS = {
@@ -50,7 +50,7 @@
     if '--tables-only' not in sys.argv:
         measure()
     text = PAGE.read_text('utf-8')
-    PAGE.write_text(fill_in(text, load_all()), 'utf-8')
+    PAGE.write_text(fill_in(text, stored_slopes()), 'utf-8')
 
 
 if __name__ == '__main__':
--- a/bench/fits.py
+++ b/bench/fits.py
@@ -69,7 +69,7 @@
     path.write_text(f'{json.dumps(asdict(slope), indent=2)}\n', 'utf-8')
 
 
-def load_all() -> dict[str, Slope]:
+def stored_slopes() -> dict[str, Slope]:
     """Return all stored slopes by name."""
     rows = {}
     for path in sorted(RESULTS.glob('*.json')):
--- a/bench/tables.py
+++ b/bench/tables.py
@@ -228,7 +228,9 @@
     return points
 
 
-SLOPES: dict[str, tuple[tuple[str, str], Callable[[], Points]]] = {
+Measured = tuple[tuple[str, str], Callable[[], Points]]
+
+SLOPES: dict[str, Measured] = {
     'member-memory': (('members', 'bytes'), member_memory),
     'object-memory': (('objects', 'bytes'), object_memory),
     'upstream-memory': (('upstreams', 'bytes'), upstream_memory),
--- a/packages/spanfall-node/src/spanfall_node/home.py
+++ b/packages/spanfall-node/src/spanfall_node/home.py
@@ -78,6 +78,8 @@
         self.runs = Runs(context, self.pools, self._run_ended)
         self.handover = Handover(context, self.held, self.pools, self.runs)
         self.adopt: Adopter = ignore_copy
+        self.spread_notice: Callable[[UpstreamNotice], None]
+        self.spread_notice = self.upstream_leaves
         self._context = context
         self._members = members
         self._rights = Rights(context, claims, self._right_decided)
@@ -91,7 +93,6 @@
         links.subscribe(Credit, self._take_credit)
         links.subscribe(Permit, self._take_permit)
         links.subscribe(Attach, self._take_attach)
-        links.subscribe(UpstreamNotice, self._take_notice)
         links.on_lost(self._lose_link)
         context.timers.every(context.cfg.times.tick, self.tick)
         context.timers.every(context.cfg.times.heartbeat, self.held.purge)
@@ -111,6 +112,7 @@
         """Stop new work to an upstream and save what runs there."""
         if self._context.is_off('leaving-notice'):
             return
+        self.pools.note_leaving(notice)
         now = self._context.timers.now()
         leaves_at = now + notice.seconds
         name = notice.upstream_id
@@ -302,9 +304,7 @@
             incarnation=row.incarnation,
             seconds=seconds,
         )
-        self.upstream_leaves(notice)
-        for link in self._context.links.peers():
-            link.send(notice)
+        self.spread_notice(notice)
 
     def _take_cancel(self, link: Link, frame: Frame) -> None:
         held = self.held.find(frame)
@@ -339,10 +339,6 @@
         else:
             held.follow(link, frame.attempt, frame.offset)
 
-    def _take_notice(self, link: Link, frame: Frame) -> None:
-        if isinstance(frame, UpstreamNotice):
-            self.upstream_leaves(frame)
-
     def _lose_link(self, link: Link) -> None:
         for held in list(self.held.rows.values()):
             self.handover.lose_entry(held, link)
--- a/packages/spanfall-node/src/spanfall_node/node.py
+++ b/packages/spanfall-node/src/spanfall_node/node.py
@@ -16,6 +16,7 @@
 from spanfall_node.catalog import Catalog
 from spanfall_node.claim_store import ClaimStore
 from spanfall_node.clients import new_http_client
+from spanfall_node.cloud import CloudPort, HttpCloud
 from spanfall_node.config_spread import ConfigSpread
 from spanfall_node.config_store import ConfigStore
 from spanfall_node.context import Context
@@ -28,6 +29,7 @@
 from spanfall_node.links import Links
 from spanfall_node.members import Members
 from spanfall_node.metrics import Metrics
+from spanfall_node.notices import Notices
 from spanfall_node.servers import AsgiApp, ServerLimits, serve_http
 from spanfall_node.timers import Timers
 
@@ -60,14 +62,16 @@
         cfg: NodeSettings,
         store: KeyValue | None = None,
         clock: Callable[[], float] = time.monotonic,
+        cloud: CloudPort | None = None,
     ) -> None:
-        """Take the settings; a store may be given to share one in memory."""
+        """Take the settings; platform ports may be given in memory."""
         self.cfg = cfg
         self.ports = Ports()
         self.started = anyio.Event()
         self.stopped = anyio.Event()
         self.metrics = Metrics()
         self._store = store
+        self._cloud = cloud
         self._clock = clock
         self._stop = anyio.Event()
         self._killed = anyio.CancelScope()
@@ -118,15 +122,21 @@
                 tasks,
                 incarnation,
             )
-            self._assemble()
+            self._assemble(client)
             await self._start(tasks)
             await self._stop.wait()
             await self._drain()
             tasks.cancel_scope.cancel()
         await self.home.runs.calls.close()
 
-    def _assemble(self) -> None:
+    def _assemble(self, client: httpx.AsyncClient) -> None:
         context = self.context
+        platform = self.cfg.platform
+        cloud = self._cloud or HttpCloud(
+            client,
+            platform.cloud_url,
+            platform.host_list_url,
+        )
         self.catalog = Catalog()
         self.config = ConfigStore(context, self.catalog)
         self.members = Members(context)
@@ -143,6 +153,9 @@
         self.home = Home(context, self.catalog, self.members, self.claims)
         self.entry = Entry(context, self.members)
         self.home.adopt = self.entry.adopt
+        self.notices = Notices(context, self.members, self.spread, cloud)
+        self.notices.listeners.append(self.home.upstream_leaves)
+        self.home.spread_notice = self.notices.take
         self.callers = Callers(
             context,
             self.catalog,
@@ -173,9 +186,11 @@
         )
         self.spread.start()
         self.heartbeats.start()
+        self.notices.start()
         tasks.start_soon(context.timers.run)
         tasks.start_soon(self._load_config)
         tasks.start_soon(self.delegates.run)
+        tasks.start_soon(self.notices.run)
         caller_app = self.callers.build_app()
         admin_app = build_admin_app(self.admin)
         self.ports.caller = await self._serve(caller_app, self.cfg.caller)
--- a/packages/spanfall-node/src/spanfall_node/pools.py
+++ b/packages/spanfall-node/src/spanfall_node/pools.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Callable
 
+from spanfall_api.frames import UpstreamNotice
 from spanfall_api.objects import Service
-from spanfall_core.reclaim import mark_gone
+from spanfall_core.reclaim import mark_gone, mark_leaving
 from spanfall_core.tables import Policy, Pool, Upstream, Workspace
 from spanfall_core.upstreams import put_upstream
 
@@ -33,6 +34,7 @@
         """Start without pools; each is made when first needed."""
         self.changed: list[PoolListener] = []
         self._pools: dict[str, Pool] = {}
+        self._leaving: dict[str, tuple[int, float]] = {}
         self._context = context
         self._catalog = catalog
         catalog.listeners.append(self._catalog_changed)
@@ -45,6 +47,12 @@
         """Return the object of a service."""
         return self._catalog.services.get(name)
 
+    def note_leaving(self, notice: UpstreamNotice) -> None:
+        """Keep a notice for pools that are made later."""
+        leaves_at = self._context.timers.now() + notice.seconds
+        name = notice.upstream_id
+        self._leaving[name] = (notice.incarnation, leaves_at)
+
     def find(self, service: str) -> Pool | None:
         """Return the pool of a service, or None if there is no such one."""
         pool = self._pools.get(service)
@@ -102,6 +110,9 @@
                 incarnation=row.incarnation,
             )
             put_upstream(pool, upstream, now)
+            leaving = self._leaving.get(name)
+            if leaving is not None:
+                mark_leaving(pool, name, *leaving)
         for name in set(pool.upstreams) - names:
             mark_gone(pool, name)
             if not pool.upstreams[name].in_flight:
--- a/packages/spanfall-standins/src/spanfall_standins/fleet.py
+++ b/packages/spanfall-standins/src/spanfall_standins/fleet.py
@@ -29,6 +29,7 @@
 from spanfall_node.node import Node
 
 from spanfall_standins.application import Application, WorkerSpeed
+from spanfall_standins.cloud import Cloud
 from spanfall_standins.deployments import (
     Deployment,
     PoolPlan,
@@ -75,6 +76,7 @@
         self.workers: dict[str, Worker] = {}
         self.hosts: dict[str, Host] = {}
         self.store = store
+        self.cloud = Cloud(time.monotonic)
         self._tasks = tasks
         self._options = options
 
@@ -101,7 +103,8 @@
 
     async def start_node(self, node_id: str, place: str) -> Node:
         """Start one node and wait until it listens."""
-        node = Node(self.node_settings(node_id, place), self.store)
+        settings = self.node_settings(node_id, place)
+        node = Node(settings, self.store, cloud=self.cloud)
         self.nodes[node_id] = node
         self._tasks.start_soon(node.run)
         await node.started.wait()
