Replay recorded traces and drive the core with random faults

Cause: the promises were proved one loss at a time only; a property run found two faults: a request that had run once and was then refused in the queue was called not-run (after an error without progress, and after a resume from a leaving upstream).

--- a/packages/spanfall-api/src/spanfall_api/settings.py
+++ b/packages/spanfall-api/src/spanfall_api/settings.py
@@ -168,6 +168,7 @@
     limits: Limits = Field(default_factory=Limits)
     times: Times = Field(default_factory=Times)
     logging: Logging = Field(default_factory=Logging)
+    policy: Literal['score', 'least-reported', 'round-robin'] = 'score'
     mechanisms_off: tuple[str, ...] = ()
 
     @model_validator(mode='after')
--- /dev/null
+++ b/packages/spanfall-cli/src/spanfall_cli/replay.py
@@ -0,0 +1,455 @@
+"""Replay a trace: real nodes and adapters, stand-ins, callers from outside."""
+
+import json
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from itertools import count
+from typing import Any
+
+import anyio
+import httpx
+from spanfall_core.configuration import Edit
+from spanfall_core.tables import ServiceKind
+from spanfall_node.admin import check_object
+from spanfall_node.clients import new_http_client
+from spanfall_node.embedded import EmbeddedKeyValue
+from spanfall_node.keyvalue import (
+    KeyEntry,
+    Listing,
+    StoreError,
+    StoreUnavailableError,
+    StoreUncertainError,
+)
+from spanfall_node.node import Node
+from spanfall_standins.deployments import DEPLOYMENTS, scale, token_of
+from spanfall_standins.fleet import Fleet, FleetOptions, run_fleet
+
+from spanfall_cli.promises import (
+    ANSWERED,
+    LOST,
+    REFUSED,
+    Checked,
+    Evidence,
+    Figures,
+    Outcome,
+    check_all,
+    measure,
+)
+from spanfall_cli.traces import FaultLine, RequestLine, Trace
+
+#: Seconds that callers wait for the last answers.
+TAIL_SECONDS = 60.0
+#: Seconds in which a change must be in force everywhere (letter 1).
+SPREAD_SECONDS = 7.0
+#: Times that a caller comes back for an answer after a cut.
+MAX_RETURNS = 8
+RETURN_PAUSE = 0.3
+TIMEOUT = 90
+_ERROR = 400
+
+Injector = Callable[[FaultLine], Awaitable[None]]
+
+
+class FaultyStore(EmbeddedKeyValue):
+    """Answer nothing while down; lose answers of writes if told to."""
+
+    def __init__(self) -> None:
+        """Start without faults."""
+        super().__init__(time.monotonic)
+        self.down = False
+        self.lose = 0
+
+    async def get(self, key: str) -> KeyEntry | None:
+        """Read, unless the store is down."""
+        self._check()
+        return await super().get(key)
+
+    async def list_prefix(self, prefix: str) -> Listing:
+        """List, unless the store is down."""
+        self._check()
+        return await super().list_prefix(prefix)
+
+    async def replace(
+        self,
+        key: str,
+        value: bytes,
+        revision: int,
+        lease: int = 0,
+    ) -> bool:
+        """Write, unless the store is down; perhaps lose the answer."""
+        self._check()
+        done = await super().replace(key, value, revision, lease)
+        if self.lose:
+            self.lose -= 1
+            raise StoreUncertainError('lost')
+        return done
+
+    async def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Write, unless the store is down."""
+        self._check()
+        await super().put(key, value, lease)
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew, unless the store is down."""
+        self._check()
+        return await super().keep_alive(lease)
+
+    def _check(self) -> None:
+        if self.down:
+            raise StoreUnavailableError('down')
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """Hold the result of a replay."""
+
+    checks: list[Checked]
+    figures: Figures
+    stated: bool
+
+    def kept(self) -> bool:
+        """Tell whether all promises and stated outcomes were kept."""
+        return self.stated and not any(row.broken for row in self.checks)
+
+    def document(self) -> dict[str, Any]:
+        """Return the report as a JSON document."""
+        figures = {
+            name: getattr(self.figures, name) for name in Figures.__slots__
+        }
+        return {
+            'promises': {
+                row.promise: {
+                    'checked': row.checked,
+                    'broken': len(row.broken),
+                    'examples': row.broken[:3],
+                }
+                for row in self.checks
+            },
+            'stated_outcomes_kept': self.stated,
+            'figures': figures,
+        }
+
+
+class Replay:
+    """Run one trace against one fleet."""
+
+    def __init__(self, trace: Trace, fleet: Fleet, store: FaultyStore) -> None:
+        """Prepare the evidence."""
+        self.evidence = Evidence([], [])
+        self._trace = trace
+        self._fleet = fleet
+        self._store = store
+        self._turn = count()
+        self._labels = count(1)
+        self._incarnations: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Send all requests and faults at their times, then wait."""
+        begin = time.monotonic()
+        with anyio.move_on_after(self._seconds() + TAIL_SECONDS):
+            async with (
+                new_http_client(httpx.Timeout(TIMEOUT)) as client,
+                anyio.create_task_group() as tasks,
+            ):
+                tasks.start_soon(self._inject, begin)
+                for line in self._trace.requests:
+                    await sleep_until(begin + line.at)
+                    outcome = Outcome(line, started=time.monotonic())
+                    self.evidence.outcomes.append(outcome)
+                    tasks.start_soon(self._ask, client, outcome)
+        self.evidence.workers = self._fleet.all_workers()
+
+    def _seconds(self) -> float:
+        last = self._trace.requests[-1].at if self._trace.requests else 0
+        faults = [row.at for row in self._trace.faults]
+        return max([last, *faults])
+
+    async def _inject(self, begin: float) -> None:
+        async with anyio.create_task_group() as tasks:
+            for line in self._trace.faults:
+                await sleep_until(begin + line.at)
+                tasks.start_soon(self._faults()[line.fault], line)
+
+    def _faults(self) -> dict[str, Injector]:
+        return {
+            'reclaim': self._reclaim,
+            'replace': self._replace,
+            'node-kill': self._kill_nodes,
+            'node-stop': self._stop_nodes,
+            'node-start': self._start_nodes,
+            'store-down': self._store_down,
+            'store-up': self._store_up,
+            'store-lose': self._store_lose,
+            'change': self._change,
+        }
+
+    async def _reclaim(self, line: FaultLine) -> None:
+        for name in line.targets:
+            now = time.monotonic()
+            self.evidence.announced.setdefault(name, []).append(now)
+            incarnation = self._incarnations.get(name, 1)
+            self._fleet.cloud.announce(name, incarnation, line.seconds)
+        await anyio.sleep(line.seconds)
+        for name in line.targets:
+            self._fleet.hosts[name].kill()
+
+    async def _replace(self, line: FaultLine) -> None:
+        for name in line.targets:
+            incarnation = self._incarnations.get(name, 1) + 1
+            self._incarnations[name] = incarnation
+            now = time.monotonic()
+            self.evidence.replaced.setdefault(name, []).append(now)
+            await self._fleet.replace_worker(name)
+            edit = self._fleet.worker_edit(name, incarnation)
+            await self._accept(edit)
+
+    async def _kill_nodes(self, line: FaultLine) -> None:
+        for name in line.targets:
+            self.evidence.kills.append(time.monotonic())
+            self._fleet.nodes[name].kill()
+
+    async def _stop_nodes(self, line: FaultLine) -> None:
+        for name in line.targets:
+            self.evidence.stopped.add(name)
+            self._fleet.nodes[name].stop()
+
+    async def _start_nodes(self, line: FaultLine) -> None:
+        places = dict(self._fleet.plan.node_places())
+        for name in line.targets:
+            await self._fleet.nodes[name].stopped.wait()
+            await self._fleet.start_node(name, places[name])
+
+    async def _store_down(self, line: FaultLine) -> None:
+        self._store.down = True
+
+    async def _store_up(self, line: FaultLine) -> None:
+        self._store.down = False
+
+    async def _store_lose(self, line: FaultLine) -> None:
+        self._store.lose = 3
+
+    async def _change(self, line: FaultLine) -> None:
+        """Change a workspace that is not used, and see it spread."""
+        label = f'step-{next(self._labels)}'
+        document = {'name': 'trace-probe', 'labels': {'step': label}}
+        await self._accept(check_object('workspaces', document))
+        with anyio.move_on_after(SPREAD_SECONDS):
+            while not self._is_in_force(label):
+                await anyio.sleep(RETURN_PAUSE)
+        self.evidence.changes.append((label, self._is_in_force(label)))
+
+    def _is_in_force(self, label: str) -> bool:
+        return all(
+            'trace-probe' in node.catalog.workspaces
+            and node.catalog.workspaces['trace-probe'].labels['step'] == label
+            for node in self._fleet.live_nodes()
+            if node.is_ready()
+        )
+
+    async def _accept(self, edit: Edit) -> None:
+        while True:
+            node = self._next_node()
+            try:
+                await node.config.accept([edit], 'replay', f'op-{id(edit)}')
+            except StoreError:
+                await anyio.sleep(RETURN_PAUSE)
+            else:
+                return
+
+    def _next_node(self) -> Node:
+        """Return a ready node in turn, as the platform's balancer would."""
+        nodes = self._fleet.live_nodes()
+        ready = [node for node in nodes if node.is_ready()] or nodes
+        return ready[next(self._turn) % len(ready)]
+
+    async def _ask(self, client: httpx.AsyncClient, row: Outcome) -> None:
+        ask = self._ask_call
+        if row.line.kind is ServiceKind.MODEL:
+            ask = self._ask_model
+        for _ in range(MAX_RETURNS):
+            node = self._next_node()
+            row.entries.add(node.cfg.node_id)
+            try:
+                done = await ask(client, node, row)
+            except httpx.HTTPError as exc:
+                row.detail = repr(exc)
+                row.cut_at.append(node.cfg.node_id)
+                done = is_final(row, exc)
+            if done:
+                return
+            await anyio.sleep(RETURN_PAUSE)
+
+    async def _ask_call(
+        self,
+        client: httpx.AsyncClient,
+        node: Node,
+        row: Outcome,
+    ) -> bool:
+        line = row.line
+        headers = headers_of(line)
+        if line.key:
+            headers['Idempotency-Key'] = line.key
+        url = self._fleet.caller_url(node)
+        reply = await client.request(
+            line.method,
+            f'{url}/services/{line.service}/jobs/{line.name}',
+            headers=headers,
+            content=line.name.encode(),
+        )
+        note_reply(row, reply)
+        row.text = reply.text
+        if reply.status_code >= _ERROR:
+            note_refusal(row, reply.content)
+        else:
+            row.state = ANSWERED
+        return True
+
+    async def _ask_model(
+        self,
+        client: httpx.AsyncClient,
+        node: Node,
+        row: Outcome,
+    ) -> bool:
+        url = self._fleet.caller_url(node)
+        headers = headers_of(row.line)
+        if row.request_ids:
+            headers['Last-Event-ID'] = str(row.text.count(' '))
+            request = client.build_request(
+                'GET',
+                f'{url}/v1/requests/{next(iter(row.request_ids))}',
+                headers=headers,
+            )
+        else:
+            request = client.build_request(
+                'POST',
+                f'{url}/v1/chat/completions',
+                headers=headers,
+                json=chat_body(row.line),
+            )
+        reply = await client.send(request, stream=True)
+        try:
+            return await read_events(reply, row)
+        finally:
+            await reply.aclose()
+
+
+def headers_of(line: RequestLine) -> dict[str, str]:
+    """Return the headers of a request."""
+    headers = {
+        'Authorization': f'Bearer {token_of(line.workspace)}',
+        'Spanfall-Priority': str(line.priority),
+    }
+    if line.deadline_ms is not None:
+        headers['Spanfall-Deadline-Ms'] = str(line.deadline_ms)
+    return headers
+
+
+def chat_body(line: RequestLine) -> dict[str, Any]:
+    """Return the body of a model request."""
+    return {
+        'model': line.service,
+        'stream': True,
+        'max_tokens': line.tokens,
+        'messages': [{'role': 'user', 'content': line.prompt()}],
+    }
+
+
+def note_reply(row: Outcome, reply: httpx.Response) -> None:
+    """Note request id and time of the first part."""
+    request_id = reply.headers.get('spanfall-request-id')
+    if request_id:
+        row.request_ids.add(request_id)
+    if row.first_part is None:
+        row.first_part = time.monotonic() - row.started
+
+
+def note_refusal(row: Outcome, content: bytes) -> None:
+    """Note reason and run of a problem document."""
+    row.state = REFUSED
+    try:
+        problem = json.loads(content)
+    except ValueError:
+        row.state = LOST
+        row.detail = content.decode(errors='replace')
+        return
+    row.reason = problem.get('reason', '')
+    row.run = problem.get('run', '')
+    row.detail = row.reason
+
+
+async def read_events(reply: httpx.Response, row: Outcome) -> bool:
+    """Read a stream to its end; return whether the request is over."""
+    if reply.status_code >= _ERROR:
+        note_refusal(row, await reply.aread())
+        return True
+    note_reply(row, reply)
+    async for text in reply.aiter_lines():
+        content = text.removeprefix('data: ')
+        if content == '[DONE]':
+            row.state = ANSWERED
+            return True
+        if content == 'event: resume':
+            return False
+        if text.startswith('data: ') and take_chunk(row, content):
+            return True
+    return False
+
+
+def take_chunk(row: Outcome, content: str) -> bool:
+    """Take one event; return whether it ended the request."""
+    chunk = json.loads(content)
+    problem = chunk.get('error')
+    if problem:
+        note_refusal(row, json.dumps(problem).encode())
+        return True
+    for choice in chunk.get('choices', []):
+        row.text += choice['delta'].get('content', '')
+    return False
+
+
+def is_final(row: Outcome, exc: httpx.HTTPError) -> bool:
+    """Tell whether a caller gives up after a broken connection.
+
+    A call that may run once and has no key is not sent again, unless the
+    connection was never made.
+    """
+    if isinstance(exc, httpx.ConnectError) or row.line.idempotent:
+        return False
+    if row.line.key:
+        return False
+    row.state = LOST
+    return True
+
+
+async def sleep_until(at: float) -> None:
+    """Sleep until a time of the monotonic clock."""
+    await anyio.sleep(max(0, at - time.monotonic()))
+
+
+async def run_replay(
+    trace: Trace,
+    mechanisms_off: tuple[str, ...] = (),
+    policy: str = 'score',
+) -> Report:
+    """Replay a trace and check it."""
+    plan = scale(
+        DEPLOYMENTS[trace.setup.deployment],
+        trace.setup.workers_factor,
+    )
+    options = FleetOptions(
+        engine=trace.setup.engine,
+        worker=trace.setup.worker,
+        mechanisms_off=mechanisms_off,
+        policy=policy,
+    )
+    store = FaultyStore()
+    async with run_fleet(plan, options, store) as fleet:
+        replay = Replay(trace, fleet, store)
+        await replay.run()
+    evidence = replay.evidence
+    figures = measure(evidence)
+    share = figures.answered / max(1, len(evidence.outcomes))
+    wanted = set(trace.outcomes.promises)
+    checks = [row for row in check_all(evidence) if row.promise in wanted]
+    return Report(checks, figures, share >= trace.outcomes.least_answered)
--- a/packages/spanfall-core/src/spanfall_core/dispatch.py
+++ b/packages/spanfall-core/src/spanfall_core/dispatch.py
@@ -74,13 +74,7 @@
 
 def refuse_queued(req: Request, reason: RefusalReason) -> Refuse:
     """Refuse a queued request, saying whether an earlier run may have run."""
-    if req.may_have_run and not req.idempotent:
-        return Refuse(
-            req.request_id,
-            RefusalReason.OUTCOME_UNKNOWN,
-            RunState.UNKNOWN,
-        )
-    if req.progress:
+    if req.may_have_run or req.progress:
         return Refuse(req.request_id, reason, RunState.UNKNOWN)
     return Refuse(req.request_id, reason, RunState.NOT_RUN, 1)
 
--- a/packages/spanfall-core/src/spanfall_core/reclaim.py
+++ b/packages/spanfall-core/src/spanfall_core/reclaim.py
@@ -145,6 +145,7 @@
 def resume_elsewhere(pool: Pool, req: Request) -> list[Effect]:
     """Stop the run and queue the rest of the request."""
     stop = Stop(req.request_id, req.upstream_id, req.run)
+    req.may_have_run = True
     return [stop, requeue(pool, req, RetryReason.UPSTREAM_LEAVING)]
 
 
@@ -156,6 +157,7 @@
 ) -> Move:
     """Occupy a slot of the target and release the one of the source."""
     source_id = req.upstream_id
+    req.may_have_run = True
     release(pool, req)
     pool.workspaces[req.workspace].running += 1
     target.in_flight += 1
--- a/packages/spanfall-core/src/spanfall_core/routing.py
+++ b/packages/spanfall-core/src/spanfall_core/routing.py
@@ -22,6 +22,8 @@
 
 def cached_tokens(pool: Pool, req: Request, upstream_id: str) -> int:
     """Return how many prompt tokens the upstream has cached, as we know."""
+    if 'prefix' in pool.policy.disabled:
+        return 0
     count = 0
     for block in req.prefix:
         if (block, upstream_id) not in pool.prefixes:
@@ -111,6 +113,14 @@
     return rows[pool.sequence % len(rows)]
 
 
+#: Routing policies by the name that settings use.
+CHOOSERS: dict[str, Chooser] = {
+    'score': choose_by_score,
+    'least-reported': choose_least_reported,
+    'round-robin': choose_round_robin,
+}
+
+
 def free_upstreams(pool: Pool, req: Request, now: float) -> list[Upstream]:
     """Return the upstreams with a free slot, without those to avoid.
 
--- a/packages/spanfall-node/src/spanfall_node/home.py
+++ b/packages/spanfall-node/src/spanfall_node/home.py
@@ -35,6 +35,7 @@
 from spanfall_core.reasons import RefusalReason, RunState
 from spanfall_core.reclaim import evacuate, mark_leaving
 from spanfall_core.recovery import run_failed
+from spanfall_core.routing import CHOOSERS
 from spanfall_core.tables import Pool, UpstreamState
 
 from spanfall_node.catalog import Catalog
@@ -43,6 +44,7 @@
 from spanfall_node.handover import Handover
 from spanfall_node.held import Held, build_row
 from spanfall_node.links import Link
+from spanfall_node.load_reports import LoadReports
 from spanfall_node.members import Members
 from spanfall_node.outcomes import HeldTable
 from spanfall_node.pools import PoolTable
@@ -95,6 +97,9 @@
         links.subscribe(Attach, self._take_attach)
         links.on_lost(self._lose_link)
         context.timers.every(context.cfg.times.tick, self.tick)
+        if context.cfg.policy == 'least-reported':
+            reports = LoadReports(context, self.pools, self.runs.calls)
+            context.tasks.start_soon(reports.run)
         context.timers.every(context.cfg.times.heartbeat, self.held.purge)
         self.pools.changed.append(self.tick_pool)
 
@@ -105,7 +110,9 @@
 
     def tick_pool(self, pool: Pool) -> None:
         """Run the systems over one pool."""
-        self._carry_out(pool, run_tick(pool, self._context.timers.now()))
+        now = self._context.timers.now()
+        choose = CHOOSERS[self._context.cfg.policy]
+        self._carry_out(pool, run_tick(pool, now, choose))
         self.pools.observe(pool)
 
     def upstream_leaves(self, notice: UpstreamNotice) -> None:
--- a/packages/spanfall-node/src/spanfall_node/upstream_calls.py
+++ b/packages/spanfall-node/src/spanfall_node/upstream_calls.py
@@ -192,6 +192,14 @@
             return None
         return str(reply.json()['handle'])
 
+    async def read_load(self, address: str) -> float:
+        """Return the share of its slots that an engine reports as running."""
+        reply = await self.pooled(address).get(f'{address}/v1/load')
+        if reply.status_code != _SUCCESS:
+            return 0.0
+        load = reply.json()
+        return float(load['running']) / max(1, load['slots'])
+
     def _timeout(self, idle_seconds: float) -> httpx.Timeout:
         return httpx.Timeout(
             idle_seconds,
--- a/packages/spanfall-standins/src/spanfall_standins/application.py
+++ b/packages/spanfall-standins/src/spanfall_standins/application.py
@@ -1,6 +1,8 @@
 """Stand in for an application worker that records each run by its key."""
 
 import json
+import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import anyio
@@ -36,15 +38,22 @@
     key: str
     method: str
     path: str
+    at: float = 0.0
     ended: str = 'running'
 
 
 class Application:
     """Echo calls, after a while, and remember each."""
 
-    def __init__(self, name: str, speed: WorkerSpeed) -> None:
+    def __init__(
+        self,
+        name: str,
+        speed: WorkerSpeed,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         """Start empty, with the given size and pace."""
         self.name = name
+        self._clock = clock
         self.speed = speed
         self.faults = Faults()
         self.records: list[CallRecord] = []
@@ -75,6 +84,7 @@
             req.headers.get('idempotency-key', ''),
             req.method,
             req.url.path,
+            self._clock(),
         )
         self.records.append(record)
         self.running += 1
--- a/packages/spanfall-standins/src/spanfall_standins/deployments.py
+++ b/packages/spanfall-standins/src/spanfall_standins/deployments.py
@@ -1,6 +1,6 @@
 """Describe the two deployments of the brief at today's sizes."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import cycle, islice
 from typing import Any
 
@@ -72,6 +72,15 @@
     recompute_weight=3,
 )
 
+
+def scale(plan: Deployment, factor: int) -> Deployment:
+    """Return a deployment with more workers in each pool."""
+    pools = tuple(
+        replace(pool, workers=pool.workers * factor) for pool in plan.pools
+    )
+    return replace(plan, pools=pools)
+
+
 DEPLOYMENTS = {row.name: row for row in (BROLGA, MUESTRAS)}
 
 #: Price of a second of a worker by host class.
--- a/packages/spanfall-standins/src/spanfall_standins/engine.py
+++ b/packages/spanfall-standins/src/spanfall_standins/engine.py
@@ -7,8 +7,9 @@
 
 import json
 import logging
+import time
 from collections import OrderedDict
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from functools import partial
 from itertools import count
@@ -79,6 +80,7 @@
     request_id: str
     start: int
     computed: int
+    at: float = 0.0
     tokens: int = 0
     ended: str = 'running'
 
@@ -86,9 +88,15 @@
 class Engine:
     """Serve completions as an engine would, from made-up text."""
 
-    def __init__(self, name: str, speed: EngineSpeed) -> None:
+    def __init__(
+        self,
+        name: str,
+        speed: EngineSpeed,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         """Start empty, with the given size and pace."""
         self.name = name
+        self._clock = clock
         self.speed = speed
         self.faults = Faults()
         self.records: list[RunRecord] = []
@@ -125,10 +133,10 @@
         options = EngineOptions.model_validate(extra)
         if self.leaving is not None or len(self.streams) >= self.speed.slots:
             return self._refuse()
-        stream = await self._begin(body, options)
+        stream, record = await self._begin(body, options)
         text = partial(self._event, req.url.path)
         return StreamingResponse(
-            self._generate(stream, text),
+            self._generate(stream, record, text),
             media_type='text/event-stream',
         )
 
@@ -202,7 +210,7 @@
         self,
         body: ChatRequest | TextRequest,
         options: EngineOptions,
-    ) -> Stream:
+    ) -> tuple[Stream, RunRecord]:
         prompt = body.prompt_text()
         stream = Stream(
             options.request_id,
@@ -216,11 +224,15 @@
         total = stream.prompt_tokens + stream.offset
         computed = max(0, total - max(imported, self._look_up(prompt)))
         self.prefill_total += computed
-        self.records.append(
-            RunRecord(stream.request_id, stream.offset, computed),
+        record = RunRecord(
+            stream.request_id,
+            stream.offset,
+            computed,
+            self._clock(),
         )
+        self.records.append(record)
         await anyio.sleep(computed * self.speed.prefill_token_seconds)
-        return stream
+        return stream, record
 
     async def _import(self, options: EngineOptions) -> int:
         if not options.kv_handle:
@@ -254,9 +266,9 @@
     async def _generate(
         self,
         stream: Stream,
+        record: RunRecord,
         event: 'EventMaker',
     ) -> AsyncIterator[bytes]:
-        record = self.records[-1]
         seed = prompt_seed(stream.prompt)
         try:
             while stream.offset < stream.limit and not stream.exporting:
--- a/packages/spanfall-standins/src/spanfall_standins/fleet.py
+++ b/packages/spanfall-standins/src/spanfall_standins/fleet.py
@@ -21,6 +21,7 @@
     Store,
     Times,
 )
+from spanfall_core.configuration import Edit
 from spanfall_core.tables import ServiceKind
 from spanfall_node.admin import check_object
 from spanfall_node.catalog import hash_token
@@ -58,6 +59,7 @@
     times: Times = field(default_factory=Times)
     limits: Limits = field(default_factory=Limits)
     mechanisms_off: tuple[str, ...] = ()
+    policy: str = 'score'
 
 
 class Fleet:
@@ -75,6 +77,7 @@
         self.nodes: dict[str, Node] = {}
         self.workers: dict[str, Worker] = {}
         self.hosts: dict[str, Host] = {}
+        self.retired: list[Worker] = []
         self.store = store
         self.cloud = Cloud(time.monotonic)
         self._tasks = tasks
@@ -98,9 +101,38 @@
             worker = Application(name, self._options.worker)
         host = Host(worker.build_app())
         await host.start(self._tasks)
+        before = self.workers.get(name)
+        if before is not None:
+            self.retired.append(before)
         self.workers[name] = worker
         self.hosts[name] = host
 
+    async def replace_worker(self, name: str) -> None:
+        """Start a new worker in place of one that is gone."""
+        pool, _, _ = self._find_worker(name)
+        await self.start_worker(pool, name)
+
+    def worker_edit(self, name: str, incarnation: int) -> Edit:
+        """Return the edit that names a new worker to the nodes."""
+        pool, place, number = self._find_worker(name)
+        row = self._upstream(pool, name, place, number)
+        return check_object('upstreams', {**row, 'incarnation': incarnation})
+
+    def _find_worker(self, name: str) -> tuple[PoolPlan, str, int]:
+        return next(
+            (pool, place, number)
+            for pool in self.plan.pools
+            for number, (found, place) in enumerate(
+                self.plan.worker_names(pool),
+                1,
+            )
+            if found == name
+        )
+
+    def all_workers(self) -> list[Worker]:
+        """Return all workers that ran, also those that were replaced."""
+        return [*self.retired, *self.workers.values()]
+
     async def start_node(self, node_id: str, place: str) -> Node:
         """Start one node and wait until it listens."""
         settings = self.node_settings(node_id, place)
@@ -133,6 +165,7 @@
             times=self._options.times,
             limits=self._options.limits,
             mechanisms_off=self._options.mechanisms_off,
+            policy=self._options.policy,
         )
 
     async def wait_ready(self) -> None:
--- /dev/null
+++ b/tests/test_properties.py
@@ -0,0 +1,236 @@
+"""Drive the core with random faults on virtual time and check promises."""
+
+import os
+from collections import Counter
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from spanfall_core.admission import admit
+from spanfall_core.dispatch import complete, run_tick
+from spanfall_core.effects import (
+    Dispatch,
+    Effect,
+    Move,
+    Refuse,
+    Retried,
+    Stop,
+)
+from spanfall_core.reasons import RunState
+from spanfall_core.reclaim import evacuate, mark_gone, mark_leaving
+from spanfall_core.recovery import PROVEN_NOT_RUN, Failure, run_failed
+from spanfall_core.tables import (
+    Pool,
+    Request,
+    RequestState,
+    ServiceKind,
+    Upstream,
+    UpstreamState,
+    Workspace,
+)
+from spanfall_core.upstreams import put_upstream
+
+UPSTREAMS = 4
+SLOTS = 2
+#: More steps by a command: SPANFALL_STEPS=500 pytest tests/test_properties.py
+STEPS = int(os.environ.get('SPANFALL_STEPS', '60'))
+EXAMPLES = int(os.environ.get('SPANFALL_EXAMPLES', '60'))
+
+numbers = strategies.integers(0, UPSTREAMS - 1)
+choices = strategies.integers(0, 50)
+
+
+class PoolMachine(RuleBasedStateMachine):
+    """Admit, dispatch, fail, reclaim and finish, in any order."""
+
+    def __init__(self) -> None:
+        """Start with a pool of few small upstreams."""
+        super().__init__()
+        self.now = 0.0
+        self.count = 0
+        self.pool = Pool('service')
+        self.pool.policy.max_queued = 10
+        self.pool.workspaces['a'] = Workspace('a', weight=2, max_running=5)
+        self.pool.workspaces['b'] = Workspace('b', rate=5, burst=5, bucket=5)
+        self.admitted: dict[str, Request] = {}
+        self.ended: Counter[str] = Counter()
+        self.may_have_run: Counter[str] = Counter()
+        self.incarnation = 1
+        for number in range(UPSTREAMS):
+            self.put(number)
+
+    def put(self, number: int) -> None:
+        """Put an upstream of the current incarnation."""
+        row = Upstream(
+            f'u{number}',
+            'http://x',
+            'dc',
+            slots=SLOTS,
+            incarnation=self.incarnation,
+        )
+        put_upstream(self.pool, row, self.now)
+
+    def take(self, effects: list[Effect]) -> None:
+        """Follow effects as a node would, and check each."""
+        for effect in effects:
+            match effect:
+                case Dispatch():
+                    self.check_dispatch(effect)
+                case Refuse():
+                    self.check_refusal(effect)
+                case Move() | Stop():
+                    self.may_have_run[effect.request_id] += 1
+                    assert not self.ended[effect.request_id]
+                case Retried():
+                    assert not self.ended[effect.request_id]
+
+    def check_dispatch(self, effect: Dispatch) -> None:
+        """Check that a dispatch may be, at that upstream."""
+        req = self.admitted[effect.request_id]
+        row = self.pool.upstreams[effect.upstream_id]
+        assert not self.ended[effect.request_id]
+        assert row.state is UpstreamState.ACTIVE
+        assert req.idempotent or not self.may_have_run[effect.request_id]
+        req.state = RequestState.RUNNING
+
+    def check_refusal(self, effect: Refuse) -> None:
+        """Check that a refusal is the only end and says the truth."""
+        self.ended[effect.request_id] += 1
+        if effect.run_state is RunState.NOT_RUN:
+            assert not self.may_have_run[effect.request_id]
+
+    def tick(self) -> None:
+        """Run the pool's systems."""
+        self.take(run_tick(self.pool, self.now))
+
+    def running(self) -> list[Request]:
+        """Return the running requests in a fixed order."""
+        rows = self.pool.requests.values()
+        return [row for row in rows if row.state is RequestState.RUNNING]
+
+    @rule(
+        workspace=strategies.sampled_from(['a', 'b', 'c']),
+        idempotent=strategies.booleans(),
+        is_model=strategies.booleans(),
+        wait=strategies.sampled_from([None, 0.5, 5.0]),
+    )
+    def submit(
+        self,
+        workspace: str,
+        idempotent: bool,
+        is_model: bool,
+        wait: float | None,
+    ) -> None:
+        """Submit a request."""
+        self.count += 1
+        req = Request(
+            f'r{self.count}',
+            workspace,
+            kind=ServiceKind.MODEL if is_model else ServiceKind.APPLICATION,
+            idempotent=idempotent or is_model,
+            deadline=None if wait is None else self.now + wait,
+            expires_at=self.now + 60,
+            max_tokens=20 if is_model else 0,
+        )
+        self.admitted[req.request_id] = req
+        self.take(admit(self.pool, req, self.now))
+        self.tick()
+
+    @rule(pick=choices, tokens=strategies.integers(0, 10))
+    def progress(self, pick: int, tokens: int) -> None:
+        """Let a stream advance."""
+        rows = self.running()
+        if rows:
+            rows[pick % len(rows)].progress += tokens
+
+    @rule(pick=choices)
+    def end(self, pick: int) -> None:
+        """End a run with a whole answer."""
+        rows = self.running()
+        if rows:
+            req = rows[pick % len(rows)]
+            self.ended[req.request_id] += 1
+            complete(self.pool, req, self.now)
+            self.tick()
+
+    @rule(pick=choices, failure=strategies.sampled_from(list(Failure)))
+    def fail(self, pick: int, failure: Failure) -> None:
+        """Let a run fail."""
+        rows = self.running()
+        if rows:
+            req = rows[pick % len(rows)]
+            if failure not in PROVEN_NOT_RUN:
+                self.may_have_run[req.request_id] += 1
+            self.take(run_failed(self.pool, req, failure, self.now))
+            self.tick()
+
+    @rule(number=numbers, notice=strategies.sampled_from([0.0, 1.0, 30.0]))
+    def reclaim(self, number: int, notice: float) -> None:
+        """Announce that an upstream leaves."""
+        name = f'u{number}'
+        until = self.now + notice
+        incarnation = self.pool.upstreams[name].incarnation
+        if mark_leaving(self.pool, name, incarnation, until):
+            self.take(evacuate(self.pool, name, self.now))
+        self.tick()
+
+    @rule(number=numbers)
+    def lose(self, number: int) -> None:
+        """Let an upstream go, with all that runs on it."""
+        name = f'u{number}'
+        mark_gone(self.pool, name)
+        for req in self.running():
+            if req.upstream_id == name:
+                self.may_have_run[req.request_id] += 1
+                self.take(
+                    run_failed(self.pool, req, Failure.BROKEN, self.now),
+                )
+        self.tick()
+
+    @rule(number=numbers)
+    def replace(self, number: int) -> None:
+        """Put a new upstream in place of an old one."""
+        self.incarnation += 1
+        self.put(number)
+        self.tick()
+
+    @rule(seconds=strategies.sampled_from([0.1, 1.0, 10.0]))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.now += seconds
+        self.tick()
+
+    @invariant()
+    def nothing_is_lost(self) -> None:
+        """Each request is held or has ended, exactly once."""
+        for request_id in self.admitted:
+            held = request_id in self.pool.requests
+            assert self.ended[request_id] == (0 if held else 1)
+
+    @invariant()
+    def counts_are_exact(self) -> None:
+        """In-flight and queue counts equal the rows they count."""
+        rows = self.pool.requests.values()
+        queued = [row for row in rows if row.state is RequestState.QUEUED]
+        assert self.pool.queued == len(queued)
+        for name, row in self.pool.upstreams.items():
+            here = [req for req in self.running() if req.upstream_id == name]
+            assert row.in_flight == len(here), name
+        for name, workspace in self.pool.workspaces.items():
+            mine = [req for req in queued if req.workspace == name]
+            assert workspace.queued == len(mine)
+
+    @invariant()
+    def limits_hold(self) -> None:
+        """No upstream has more runs than slots."""
+        for row in self.pool.upstreams.values():
+            assert row.in_flight <= row.slots
+
+
+TestPool = PoolMachine.TestCase
+TestPool.settings = settings(
+    max_examples=EXAMPLES,
+    stateful_step_count=STEPS,
+    deadline=None,
+    derandomize=True,
+    database=None,
+)
