Keep claims over refused connections; tell nodes that join who leaves

A claimed call whose worker refused the connection asked for its claim again and was refused as a duplicate. A node that started after a notice sent work to the leaving upstream. A killed node left connections of waiting callers open. Change: a granted claim stays with the request; delegates tell a follower that joins all notices; a server that stops shuts its connections down. Isolation makes a node unready; old claims are deleted; unused settings are gone.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,10 @@
 
 check: lint test
 
+docs: $(VENV)/.installed
+	$(BIN)/spanfall settings reference > docs/settings.md
+	$(BIN)/python -m spanfall_standins.examples examples
+
 capacity: $(VENV)/.installed
 	$(BIN)/python bench/capacity.py
 
--- a/packages/spanfall-api/src/spanfall_api/settings.py
+++ b/packages/spanfall-api/src/spanfall_api/settings.py
@@ -125,7 +125,6 @@
     body_seconds: float = Field(default=30.0, gt=0)
     max_tokens: int = Field(default=16_384, gt=0)
     window_pieces: int = Field(default=256, gt=0)
-    link_queue: int = Field(default=10_000, gt=0)
     open_requests: int = Field(default=5000, gt=0)
 
 
--- a/packages/spanfall-cli/src/spanfall_cli/main.py
+++ b/packages/spanfall-cli/src/spanfall_cli/main.py
@@ -19,6 +19,7 @@
 from spanfall_cli.demo import run_demo, show_steps
 from spanfall_cli.generator import make_trace, plans
 from spanfall_cli.objects import COMMANDS
+from spanfall_cli.reference import write_reference
 from spanfall_cli.replay import Report, run_replay
 from spanfall_cli.traces import read_trace, write_trace
 
@@ -131,6 +132,12 @@
     click.echo(f'{path}: no faults')
 
 
+@settings.command('reference')
+def show_reference() -> None:
+    """Print the reference of all settings as Markdown."""
+    click.echo(write_reference(), nl=False)
+
+
 @settings.command('show')
 @click.argument('path', type=click.Path(path_type=Path))
 def show_settings(path: Path) -> None:
--- a/packages/spanfall-core/src/spanfall_core/routing.py
+++ b/packages/spanfall-core/src/spanfall_core/routing.py
@@ -17,6 +17,10 @@
 #: once in two hours.
 RECLAIM_RATE = 1 / 7200
 
+#: Share by which a full batch slows each of its streams down, assumed for
+#: engines that batch continuously (docs/PERFORMANCE.md).
+BATCH_SLOWDOWN = 0.1
+
 Chooser = Callable[[Pool, Request, Sequence[Upstream]], Upstream]
 
 
@@ -81,7 +85,7 @@
     redo = prefill + risk * (req.prompt_tokens + req.progress + left / 2)
     return (
         policy.cost_weight * money
-        + policy.latency_weight * (late + load * seconds)
+        + policy.latency_weight * (late + BATCH_SLOWDOWN * load * seconds)
         + policy.recompute_weight * redo * policy.prefill_token_seconds
     )
 
--- a/packages/spanfall-node/src/spanfall_node/claim_store.py
+++ b/packages/spanfall-node/src/spanfall_node/claim_store.py
@@ -286,11 +286,19 @@
             row.tell(Verdict.UNAVAILABLE, row.claim.request_id)
         await anyio.sleep(RETRY_PAUSE)
 
-    async def clean(self, service: str, before: float) -> None:
-        """Delete the entries whose claims are all older than a time."""
-        writer = self._writers.get(service)
-        if writer is None:
-            return
-        old = expire_claims(writer.log, before)
-        for sequence in islice(old, BATCH_CLAIMS):
+    async def clean_all(self, before: float) -> None:
+        """Delete the entries whose claims are all older than a time.
+
+        What is not deleted, because the store is away, is met again when
+        the log is next read.
+        """
+        for writer in list(self._writers.values()):
+            old = expire_claims(writer.log, before)
+            try:
+                await self._delete(writer.service, old)
+            except StoreError as exc:
+                logger.info('Old claims stay for now: %s', exc)
+
+    async def _delete(self, service: str, sequences: list[int]) -> None:
+        for sequence in islice(sequences, BATCH_CLAIMS):
             await self._context.store.delete(self._key(service, sequence))
--- a/packages/spanfall-node/src/spanfall_node/config_spread.py
+++ b/packages/spanfall-node/src/spanfall_node/config_spread.py
@@ -7,7 +7,7 @@
 """
 
 import logging
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from spanfall_api.changes import (
     dump_change,
@@ -48,6 +48,7 @@
     ) -> None:
         """Prepare; ``start`` begins to take and send changes."""
         self.followers: dict[str, Link] = {}
+        self.joined: list[Callable[[Link], None]] = []
         self.fan_out = FAN_OUT
         self._context = context
         self._members = members
@@ -67,6 +68,14 @@
         links.subscribe(ConfigSnapshot, self._take_snapshot)
         self._config.accepted.append(self._push_accepted)
 
+    def add_follower(self, node_id: str, link: Link) -> None:
+        """Take a node that sends us its heartbeats."""
+        if self.followers.get(node_id) is link:
+            return
+        self.followers[node_id] = link
+        for listener in self.joined:
+            listener(link)
+
     def note_contact(self) -> None:
         """Note that the store or a peer was heard."""
         self._config.note_contact()
--- a/packages/spanfall-node/src/spanfall_node/delegates.py
+++ b/packages/spanfall-node/src/spanfall_node/delegates.py
@@ -76,6 +76,7 @@
         store = self._context.store
         if self._lease:
             if await store.keep_alive(self._lease):
+                self._spread.note_contact()
                 return
             self._lease = 0
         if self._members.delegate and not self._members.acting:
--- a/packages/spanfall-node/src/spanfall_node/heartbeats.py
+++ b/packages/spanfall-node/src/spanfall_node/heartbeats.py
@@ -61,7 +61,11 @@
         if members.delegate == self._context.node_id:
             self.assume()
             return
-        self._context.links.open(members.delegate).send(self._own_heartbeat())
+        link = self._context.links.open(members.delegate)
+        link.send(self._own_heartbeat())
+        if link.ready.is_set():
+            # Pings close a link whose other end does not answer.
+            self._spread.note_contact()
 
     def assume(self) -> None:
         """Act as the delegate of this data centre."""
@@ -89,6 +93,8 @@
             logger.warning('No heartbeat any more from %s', ', '.join(gone))
         if gone or changed:
             members.tell_changed()
+        if self._spread.followers:
+            self._spread.note_contact()
         self._beats += 1
         if self._beats % BEATS_ABROAD == 0:
             self._beat_abroad()
@@ -123,7 +129,7 @@
                 link.send(self._own_heartbeat())
             return
         self.assume()
-        self._spread.followers[frame.node_id] = link
+        self._spread.add_follower(frame.node_id, link)
         member = member_of(frame)
         now = self._context.timers.now()
         if hear(self._members.table, member, now):
--- a/packages/spanfall-node/src/spanfall_node/held.py
+++ b/packages/spanfall-node/src/spanfall_node/held.py
@@ -83,6 +83,7 @@
     answer: Answer = field(default_factory=Answer)
     followers: dict[str, Follower] = field(default_factory=dict)
     pending: Dispatch | None = None
+    claimed: bool = False
     scope: anyio.CancelScope | None = None
     ended: anyio.Event = field(default_factory=anyio.Event)
     read_on: anyio.Event = field(default_factory=anyio.Event)
--- a/packages/spanfall-node/src/spanfall_node/node.py
+++ b/packages/spanfall-node/src/spanfall_node/node.py
@@ -41,6 +41,8 @@
 DRAIN_SHARE = 0.6
 #: Seconds in which handed-back requests are flushed.
 FLUSH_SECONDS = 0.5
+#: Seconds between two looks for claims that have expired.
+CLEAN_SECONDS = 600.0
 #: Seconds between two tries to load the configuration.
 LOAD_PAUSE = 0.25
 
@@ -189,6 +191,7 @@
         self.notices.start()
         tasks.start_soon(context.timers.run)
         tasks.start_soon(self._load_config)
+        context.timers.every(CLEAN_SECONDS, self._clean_claims)
         tasks.start_soon(self.delegates.run)
         tasks.start_soon(self.notices.run)
         caller_app = self.callers.build_app()
@@ -224,6 +227,11 @@
         await bound.wait()
         return ports[0]
 
+    def _clean_claims(self, now: float) -> None:
+        window = self.cfg.times.claim_window
+        before = self.context.timers.epoch() - window
+        self.context.tasks.start_soon(self.claims.clean_all, before)
+
     async def _load_config(self) -> None:
         """Load from the store; while it is away, peers may have it."""
         while not self.config.loaded:
@@ -237,6 +245,9 @@
         """Tell whether this node may take new requests."""
         if self.context.draining or not self.config.loaded:
             return False
+        silent = self.context.timers.now() - self.config.heard_at
+        if silent > self.cfg.times.isolation:
+            return False
         return bool(self.members.table.records)
 
     async def _drain(self) -> None:
--- a/packages/spanfall-node/src/spanfall_node/notices.py
+++ b/packages/spanfall-node/src/spanfall_node/notices.py
@@ -34,21 +34,26 @@
     ) -> None:
         """Prepare; ``run`` reads the platform while this node is delegate."""
         self.listeners: list[Listener] = []
-        self._known: dict[str, int] = {}
+        self._known: dict[str, UpstreamNotice] = {}
+        self._heard_at: dict[str, float] = {}
         self._context = context
         self._members = members
         self._spread = spread
         self._cloud = cloud
 
     def start(self) -> None:
-        """Subscribe to notices of other nodes."""
+        """Subscribe to notices of other nodes, and to nodes that join."""
+        self._spread.joined.append(self._bring_up_to_date)
         self._context.links.subscribe(UpstreamNotice, self._take_frame)
 
     def take(self, notice: UpstreamNotice, source: Link | None = None) -> None:
         """Take a notice from any source; the first one counts."""
-        if self._known.get(notice.upstream_id, -1) >= notice.incarnation:
+        name = notice.upstream_id
+        known = self._known.get(name)
+        if known is not None and known.incarnation >= notice.incarnation:
             return
-        self._known[notice.upstream_id] = notice.incarnation
+        self._known[name] = notice
+        self._heard_at[name] = self._context.timers.now()
         for listener in self.listeners:
             listener(notice)
         self._hand_on(notice, source)
@@ -83,6 +88,13 @@
         if isinstance(frame, UpstreamNotice):
             self.take(frame, link)
 
+    def _bring_up_to_date(self, link: Link) -> None:
+        """Tell a node that joins which upstreams have been leaving."""
+        now = self._context.timers.now()
+        for name, notice in self._known.items():
+            left = notice.seconds - (now - self._heard_at[name])
+            link.send(notice.model_copy(update={'seconds': max(0, left)}))
+
     def _hand_on(self, notice: UpstreamNotice, source: Link | None) -> None:
         links = self._context.links
         if not self._members.acting:
--- a/packages/spanfall-node/src/spanfall_node/rights.py
+++ b/packages/spanfall-node/src/spanfall_node/rights.py
@@ -36,7 +36,10 @@
     def ask(self, held: Held, effect: Dispatch) -> None:
         """Ask for the right that a dispatch needs."""
         held.pending = effect
-        if effect.right is Right.CLAIM:
+        if effect.right is Right.CLAIM and held.claimed:
+            # Only runs that provably did not run lead to another dispatch.
+            self._decide(held, effect, Verdict.GRANTED)
+        elif effect.right is Right.CLAIM:
             self._ask_claim(held)
         elif effect.right is Right.PERMIT and not self._is_off('permits'):
             self._ask_permit(held)
@@ -82,6 +85,8 @@
         holder: str = '',
     ) -> None:
         held.pending = None
+        if effect.right is Right.CLAIM and verdict is Verdict.GRANTED:
+            held.claimed = True
         self._decided(held, effect, verdict, holder)
 
     def _is_off(self, mechanism: str) -> bool:
--- a/packages/spanfall-node/src/spanfall_node/servers.py
+++ b/packages/spanfall-node/src/spanfall_node/servers.py
@@ -2,13 +2,17 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
+from weakref import WeakSet
 
 import anyio
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
+from hypercorn.asyncio.run import worker_serve
+from hypercorn.config import Config, Sockets
+from hypercorn.utils import wrap_app
 
 logger = logging.getLogger(__name__)
 
@@ -27,6 +31,31 @@
     idle_seconds: float = 30.0
 
 
+class TrackingSocket(socket.socket):
+    """Listen, and remember the connections that were accepted.
+
+    Hypercorn leaves a connection open whose call it cancels, so that its
+    caller would wait for an answer for ever.
+    """
+
+    def __init__(self, fileno: int) -> None:
+        """Take over a listening socket."""
+        super().__init__(fileno=fileno)
+        self._accepted: WeakSet[socket.socket] = WeakSet()
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        """Accept a connection and remember it while it is in use."""
+        conn, address = super().accept()
+        self._accepted.add(conn)
+        return conn, address
+
+    def cut_all(self) -> None:
+        """Shut down all connections that are still open."""
+        for conn in list(self._accepted):
+            with suppress(OSError):
+                conn.shutdown(socket.SHUT_RDWR)
+
+
 async def serve_http(
     app: AsgiApp,
     host: str,
@@ -44,16 +73,22 @@
     config.graceful_timeout = GRACE_SECONDS
     bound = config.create_sockets().insecure_sockets[0]
     started(bound.getsockname()[1])
-    config.bind = [f'fd://{bound.detach()}']
+    listener = TrackingSocket(fileno=bound.detach())
     stop = asyncio.Event()
     # Hypercorn fails when it is cancelled, so it runs in a task of its own.
     task = asyncio.ensure_future(
-        serve(app, config, shutdown_trigger=stop.wait, mode='asgi'),
+        worker_serve(
+            wrap_app(app, config.wsgi_max_body_size, 'asgi'),
+            config,
+            sockets=Sockets([], [listener], []),
+            shutdown_trigger=stop.wait,
+        ),
     )
     try:
         await asyncio.wait([task])
     finally:
         stop.set()
+        listener.cut_all()
         with anyio.CancelScope(shield=True):
             await asyncio.wait([task])
     if not task.cancelled() and task.exception() is not None:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -334,3 +334,37 @@
             assert count_runs(fleet) <= 1
 
     run_async(main)
+
+
+def test_old_claims_are_deleted_but_the_last() -> None:
+    async def main() -> None:
+        store = FaultyStore()
+        async with run_fleet(SMALL, quick_options(), store) as fleet:
+            entry = fleet.live_nodes()[0]
+            for number in range(3):
+                await post_sheet(fleet, entry, f'old-{number}')
+            home = fleet.acting_home('desk')
+            await home.claims.clean_all(time.time() + 1)
+            left = await store.list_prefix('claims/desk/')
+            assert [row.key for row in left.entries] == [
+                'claims/desk/000000000002',
+            ]
+            again = await post_sheet(fleet, entry, 'new')
+            assert again.status_code == 200
+
+    run_async(main)
+
+
+def test_claim_is_kept_over_a_refused_connection() -> None:
+    """A claimed call that certainly did not run goes to another worker."""
+
+    async def main() -> None:
+        async with run_fleet(SMALL, quick_options()) as fleet:
+            fleet.hosts['desk-1'].kill()
+            for number in range(4):
+                entry = fleet.live_nodes()[number]
+                reply = await post_sheet(fleet, entry, f'kept-{number}')
+                assert reply.status_code == 200, reply.text
+                assert count_runs(fleet, f'kept-{number}') == 1
+
+    run_async(main)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -89,6 +89,23 @@
     await wait_until(lambda: store.renewals >= target)
 
 
+def test_isolated_node_is_not_ready() -> None:
+    async def main() -> None:
+        store = OutageStore()
+        options = quick_options(isolation=1, lease=2)
+        async with run_fleet(SMALL, options, store) as fleet:
+            alone = fleet.nodes['south-2']
+            store.down = True
+            for node in fleet.live_nodes():
+                if node is not alone:
+                    node.context.links.sever('south-2')
+                    alone.context.links.sever(node.cfg.node_id)
+            await wait_until(lambda: not alone.is_ready())
+            assert fleet.nodes['north-1'].is_ready()
+
+    run_async(main)
+
+
 def test_homes_move_little() -> None:
     """A lost node moves only what it held (rendezvous hashing)."""
     places = [Place(f'node-{number}', 'dc') for number in range(NODES)]
--- a/tests/test_reclaim.py
+++ b/tests/test_reclaim.py
@@ -6,6 +6,7 @@
 import pytest
 from spanfall_core.tables import UpstreamState
 from spanfall_node.node import Node
+from spanfall_standins.engine import EngineSpeed
 from spanfall_standins.fleet import Fleet, run_fleet
 from support import (
     SMALL,
@@ -231,3 +232,48 @@
     row = pool.upstreams['writer-1']
     with anyio.move_on_after(2 if bounded else 20):
         await wait_until(lambda: row.state is UpstreamState.LEAVING)
+
+
+def test_node_that_starts_later_knows_who_leaves() -> None:
+    async def main() -> None:
+        async with run_fleet(SMALL, quick_options()) as fleet:
+            fleet.cloud.announce('writer-1', 1, 30)
+            await wait_until_left(fleet, bounded=False)
+            late = await fleet.start_node('north-9', 'north')
+            await wait_until(late.is_ready)
+            await wait_until(lambda: knows_leaving(late))
+
+    run_async(main)
+
+
+def knows_leaving(node: Node) -> bool:
+    """Tell whether a node counts writer-1 as leaving."""
+    pool = node.home.pools.find('writer')
+    row = pool.upstreams['writer-1']
+    return row.state is UpstreamState.LEAVING
+
+
+@pytest.mark.parametrize('at_home', [True, False])
+def test_killed_entry_breaks_a_waiting_call(at_home: bool) -> None:
+    """A caller that waits for a first token must see its entry die."""
+
+    async def main() -> None:
+        options = quick_options()
+        options.engine = EngineSpeed(step_seconds=5)
+        async with run_fleet(SMALL, options) as fleet:
+            home = fleet.acting_home('writer')
+            entry = home if at_home else fleet.entry_apart_from(home)
+            seen = Seen()
+            async with (
+                new_client('managers') as client,
+                anyio.create_task_group() as tasks,
+            ):
+                body = chat_body('audit', 5)
+                tasks.start_soon(chat, fleet, entry, client, seen, body)
+                await wait_until(lambda: bool(entry.entry.relays))
+                await anyio.sleep(0.1)
+                entry.kill()
+                with anyio.fail_after(5):
+                    await wait_until(lambda: bool(seen.error))
+
+    run_async(main)
