Share slots by the time they are held; estimate waits by workspace

Fair queueing charged a request about the same whatever its length, and the expected wait counted the queue of all workspaces, so that requests were refused which their share would have served. Change: a dispatch is charged the estimated seconds of a slot; the expected wait counts the workspace's own work of the same priority or above, at its share of the slots. Conclusion: shares now follow weights; long work pays for it.

--- a/packages/spanfall-core/src/spanfall_core/admission.py
+++ b/packages/spanfall-core/src/spanfall_core/admission.py
@@ -21,6 +21,8 @@
 MAX_RETRY_AFTER = 30.0
 #: Retry-After where nothing better is known, in seconds.
 DEFAULT_RETRY_AFTER = 1.0
+#: Least work that a request counts for, in seconds of a slot.
+LEAST_WORK = 0.01
 
 
 def refill_bucket(workspace: Workspace, now: float) -> None:
@@ -30,16 +32,34 @@
     workspace.refilled_at = now
 
 
-def expected_wait(pool: Pool, now: float) -> float:
-    """Estimate the seconds until a request queued now is dispatched."""
+def expected_wait(pool: Pool, req: Request, now: float) -> float:
+    """Estimate the seconds until a request queued now is dispatched.
+
+    Its workspace gets a share of the slots by weight, among the workspaces
+    that have work queued; only work of its priority or above is ahead of it.
+    """
     slots = usable_slots(pool, now)
-    if not slots:
-        return 0.0
     busy = sum(row.in_flight for row in pool.upstreams.values())
-    ahead = pool.queued + 1 - max(0, slots - busy)
-    if ahead <= 0:
+    if not slots or busy + pool.queued < slots:
         return 0.0
-    return ahead * mean_run_seconds(pool) / slots
+    workspace = find_workspace(pool, req.workspace)
+    ahead = sum(
+        work
+        for priority, work in workspace.queued_work.items()
+        if priority >= req.priority
+    )
+    next_free = mean_run_seconds(pool) / slots
+    return next_free + ahead / (slots * share_of(pool, workspace))
+
+
+def share_of(pool: Pool, workspace: Workspace) -> float:
+    """Return the share of the slots that a workspace gets when all queue."""
+    others = sum(
+        row.weight
+        for row in pool.workspaces.values()
+        if row.queued and row is not workspace
+    )
+    return workspace.weight / (workspace.weight + others)
 
 
 def mean_run_seconds(pool: Pool) -> float:
@@ -50,6 +70,15 @@
     return sum(row.call_seconds for row in rows) / len(rows)
 
 
+def estimate_work(pool: Pool, req: Request) -> float:
+    """Estimate the seconds for which a request will occupy a slot."""
+    rows = pool.upstreams.values()
+    if req.kind is ServiceKind.APPLICATION or not rows:
+        return max(LEAST_WORK, mean_run_seconds(pool))
+    token_seconds = sum(row.token_seconds for row in rows) / len(rows)
+    return max(LEAST_WORK, expected_tokens(req) * token_seconds)
+
+
 def check_limits(
     pool: Pool,
     workspace: Workspace,
@@ -66,7 +95,7 @@
     limit = workspace.max_running + workspace.max_queued
     if workspace.max_running and in_use >= limit:
         return RefusalReason.CONCURRENCY_LIMITED, mean_run_seconds(pool)
-    wait = expected_wait(pool, now)
+    wait = expected_wait(pool, req, now)
     if pool.queued >= pool.policy.max_queued:
         return RefusalReason.QUEUE_FULL, wait
     if req.deadline is not None and now + wait > req.deadline:
@@ -121,10 +150,24 @@
     heappush(queue, (-req.priority, due, req.sequence, req.request_id))
     heappush(pool.due, (due, req.sequence, req.request_id))
     req.state = RequestState.QUEUED
+    req.work = estimate_work(pool, req)
     workspace.queued += 1
+    waiting = workspace.queued_work.get(req.priority, 0)
+    workspace.queued_work[req.priority] = waiting + req.work
     pool.queued += 1
 
 
+def note_dequeued(pool: Pool, req: Request) -> None:
+    """Take a request out of the counts of its queue."""
+    workspace = pool.workspaces[req.workspace]
+    workspace.queued -= 1
+    left = workspace.queued_work[req.priority] - req.work
+    workspace.queued_work[req.priority] = left
+    if not workspace.queued:
+        workspace.queued_work.clear()
+    pool.queued -= 1
+
+
 def due_time(req: Request) -> float:
     """Return when a queued request is refused.
 
--- a/packages/spanfall-core/src/spanfall_core/dispatch.py
+++ b/packages/spanfall-core/src/spanfall_core/dispatch.py
@@ -7,6 +7,7 @@
 
 from heapq import heappop
 
+from spanfall_core.admission import note_dequeued
 from spanfall_core.effects import Dispatch, Effect, Refuse, Right
 from spanfall_core.reasons import RefusalReason, RunState
 from spanfall_core.routing import (
@@ -19,15 +20,11 @@
     Pool,
     Request,
     RequestState,
-    ServiceKind,
     Upstream,
     Workspace,
 )
 from spanfall_core.upstreams import record_success, usable_slots
 
-#: Tokens that count as one unit of work in fair shares.
-WORK_UNIT_TOKENS = 100
-
 
 def run_tick(
     pool: Pool,
@@ -82,8 +79,7 @@
 def remove_queued(pool: Pool, req: Request) -> None:
     """Take a request out of its queue; its entries are skipped later."""
     req.state = RequestState.DONE
-    pool.workspaces[req.workspace].queued -= 1
-    pool.queued -= 1
+    note_dequeued(pool, req)
 
 
 def next_workspace(pool: Pool) -> Workspace | None:
@@ -116,8 +112,7 @@
     if not rows:
         return None
     heappop(pool.queues[workspace.name])
-    workspace.queued -= 1
-    pool.queued -= 1
+    note_dequeued(pool, req)
     row = choose(pool, req, rows)
     charge(pool, workspace, req)
     return start_run(pool, req, row, now)
@@ -137,10 +132,7 @@
 def charge(pool: Pool, workspace: Workspace, req: Request) -> None:
     """Advance the virtual time of the workspace by the work it takes."""
     pool.virtual_time = max(pool.virtual_time, workspace.virtual_time)
-    work = 1.0
-    if req.kind is ServiceKind.MODEL:
-        work += max(0, req.max_tokens - req.progress) / WORK_UNIT_TOKENS
-    workspace.virtual_time += work / workspace.weight
+    workspace.virtual_time += req.work / workspace.weight
     workspace.running += 1
 
 
--- a/packages/spanfall-core/src/spanfall_core/tables.py
+++ b/packages/spanfall-core/src/spanfall_core/tables.py
@@ -77,7 +77,10 @@
 
 @dataclass(slots=True)
 class Workspace:
-    """Hold the limits of a workspace and what it uses of them."""
+    """Hold the limits of a workspace and what it uses of them.
+
+    ``queued_work`` is seconds of a slot that wait, by priority.
+    """
 
     name: str
     weight: float = 1.0
@@ -89,12 +92,16 @@
     refilled_at: float = 0.0
     running: int = 0
     queued: int = 0
+    queued_work: dict[int, float] = field(default_factory=dict)
     virtual_time: float = 0.0
 
 
 @dataclass(slots=True)
 class Request:
-    """Describe one accepted request at its home."""
+    """Describe one accepted request at its home.
+
+    ``work`` is the estimate, in seconds of a slot, made when it was queued.
+    """
 
     request_id: str
     workspace: str
@@ -113,6 +120,7 @@
     state: RequestState = RequestState.QUEUED
     upstream_id: str = ''
     sequence: int = 0
+    work: float = 0.0
     run: int = 0
     retries: int = 0
     dispatched_at: float = 0.0
--- a/packages/spanfall-node/src/spanfall_node/servers.py
+++ b/packages/spanfall-node/src/spanfall_node/servers.py
@@ -72,6 +72,8 @@
     config.keep_alive_timeout = limits.idle_seconds
     config.graceful_timeout = GRACE_SECONDS
     bound = config.create_sockets().insecure_sockets[0]
+    # Connections queue from here on, before hypercorn accepts them.
+    bound.listen(config.backlog)
     started(bound.getsockname()[1])
     listener = TrackingSocket(fileno=bound.detach())
     stop = asyncio.Event()
--- a/packages/spanfall-standins/src/spanfall_standins/cloud.py
+++ b/packages/spanfall-standins/src/spanfall_standins/cloud.py
@@ -1,9 +1,17 @@
 """Stand in for the cloud interface and the lagging host list."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
+from pydantic import BaseModel
 from spanfall_node.cloud import CloudError, HostRow, Notice
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+ReadRows = Callable[[], Awaitable[Sequence[BaseModel]]]
+Endpoint = Callable[[Request], Awaitable[Response]]
 
 
 @dataclass(slots=True)
@@ -30,6 +38,15 @@
         self._lag = list_lag
         self._reclaims: dict[str, Reclaim] = {}
 
+    def build_app(self) -> Starlette:
+        """Return the ASGI application of both interfaces."""
+        return Starlette(
+            routes=[
+                Route('/v1/notices', self._show(self.notices)),
+                Route('/v1/hosts', self._show(self.hosts)),
+            ],
+        )
+
     def announce(self, upstream: str, incarnation: int, seconds: float) -> None:
         """Announce that a host goes in so many seconds."""
         now = self._clock()
@@ -65,6 +82,16 @@
             if row.announced_at + self._lag <= now
         ]
 
+    def _show(self, read: ReadRows) -> Endpoint:
+        async def endpoint(req: Request) -> Response:
+            try:
+                rows = await read()
+            except CloudError as exc:
+                return JSONResponse({'error': str(exc)}, status_code=503)
+            return JSONResponse([row.model_dump() for row in rows])
+
+        return endpoint
+
     def _check(self) -> None:
         if self.down:
             raise CloudError('down')
