Tell the next home where the prompt is cached

Cause: a home that takes over after a loss starts with an empty prefix index and computed prompts again that an upstream still had. Change: the home names the upstream in its first progress frame, the entry names it when it submits again, and the new home puts it into its index. Measured: in the new test the second run goes to the same upstream and computes less than the first; with prefix awareness off it goes elsewhere.

--- a/packages/spanfall-api/src/spanfall_api/frames.py
+++ b/packages/spanfall-api/src/spanfall_api/frames.py
@@ -46,7 +46,8 @@
     """Hand a request, and what was relayed of it, to a home.
 
     ``deadline`` and ``life`` are seconds from now; ``pieces`` are the answer
-    parts that the entry has relayed so far.
+    parts that the entry has relayed so far, and ``upstream`` is where they
+    came from, whose cache has the prompt.
     """
 
     kind: Literal['submit'] = 'submit'
@@ -63,6 +64,7 @@
     headers: tuple[Header, ...] = ()
     body: bytes = b''
     pieces: tuple[bytes, ...] = ()
+    upstream: str = ''
     keep: bool = False
 
 
@@ -101,11 +103,15 @@
 
 
 class Progress(RequestFrame):
-    """Carry parts of an answer; ``offset`` counts the parts before them."""
+    """Carry parts of an answer; ``offset`` counts the parts before them.
+
+    ``upstream`` is named when it is another than before.
+    """
 
     kind: Literal['progress'] = 'progress'
     offset: int
     pieces: tuple[bytes, ...]
+    upstream: str = ''
 
 
 class End(RequestFrame):
--- a/packages/spanfall-core/src/spanfall_core/dispatch.py
+++ b/packages/spanfall-core/src/spanfall_core/dispatch.py
@@ -150,7 +150,7 @@
     right = needed_right(req)
     waits = right is not Right.NONE
     req.state = RequestState.AWAITING_RIGHT if waits else RequestState.RUNNING
-    remember_prefix(pool, req, now)
+    remember_prefix(pool, req, row.upstream_id, now)
     return Dispatch(req.request_id, row.upstream_id, req.run, right)
 
 
--- a/packages/spanfall-core/src/spanfall_core/reclaim.py
+++ b/packages/spanfall-core/src/spanfall_core/reclaim.py
@@ -165,7 +165,7 @@
     req.run += 1
     req.dispatched_at = now
     req.avoid.add(source_id)
-    remember_prefix(pool, req, now)
+    remember_prefix(pool, req, target.upstream_id, now)
     return Move(req.request_id, source_id, target.upstream_id, req.run)
 
 
--- a/packages/spanfall-core/src/spanfall_core/routing.py
+++ b/packages/spanfall-core/src/spanfall_core/routing.py
@@ -36,10 +36,15 @@
     return count * BLOCK_TOKENS
 
 
-def remember_prefix(pool: Pool, req: Request, now: float) -> None:
-    """Note that the upstream of the request now caches its prompt."""
+def remember_prefix(
+    pool: Pool,
+    req: Request,
+    upstream_id: str,
+    now: float,
+) -> None:
+    """Note that an upstream now caches the prompt of a request."""
     for block in req.prefix:
-        entry = (block, req.upstream_id)
+        entry = (block, upstream_id)
         pool.prefixes[entry] = now
         pool.prefixes.move_to_end(entry)
     while len(pool.prefixes) > MAX_PREFIX_ENTRIES:
--- a/packages/spanfall-node/src/spanfall_node/entry.py
+++ b/packages/spanfall-node/src/spanfall_node/entry.py
@@ -56,6 +56,7 @@
     answer: Answer = field(default_factory=Answer)
     attempt: int = 1
     link: Link | None = None
+    upstream: str = ''
     permitted: bool = False
     has_caller: bool = True
     attached: bool = False
@@ -179,6 +180,7 @@
                 update={
                     'attempt': relay.attempt,
                     'pieces': tuple(relay.answer.pieces),
+                    'upstream': relay.upstream,
                     'life': max(0, relay.expires_at - now),
                 },
             ),
@@ -241,6 +243,7 @@
         relay = self._current(frame)
         if relay is None:
             return
+        relay.upstream = frame.upstream or relay.upstream
         dropped = relay.answer.add(frame.offset, frame.pieces)
         if dropped is not None:
             self._context.metrics.drops.labels(dropped.value).inc()
--- a/packages/spanfall-node/src/spanfall_node/held.py
+++ b/packages/spanfall-node/src/spanfall_node/held.py
@@ -70,6 +70,7 @@
     attempt: int
     sent: int
     credit: int
+    upstream: str = ''
     head_sent: bool = False
     end_sent: bool = False
 
@@ -125,12 +126,14 @@
             follower.head_sent = True
             yield answer.head.model_copy(update={'attempt': attempt})
         if answer.offset > follower.sent:
-            pieces = tuple(answer.read(follower.sent))
+            is_known = follower.upstream == self.row.upstream_id
+            follower.upstream = self.row.upstream_id
             yield Progress(
                 request_id=self.request_id,
                 attempt=attempt,
                 offset=follower.sent,
-                pieces=pieces,
+                pieces=tuple(answer.read(follower.sent)),
+                upstream='' if is_known else follower.upstream,
             )
             follower.sent = answer.offset
         if answer.outcome is not None and not follower.end_sent:
--- a/packages/spanfall-node/src/spanfall_node/home.py
+++ b/packages/spanfall-node/src/spanfall_node/home.py
@@ -35,7 +35,7 @@
 from spanfall_core.reasons import RefusalReason, RunState
 from spanfall_core.reclaim import evacuate, mark_leaving
 from spanfall_core.recovery import run_failed
-from spanfall_core.routing import CHOOSERS
+from spanfall_core.routing import CHOOSERS, remember_prefix
 from spanfall_core.tables import Pool, UpstreamState
 
 from spanfall_node.catalog import Catalog
@@ -167,6 +167,8 @@
         held = Held(submit, row)
         held.answer.add(0, submit.pieces)
         self.held.rows[submit.request_id] = held
+        if submit.upstream:
+            remember_prefix(pool, row, submit.upstream, now)
         held.follow(link, submit.attempt, len(submit.pieces))
         if link.peer_id == self._context.node_id:
             self._send_copy(held)
--- a/tests/test_reclaim.py
+++ b/tests/test_reclaim.py
@@ -277,3 +277,37 @@
                     await wait_until(lambda: bool(seen.error))
 
     run_async(main)
+
+
+@pytest.mark.parametrize(('off', 'is_same'), [((), True), (('prefix',), False)])
+def test_next_home_resumes_at_the_cached_prompt(
+    off: tuple[str, ...],
+    is_same: bool,
+) -> None:
+    """The entry tells the next home which upstream has the prompt."""
+    prompt = 'history of the rink ' * 200
+
+    async def main() -> None:
+        async with run_fleet(SMALL, quick_options(*off)) as fleet:
+            home = fleet.acting_home('writer')
+            entry = fleet.entry_apart_from(home)
+            seen = Seen()
+            async with (
+                new_client('managers') as client,
+                anyio.create_task_group() as tasks,
+            ):
+                # The upstream that is not the first choice of an empty pool.
+                for name in ('writer-1', 'writer-2'):
+                    pool = home.home.pools.find('writer')
+                    pool.upstreams[name].ejected_until = float('inf')
+                body = chat_body(prompt, TOKENS)
+                tasks.start_soon(chat, fleet, entry, client, seen, body)
+                await seen.wait_for(TOKENS // 3)
+                home.kill()
+            assert seen.finished, seen.error
+            records = fleet.workers['writer-3'].records
+            assert (len(records) == 2) is is_same
+            if is_same:
+                assert records[1].computed < records[0].computed
+
+    run_async(main)
