Answer from the second copy while the loss of its home is not noticed

Change: a node that keeps the copy answers an attach from it. Also: one faulty store for tests, replay and bench, one upkeep for both upstream stand-ins, headers of callers in a module of their own.

--- a/bench/control.py
+++ b/bench/control.py
@@ -5,9 +5,6 @@
 """
 
 import time
-from collections import Counter
-from collections.abc import Awaitable
-from typing import TypeVar
 
 import anyio
 from anyio.lowlevel import checkpoint
@@ -16,17 +13,11 @@
 from spanfall_core.configuration import Edit
 from spanfall_core.tables import ServiceKind
 from spanfall_node.admin import check_object
-from spanfall_node.embedded import EmbeddedKeyValue
-from spanfall_node.keyvalue import (
-    KeyEntry,
-    Listing,
-    StoreUnavailableError,
-)
 from spanfall_standins.deployments import Deployment, PoolPlan
+from spanfall_standins.faulty_store import WRITE, FaultyStore
 from spanfall_standins.fleet import Fleet, FleetOptions, run_fleet
 
 Points = list[tuple[float, float]]
-Result = TypeVar('Result')
 
 NODE_SIZES = (4, 8, 16, 32)
 CHANGE_SIZES = (5, 10, 20, 40)
@@ -37,50 +28,6 @@
 DATA_CENTRES = ('north', 'south', 'east', 'west')
 
 
-class CountingStore(EmbeddedKeyValue):
-    """Count the calls of each kind; refuse them while ``down``."""
-
-    def __init__(self) -> None:
-        """Start healthy, with no calls counted."""
-        super().__init__(time.monotonic)
-        self.calls: Counter[str] = Counter()
-        self.down = False
-
-    async def get(self, key: str) -> KeyEntry | None:
-        """Count and read."""
-        return await self._counted('read', super().get(key))
-
-    async def list_prefix(self, prefix: str) -> Listing:
-        """Count and list."""
-        return await self._counted('read', super().list_prefix(prefix))
-
-    async def replace(
-        self,
-        key: str,
-        value: bytes,
-        revision: int,
-        lease: int = 0,
-    ) -> bool:
-        """Count and write."""
-        call = super().replace(key, value, revision, lease)
-        return await self._counted('write', call)
-
-    async def put(self, key: str, value: bytes, lease: int = 0) -> None:
-        """Count and write."""
-        await self._counted('write', super().put(key, value, lease))
-
-    async def keep_alive(self, lease: int) -> bool:
-        """Count a renewal as a write."""
-        return await self._counted('write', super().keep_alive(lease))
-
-    async def _counted(self, kind: str, call: Awaitable[Result]) -> Result:
-        self.calls[kind] += 1
-        if self.down:
-            call.close()  # type: ignore[attr-defined]
-            raise StoreUnavailableError('down')
-        return await call
-
-
 def plan_of(nodes: int) -> Deployment:
     """Return a deployment of as many nodes in four data centres."""
     pool = PoolPlan('writer', ServiceKind.MODEL, 2)
@@ -109,7 +56,7 @@
     return check_object('workspaces', {'name': 'bench-2', 'labels': labels})
 
 
-async def measure_idle(fleet: Fleet, store: CountingStore) -> dict[str, float]:
+async def measure_idle(fleet: Fleet, store: FaultyStore) -> dict[str, float]:
     """Return a second's bytes and processor time a node, and store calls."""
     nodes = len(fleet.live_nodes())
     await anyio.sleep(2)
@@ -127,7 +74,7 @@
     }
 
 
-async def measure_spread(fleet: Fleet, store: CountingStore) -> float:
+async def measure_spread(fleet: Fleet, store: FaultyStore) -> float:
     """Return the mean seconds until a change is in force everywhere."""
     total = 0.0
     for number in range(SPREADS):
@@ -157,7 +104,7 @@
 
 async def measure_changes(
     fleet: Fleet,
-    store: CountingStore,
+    store: FaultyStore,
 ) -> tuple[Points, Points]:
     """Return bytes a node, and store calls, against accepted changes."""
     sent: Points = []
@@ -179,12 +126,12 @@
     return sent, calls
 
 
-async def measure_claims(fleet: Fleet, store: CountingStore) -> Points:
+async def measure_claims(fleet: Fleet, store: FaultyStore) -> Points:
     """Return store writes against keyed requests that arrive at once."""
     points: Points = []
     node = fleet.live_nodes()[0]
     for size in CLAIM_SIZES:
-        before = store.calls['write']
+        before = store.calls[WRITE]
         told: list[Verdict] = []
 
         def tell(verdict: Verdict, holder: str, rows: list = told) -> None:
@@ -197,13 +144,13 @@
                 await checkpoint()
         while len(told) < size:
             await anyio.sleep(LOOK_SECONDS)
-        points.append((size, store.calls['write'] - before))
+        points.append((size, store.calls[WRITE] - before))
     return points
 
 
 async def measure_size(nodes: int, rows: dict[str, Points]) -> None:
     """Add the figures of one fleet size to the points."""
-    store = CountingStore()
+    store = FaultyStore()
     options = FleetOptions(times=Times(tick=0.25))
     async with run_fleet(plan_of(nodes), options, store) as fleet:
         idle = await measure_idle(fleet, store)
@@ -222,7 +169,7 @@
 
 async def measure_start_calls(rows: dict[str, Points]) -> None:
     """Add the store calls of nodes that start into a running fleet."""
-    store = CountingStore()
+    store = FaultyStore()
     async with run_fleet(plan_of(4), FleetOptions(), store) as fleet:
         points = rows['start-calls']
         for number in range(1, 5):
--- a/packages/spanfall-cli/src/spanfall_cli/replay.py
+++ b/packages/spanfall-cli/src/spanfall_cli/replay.py
@@ -13,16 +13,10 @@
 from spanfall_core.tables import ServiceKind
 from spanfall_node.admin import check_object
 from spanfall_node.clients import new_http_client
-from spanfall_node.embedded import EmbeddedKeyValue
-from spanfall_node.keyvalue import (
-    KeyEntry,
-    Listing,
-    StoreError,
-    StoreUnavailableError,
-    StoreUncertainError,
-)
+from spanfall_node.keyvalue import StoreError
 from spanfall_node.node import Node
 from spanfall_standins.deployments import DEPLOYMENTS, scale, token_of
+from spanfall_standins.faulty_store import FaultyStore
 from spanfall_standins.fleet import Fleet, FleetOptions, run_fleet
 
 from spanfall_cli.promises import (
@@ -54,55 +48,6 @@
 Injector = Callable[[FaultLine], Awaitable[None]]
 
 
-class FaultyStore(EmbeddedKeyValue):
-    """Answer nothing while down; lose answers of writes if told to."""
-
-    def __init__(self) -> None:
-        """Start without faults."""
-        super().__init__(time.monotonic)
-        self.down = False
-        self.lose = 0
-
-    async def get(self, key: str) -> KeyEntry | None:
-        """Read, unless the store is down."""
-        self._check()
-        return await super().get(key)
-
-    async def list_prefix(self, prefix: str) -> Listing:
-        """List, unless the store is down."""
-        self._check()
-        return await super().list_prefix(prefix)
-
-    async def replace(
-        self,
-        key: str,
-        value: bytes,
-        revision: int,
-        lease: int = 0,
-    ) -> bool:
-        """Write, unless the store is down; perhaps lose the answer."""
-        self._check()
-        done = await super().replace(key, value, revision, lease)
-        if self.lose:
-            self.lose -= 1
-            raise StoreUncertainError('lost')
-        return done
-
-    async def put(self, key: str, value: bytes, lease: int = 0) -> None:
-        """Write, unless the store is down."""
-        self._check()
-        await super().put(key, value, lease)
-
-    async def keep_alive(self, lease: int) -> bool:
-        """Renew, unless the store is down."""
-        self._check()
-        return await super().keep_alive(lease)
-
-    def _check(self) -> None:
-        if self.down:
-            raise StoreUnavailableError('down')
-
-
 @dataclass(frozen=True, slots=True)
 class Report:
     """Hold the result of a replay."""
--- a/packages/spanfall-node/src/spanfall_node/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/callers.py
@@ -2,7 +2,6 @@
 
 import logging
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass
 from functools import partial, wraps
 from uuid import uuid4
 
@@ -41,11 +40,11 @@
     whole_completion,
 )
 from spanfall_node.rules import Call, Target, route
+from spanfall_node.terms import MILLISECONDS, read_number, read_terms
 from spanfall_node.upstream_calls import HOP_HEADERS
 
 logger = logging.getLogger(__name__)
 
-MILLISECONDS = 1000
 EVENT_STREAM = 'text/event-stream'
 #: Headers of a caller that are meant for spanfall alone.
 OWN_HEADERS = frozenset(
@@ -56,8 +55,6 @@
     ),
 )
 METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
-#: Largest priority that a caller may ask for, either way.
-MAX_PRIORITY = 100
 #: Letter in a request id that says how its answer is rendered.
 CHAT_MARK = 'c'
 TEXT_MARK = 't'
@@ -66,44 +63,6 @@
 Endpoint = Callable[['Callers', Request], Awaitable[Response]]
 
 
-@dataclass(frozen=True, slots=True)
-class Terms:
-    """Hold what the headers of a request ask for."""
-
-    priority: int | None
-    deadline: float | None
-    key: str
-
-
-def read_terms(req: Request) -> Terms:
-    """Return the terms of a request, or raise RefusedError."""
-    priority = read_number(req, 'spanfall-priority')
-    deadline = read_number(req, 'spanfall-deadline-ms')
-    if deadline is not None and deadline <= 0:
-        raise RefusedError(RefusalReason.BAD_REQUEST, 'deadline is not over 0')
-    if priority is not None and abs(priority) > MAX_PRIORITY:
-        raise RefusedError(
-            RefusalReason.BAD_REQUEST,
-            f'priority is not within {MAX_PRIORITY}',
-        )
-    seconds = None if deadline is None else deadline / MILLISECONDS
-    return Terms(priority, seconds, req.headers.get('idempotency-key', ''))
-
-
-def read_number(req: Request, name: str) -> int | None:
-    """Return a header as a whole number, or raise RefusedError."""
-    text = req.headers.get(name)
-    if text is None:
-        return None
-    try:
-        return int(text)
-    except ValueError as exc:
-        raise RefusedError(
-            RefusalReason.BAD_REQUEST,
-            f'{name} is not a whole number',
-        ) from exc
-
-
 def refusing(endpoint: Endpoint) -> Endpoint:
     """Render the refusals of an endpoint and count them."""
 
--- a/packages/spanfall-node/src/spanfall_node/entry.py
+++ b/packages/spanfall-node/src/spanfall_node/entry.py
@@ -29,10 +29,11 @@
     RetryReason,
     RunState,
 )
-from spanfall_core.tables import ServiceKind
+from spanfall_core.tables import Request, ServiceKind
 
 from spanfall_node.answers import Answer
 from spanfall_node.context import Context
+from spanfall_node.held import Held
 from spanfall_node.links import Link
 from spanfall_node.members import Members
 
@@ -70,6 +71,13 @@
         return self.submit.request_id
 
 
+async def notify_until_end(held: Held) -> None:
+    """Tell the followers of an answer that others fill, until its end."""
+    while held.answer.outcome is None:
+        await held.answer.wait_beyond(held.answer.offset)
+        held.notify()
+
+
 class Entry:
     """Hold the relays of this node."""
 
@@ -140,6 +148,22 @@
         relay.expires_at = now + submit.life
         self.relays[relay.request_id] = relay
 
+    def attach_copy(self, link: Link, frame: Attach) -> bool:
+        """Send the copy of an answer that is kept here, as it grows.
+
+        A caller may come back before the loss of the home is noticed here.
+        """
+        relay = self.relays.get(frame.request_id)
+        if relay is None or relay.attached:
+            return False
+        if relay.submit.workspace != frame.workspace:
+            return False
+        row = Request(relay.request_id, frame.workspace)
+        held = Held(relay.submit, row, relay.answer)
+        held.follow(link, frame.attempt, frame.offset)
+        self._context.tasks.start_soon(notify_until_end, held)
+        return True
+
     def cancel(self, relay: Relay) -> None:
         """Tell the home that the caller has gone for good."""
         if relay.done_at is not None:
--- a/packages/spanfall-node/src/spanfall_node/home.py
+++ b/packages/spanfall-node/src/spanfall_node/home.py
@@ -58,12 +58,18 @@
 STORE_RETRY_AFTER = 1.0
 
 Adopter = Callable[[Link, Submit], None]
+AttachCopy = Callable[[Link, Attach], bool]
 
 
 def ignore_copy(link: Link, submit: Submit) -> None:
     """Drop the copy of a request, where no entry takes such copies."""
 
 
+def has_no_copy(link: Link, frame: Attach) -> bool:
+    """Say that there is no copy, where no entry keeps such copies."""
+    return False
+
+
 class Home:
     """Serve the services whose acting home this node is."""
 
@@ -80,6 +86,7 @@
         self.runs = Runs(context, self.pools, self._run_ended)
         self.handover = Handover(context, self.held, self.pools, self.runs)
         self.adopt: Adopter = ignore_copy
+        self.attach_copy: AttachCopy = has_no_copy
         self.spread_notice: Callable[[UpstreamNotice], None]
         self.spread_notice = self.upstream_leaves
         self._context = context
@@ -339,14 +346,14 @@
             self._rights.take_permit(held, frame)
 
     def _take_attach(self, link: Link, frame: Frame) -> None:
-        held = self.held.find(frame)
         if not isinstance(frame, Attach):
             return
-        if held is None or held.submit.workspace != frame.workspace:
+        held = self.held.find(frame)
+        if held is not None and held.submit.workspace == frame.workspace:
+            held.follow(link, frame.attempt, frame.offset)
+        elif not self.attach_copy(link, frame):
             reason = RefusalReason.UNKNOWN_REQUEST
             refuse_frame(link, frame, reason, RunState.UNKNOWN)
-        else:
-            held.follow(link, frame.attempt, frame.offset)
 
     def _lose_link(self, link: Link) -> None:
         for held in list(self.held.rows.values()):
--- a/packages/spanfall-standins/src/spanfall_standins/application.py
+++ b/packages/spanfall-standins/src/spanfall_standins/application.py
@@ -7,17 +7,12 @@
 
 import anyio
 from pydantic import BaseModel
-from spanfall_node.upstream_calls import (
-    LEAVING_HEADER,
-    NOT_RUN,
-    RUN_HEADER,
-)
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from spanfall_standins.faults import Faults, set_faults
+from spanfall_standins.upkeep import Upkeep
 
 _UNAVAILABLE = 503
 _METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
@@ -55,18 +50,15 @@
         self.name = name
         self._clock = clock
         self.speed = speed
-        self.faults = Faults()
         self.records: list[CallRecord] = []
-        self.leaving: float | None = None
+        self.upkeep = Upkeep(lambda: self.records)
         self.running = 0
 
     def build_app(self) -> Starlette:
         """Return the ASGI application."""
         return Starlette(
             routes=[
-                Route('/_faults', self.change_faults, methods=['POST']),
-                Route('/_leave', self.leave, methods=['POST']),
-                Route('/_records', self.show_records),
+                *self.upkeep.routes(),
                 Route('/v1/load', self.load),
                 Route('/{path:path}', self.call, methods=list(_METHODS)),
             ],
@@ -74,12 +66,12 @@
 
     async def call(self, req: Request) -> Response:
         """Run a call once and record it."""
-        broken = await self.faults.before()
+        broken = await self.upkeep.faults.before()
         if broken is not None:
             return broken
         raw = await req.body()
-        if self.leaving is not None or self.running >= self.speed.slots:
-            return self._refuse()
+        if self.upkeep.leaving is not None or self.running >= self.speed.slots:
+            return self.upkeep.refuse()
         record = CallRecord(
             req.headers.get('spanfall-request-id', 'direct'),
             req.headers.get('idempotency-key', ''),
@@ -94,7 +86,7 @@
         finally:
             self.running -= 1
         record.ended = 'done'
-        return self.faults.after(self._echo(req, raw))
+        return self.upkeep.faults.after(self._echo(req, raw))
 
     def _echo(self, req: Request, raw: bytes) -> Response:
         size = int(req.query_params.get('bytes', 0))
@@ -109,41 +101,8 @@
         }
         return Response(json.dumps(content), media_type='application/json')
 
-    def _refuse(self) -> Response:
-        headers = {RUN_HEADER: NOT_RUN}
-        if self.leaving is not None:
-            headers[LEAVING_HEADER] = str(self.leaving)
-        return JSONResponse(
-            {'error': 'busy'},
-            status_code=_UNAVAILABLE,
-            headers=headers,
-        )
-
     async def load(self, req: Request) -> Response:
         """Report how many calls run."""
         return JSONResponse(
             {'running': self.running, 'slots': self.speed.slots},
         )
-
-    async def change_faults(self, req: Request) -> Response:
-        """Change the faults in force."""
-        return await set_faults(self.faults, req)
-
-    async def leave(self, req: Request) -> Response:
-        """Refuse new work from now on."""
-        self.leaving = float((await req.json())['seconds'])
-        return JSONResponse({'leaving': self.leaving})
-
-    async def show_records(self, req: Request) -> Response:
-        """Show all runs, for checks from outside."""
-        rows = [
-            {
-                'request_id': row.request_id,
-                'key': row.key,
-                'method': row.method,
-                'path': row.path,
-                'ended': row.ended,
-            }
-            for row in self.records
-        ]
-        return JSONResponse({'records': rows})
--- a/packages/spanfall-standins/src/spanfall_standins/engine.py
+++ b/packages/spanfall-standins/src/spanfall_standins/engine.py
@@ -31,17 +31,14 @@
 from spanfall_node.held import prefix_blocks
 from spanfall_node.upstream_calls import (
     FINISH_EXPORTED,
-    LEAVING_HEADER,
-    NOT_RUN,
-    RUN_HEADER,
 )
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
-from spanfall_standins.faults import Faults, set_faults
 from spanfall_standins.texts import prompt_seed, token_text
+from spanfall_standins.upkeep import Upkeep
 
 logger = logging.getLogger(__name__)
 
@@ -98,11 +95,10 @@
         self.name = name
         self._clock = clock
         self.speed = speed
-        self.faults = Faults()
         self.records: list[RunRecord] = []
+        self.upkeep = Upkeep(lambda: self.records)
         self.streams: dict[str, Stream] = {}
         self.exports: dict[str, Stream] = {}
-        self.leaving: float | None = None
         self.prefill_total = 0
         self._cache: OrderedDict[int, None] = OrderedDict()
         self._handles = count(1)
@@ -116,23 +112,24 @@
                 Route('/v1/kv/export', self.export, methods=['POST']),
                 Route('/v1/kv/import/{handle}', self.hand_over),
                 Route('/v1/load', self.load),
-                Route('/_faults', self.change_faults, methods=['POST']),
-                Route('/_leave', self.leave, methods=['POST']),
-                Route('/_records', self.show_records),
+                *self.upkeep.routes(),
             ],
         )
 
     async def complete(self, req: Request) -> Response:
         """Stream a completion, or refuse it as not run."""
-        broken = await self.faults.before()
+        broken = await self.upkeep.faults.before()
         if broken is not None:
             return broken
         raw = await req.body()
         body = parse_request(req.url.path, raw)
         extra = json.loads(raw).get('spanfall', {'request_id': 'direct'})
         options = EngineOptions.model_validate(extra)
-        if self.leaving is not None or len(self.streams) >= self.speed.slots:
-            return self._refuse()
+        if (
+            self.upkeep.leaving is not None
+            or len(self.streams) >= self.speed.slots
+        ):
+            return self.upkeep.refuse()
         stream, record = await self._begin(body, options)
         text = partial(self._event, req.url.path)
         return StreamingResponse(
@@ -142,7 +139,7 @@
 
     async def export(self, req: Request) -> Response:
         """Stop a stream and keep its state under a handle."""
-        broken = await self.faults.before()
+        broken = await self.upkeep.faults.before()
         if broken is not None:
             return broken
         request_id = (await req.json())['request_id']
@@ -161,7 +158,7 @@
     async def hand_over(self, req: Request) -> Response:
         """Give exported state to the engine that imports it."""
         stream = self.exports.pop(req.path_params['handle'], None)
-        if stream is None or self.faults.down:
+        if stream is None or self.upkeep.faults.down:
             return JSONResponse({'error': 'unknown'}, status_code=_NOT_FOUND)
         return JSONResponse({'tokens': stream.prompt_tokens + stream.offset})
 
@@ -171,41 +168,6 @@
             {'running': len(self.streams), 'slots': self.speed.slots},
         )
 
-    async def change_faults(self, req: Request) -> Response:
-        """Change the faults in force."""
-        return await set_faults(self.faults, req)
-
-    async def leave(self, req: Request) -> Response:
-        """Refuse new work from now on, as a host that is taken back does."""
-        self.leaving = float((await req.json())['seconds'])
-        return JSONResponse({'leaving': self.leaving})
-
-    async def show_records(self, req: Request) -> Response:
-        """Show all runs, for checks from outside."""
-        rows = [
-            {
-                'request_id': row.request_id,
-                'start': row.start,
-                'computed': row.computed,
-                'tokens': row.tokens,
-                'ended': row.ended,
-            }
-            for row in self.records
-        ]
-        return JSONResponse(
-            {'records': rows, 'prefill_total': self.prefill_total},
-        )
-
-    def _refuse(self) -> Response:
-        headers = {RUN_HEADER: NOT_RUN}
-        if self.leaving is not None:
-            headers[LEAVING_HEADER] = str(self.leaving)
-        return JSONResponse(
-            {'error': 'no slot'},
-            status_code=_UNAVAILABLE,
-            headers=headers,
-        )
-
     async def _begin(
         self,
         body: ChatRequest | TextRequest,
@@ -295,9 +257,9 @@
         """Wait for the next step of the batch, or break as told."""
         batch = len(self.streams) * self.speed.step_per_stream
         await anyio.sleep(self.speed.step_seconds + batch)
-        limit = self.faults.cut_after
+        limit = self.upkeep.faults.cut_after
         is_cut = bool(limit) and record.tokens >= limit
-        if self.faults.down or is_cut:
+        if self.upkeep.faults.down or is_cut:
             raise ConnectionAbortedError
 
     def _event(self, path: str, text: str, reason: str | None) -> bytes:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -9,14 +9,9 @@
 from anyio.abc import TaskGroup
 from spanfall_core.tables import RequestState
 from spanfall_node.admin import check_object
-from spanfall_node.embedded import EmbeddedKeyValue
-from spanfall_node.keyvalue import (
-    KeyEntry,
-    StoreUnavailableError,
-    StoreUncertainError,
-)
 from spanfall_node.node import Node
 from spanfall_standins.cutter import Cutter
+from spanfall_standins.faulty_store import FaultyStore
 from spanfall_standins.fleet import Fleet, run_fleet
 from support import (
     SMALL,
@@ -30,38 +25,6 @@
 SHEET = b'{"rink": "ipswich"}'
 
 
-class FaultyStore(EmbeddedKeyValue):
-    """Lose answers of claim writes, or answer no call at all."""
-
-    def __init__(self) -> None:
-        """Start without faults."""
-        super().__init__(time.monotonic)
-        self.down = False
-        self.lose = 0
-
-    async def get(self, key: str) -> KeyEntry | None:
-        """Return an entry, unless the store is down."""
-        if self.down:
-            raise StoreUnavailableError('down')
-        return await super().get(key)
-
-    async def replace(
-        self,
-        key: str,
-        value: bytes,
-        revision: int,
-        lease: int = 0,
-    ) -> bool:
-        """Write, and lose the answer if told to."""
-        if self.down:
-            raise StoreUnavailableError('down')
-        done = await super().replace(key, value, revision, lease)
-        if self.lose and key.startswith('claims/'):
-            self.lose -= 1
-            raise StoreUncertainError('lost')
-        return done
-
-
 async def post_sheet(
     fleet: Fleet,
     entry: Node,
@@ -95,7 +58,7 @@
     for name, worker in fleet.workers.items():
         if name.startswith('desk'):
             for fault, setting in faults.items():
-                setattr(worker.faults, fault, setting)
+                setattr(worker.upkeep.faults, fault, setting)
 
 
 def problem_of(reply: httpx.Response) -> Json:
@@ -111,6 +74,7 @@
     async def main() -> None:
         store = FaultyStore()
         async with run_fleet(SMALL, quick_options(), store) as fleet:
+            store.lose_prefix = 'claims/'
             store.lose = 1
             reply = await post_sheet(fleet, fleet.live_nodes()[0], 'k1')
             assert reply is not None
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,7 +1,5 @@
 """Check that accepted configuration spreads, and never reverts."""
 
-import random
-import time
 from dataclasses import replace
 
 import anyio
@@ -10,14 +8,9 @@
 from spanfall_core.selectors import SelectorError, parse_selector
 from spanfall_node.admin import check_object
 from spanfall_node.config_store import ConflictError
-from spanfall_node.embedded import EmbeddedKeyValue
-from spanfall_node.keyvalue import (
-    KeyEntry,
-    StoreError,
-    StoreUnavailableError,
-    StoreUncertainError,
-)
+from spanfall_node.keyvalue import StoreError
 from spanfall_node.node import Node
+from spanfall_standins.faulty_store import FaultyStore
 from spanfall_standins.fleet import Fleet, run_fleet
 from support import SMALL, quick_options, run_async, wait_until
 
@@ -28,38 +21,6 @@
 OPERATORS = 4
 
 
-class ShakyStore(EmbeddedKeyValue):
-    """Go up and down, and lose answers of writes that took effect."""
-
-    def __init__(self, seed: int = 1) -> None:
-        """Start healthy, with a seed for what is lost."""
-        super().__init__(time.monotonic)
-        self.down = False
-        self.lose_share = 0.0
-        self.random = random.Random(seed)
-
-    async def get(self, key: str) -> KeyEntry | None:
-        """Read, unless the store is down."""
-        if self.down:
-            raise StoreUnavailableError('down')
-        return await super().get(key)
-
-    async def replace(
-        self,
-        key: str,
-        value: bytes,
-        revision: int,
-        lease: int = 0,
-    ) -> bool:
-        """Write, and perhaps lose the answer."""
-        if self.down:
-            raise StoreUnavailableError('down')
-        done = await super().replace(key, value, revision, lease)
-        if self.random.random() < self.lose_share:
-            raise StoreUncertainError('lost')
-        return done
-
-
 def workspace_edit(name: str, label: str, expected: int | None = None) -> Edit:
     """Return an edit that labels a workspace."""
     document = {'name': name, 'labels': {'step': label}}
@@ -109,7 +70,7 @@
 
 def test_store_down_right_after_acceptance() -> None:
     async def main() -> None:
-        store = SilentWatchStore()
+        store = FaultyStore()
         async with run_fleet(SMALL, quick_options(), store) as fleet:
             node = fleet.nodes['west-3']
             store.silent = True
@@ -124,18 +85,6 @@
     run_async(main)
 
 
-class SilentWatchStore(ShakyStore):
-    """Deliver no watch events while ``silent``."""
-
-    silent = False
-
-    async def watch(self, prefix: str, after: int) -> object:
-        """Yield events, but none while silent."""
-        async for event in super().watch(prefix, after):
-            if not self.silent:
-                yield event
-
-
 def test_conflict_names_what_changed() -> None:
     async def main() -> None:
         async with run_fleet(SMALL, quick_options()) as fleet:
@@ -155,7 +104,7 @@
 
 def test_lost_answer_is_settled_by_the_operation() -> None:
     async def main() -> None:
-        store = ShakyStore()
+        store = FaultyStore()
         async with run_fleet(SMALL, quick_options(), store) as fleet:
             node = fleet.live_nodes()[0]
             store.lose_share = 1
@@ -173,7 +122,7 @@
     broken: list[str] = []
 
     async def main() -> None:
-        store = ShakyStore(seed)
+        store = FaultyStore(seed)
         options = quick_options(*off, lease=2)
         async with run_fleet(SMALL, options, store) as fleet:
             accepted: dict[str, int] = {}
@@ -199,7 +148,7 @@
             tasks.start_soon(operate, fleet, number, accepted)
 
 
-async def shake(store: ShakyStore, fleet: Fleet) -> None:
+async def shake(store: FaultyStore, fleet: Fleet) -> None:
     """Take the store up and down and replace a node."""
     store.lose_share = 0.3
     for number in range(20):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,13 +1,10 @@
 """Check the member list through joins, losses and store outages."""
 
-import time
-
 import pytest
 from spanfall_core.membership import all_members
 from spanfall_core.placement import Place, choose_homes
-from spanfall_node.embedded import EmbeddedKeyValue
-from spanfall_node.keyvalue import StoreUnavailableError
 from spanfall_node.node import Node
+from spanfall_standins.faulty_store import RENEWAL, WRITE, FaultyStore
 from spanfall_standins.fleet import Fleet, run_fleet
 from support import SMALL, quick_options, run_async, wait_until
 
@@ -40,7 +37,7 @@
 @pytest.mark.parametrize('store_down', [False, True])
 def test_lost_delegate_is_replaced(store_down: bool) -> None:
     async def main() -> None:
-        store = OutageStore()
+        store = FaultyStore()
         async with run_fleet(SMALL, quick_options(), store) as fleet:
             store.down = store_down
             north = [
@@ -72,26 +69,26 @@
 
 def test_records_are_written_on_change_only() -> None:
     async def main() -> None:
-        store = OutageStore()
+        store = FaultyStore()
         async with run_fleet(SMALL, quick_options(lease=2), store) as fleet:
             await wait_until(lambda: agree(fleet))
             await wait_renewals(store)
-            before = store.puts
+            before = store.calls[WRITE]
             await wait_renewals(store)
-            assert store.puts == before
+            assert store.calls[WRITE] == before
 
     run_async(main)
 
 
-async def wait_renewals(store: 'OutageStore') -> None:
+async def wait_renewals(store: FaultyStore) -> None:
     """Wait until each delegate has renewed its lease."""
-    target = store.renewals + 2 * len(SMALL.data_centres)
-    await wait_until(lambda: store.renewals >= target)
+    target = store.calls[RENEWAL] + 2 * len(SMALL.data_centres)
+    await wait_until(lambda: store.calls[RENEWAL] >= target)
 
 
 def test_isolated_node_is_not_ready() -> None:
     async def main() -> None:
-        store = OutageStore()
+        store = FaultyStore()
         options = quick_options(isolation=1, lease=2)
         async with run_fleet(SMALL, options, store) as fleet:
             alone = fleet.nodes['south-2']
@@ -122,46 +119,3 @@
     places = [Place(f'node-{number}', f'dc{number % 3}') for number in range(9)]
     homes = choose_homes('service', places)
     assert len({int(home.removeprefix('node-')) % 3 for home in homes}) == 3
-
-
-class OutageStore(EmbeddedKeyValue):
-    """Answer nothing while ``down``, and count what is written."""
-
-    def __init__(self) -> None:
-        """Start without faults."""
-        super().__init__(time.monotonic)
-        self.down = False
-        self.puts = 0
-        self.renewals = 0
-
-    async def put(self, key: str, value: bytes, lease: int = 0) -> None:
-        """Count a write."""
-        self._check()
-        self.puts += 1
-        await super().put(key, value, lease)
-
-    async def keep_alive(self, lease: int) -> bool:
-        """Count a renewal."""
-        self._check()
-        self.renewals += 1
-        return await super().keep_alive(lease)
-
-    async def get(self, key: str) -> object:
-        """Read, unless the store is down."""
-        self._check()
-        return await super().get(key)
-
-    async def replace(
-        self,
-        key: str,
-        value: bytes,
-        revision: int,
-        lease: int = 0,
-    ) -> bool:
-        """Write, unless the store is down."""
-        self._check()
-        return await super().replace(key, value, revision, lease)
-
-    def _check(self) -> None:
-        if self.down:
-            raise StoreUnavailableError('down')
--- a/tests/test_reclaim.py
+++ b/tests/test_reclaim.py
@@ -207,7 +207,7 @@
             fleet.cloud.silent = source == 'host-list'
             worker = fleet.workers['writer-1']
             if source == 'refusal':
-                worker.leaving = 5.0
+                worker.upkeep.leaving = 5.0
             else:
                 fleet.cloud.announce('writer-1', 1, 5)
                 await wait_until_left(fleet, bounded=source == 'off')
@@ -311,3 +311,43 @@
                 assert records[1].computed < records[0].computed
 
     run_async(main)
+
+
+def test_caller_is_back_before_loss_is_noticed() -> None:
+    """The node with the second copy answers while it is still a copy."""
+
+    async def main() -> None:
+        async with run_fleet(SMALL, quick_options()) as fleet:
+            home = fleet.acting_home('writer')
+            seen = Seen()
+            async with (
+                new_client('managers') as client,
+                anyio.create_task_group() as tasks,
+            ):
+                body = chat_body('audit', TOKENS)
+                tasks.start_soon(chat, fleet, home, client, seen, body)
+                await seen.wait_for(TOKENS // 3)
+                request_id = seen.request_id
+                keeper = next(
+                    node
+                    for node in fleet.live_nodes()
+                    if node is not home and request_id in node.entry.relays
+                )
+                # Only the copy may answer: the home says it has nothing.
+                held = home.home.held.rows.pop(request_id)
+                home.home.attach_copy = lambda link, frame: False
+                again = Seen(request_id)
+                tasks.start_soon(reattach, fleet, keeper, client, again)
+                other = Seen(request_id)
+                entry = next(
+                    node
+                    for node in fleet.live_nodes()
+                    if node not in {home, keeper}
+                )
+                tasks.start_soon(reattach, fleet, entry, client, other)
+                await wait_until(lambda: held.done_at is not None)
+            expected = expected_text('audit', TOKENS)
+            assert (again.text, again.error) == (expected, "")
+            assert (other.text, other.error) == (expected, "")
+
+    run_async(main)
