Ask homes before the entry when a caller comes back

Change: homes are asked first, and a draining node answers no attach. Conclusion: the copy is a last resort.

--- a/packages/spanfall-node/src/spanfall_node/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/callers.py
@@ -205,7 +205,7 @@
         relay = await self._find_answer(
             request_id,
             workspace.name,
-            (entry_id, *self._members.homes_of(service)),
+            (*self._members.homes_of(service), entry_id),
             offset,
         )
         if tail.startswith(CALL_MARK):
--- a/packages/spanfall-node/src/spanfall_node/entry.py
+++ b/packages/spanfall-node/src/spanfall_node/entry.py
@@ -154,7 +154,7 @@
         A caller may come back before the loss of the home is noticed here.
         """
         relay = self.relays.get(frame.request_id)
-        if relay is None or relay.attached:
+        if relay is None or relay.attached or self._context.draining:
             return False
         if relay.submit.workspace != frame.workspace:
             return False
