Keep data centres in the list over an outage of the store

Cause: leases lapse while the store is away; when it came back, each record was deleted with its lease and every node dropped all other data centres until the delegates had written anew, so that homes moved. Change: a record that ends is no lost data centre while there is a link with its delegate.

--- a/packages/spanfall-cli/src/spanfall_cli/promises.py
+++ b/packages/spanfall-cli/src/spanfall_cli/promises.py
@@ -99,10 +99,20 @@
         is_bad = row.state == LOST or row.run == 'unknown'
         is_excused = not row.line.idempotent and was_near_kill(evidence, row)
         if is_bad and not is_excused:
-            broken.append(f'{row.line.name}: {row.state} {row.detail}')
+            broken.append(describe(row))
     return len(evidence.outcomes), broken
 
 
+def describe(row: Outcome) -> str:
+    """Return what a broken request's caller saw, for the report."""
+    cuts = ', '.join(row.cut_at) or 'nowhere'
+    entries = ', '.join(sorted(row.entries))
+    return (
+        f'{row.line.name}: {row.state} {row.detail}, cut at {cuts}, '
+        f'through {entries}, {len(row.text)} characters'
+    )
+
+
 def was_near_kill(evidence: Evidence, row: Outcome) -> bool:
     """Tell whether a node was killed while a request may have been open."""
     return any(
--- a/packages/spanfall-node/src/spanfall_node/links.py
+++ b/packages/spanfall-node/src/spanfall_node/links.py
@@ -167,6 +167,11 @@
             self._tasks.start_soon(self._dial, link)
         return link
 
+    def is_up(self, node_id: str) -> bool:
+        """Tell whether a link opened from here to a node is established."""
+        link = self._outbound.get(node_id)
+        return link is not None and link.ready.is_set() and not link.closed
+
     def peers(self) -> list[Link]:
         """Return the links that were opened from here and are in use."""
         return [link for link in self._outbound.values() if not link.closed]
--- a/packages/spanfall-node/src/spanfall_node/members.py
+++ b/packages/spanfall-node/src/spanfall_node/members.py
@@ -235,10 +235,16 @@
         self.tell_changed()
 
     def drop_record(self, data_centre: str) -> None:
-        """Take out a data centre whose delegate's lease has lapsed."""
+        """Take out a data centre whose delegate's lease has lapsed.
+
+        A lease also lapses while the store is away; a delegate that we
+        still have a link with is not lost.
+        """
         record = self.table.records.get(data_centre)
         if record is None or data_centre == self.data_centre:
             return
+        if self._context.links.is_up(record.delegate):
+            return
         if record.members:
             logger.warning('Data centre %s is gone from the list', data_centre)
             empty = make_record(record.version + 1, '', ())
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,5 +1,6 @@
 """Check the member list through joins, losses and store outages."""
 
+import anyio
 import pytest
 from spanfall_core.membership import all_members
 from spanfall_core.placement import Place, choose_homes
@@ -80,6 +81,32 @@
     run_async(main)
 
 
+def test_outage_longer_than_lease_moves_nothing() -> None:
+    """Records whose lease lapsed in an outage are no lost data centres."""
+
+    async def main() -> None:
+        store = FaultyStore()
+        options = quick_options(lease=1)
+        async with run_fleet(SMALL, options, store) as fleet:
+            await wait_until(lambda: agree(fleet))
+            least: list[int] = []
+            for node in fleet.live_nodes():
+                note_sizes(node, least)
+            store.down = True
+            await anyio.sleep(2)
+            store.down = False
+            await wait_renewals(store)
+            assert agree(fleet)
+            assert min(least, default=SMALL.nodes) == SMALL.nodes
+
+    run_async(main)
+
+
+def note_sizes(node: Node, sizes: list[int]) -> None:
+    """Note the size of a node's member list at each change of it."""
+    node.members.changed.append(lambda: sizes.append(len(known_ids(node))))
+
+
 async def wait_renewals(store: FaultyStore) -> None:
     """Wait until each delegate has renewed its lease."""
     target = store.calls[RENEWAL] + 2 * len(SMALL.data_centres)
--- a/tests/test_reclaim.py
+++ b/tests/test_reclaim.py
@@ -347,7 +347,7 @@
                 tasks.start_soon(reattach, fleet, entry, client, other)
                 await wait_until(lambda: held.done_at is not None)
             expected = expected_text('audit', TOKENS)
-            assert (again.text, again.error) == (expected, "")
-            assert (other.text, other.error) == (expected, "")
+            assert (again.text, again.error) == (expected, '')
+            assert (other.text, other.error) == (expected, '')
 
     run_async(main)
