Do not stop the run that took over from an unfinished move

Cause: the stream that muestras-opening lost had stalled at its home. Its engine left, a move began, and the move's target left while the state was still being exported. The second decision started a new run; the first move then finished, stopped whatever ran, and only after that saw that it was out of date. Change: a move checks that it is current before it stops anything. Measured: the new test times out before the change (30 s) and passes after.

--- a/packages/spanfall-node/src/spanfall_node/runs.py
+++ b/packages/spanfall-node/src/spanfall_node/runs.py
@@ -68,9 +68,10 @@
             handle = await self.calls.export(source.address, held.request_id)
             if handle is not None:
                 await held.ended.wait()
-        self.stop(held)
         if held.row.run != effect.run or held.done_at is not None:
+            # A later decision has taken the stream over, with its own run.
             return
+        self.stop(held)
         if handle is None:
             logger.info('Resuming %s without its cache', held.request_id)
         else:
--- a/tests/test_reclaim.py
+++ b/tests/test_reclaim.py
@@ -351,3 +351,30 @@
             assert (other.text, other.error) == (expected, '')
 
     run_async(main)
+
+
+def test_second_wave_during_a_move() -> None:
+    """The target of a move leaves, too, while the state is exported."""
+
+    async def main() -> None:
+        async with run_fleet(SMALL, quick_options()) as fleet:
+            home = fleet.acting_home('writer')
+            entry = fleet.entry_apart_from(home)
+            seen = Seen()
+            async with (
+                new_client('managers') as client,
+                anyio.create_task_group() as tasks,
+            ):
+                body = chat_body('x' * 20_000, TOKENS * 3)
+                tasks.start_soon(chat, fleet, entry, client, seen, body)
+                await seen.wait_for(TOKENS // 5)
+                source = running_engine(fleet, seen.request_id)
+                fleet.workers[source].upkeep.faults.delay = 0.5
+                fleet.cloud.announce(source, 1, 1.2)
+                row = home.home.held.rows[seen.request_id].row
+                await wait_until(lambda: row.upstream_id != source)
+                fleet.cloud.announce(row.upstream_id, 1, 1.2)
+            assert seen.finished, seen.error
+            assert seen.text == expected_text('x' * 20_000, TOKENS * 3)
+
+    run_async(main)
