Bound and type all refusals of the admin port

Cause: the admin port read bodies of any size, and what its framework refused came without a reason.

--- a/packages/spanfall-node/src/spanfall_node/admin.py
+++ b/packages/spanfall-node/src/spanfall_node/admin.py
@@ -5,7 +5,13 @@
 from typing import Annotated, Any
 from uuid import uuid4
 
-from fastapi import Depends, FastAPI, Header, Request, Response
+from fastapi import (
+    Depends,
+    FastAPI,
+    Header,
+    Request,
+    Response,
+)
 from fastapi.responses import JSONResponse, PlainTextResponse
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 from pydantic import BaseModel, ConfigDict, ValidationError
@@ -17,6 +23,8 @@
 from spanfall_core.reasons import RefusalReason, RunState
 from spanfall_core.selectors import SelectorError, parse_selector
 
+from spanfall_node.admin_errors import add_error_handlers, refuse_bad
+from spanfall_node.bodies import BodyLimit
 from spanfall_node.catalog import Catalog, hash_token
 from spanfall_node.config_store import (
     ConfigStore,
@@ -26,7 +34,6 @@
 from spanfall_node.context import Context
 from spanfall_node.keyvalue import StoreError, StoreUncertainError
 from spanfall_node.members import Members
-from spanfall_node.rendering import render_problem
 from spanfall_node.rules import Call, route
 
 logger = logging.getLogger(__name__)
@@ -76,11 +83,6 @@
     labels: dict[str, str | None]
 
 
-def refuse_bad(detail: str) -> RefusedError:
-    """Return the refusal of a malformed request."""
-    return RefusedError(RefusalReason.BAD_REQUEST, detail)
-
-
 def check_object(kind: str, document: dict[str, Any]) -> Edit:
     """Return the edit that puts an object, or raise RefusedError."""
     if kind not in KINDS:
@@ -123,6 +125,15 @@
         self._members = members
         self._config = config
 
+    @property
+    def body_limit(self) -> int:
+        """Return the largest body that is read, in bytes."""
+        return self._context.cfg.limits.body_bytes
+
+    def count_refusal(self, reason: RefusalReason) -> None:
+        """Count one refusal."""
+        self._context.metrics.refusals.labels(reason.value).inc()
+
     def authenticate(self, req: Request) -> AdminToken:
         """Return the token of a request, or raise RefusedError."""
         scheme, _, token = req.headers.get('authorization', '').partition(' ')
@@ -308,11 +319,8 @@
     app = FastAPI(title='spanfall administration', version='1')
     Token = Annotated[AdminToken, Depends(admin.authenticate)]
 
-    @app.exception_handler(RefusedError)
-    async def refuse(req: Request, exc: RefusedError) -> Response:
-        admin._context.metrics.refusals.labels(exc.reason.value).inc()
-        return render_problem(exc)
-
+    add_error_handlers(app, admin.count_refusal)
+    app.add_middleware(BodyLimit, most=admin.body_limit)
     add_health_routes(app, admin)
     add_query_routes(app, admin, Token)
     add_object_routes(app, admin, Token)
