--- a/packages/spanfall-cli/src/spanfall_cli/generator.py
+++ b/packages/spanfall-cli/src/spanfall_cli/generator.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 from spanfall_core.tables import ServiceKind
@@ -58,34 +59,19 @@
     factor: int = 1
 
 
-def model_flow(
+def flow_of(
+    kind: ServiceKind,
     rate: float,
     workspace: str,
     service: str,
     **fields: Any,
 ) -> Flow:
-    """Return a flow of model requests."""
-    return Flow(
-        rate,
-        workspace,
-        service,
-        {'kind': ServiceKind.MODEL, **fields},
-    )
+    """Return a flow of requests of one kind."""
+    return Flow(rate, workspace, service, {'kind': kind, **fields})
 
 
-def call_flow(
-    rate: float,
-    workspace: str,
-    service: str,
-    **fields: Any,
-) -> Flow:
-    """Return a flow of application calls."""
-    return Flow(
-        rate,
-        workspace,
-        service,
-        {'kind': ServiceKind.APPLICATION, **fields},
-    )
+model_flow = partial(flow_of, ServiceKind.MODEL)
+call_flow = partial(flow_of, ServiceKind.APPLICATION)
 
 
 def brolga_flows(factor: float) -> tuple[Flow, ...]:
--- a/packages/spanfall-node/src/spanfall_node/admin.py
+++ b/packages/spanfall-node/src/spanfall_node/admin.py
@@ -2,19 +2,14 @@
 
 import logging
 from collections.abc import Callable
-from typing import Annotated, Any
+from typing import Any
 from uuid import uuid4
 
 from fastapi import (
-    Depends,
-    FastAPI,
-    Header,
     Request,
-    Response,
 )
-from fastapi.responses import JSONResponse, PlainTextResponse
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
-from pydantic import BaseModel, ConfigDict, ValidationError
+from prometheus_client import CollectorRegistry
+from pydantic import ValidationError
 from spanfall_api.objects import KINDS
 from spanfall_api.problems import RefusedError
 from spanfall_api.settings import AdminToken, Role, describe_faults
@@ -23,8 +18,10 @@
 from spanfall_core.reasons import RefusalReason, RunState
 from spanfall_core.selectors import SelectorError, parse_selector
 
-from spanfall_node.admin_errors import add_error_handlers, refuse_bad
-from spanfall_node.bodies import BodyLimit
+from spanfall_node.admin_errors import refuse_bad
+from spanfall_node.admin_models import (
+    ExplainRequest,
+)
 from spanfall_node.catalog import Catalog, hash_token
 from spanfall_node.config_store import (
     ConfigStore,
@@ -41,48 +38,6 @@
 _CREATED = 201
 
 
-class ObjectDocument(BaseModel):
-    """Name an object to apply with its kind."""
-
-    model_config = ConfigDict(extra='forbid')
-
-    kind: str
-    object: dict[str, Any]
-
-
-class ApplyRequest(BaseModel):
-    """Ask for many objects to be put in one accepted revision."""
-
-    model_config = ConfigDict(extra='forbid')
-
-    objects: list[ObjectDocument]
-    dry_run: bool = False
-    operation_id: str = ''
-
-
-class SelectRequest(BaseModel):
-    """Ask which objects of a kind a selector matches."""
-
-    kind: str
-    selector: str
-
-
-class ExplainRequest(BaseModel):
-    """Ask where a request would go."""
-
-    workspace: str
-    name: str
-    method: str = 'POST'
-    path: str = ''
-    model: bool = True
-
-
-class LabelsRequest(BaseModel):
-    """Ask for labels to be set, or removed where the value is null."""
-
-    labels: dict[str, str | None]
-
-
 def check_object(kind: str, document: dict[str, Any]) -> Edit:
     """Return the edit that puts an object, or raise RefusedError."""
     if kind not in KINDS:
@@ -130,6 +85,20 @@
         """Return the largest body that is read, in bytes."""
         return self._context.cfg.limits.body_bytes
 
+    @property
+    def registry(self) -> CollectorRegistry:
+        """Return the metrics of this node."""
+        return self._context.metrics.registry
+
+    @property
+    def node_id(self) -> str:
+        """Return the id of this node."""
+        return self._context.node_id
+
+    def find_operation(self, operation_id: str) -> int | None:
+        """Return the revision of an operation, if it was accepted."""
+        return self._config.state.operations.get(operation_id)
+
     def count_refusal(self, reason: RefusalReason) -> None:
         """Count one refusal."""
         self._context.metrics.refusals.labels(reason.value).inc()
@@ -295,167 +264,3 @@
                 for member in all_members(self._members.table)
             ],
         }
-
-
-def parse_etag(text: str | None) -> int:
-    """Return the revision of an If-Match header, or raise RefusedError."""
-    if text is None:
-        raise RefusedError(
-            RefusalReason.REVISION_REQUIRED,
-            'send If-Match with the ETag of the object, or 0 for a new one',
-        )
-    digits = text.strip('"')
-    if not digits.isdecimal():
-        raise refuse_bad('If-Match is not an ETag of this interface')
-    return int(digits)
-
-
-IfMatch = Annotated[str | None, Header(alias='If-Match')]
-OperationId = Annotated[str, Header(alias='Idempotency-Key')]
-
-
-def build_admin_app(admin: Admin) -> FastAPI:
-    """Return the ASGI application of the admin port."""
-    app = FastAPI(title='spanfall administration', version='1')
-    Token = Annotated[AdminToken, Depends(admin.authenticate)]
-
-    add_error_handlers(app, admin.count_refusal)
-    app.add_middleware(BodyLimit, most=admin.body_limit)
-    add_health_routes(app, admin)
-    add_query_routes(app, admin, Token)
-    add_object_routes(app, admin, Token)
-    return app
-
-
-def add_health_routes(app: FastAPI, admin: Admin) -> None:
-    """Add the routes that need no token: health and metrics."""
-
-    @app.get('/healthz')
-    async def health() -> PlainTextResponse:
-        return PlainTextResponse('ok\n')
-
-    @app.get('/readyz')
-    async def ready() -> PlainTextResponse:
-        if admin.is_ready():
-            return PlainTextResponse('ready\n')
-        return PlainTextResponse('not ready\n', status_code=503)
-
-    @app.get('/metrics')
-    async def metrics() -> Response:
-        return Response(
-            generate_latest(admin._context.metrics.registry),
-            media_type=CONTENT_TYPE_LATEST,
-        )
-
-
-def add_query_routes(app: FastAPI, admin: Admin, token_type: Any) -> None:
-    """Add the routes that change nothing."""
-
-    @app.get('/admin/v1/fleet')
-    async def fleet(token: token_type) -> dict[str, Any]:
-        return admin.fleet()
-
-    @app.post('/admin/v1/explain')
-    async def explain(
-        ask: ExplainRequest,
-        token: token_type,
-    ) -> dict[str, Any]:
-        return admin.explain(ask)
-
-    @app.post('/admin/v1/select')
-    async def select(ask: SelectRequest, token: token_type) -> dict[str, Any]:
-        check_selector(ask.selector)
-        wanted = parse_selector(ask.selector)
-        names = [
-            row['object']['name']
-            for row in admin.list_kind(ask.kind)
-            if wanted.matches(row['object']['labels'])
-        ]
-        return {'kind': ask.kind, 'names': names}
-
-    @app.get('/admin/v1/operations/{operation_id}')
-    async def operation(operation_id: str, token: token_type) -> dict[str, Any]:
-        revision = admin._config.state.operations.get(operation_id)
-        return {'operation_id': operation_id, 'revision': revision}
-
-
-def add_object_routes(app: FastAPI, admin: Admin, token_type: Any) -> None:
-    """Add the routes that read and change objects."""
-
-    @app.post('/admin/v1/apply')
-    async def apply(ask: ApplyRequest, token: token_type) -> dict[str, Any]:
-        edits = [check_object(row.kind, row.object) for row in ask.objects]
-        admin.check_edit(token, edits)
-        if ask.dry_run:
-            return {'revision': None, 'objects': len(edits)}
-        revision = await admin.commit(token, edits, ask.operation_id)
-        return {'revision': revision, 'objects': len(edits)}
-
-    @app.post('/admin/v1/drain')
-    async def drain(token: token_type) -> dict[str, Any]:
-        if token.role is not Role.ADMIN:
-            raise RefusedError(RefusalReason.FORBIDDEN, 'the role is not admin')
-        logger.info('audit: %s begins a planned stop', token.name)
-        admin.stop()
-        return {'node': admin._context.node_id, 'draining': True}
-
-    @app.get('/admin/v1/{kind}')
-    async def list_objects(kind: str, token: token_type) -> dict[str, Any]:
-        return {'objects': admin.list_kind(kind)}
-
-    @app.get('/admin/v1/{kind}/{name}')
-    async def read(kind: str, name: str, token: token_type) -> Response:
-        revision, document = admin.find(kind, name)
-        return JSONResponse(document, headers={'ETag': f'"{revision}"'})
-
-    @app.put('/admin/v1/{kind}/{name}')
-    async def put(
-        kind: str,
-        name: str,
-        document: dict[str, Any],
-        token: token_type,
-        if_match: IfMatch = None,
-        operation_id: OperationId = '',
-    ) -> Response:
-        edit = check_object(kind, {**document, 'name': name})
-        expected = parse_etag(if_match)
-        checked = Edit(kind, name, edit.document, expected)
-        revision = await admin.commit(token, [checked], operation_id)
-        return JSONResponse(
-            edit.document,
-            status_code=_CREATED if expected == 0 else 200,
-            headers={'ETag': f'"{revision}"'},
-        )
-
-    @app.patch('/admin/v1/{kind}/{name}/labels')
-    async def patch_labels(
-        kind: str,
-        name: str,
-        ask: LabelsRequest,
-        token: token_type,
-        if_match: IfMatch = None,
-        operation_id: OperationId = '',
-    ) -> Response:
-        revision, document = admin.find(kind, name)
-        expected = revision if if_match is None else parse_etag(if_match)
-        merged = {**document.get('labels', {}), **ask.labels}
-        document['labels'] = {
-            key: label for key, label in merged.items() if label is not None
-        }
-        edit = check_object(kind, document)
-        checked = Edit(kind, name, edit.document, expected)
-        revision = await admin.commit(token, [checked], operation_id)
-        return JSONResponse(edit.document, headers={'ETag': f'"{revision}"'})
-
-    @app.delete('/admin/v1/{kind}/{name}')
-    async def delete(
-        kind: str,
-        name: str,
-        token: token_type,
-        if_match: IfMatch = None,
-        operation_id: OperationId = '',
-    ) -> Response:
-        admin.find(kind, name)
-        checked = Edit(kind, name, None, parse_etag(if_match))
-        revision = await admin.commit(token, [checked], operation_id)
-        return JSONResponse({'revision': revision})
--- a/packages/spanfall-node/src/spanfall_node/node.py
+++ b/packages/spanfall-node/src/spanfall_node/node.py
@@ -11,7 +11,8 @@
 from spanfall_api.frames import Hello
 from spanfall_api.settings import Listen, NodeSettings
 
-from spanfall_node.admin import Admin, build_admin_app
+from spanfall_node.admin import Admin
+from spanfall_node.admin_routes import build_admin_app
 from spanfall_node.callers import Callers
 from spanfall_node.catalog import Catalog
 from spanfall_node.claim_store import ClaimStore
