Ask for a permit again when the entry submits again

Cause: an entry that submits again over a new link, before the home has noticed the loss of the old one, found its request waiting for a permit that was asked for on the old link and never came. Conclusion: found by reading the hand-over paths once more.

--- a/packages/spanfall-node/src/spanfall_node/home.py
+++ b/packages/spanfall-node/src/spanfall_node/home.py
@@ -158,6 +158,9 @@
         held.row.attempt = submit.attempt
         held.followers.clear()
         held.follow(link, submit.attempt, len(submit.pieces))
+        if held.pending is not None and held.pending.right is Right.PERMIT:
+            # The question, or its answer, may be lost with the old link.
+            self._rights.ask(held, held.pending)
 
     def _accept(self, link: Link, submit: Submit) -> None:
         now = self._context.timers.now()
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -7,6 +7,7 @@
 import httpx
 import pytest
 from anyio.abc import TaskGroup
+from spanfall_api.frames import AskPermit
 from spanfall_core.tables import RequestState
 from spanfall_node.admin import check_object
 from spanfall_node.node import Node
@@ -332,3 +333,31 @@
                 assert count_runs(fleet, f'kept-{number}') == 1
 
     run_async(main)
+
+
+def test_permit_is_asked_again_for_a_new_attempt() -> None:
+    """The entry submits again before the home has noticed the lost link."""
+
+    async def main() -> None:
+        async with run_fleet(SMALL, quick_options()) as fleet:
+            home = fleet.acting_home('desk')
+            entry = fleet.entry_apart_from(home)
+            links = entry.context.links
+            asked: list[object] = []
+            links.subscribe(AskPermit, lambda link, frame: asked.append(frame))
+            replies: list[httpx.Response | None] = []
+
+            async def post() -> None:
+                replies.append(await post_sheet(fleet, entry))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(post)
+                await wait_until(lambda: bool(asked))
+                entry.entry.start()
+                relay = next(iter(entry.entry.relays.values()))
+                relay.attempt += 1
+                entry.entry._assign(relay)
+            assert replies[0].status_code == 200, replies[0].text
+            assert count_runs(fleet) == 1
+
+    run_async(main)
