--- a/packages/spanfall-node/src/spanfall_node/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/callers.py
@@ -1,8 +1,8 @@
 """Serve callers: completions, application calls, and reattachment."""
 
 import logging
-from collections.abc import AsyncIterator, Awaitable, Callable
-from functools import partial, wraps
+from collections.abc import Awaitable, Callable
+from functools import wraps
 from uuid import uuid4
 
 import anyio
@@ -14,14 +14,14 @@
     parse_request,
     token_limit,
 )
-from spanfall_api.frames import End, Header, Refused, Submit
+from spanfall_api.frames import Header, Refused, Submit
 from spanfall_api.objects import Service, Workspace
 from spanfall_api.problems import RefusedError
 from spanfall_core.reasons import RefusalReason, RunState
 from spanfall_core.tables import ServiceKind
 from starlette.applications import Starlette
 from starlette.requests import Request
-from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
 from spanfall_node.bodies import read_body
@@ -30,22 +30,14 @@
 from spanfall_node.entry import Entry, Relay
 from spanfall_node.log import request_id_var
 from spanfall_node.members import Members
-from spanfall_node.rendering import (
-    REQUEST_ID_HEADER,
-    make_envelope,
-    refusal_of,
-    render_problem,
-    resume_event,
-    stream_events,
-    whole_completion,
-)
+from spanfall_node.rendering import REQUEST_ID_HEADER, render_problem
+from spanfall_node.replies import Replies
 from spanfall_node.rules import Call, Target, route
 from spanfall_node.terms import MILLISECONDS, read_number, read_terms
 from spanfall_node.upstream_calls import HOP_HEADERS
 
 logger = logging.getLogger(__name__)
 
-EVENT_STREAM = 'text/event-stream'
 #: Headers of a caller that are meant for spanfall alone.
 OWN_HEADERS = frozenset(
     (
@@ -89,6 +81,7 @@
     ) -> None:
         """Serve from the catalog, through the entry."""
         self.stopping = anyio.Event()
+        self._replies = Replies(context, entry, self.stopping)
         self.is_ready: Callable[[], bool] = lambda: True
         self._context = context
         self._catalog = catalog
@@ -156,9 +149,9 @@
         submit = submit.model_copy(update={'path': path, 'body': raw})
         relay = self._open(submit)
         if body.stream:
-            return await self._answer_stream(relay, body.model, 0)
+            return await self._replies.stream(relay, body.model, 0)
         tokens = len(body.prompt_text()) // CHARS_PER_TOKEN
-        return await self._answer_whole(relay, body.model, tokens)
+        return await self._replies.whole(relay, body.model, tokens)
 
     @refusing
     async def pass_through(self, req: Request) -> Response:
@@ -189,7 +182,7 @@
                 'body': raw,
             },
         )
-        return await self._answer_call(self._open(submit))
+        return await self._replies.call(self._open(submit))
 
     @refusing
     async def reattach(self, req: Request) -> Response:
@@ -209,8 +202,8 @@
             offset,
         )
         if tail.startswith(CALL_MARK):
-            return await self._answer_call(relay)
-        return await self._answer_stream(relay, service, offset)
+            return await self._replies.call(relay)
+        return await self._replies.stream(relay, service, offset)
 
     async def _find_answer(
         self,
@@ -326,166 +319,6 @@
         metrics.requests.labels(submit.service).inc()
         return self._entry.open(submit)
 
-    async def _answer_stream(
-        self,
-        relay: Relay,
-        model: str,
-        offset: int,
-    ) -> Response:
-        await self._first_part(relay, offset)
-        path = relay.submit.path
-        now = int(self._context.timers.epoch())
-        envelope = make_envelope(path, relay.request_id, model, now)
-        events = stream_events(
-            relay.answer,
-            path,
-            envelope,
-            offset,
-            partial(self._entry.note_read, relay),
-        )
-        return StreamingResponse(
-            self._guard(relay, events, offset),
-            media_type=EVENT_STREAM,
-            headers={
-                REQUEST_ID_HEADER: relay.request_id,
-                'Cache-Control': 'no-cache',
-            },
-        )
-
-    async def _answer_whole(
-        self,
-        relay: Relay,
-        model: str,
-        prompt_tokens: int,
-    ) -> Response:
-        answer = relay.answer
-        await self._first_part(relay, 0)
-        while answer.outcome is None:
-            offset = answer.offset
-            await self._wait_or_stop(relay, offset)
-            self._entry.note_read(relay, offset)
-        if isinstance(answer.outcome, Refused):
-            raise refusal_of(answer.outcome)
-        self._count_answer(relay)
-        path = relay.submit.path
-        now = int(self._context.timers.epoch())
-        envelope = make_envelope(path, relay.request_id, model, now)
-        return Response(
-            whole_completion(answer, path, envelope, prompt_tokens),
-            media_type='application/json',
-            headers={REQUEST_ID_HEADER: relay.request_id},
-        )
-
-    async def _answer_call(self, relay: Relay) -> Response:
-        answer = relay.answer
-        await answer.wait_head()
-        if isinstance(answer.outcome, Refused):
-            raise refusal_of(answer.outcome)
-        assert answer.head is not None
-        reply = StreamingResponse(
-            self._body_chunks(relay),
-            status_code=answer.head.status,
-            headers={REQUEST_ID_HEADER: relay.request_id},
-        )
-        reply.raw_headers.extend(
-            (name.encode('latin-1'), text.encode('latin-1'))
-            for name, text in answer.head.headers
-        )
-        return reply
-
-    async def _body_chunks(self, relay: Relay) -> AsyncIterator[bytes]:
-        answer = relay.answer
-        offset = answer.start
-        while True:
-            await answer.wait_beyond(offset)
-            for piece in answer.read(offset):
-                yield piece
-            offset = answer.offset
-            self._entry.note_read(relay, offset)
-            if isinstance(answer.outcome, End):
-                self._count_answer(relay)
-                return
-            if answer.outcome is not None:
-                # Only an abort tells the caller that the body is cut short.
-                raise refusal_of(answer.outcome)
-
-    async def _first_part(self, relay: Relay, offset: int) -> None:
-        started = self._context.timers.now()
-        await self._wait_or_stop(relay, offset)
-        elapsed = self._context.timers.now() - started
-        service = relay.submit.service
-        self._context.metrics.first_token.labels(service).observe(elapsed)
-        outcome = relay.answer.outcome
-        if isinstance(outcome, Refused) and relay.answer.offset <= offset:
-            raise refusal_of(outcome)
-
-    async def _wait_or_stop(self, relay: Relay, offset: int) -> None:
-        """Wait for more of the answer; at the end of a drain, refuse."""
-        if relay.answer.offset > offset or relay.answer.outcome is not None:
-            return
-        await first_of(
-            partial(relay.answer.wait_beyond, offset),
-            self.stopping.wait,
-        )
-        if relay.answer.offset > offset or relay.answer.outcome is not None:
-            return
-        raise RefusedError(
-            RefusalReason.NODE_DRAINING,
-            f'go on at /v1/requests/{relay.request_id}',
-            RunState.UNKNOWN,
-            1,
-        )
-
-    async def _guard(
-        self,
-        relay: Relay,
-        events: AsyncIterator[bytes],
-        offset: int,
-    ) -> AsyncIterator[bytes]:
-        """Yield events; end with a resume hint when the node stops."""
-        whole = False
-        try:
-            async for event in events:
-                yield event
-                if self.stopping.is_set() and relay.answer.outcome is None:
-                    yield resume_event(relay.request_id, relay.answer.offset)
-                    whole = True
-                    return
-            whole = True
-            self._count_answer(relay)
-        finally:
-            if not whole:
-                self._caller_left(relay)
-
-    def _caller_left(self, relay: Relay) -> None:
-        """Cancel the request unless its caller comes back in time."""
-        relay.has_caller = False
-
-        def cancel(now: float) -> None:
-            if not relay.has_caller:
-                self._entry.cancel(relay)
-
-        self._context.timers.once(self._context.cfg.times.reattach, cancel)
-
-    def _count_answer(self, relay: Relay) -> None:
-        metrics = self._context.metrics
-        service = relay.submit.service
-        if isinstance(relay.answer.outcome, End):
-            metrics.answers.labels(service).inc()
-            metrics.tokens.labels(service).inc(relay.answer.offset)
-
 
 #: Service, entry node, and mark with a random number.
 _ID_PARTS = 3
-
-
-async def first_of(*waits: Callable[[], Awaitable[object]]) -> None:
-    """Return as soon as one of the waits is over."""
-    async with anyio.create_task_group() as tasks:
-
-        async def run(wait: Callable[[], Awaitable[object]]) -> None:
-            await wait()
-            tasks.cancel_scope.cancel()
-
-        for wait in waits:
-            tasks.start_soon(run, wait)
