Remove what nothing calls any more

Change: has_capacity, Links.peers, the status 429 and RunOutcome.status are gone; behaviour is the same.

--- a/packages/spanfall-core/src/spanfall_core/dispatch.py
+++ b/packages/spanfall-core/src/spanfall_core/dispatch.py
@@ -23,7 +23,7 @@
     Upstream,
     Workspace,
 )
-from spanfall_core.upstreams import record_success, usable_slots
+from spanfall_core.upstreams import record_success
 
 
 def run_tick(
@@ -185,8 +185,3 @@
     if row is not None:
         record_success(row, now - req.dispatched_at, req.progress)
     finish(pool, req)
-
-
-def has_capacity(pool: Pool, now: float) -> bool:
-    """Tell whether any upstream of the pool is usable now."""
-    return usable_slots(pool, now) > 0
--- a/packages/spanfall-node/src/spanfall_node/links.py
+++ b/packages/spanfall-node/src/spanfall_node/links.py
@@ -172,10 +172,6 @@
         link = self._outbound.get(node_id)
         return link is not None and link.ready.is_set() and not link.closed
 
-    def peers(self) -> list[Link]:
-        """Return the links that were opened from here and are in use."""
-        return [link for link in self._outbound.values() if not link.closed]
-
     async def run(
         self,
         host: str,
--- a/packages/spanfall-node/src/spanfall_node/upstream_calls.py
+++ b/packages/spanfall-node/src/spanfall_node/upstream_calls.py
@@ -29,7 +29,6 @@
 
 _SERVER_ERROR = 500
 _SUCCESS = 200
-_TOO_MANY = 429
 
 #: Headers that belong to one connection and are not passed on (RFC 9110),
 #: and those that our own servers add.
@@ -69,7 +68,6 @@
     finish_reason: str = 'stop'
     detail: str = ''
     leaving: float | None = None
-    status: int = 0
 
 
 def classify(exc: Exception) -> RunOutcome:
@@ -238,7 +236,6 @@
         Failure.ERROR if retryable else None,
         finish_reason='error',
         detail=raw.decode(errors='replace'),
-        status=reply.status_code,
     )
 
 
