--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,12 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 PACKAGES := core api node standins cli
-EDITABLE := $(foreach name,$(PACKAGES),-e packages/spanfall-$(name))
+EDITABLE := $(foreach name,$(PACKAGES),-e packages/spanfall-$(name)) -e platform
+CODE := packages platform tests bench
 
 .PHONY: demo test lint fmt check capacity docs clean
 
-$(VENV)/.installed: requirements.lock $(wildcard packages/*/pyproject.toml)
+$(VENV)/.installed: requirements.lock $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet -r requirements.lock
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(EDITABLE)
@@ -20,12 +21,12 @@
 	$(BIN)/pytest
 
 fmt: $(VENV)/.installed
-	$(BIN)/ruff format packages tests bench
+	$(BIN)/ruff format $(CODE)
 
 lint: $(VENV)/.installed
-	$(BIN)/ruff format --check packages tests bench
-	$(BIN)/ruff check packages tests bench
-	$(BIN)/flake8 packages tests bench
+	$(BIN)/ruff format --check $(CODE)
+	$(BIN)/ruff check $(CODE)
+	$(BIN)/flake8 $(CODE)
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 
--- /dev/null
+++ b/packages/spanfall-api/src/spanfall_api/gateway_settings.py
@@ -0,0 +1,95 @@
+"""Define, read and check the settings of a gateway.
+
+A settings file is JSON with comments. Times have their unit in the name.
+"""
+
+from pathlib import Path
+from typing import Annotated
+
+import jsonc
+import msgspec
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class GatewaySettingsError(Exception):
+    """Say which setting is wrong and where."""
+
+
+class Listen(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Give the addresses that a gateway listens on, as host:port."""
+
+    callers: str
+    readiness: str
+    #: Port for the links between nodes.
+    links: str
+    metrics: str = ''
+
+
+class Bounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """State what the deployment promises its users; from its contract."""
+
+    #: A revoked key must not work later than this.
+    revoke_seconds: Positive = 5
+    #: From the signal to stop until the process is killed.
+    stop_seconds: Positive = 8
+    retry_ratio: float = 0.2
+    retry_allowance: float = 50
+    retry_window_seconds: Positive = 10
+    #: Least time of a duty's lease, and wait before a new holder acts.
+    duty_lease_seconds: Positive = 3
+    usage_window_seconds: Positive = 5
+    #: A usage report is due this long after the end of its window.
+    usage_due_seconds: Positive = 10
+
+
+class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Hold the settings of one gateway."""
+
+    node: str
+    data_centre: str
+    #: Module that holds the platform's adapter.
+    platform: str
+    listen: Listen
+    #: Address of the store, host:port.
+    store: str
+    #: Address of the cloud API, host:port; empty: this fleet has no duties.
+    cloud: str = ''
+    #: Whether this fleet reports usage and orders upstreams.
+    reports_usage: bool = False
+    orders_upstreams: bool = False
+    bounds: Bounds = Bounds()
+    #: Entries that share each limit as long as nobody counts them.
+    assumed_entries: Count = 8
+    #: Log lines a second; more are left out and counted.
+    log_lines_per_second: Count = 100
+
+
+def parse_settings(text: str) -> GatewaySettings:
+    """Read settings from text.
+
+    Raises:
+        GatewaySettingsError: the text is no JSON, or a setting is wrong.
+    """
+    try:
+        content = jsonc.loads(text)
+    except ValueError as exc:
+        raise GatewaySettingsError(f'not JSON with comments: {exc}') from exc
+    try:
+        return msgspec.convert(content, GatewaySettings)
+    except msgspec.ValidationError as exc:
+        raise GatewaySettingsError(str(exc)) from exc
+
+
+def read_settings(path: Path) -> GatewaySettings:
+    """Read and check a settings file.
+
+    Raises:
+        GatewaySettingsError: the file cannot be read, or a setting is wrong.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except OSError as exc:
+        raise GatewaySettingsError(f'cannot read {path}: {exc}') from exc
+    return parse_settings(text)
--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/gateway/directory.py
@@ -0,0 +1,108 @@
+"""Keep the table of upstreams that the platform lists.
+
+A lifetime that was seen leaving or gone never comes back. Rows that vanish
+right after an outage of the store get a short time to be written again.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+#: Seconds that a row missing after an outage of the store is kept; the
+#: platform says that living upstreams are back within about two seconds.
+LAPSE_GRACE = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class ListedUpstream:
+    """Describe one lifetime of an upstream as the platform lists it."""
+
+    upstream_id: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    leaving: bool = False
+    reclaimable: bool = False
+    warm_up: float = 0
+    #: Seconds until it stops, where the platform tells.
+    leaves_in: float | None = None
+
+
+class Directory:
+    """Hold the upstreams that may get work, by service."""
+
+    def __init__(self) -> None:
+        """Start with no upstream known."""
+        self.revision = 0
+        self.rows: dict[str, ListedUpstream] = {}
+        self._ended: set[str] = set()
+        self._missing: dict[str, float] = {}
+        self._by_service: dict[str, list[ListedUpstream]] = {}
+
+    def apply(
+        self,
+        revision: int,
+        listed: Iterable[ListedUpstream],
+        now: float,
+        outage_ended: float,
+    ) -> tuple[ListedUpstream, ...]:
+        """Take over a listing unless it is older than what is known.
+
+        ``outage_ended`` is when the store answered again after its last
+        outage. Return the rows that began to leave or went.
+        """
+        if revision < self.revision:
+            return ()
+        before = self.rows
+        self.revision = revision
+        found = {
+            row.upstream_id: row
+            for row in listed
+            if row.upstream_id not in self._ended
+        }
+        kept = self._lapsed(found, now, outage_ended)
+        self.rows = found | kept
+        changed = tuple(
+            row
+            for row in before.values()
+            if not row.leaving and self._is_ending(row.upstream_id)
+        )
+        self._ended.update(before.keys() - self.rows.keys())
+        self._index()
+        return changed
+
+    def serving(self, service: str) -> list[ListedUpstream]:
+        """Return the upstreams of a service that may get new work."""
+        return self._by_service.get(service, [])
+
+    def is_serving(self, upstream_id: str) -> bool:
+        """Tell whether an upstream may get new work."""
+        row = self.rows.get(upstream_id)
+        return row is not None and not row.leaving
+
+    def end(self, upstream_id: str) -> None:
+        """Note that a lifetime has proved to be over."""
+        self._ended.add(upstream_id)
+        self.rows.pop(upstream_id, None)
+        self._index()
+
+    def _is_ending(self, upstream_id: str) -> bool:
+        row = self.rows.get(upstream_id)
+        return row is None or row.leaving
+
+    def _lapsed(
+        self,
+        found: dict[str, ListedUpstream],
+        now: float,
+        outage_ended: float,
+    ) -> dict[str, ListedUpstream]:
+        if now - outage_ended > LAPSE_GRACE:
+            return {}
+        return {key: row for key, row in self.rows.items() if key not in found}
+
+    def _index(self) -> None:
+        by_service: dict[str, list[ListedUpstream]] = {}
+        for row in self.rows.values():
+            if not row.leaving:
+                by_service.setdefault(row.service, []).append(row)
+        self._by_service = by_service
--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/gateway/freshness.py
@@ -0,0 +1,36 @@
+"""Track how lately the configuration was proved to be the newest.
+
+Only the steady clock counts. A proof is dated by the moment before the read
+that gave it began, so that a slow answer never makes it look newer.
+"""
+
+from dataclasses import dataclass
+
+#: Part of the bound for revoked keys after which keyed requests are refused.
+REFUSE_PART = 0.8
+#: Part of that bound after which the node reports itself unready.
+UNREADY_PART = 0.55
+
+
+@dataclass(slots=True)
+class Freshness:
+    """Hold when the configuration in force was last proved the newest."""
+
+    bound: float
+    proved_at: float = float('-inf')
+
+    def prove(self, proved_at: float) -> None:
+        """Note a proof; an older one changes nothing."""
+        self.proved_at = max(self.proved_at, proved_at)
+
+    def age(self, now: float) -> float:
+        """Return the seconds since the newest proof."""
+        return now - self.proved_at
+
+    def may_serve_keys(self, now: float) -> bool:
+        """Tell whether a key that is known here cannot be revoked too long."""
+        return self.age(now) < self.bound * REFUSE_PART
+
+    def is_ready(self, now: float) -> bool:
+        """Tell whether the node should get new connections."""
+        return self.age(now) < self.bound * UNREADY_PART
--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/gateway/prefixes.py
@@ -0,0 +1,60 @@
+"""Remember which upstream has read which part of a prompt.
+
+Parts are read in order: a part is cached only if all before it are. The
+record is this entry's own sends; the upstream that first gets an unknown
+part is chosen by hash, so that entries agree without a message.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+#: Parts remembered for each upstream, newest kept.
+REMEMBERED_PARTS = 400
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """Name a part of a prompt and give its length."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclass(slots=True)
+class PrefixIndex:
+    """Hold the parts that each upstream has read, oldest first."""
+
+    _parts: dict[str, OrderedDict[str, None]] = field(default_factory=dict)
+
+    def cached_tokens(
+        self,
+        upstream_id: str,
+        parts: tuple[PromptPart, ...],
+    ) -> int:
+        """Return how many leading tokens an upstream has read already."""
+        known = self._parts.get(upstream_id)
+        if not known:
+            return 0
+        total = 0
+        for part in parts:
+            if part.part_id not in known:
+                break
+            total += part.tokens
+        return total
+
+    def remember(
+        self,
+        upstream_id: str,
+        parts: tuple[PromptPart, ...],
+    ) -> None:
+        """Note that an upstream reads all parts of a prompt."""
+        known = self._parts.setdefault(upstream_id, OrderedDict())
+        for part in parts:
+            known[part.part_id] = None
+            known.move_to_end(part.part_id)
+        while len(known) > REMEMBERED_PARTS:
+            known.popitem(last=False)
+
+    def forget(self, upstream_id: str) -> None:
+        """Drop the record of an upstream that is gone."""
+        self._parts.pop(upstream_id, None)
--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/gateway/usage.py
@@ -0,0 +1,65 @@
+"""Count the runs that began in each usage window, fleet wide and once.
+
+An entry counts by the window of the true time at which a run began. It sends
+whole counts, never differences, so a report that arrives twice changes
+nothing; the home keeps them by entry and incarnation.
+"""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+#: Windows that an entry keeps after their end, for a new home.
+KEPT_WINDOWS = 6
+
+WindowCounts = dict[int, dict[str, int]]
+
+
+@dataclass(slots=True)
+class UsageCounts:
+    """Count the runs that began at this entry, by window and workspace."""
+
+    window_seconds: float
+    windows: WindowCounts = field(default_factory=dict)
+
+    def window_of(self, true_time: float) -> int:
+        """Return the number of the window that holds a time since 1970."""
+        return int(true_time // self.window_seconds)
+
+    def count(self, workspace: str, true_time: float) -> None:
+        """Count one run and drop windows that are long over."""
+        window = self.window_of(true_time)
+        row = self.windows.get(window)
+        if row is None:
+            row = self.windows.setdefault(window, {})
+            self._drop_old(window)
+        row[workspace] = row.get(workspace, 0) + 1
+
+    def _drop_old(self, newest: int) -> None:
+        old = [key for key in self.windows if key < newest - KEPT_WINDOWS]
+        for key in old:
+            self.windows.pop(key)
+
+
+@dataclass(slots=True)
+class FleetUsage:
+    """Hold the newest counts of each entry at the home."""
+
+    by_entry: dict[str, WindowCounts] = field(default_factory=dict)
+
+    def learn(self, entry: str, windows: WindowCounts) -> None:
+        """Take over the counts of one incarnation of an entry."""
+        self.by_entry.setdefault(entry, {}).update(windows)
+
+    def total(self, window: int) -> dict[str, int]:
+        """Return the runs of a window by workspace, over all entries."""
+        counts: Counter[str] = Counter()
+        for windows in self.by_entry.values():
+            counts.update(windows.get(window, {}))
+        return dict(counts)
+
+    def forget_before(self, window: int) -> None:
+        """Drop the counts of windows that were reported long ago."""
+        for windows in self.by_entry.values():
+            old = [key for key in windows if key < window]
+            for key in old:
+                windows.pop(key)
--- a/packages/spanfall-core/src/spanfall_core/reasons.py
+++ b/packages/spanfall-core/src/spanfall_core/reasons.py
@@ -27,6 +27,7 @@
     NODE_DRAINING = 'node-draining'
     NODE_NOT_READY = 'node-not-ready'
     STORE_UNAVAILABLE = 'store-unavailable'
+    STALE_CONFIGURATION = 'stale-configuration'
     DUPLICATE_KEY = 'duplicate-key'
     RETRIES_EXHAUSTED = 'retries-exhausted'
     UPSTREAM_FAILED = 'upstream-failed'
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers before the upstreams of a platform; a program of its own."""
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/admission.py
@@ -0,0 +1,175 @@
+"""Decide whether a request is served at all, before anything is sent."""
+
+from dataclasses import dataclass
+
+from spanfall_core.gateway.configuration import (
+    Route,
+    ServedConfiguration,
+    ServedWorkspace,
+)
+from spanfall_core.gateway.prefixes import PromptPart
+from spanfall_core.reasons import RefusalReason
+
+from spanfall_node.gateway.caller_connection import CallerRequest
+from spanfall_node.gateway.ports import HeaderNames
+from spanfall_node.gateway.refusals import RefusedError
+from spanfall_node.gateway.state import GatewayState
+
+#: Seconds after which a caller may ask a node that has no configuration.
+NOT_READY_RETRY = 0.5
+#: Longest time that a caller over its quota is told to wait.
+LONGEST_QUOTA_WAIT = 5.0
+#: Digits of a header number that are read; more is not a time or a count.
+NUMBER_DIGITS = 12
+
+
+@dataclass(slots=True)
+class Work:
+    """Hold an admitted request."""
+
+    req: CallerRequest
+    body: bytes
+    attempt_id: str
+    route: Route
+    service: str
+    workspace: ServedWorkspace | None
+    parts: tuple[PromptPart, ...]
+    prompt_tokens: int
+    #: Units taken from the workspace's quota.
+    units: float
+    began_at: float
+    #: Steady time by which the caller has its last byte.
+    deadline: float
+    #: Whether the run was counted for the usage report.
+    counted: bool = False
+
+
+def admit(
+    state: GatewayState,
+    req: CallerRequest,
+    body: bytes,
+    began_at: float,
+) -> Work:
+    """Find the route and the workspace of a request and take its quota.
+
+    Raises:
+        RefusedError: the request is not served; nothing was sent.
+    """
+    configuration = state.configuration
+    if configuration is None:
+        raise RefusedError(
+            503,
+            RefusalReason.NODE_NOT_READY,
+            NOT_READY_RETRY,
+        )
+    route = configuration.find_route(req.host, req.path)
+    if route is None:
+        raise RefusedError(404, RefusalReason.UNKNOWN_SERVICE)
+    names = state.platform.names
+    workspace = _workspace(state, configuration, route, req, began_at)
+    prompt, most_output = token_counts(req, names)
+    units = _units(workspace, prompt + most_output)
+    _take_quota(state, workspace, units, began_at)
+    attempt_id = req.header(names.attempt_id)
+    return Work(
+        req=req,
+        body=body,
+        attempt_id=attempt_id,
+        route=route,
+        service=route.service_for(attempt_id),
+        workspace=workspace,
+        parts=prompt_parts(req, names),
+        prompt_tokens=prompt,
+        units=units,
+        began_at=began_at,
+        deadline=began_at + _time_left(req, names, route),
+    )
+
+
+def token_counts(req: CallerRequest, names: HeaderNames) -> tuple[int, int]:
+    """Return the prompt's tokens and the most output tokens of a request."""
+    numbers = [
+        int(text)
+        for text in req.header(names.token_counts).split(',')
+        if _is_number(text)
+    ]
+    if len(numbers) != 2:
+        return 0, 0
+    return numbers[0], numbers[1]
+
+
+def prompt_parts(
+    req: CallerRequest,
+    names: HeaderNames,
+) -> tuple[PromptPart, ...]:
+    """Return the parts of a request's prompt, in order."""
+    entries = req.header(names.prompt_parts).split(',')
+    pairs = (entry.strip().partition(':') for entry in entries)
+    return tuple(
+        PromptPart(part_id, int(tokens))
+        for part_id, _, tokens in pairs
+        if _is_number(tokens)
+    )
+
+
+def _is_number(text: str) -> bool:
+    stripped = text.strip()
+    return stripped.isdecimal() and len(stripped) <= NUMBER_DIGITS
+
+
+def _time_left(req: CallerRequest, names: HeaderNames, route: Route) -> float:
+    text = req.header(names.deadline_ms)
+    if not _is_number(text):
+        return route.timeout
+    return min(route.timeout, int(text) / 1000)
+
+
+def _workspace(
+    state: GatewayState,
+    configuration: ServedConfiguration,
+    route: Route,
+    req: CallerRequest,
+    now: float,
+) -> ServedWorkspace | None:
+    if not configuration.workspaces or not route.needs_key:
+        return None
+    if not state.freshness.may_serve_keys(now):
+        raise RefusedError(
+            503,
+            RefusalReason.STALE_CONFIGURATION,
+            NOT_READY_RETRY,
+        )
+    scheme, _, key = req.header(b'authorization').partition(' ')
+    expected = state.platform.names.key_scheme.decode().lower()
+    known = configuration.find_workspace(key.strip())
+    if scheme.lower() != expected or known is None:
+        raise RefusedError(401, RefusalReason.UNAUTHENTICATED)
+    return known
+
+
+def _units(workspace: ServedWorkspace | None, tokens: int) -> float:
+    if workspace is None or not workspace.rate:
+        return 0
+    if not workspace.counts_tokens:
+        return 1
+    return tokens or workspace.default_tokens
+
+
+def _take_quota(
+    state: GatewayState,
+    workspace: ServedWorkspace | None,
+    units: float,
+    now: float,
+) -> None:
+    if workspace is None:
+        return
+    taken = state.quotas.try_spend(
+        workspace.name,
+        workspace.rate,
+        workspace.burst,
+        units,
+        now,
+    )
+    if not taken:
+        wait = min(LONGEST_QUOTA_WAIT, units / workspace.rate)
+        raise RefusedError(429, RefusalReason.RATE_LIMITED, wait)
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/caller_connection.py
@@ -0,0 +1,274 @@
+"""Speak HTTP with one caller over one connection.
+
+The connection tells a caller that left from one that is silent, keeps what
+the caller sends ahead, and ends an answer visibly short where it is.
+"""
+
+from dataclasses import dataclass, field
+from urllib.parse import unquote_to_bytes
+
+import anyio
+import h11
+from anyio.abc import ByteStream
+from spanfall_core.gateway.configuration import CallerLimits
+
+from spanfall_node.gateway.errors import BadRequestError, CallerGoneError
+from spanfall_node.gateway.ports import Headers
+
+#: Bytes read from a socket at a time.
+READ_BYTES = 65536
+#: Bytes that a caller may send ahead of the answer to its last request.
+AHEAD_BYTES = 65536
+#: Seconds that a closed connection waits for the caller to close too, so
+#: that the last answer is not lost to a reset.
+LINGER_SECONDS = 1.0
+#: Most bytes of a body that was refused are read and dropped.
+DISCARD_BYTES = 8_388_608
+
+_SOCKET_ERRORS = (
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    OSError,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """Hold the head of a request."""
+
+    method: str
+    target: str
+    headers: Headers
+
+    def header(self, name: bytes) -> str:
+        """Return the first value of a header in lower case, or nothing."""
+        found = (text for key, text in self.headers if key == name)
+        return next(found, b'').decode('latin-1')
+
+    @property
+    def host(self) -> str:
+        """Return the host without its port."""
+        return self.header(b'host').partition(':')[0].lower()
+
+    @property
+    def path(self) -> str:
+        """Return the decoded path without the query."""
+        path = self.target.partition('?')[0]
+        return unquote_to_bytes(path).decode('utf-8', 'replace')
+
+
+@dataclass(slots=True)
+class CallerConnection:
+    """Hold the state of one caller's connection."""
+
+    stream: ByteStream
+    limits: CallerLimits
+    protocol: h11.Connection = field(init=False)
+    #: Whether the answer under way tells the caller to close.
+    closing: bool = False
+    gone: bool = False
+    #: Bytes that arrived since the last whole request.
+    received: int = 0
+    _ahead: int = 0
+
+    def __post_init__(self) -> None:
+        """Start the protocol with the limit of a request's head."""
+        self.protocol = h11.Connection(h11.SERVER, self.limits.header_bytes)
+
+    async def read_request(self) -> CallerRequest | None:
+        """Return the next request's head, or None when the caller left.
+
+        Raises:
+            BadRequestError: the head is malformed, too large or too slow.
+        """
+        if not await self._wait_for_bytes():
+            return None
+        with anyio.move_on_after(self.limits.header_timeout):
+            event = await self._next_event()
+            if isinstance(event, h11.Request):
+                return self._checked_head(event)
+            return None
+        raise BadRequestError(408, 'the head did not come in time')
+
+    async def read_body(self) -> bytes:
+        """Return the whole body of the request.
+
+        Raises:
+            BadRequestError: the body is malformed, too large or too slow.
+            CallerGoneError: the caller left.
+        """
+        parts: list[bytes] = []
+        size = 0
+        if self.protocol.they_are_waiting_for_100_continue:
+            await self._write(self._continue())
+        while True:
+            event = await self._body_event()
+            if isinstance(event, h11.EndOfMessage):
+                return b''.join(parts)
+            parts.append(bytes(event.data))
+            size += len(event.data)
+            if size > self.limits.body_bytes:
+                self.closing = True
+                raise BadRequestError(413, 'the body is too large')
+
+    async def watch_leaving(self) -> None:
+        """Return when the caller leaves; keep what it sends ahead."""
+        while self._ahead < AHEAD_BYTES:
+            try:
+                received = await self.stream.receive(READ_BYTES)
+            except _SOCKET_ERRORS:
+                self.gone = True
+                return
+            self._ahead += len(received)
+            self.protocol.receive_data(received)
+        await anyio.sleep_forever()
+
+    async def send_head(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer.
+
+        Raises:
+            CallerGoneError: the caller left.
+        """
+        if self.closing:
+            headers = [*headers, (b'connection', b'close')]
+        response = h11.Response(status_code=status, headers=headers)
+        await self._write(self.protocol.send(response))
+
+    async def send_part(self, part: bytes) -> None:
+        """Send a part of the body.
+
+        Raises:
+            CallerGoneError: the caller left.
+        """
+        await self._write(self.protocol.send(h11.Data(data=part)))
+
+    async def send_end(self) -> None:
+        """End the answer properly.
+
+        Raises:
+            CallerGoneError: the caller left.
+        """
+        await self._write(self.protocol.send(h11.EndOfMessage()))
+
+    async def answer(
+        self,
+        status: int,
+        headers: Headers,
+        body: bytes,
+    ) -> None:
+        """Send a whole answer.
+
+        Raises:
+            CallerGoneError: the caller left.
+        """
+        if self.closing:
+            headers = [*headers, (b'connection', b'close')]
+        response = h11.Response(status_code=status, headers=headers)
+        pieces = [self.protocol.send(response)]
+        if body:
+            pieces.append(self.protocol.send(h11.Data(data=body)))
+        pieces.append(self.protocol.send(h11.EndOfMessage()))
+        await self._write(b''.join(pieces))
+
+    def start_next(self) -> bool:
+        """Get ready for the next request; False when there can be none."""
+        if self.closing or self.gone:
+            return False
+        if self.protocol.our_state is not h11.DONE:
+            return False
+        if self.protocol.their_state is not h11.DONE:
+            return False
+        self.protocol.start_next_cycle()
+        self._ahead = 0
+        return True
+
+    async def close_politely(self) -> None:
+        """Close so that what was sent arrives."""
+        with anyio.move_on_after(LINGER_SECONDS, shield=True):
+            try:
+                await self._linger()
+            except _SOCKET_ERRORS:
+                self.gone = True
+        await self.close_at_once()
+
+    async def close_at_once(self) -> None:
+        """Close at once, so that an unfinished answer looks unfinished."""
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(self.stream)
+
+    async def _linger(self) -> None:
+        await self.stream.send_eof()
+        dropped = 0
+        while dropped < DISCARD_BYTES:
+            dropped += len(await self.stream.receive(READ_BYTES))
+
+    async def _wait_for_bytes(self) -> bool:
+        if self.protocol.trailing_data[0]:
+            return True
+        with anyio.move_on_after(self.limits.idle_timeout):
+            try:
+                received = await self.stream.receive(READ_BYTES)
+            except _SOCKET_ERRORS:
+                self.gone = True
+                return False
+            self.protocol.receive_data(received)
+            self.received += len(received)
+            return True
+        return False
+
+    async def _next_event(self) -> h11.Event:
+        while True:
+            try:
+                event = self.protocol.next_event()
+            except h11.RemoteProtocolError as exc:
+                self.closing = True
+                raise BadRequestError(
+                    exc.error_status_hint,
+                    f'malformed request: {exc}',
+                ) from exc
+            if event is not h11.NEED_DATA:
+                return event
+            await self._receive()
+
+    async def _body_event(self) -> h11.Data | h11.EndOfMessage:
+        with anyio.move_on_after(self.limits.idle_timeout):
+            event = await self._next_event()
+            if isinstance(event, h11.ConnectionClosed):
+                raise CallerGoneError
+            return event
+        self.closing = True
+        raise BadRequestError(408, 'the body did not come in time')
+
+    async def _receive(self) -> None:
+        try:
+            received = await self.stream.receive(READ_BYTES)
+        except _SOCKET_ERRORS as exc:
+            self.gone = True
+            raise CallerGoneError from exc
+        self.protocol.receive_data(received)
+
+    def _checked_head(self, event: h11.Request) -> CallerRequest:
+        headers = list(event.headers)
+        size = sum(len(name) + len(text) + 4 for name, text in headers)
+        if size + len(event.target) > self.limits.header_bytes:
+            self.closing = True
+            raise BadRequestError(431, 'the head is too large')
+        return CallerRequest(
+            event.method.decode('ascii'),
+            event.target.decode('ascii'),
+            headers,
+        )
+
+    def _continue(self) -> bytes:
+        go_on = h11.InformationalResponse(status_code=100, headers=[])
+        return self.protocol.send(go_on)
+
+    async def _write(self, outgoing: bytes) -> None:
+        if self.gone:
+            raise CallerGoneError
+        try:
+            await self.stream.send(outgoing)
+        except _SOCKET_ERRORS as exc:
+            self.gone = True
+            raise CallerGoneError from exc
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/callers.py
@@ -0,0 +1,215 @@
+"""Listen for callers and take each request through the gateway."""
+
+import logging
+
+import anyio
+from anyio.abc import SocketStream
+from spanfall_core.reasons import RefusalReason
+
+from spanfall_node.gateway.admission import Work, admit
+from spanfall_node.gateway.caller_connection import (
+    CallerConnection,
+    CallerRequest,
+)
+from spanfall_node.gateway.client import ConnectionPool
+from spanfall_node.gateway.errors import BadRequestError, CallerGoneError
+from spanfall_node.gateway.refusals import (
+    RefusedError,
+    refusal_body,
+    refusal_headers,
+)
+from spanfall_node.gateway.relay import serve
+from spanfall_node.gateway.state import GatewayState
+
+logger = logging.getLogger(__name__)
+
+#: Seconds after the signal to stop in which new requests are still served:
+#: until the balancer has noticed and its connections have gone elsewhere.
+SERVE_WHILE_STOPPING = 3.0
+#: Seconds after which a caller refused by a stopping node may come back.
+STOPPING_RETRY = 0.05
+
+_BAD_REQUESTS = {
+    413: RefusalReason.BODY_TOO_LARGE,
+    408: RefusalReason.BODY_TIMEOUT,
+}
+
+
+class Callers:
+    """Serve the connections of callers."""
+
+    def __init__(self, state: GatewayState, pool: ConnectionPool) -> None:
+        """Use the tables of the node and its connections to upstreams."""
+        self._state = state
+        self._pool = pool
+        self._connections: dict[int, CallerConnection] = {}
+        self._idle: set[int] = set()
+
+    async def serve_connection(self, stream: SocketStream) -> None:
+        """Serve one connection until either side closes it."""
+        caller = CallerConnection(stream, self._state.limits)
+        self._connections[id(caller)] = caller
+        try:
+            await self._serve_requests(caller)
+        except CallerGoneError:
+            caller.gone = True
+        except Exception:
+            logger.exception('A connection failed; report the traceback')
+            caller.gone = True
+        finally:
+            self._connections.pop(id(caller), None)
+            with anyio.CancelScope(shield=True):
+                await self._close(caller)
+
+    async def close_idle(self) -> None:
+        """Close the connections that carry no request."""
+        for key in list(self._idle):
+            caller = self._connections.get(key)
+            if caller is not None:
+                caller.gone = True
+                await caller.close_at_once()
+
+    async def _close(self, caller: CallerConnection) -> None:
+        if caller.gone:
+            await caller.close_at_once()
+        else:
+            await caller.close_politely()
+
+    async def _serve_requests(self, caller: CallerConnection) -> None:
+        while True:
+            caller.limits = self._state.limits
+            try:
+                req = await self._next_request(caller)
+            except BadRequestError as exc:
+                await self._refuse_bad(caller, exc)
+                return
+            if req is None:
+                return
+            await self._handle(caller, req)
+            if not caller.start_next():
+                return
+
+    async def _next_request(
+        self,
+        caller: CallerConnection,
+    ) -> CallerRequest | None:
+        self._idle.add(id(caller))
+        try:
+            return await caller.read_request()
+        finally:
+            self._idle.discard(id(caller))
+
+    async def _handle(
+        self,
+        caller: CallerConnection,
+        req: CallerRequest,
+    ) -> None:
+        state = self._state
+        began_at = state.timers.now()
+        state.open_requests += 1
+        try:
+            body = await caller.read_body()
+            await self._serve(caller, req, body, began_at)
+        except BadRequestError as exc:
+            await self._refuse_bad(caller, exc)
+        except RefusedError as exc:
+            await self._refuse(caller, exc, req)
+        finally:
+            state.open_requests -= 1
+
+    async def _serve(
+        self,
+        caller: CallerConnection,
+        req: CallerRequest,
+        body: bytes,
+        began_at: float,
+    ) -> None:
+        self._check_stopping(caller)
+        work = admit(self._state, req, body, began_at)
+        self._note_admitted(work)
+        await self._serve_watched(caller, work)
+
+    async def _serve_watched(
+        self,
+        caller: CallerConnection,
+        work: Work,
+    ) -> None:
+        """Serve a request; stop as soon as the caller has left."""
+        refusals: list[RefusedError] = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch, caller, tasks.cancel_scope)
+            try:
+                await serve(self._state, self._pool, work, caller)
+            except RefusedError as exc:
+                refusals.append(exc)
+            except CallerGoneError:
+                caller.gone = True
+            tasks.cancel_scope.cancel()
+        if refusals:
+            self._give_back(work, refusals[0])
+            raise refusals[0]
+        if caller.gone:
+            raise CallerGoneError
+
+    async def _watch(
+        self,
+        caller: CallerConnection,
+        scope: anyio.CancelScope,
+    ) -> None:
+        await caller.watch_leaving()
+        scope.cancel()
+
+    def _give_back(self, work: Work, refusal: RefusedError) -> None:
+        if refusal.status == 503 and work.workspace is not None:
+            self._state.quotas.give_back(work.workspace.name, work.units)
+
+    def _check_stopping(self, caller: CallerConnection) -> None:
+        state = self._state
+        if state.draining_since is None:
+            return
+        caller.closing = True
+        stopping = state.timers.now() - state.draining_since
+        if stopping > SERVE_WHILE_STOPPING:
+            raise RefusedError(
+                503,
+                RefusalReason.NODE_DRAINING,
+                STOPPING_RETRY,
+            )
+
+    def _note_admitted(self, work: Work) -> None:
+        state = self._state
+        state.retries.earn(work.service, state.timers.now())
+        begun = state.requests.get(work.service, 0)
+        state.requests[work.service] = begun + 1
+        tokens = state.prompt_tokens.get(work.service, 0)
+        state.prompt_tokens[work.service] = tokens + work.prompt_tokens
+
+    async def _refuse_bad(
+        self,
+        caller: CallerConnection,
+        exc: BadRequestError,
+    ) -> None:
+        caller.closing = True
+        reason = _BAD_REQUESTS.get(exc.status, RefusalReason.BAD_REQUEST)
+        await self._refuse(caller, RefusedError(exc.status, reason), None)
+
+    async def _refuse(
+        self,
+        caller: CallerConnection,
+        refusal: RefusedError,
+        req: CallerRequest | None,
+    ) -> None:
+        state = self._state
+        state.counters.refusals.labels(refusal.reason.value).inc()
+        logger.info(
+            'Refused a request with %s: %s; target %s, configuration %s',
+            refusal.status,
+            refusal.reason,
+            req.target if req else None,
+            state.configuration.revision if state.configuration else None,
+        )
+        body = refusal_body(refusal)
+        if req is not None and req.method == 'HEAD':
+            body = b''
+        headers = refusal_headers(refusal, len(body))
+        await caller.answer(refusal.status, headers, body)
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/client.py
@@ -0,0 +1,345 @@
+"""Call HTTP servers over connections whose state is known at each step.
+
+One connection carries one request at a time. It says how far a request got,
+whether an answer ended as its server meant it to end, and whether the
+connection may be used again.
+"""
+
+import logging
+import re
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+import h11
+from anyio.abc import ByteStream, TaskGroup
+
+from spanfall_node.gateway.errors import BrokenCallError, NotSentError
+from spanfall_node.gateway.ports import Headers, HttpCall, HttpReply
+
+logger = logging.getLogger(__name__)
+
+#: Bytes read from a socket at a time.
+READ_BYTES = 65536
+#: Most bytes of an answer's head.
+HEAD_BYTES = 65536
+#: Bodies of at least this size are sent while the answer is awaited, since
+#: a server may answer before it has read all.
+LARGE_BODY = 32768
+#: Seconds that a connection is kept idle where the server names no time.
+IDLE_SECONDS = 10.0
+#: Part of the idle time that a server names after which we close first.
+IDLE_PART = 0.7
+_KEEP_ALIVE = re.compile(rb'timeout=(\d+)')
+_SOCKET_ERRORS = (
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    OSError,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Hold the status and headers of an answer."""
+
+    status: int
+    reason: bytes
+    headers: Headers
+
+    def header(self, name: bytes) -> bytes:
+        """Return the first value of a header in lower case, or nothing."""
+        return next((text for key, text in self.headers if key == name), b'')
+
+
+@dataclass(slots=True)
+class Connection:
+    """Hold one connection to a server."""
+
+    stream: ByteStream
+    address: str
+    protocol: h11.Connection = field(
+        default_factory=lambda: h11.Connection(h11.CLIENT, HEAD_BYTES),
+    )
+    idle_seconds: float = IDLE_SECONDS
+    #: Whether the answer just read lets the connection be used again.
+    reusable: bool = False
+    #: Whether the connection has carried an answer before.
+    reused: bool = False
+    is_closed: bool = False
+    _sent: h11.Request | None = None
+    _body_sent: bool = True
+
+    async def send(self, call: HttpCall, host: str) -> None:
+        """Send a request with its whole body.
+
+        Raises:
+            BrokenCallError: the connection ended; the request may run.
+        """
+        request = h11.Request(
+            method=call.method,
+            target=call.target,
+            headers=_framed(call, host),
+        )
+        head = self.protocol.send(request)
+        body = self.protocol.send(h11.Data(data=call.body))
+        end = self.protocol.send(h11.EndOfMessage())
+        self._sent = request
+        self._body_sent = False
+        await self._write(b''.join((head, body, end)))
+        self._body_sent = True
+
+    async def read_head(
+        self,
+        is_ours: Callable[[AnswerHead], bool],
+    ) -> AnswerHead:
+        """Return the head of the answer to the request just sent.
+
+        An answer to an earlier request is read to its end and dropped.
+
+        Raises:
+            BrokenCallError: the answer did not come.
+        """
+        while True:
+            event = await self._next_event()
+            if not isinstance(event, h11.Response):
+                continue
+            head = AnswerHead(
+                event.status_code,
+                bytes(event.reason),
+                list(event.headers),
+            )
+            if is_ours(head):
+                self._note_keep_alive(head)
+                return head
+            logger.warning(
+                'Dropped an answer that belongs to another request from %s',
+                self.address,
+            )
+            await self._skip_answer()
+
+    async def read_part(self) -> bytes | None:
+        """Return the next bytes of the body, or None at its proper end.
+
+        Raises:
+            BrokenCallError: the body ended early.
+        """
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        self._finish()
+        return None
+
+    async def read_body(self, most: int) -> bytes:
+        """Return the rest of the body.
+
+        Raises:
+            BrokenCallError: the body ended early or is larger than ``most``.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            part = await self.read_part()
+            if part is None:
+                return b''.join(parts)
+            parts.append(part)
+            size += len(part)
+            if size > most:
+                raise BrokenCallError('the answer is too large')
+
+    async def close(self) -> None:
+        """Close at once; what was not read is discarded."""
+        self.reusable = False
+        self.is_closed = True
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(self.stream)
+
+    async def watch_idle(self) -> None:
+        """Return when the idle connection ends, gets bytes or gets old."""
+        with anyio.move_on_after(self.idle_seconds):
+            try:
+                await self.stream.receive(READ_BYTES)
+            except _SOCKET_ERRORS:
+                return
+
+    def start_next(self) -> None:
+        """Get ready for another request."""
+        self.protocol.start_next_cycle()
+        self.reusable = False
+        self.reused = True
+
+    async def _skip_answer(self) -> None:
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                break
+        rest, closed = self.protocol.trailing_data
+        fresh = h11.Connection(h11.CLIENT, HEAD_BYTES)
+        fresh.send(self._sent)
+        if closed:
+            raise BrokenCallError('closed after the answer to another request')
+        if rest:
+            fresh.receive_data(rest)
+        self.protocol = fresh
+
+    def _note_keep_alive(self, head: AnswerHead) -> None:
+        found = _KEEP_ALIVE.search(head.header(b'keep-alive'))
+        if found:
+            self.idle_seconds = int(found.group(1)) * IDLE_PART
+
+    def _finish(self) -> None:
+        rest, closed = self.protocol.trailing_data
+        clean = not rest and not closed and self._body_sent
+        done = self.protocol.our_state is h11.DONE
+        self.reusable = clean and done and self.protocol.their_state is h11.DONE
+
+    async def _next_event(self) -> h11.Event:
+        while True:
+            try:
+                event = self.protocol.next_event()
+            except h11.RemoteProtocolError as exc:
+                raise BrokenCallError(f'not an answer: {exc}') from exc
+            if event is not h11.NEED_DATA:
+                return self._checked(event)
+            await self._receive()
+
+    def _checked(self, event: object) -> h11.Event:
+        if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+            raise BrokenCallError('closed without an answer')
+        return event
+
+    async def _receive(self) -> None:
+        try:
+            received = await self.stream.receive(READ_BYTES)
+        except anyio.EndOfStream:
+            received = b''
+        except _SOCKET_ERRORS as exc:
+            raise BrokenCallError('reset by the server') from exc
+        self.protocol.receive_data(received)
+
+    async def _write(self, outgoing: bytes) -> None:
+        try:
+            await self.stream.send(outgoing)
+        except _SOCKET_ERRORS as exc:
+            raise BrokenCallError('reset while sending') from exc
+
+
+def _framed(call: HttpCall, host: str) -> Headers:
+    headers = list(call.headers)
+    if not any(name == b'host' for name, _ in headers):
+        headers.insert(0, (b'host', host.encode()))
+    if call.body or call.method in {'POST', 'PUT', 'PATCH'}:
+        headers.append((b'content-length', b'%d' % len(call.body)))
+    return headers
+
+
+async def connect(address: str, timeout: float) -> Connection:
+    """Open a connection.
+
+    Raises:
+        NotSentError: nobody accepted in time.
+    """
+    host, _, port = address.rpartition(':')
+    try:
+        with anyio.fail_after(timeout):
+            stream = await anyio.connect_tcp(host, int(port))
+    except (OSError, TimeoutError) as exc:
+        raise NotSentError(f'no connection: {type(exc).__name__}') from exc
+    return Connection(stream, address)
+
+
+@dataclass(slots=True)
+class IdleConnection:
+    """Hold an idle connection and the task that watches it."""
+
+    conn: Connection
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    watched: anyio.Event = field(default_factory=anyio.Event)
+
+    async def stop_watching(self) -> None:
+        """End the watching task and wait until it has let go."""
+        self.scope.cancel()
+        await self.watched.wait()
+
+
+class ConnectionPool:
+    """Keep idle connections to servers, each watched by a task."""
+
+    def __init__(self, tasks: TaskGroup) -> None:
+        """Use the task group for the watchers of idle connections."""
+        self._tasks = tasks
+        self._idle: dict[str, list[IdleConnection]] = {}
+        self.opened = 0
+
+    async def take(self, key: str, address: str, timeout: float) -> Connection:
+        """Return an idle connection of a server's lifetime or a new one.
+
+        Raises:
+            NotSentError: nobody accepted in time.
+        """
+        idle = self._idle.get(key, [])
+        while idle:
+            row = idle.pop()
+            await row.stop_watching()
+            if not row.conn.is_closed:
+                row.conn.start_next()
+                return row.conn
+        self.opened += 1
+        return await connect(address, timeout)
+
+    async def give_back(self, key: str, conn: Connection) -> None:
+        """Keep a connection for another request, or close it."""
+        if not conn.reusable or conn.is_closed:
+            await conn.close()
+            return
+        row = IdleConnection(conn)
+        self._idle.setdefault(key, []).append(row)
+        self._tasks.start_soon(self._watch, key, row)
+
+    async def drop(self, key: str) -> None:
+        """Close the idle connections of a lifetime that has ended."""
+        for row in self._idle.pop(key, []):
+            await row.stop_watching()
+            await row.conn.close()
+
+    async def _watch(self, key: str, row: IdleConnection) -> None:
+        try:
+            with row.scope:
+                await row.conn.watch_idle()
+        finally:
+            row.watched.set()
+        if row.scope.cancelled_caught:
+            return
+        rows = self._idle.get(key, [])
+        if row in rows:
+            rows.remove(row)
+        await row.conn.close()
+
+
+async def call_once(
+    pool: ConnectionPool,
+    address: str,
+    call: HttpCall,
+    timeout: float,
+    most: int = 8_000_000,
+) -> HttpReply:
+    """Make one call and return its whole answer.
+
+    Raises:
+        NotSentError: the call had no effect.
+        BrokenCallError: the call may have had an effect.
+    """
+    conn = await pool.take(address, address, timeout)
+    try:
+        with anyio.fail_after(timeout):
+            await conn.send(call, address)
+            head = await conn.read_head(lambda _: True)
+            body = await conn.read_body(most)
+    except TimeoutError as exc:
+        await conn.close()
+        raise BrokenCallError('no answer in time') from exc
+    except BaseException:
+        await conn.close()
+        raise
+    await pool.give_back(address, conn)
+    return HttpReply(head.status, head.headers, body)
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/counters.py
@@ -0,0 +1,77 @@
+"""Count what a gateway does, with a counter for each reason."""
+
+from enum import StrEnum
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from spanfall_core.reasons import RefusalReason, RetryReason
+
+#: Bucket bounds in seconds around the targets of 0.1 to 1.2 s.
+LATENCY_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 5, 15)
+
+
+class Counters:
+    """Hold the counters and histograms of one gateway."""
+
+    def __init__(self) -> None:
+        """Create all metrics, with a zero for each known reason."""
+        self.registry = CollectorRegistry()
+        self.refusals = self._by_reason(
+            'spanfall_refusals',
+            'Requests refused, by reason',
+            RefusalReason,
+        )
+        self.retries = self._by_reason(
+            'spanfall_retries',
+            'Requests sent again, by reason',
+            RetryReason,
+        )
+        self.answers = self._labelled(
+            'spanfall_answers',
+            'Answers given to callers, by status',
+            'status',
+        )
+        self.cuts = self._labelled(
+            'spanfall_cut_answers',
+            'Answers that ended early, by reason',
+            'reason',
+        )
+        self.store_calls = self._labelled(
+            'spanfall_store_calls',
+            'Calls to the store, by outcome',
+            'outcome',
+        )
+        self.orders = self._labelled(
+            'spanfall_duty_calls',
+            'Calls made for the whole fleet, by duty and status',
+            'call',
+        )
+        self.dropped_logs = Counter(
+            'spanfall_dropped_log_lines',
+            'Log lines left out, because there were too many',
+            registry=self.registry,
+        )
+        self.open_requests = Gauge(
+            'spanfall_open_requests',
+            'Requests that callers wait for',
+            registry=self.registry,
+        )
+        self.first_part = Histogram(
+            'spanfall_first_part_seconds',
+            'Time from request to the first part of its answer',
+            buckets=LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+
+    def _labelled(self, name: str, text: str, label: str) -> Counter:
+        return Counter(name, text, [label], registry=self.registry)
+
+    def _by_reason(
+        self,
+        name: str,
+        text: str,
+        reasons: type[StrEnum],
+    ) -> Counter:
+        counter = self._labelled(name, text, 'reason')
+        for reason in reasons:
+            counter.labels(reason.value)
+        return counter
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/event_parts.py
@@ -0,0 +1,52 @@
+"""Split an event stream into whole events.
+
+An event ends with an empty line. What follows the last whole event is kept
+back, since an upstream may stop in the middle of an event and another one
+then sends that event again.
+"""
+
+import re
+from dataclasses import dataclass
+
+#: Most bytes of one event.
+EVENT_BYTES = 1_048_576
+
+_EVENT_END = re.compile(rb'\r?\n\r?\n')
+_EVENT_ID = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
+
+
+class EventTooLargeError(Exception):
+    """Say that an event grew larger than any that is relayed."""
+
+
+@dataclass(slots=True)
+class EventSplitter:
+    """Hold the unfinished event of a stream and the last id seen."""
+
+    rest: bytes = b''
+    last_id: bytes = b''
+    events: int = 0
+
+    def feed(self, received: bytes) -> bytes:
+        """Return the whole events that are complete now.
+
+        Raises:
+            EventTooLargeError: an event does not end.
+        """
+        joined = self.rest + received
+        end = 0
+        for found in _EVENT_END.finditer(joined):
+            end = found.end()
+            self.events += 1
+        whole = joined[:end]
+        self.rest = joined[end:]
+        if len(self.rest) > EVENT_BYTES:
+            raise EventTooLargeError
+        ids = _EVENT_ID.findall(whole)
+        if ids:
+            self.last_id = ids[-1]
+        return whole
+
+    def restart(self) -> None:
+        """Drop an unfinished event; another upstream sends it again."""
+        self.rest = b''
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
@@ -0,0 +1,152 @@
+"""Choose the home of the fleet: the holder of one leased record.
+
+The revision of the record is the home's epoch and the fencing token of its
+calls. A holder acts only while its lease is certain to last, counted from
+before the renewal was sent.
+"""
+
+import logging
+
+import anyio
+import msgspec
+
+from spanfall_node.gateway.ports import StoredItem, Write
+from spanfall_node.gateway.state import GatewayState, HomeRecord, Tenure
+from spanfall_node.gateway.store_client import (
+    ConditionFailedError,
+    LeaseLostError,
+    StoreClient,
+    StoreError,
+)
+
+logger = logging.getLogger(__name__)
+
+#: Key of the record that names the home.
+HOME_KEY = 'spanfall/home'
+#: Seconds that the home's lease lasts without renewal.
+LEASE_SECONDS = 2.5
+#: Seconds before the end of the lease at which its holder stops to act.
+LEASE_MARGIN = 0.5
+#: Seconds between two renewals.
+RENEW_PERIOD = 0.7
+#: Seconds between two looks at the record while there is no home.
+LOOK_PERIOD = 0.5
+
+
+class HomeContent(msgspec.Struct, frozen=True):
+    """Hold the record of the home as it is stored."""
+
+    node: str
+    address: str
+    incarnation: str
+
+
+class Leadership:
+    """Find the home, or become it when there is none."""
+
+    def __init__(self, state: GatewayState, store: StoreClient) -> None:
+        """Use the tables of the node and the store."""
+        self._state = state
+        self._store = store
+
+    async def run(self) -> None:
+        """Follow or hold the home's record until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except LeaseLostError:
+                self._step_down('the lease has ended')
+            except StoreError as exc:
+                logger.info('Could not look up the home: %r', exc)
+            await anyio.sleep(self._pause())
+
+    async def resign(self) -> None:
+        """Give the record up, so that another node takes over at once."""
+        tenure = self._state.tenure
+        if tenure is None:
+            return
+        self._step_down('this node stops')
+        try:
+            await self._store.revoke(tenure.lease)
+        except StoreError as exc:
+            logger.info('Could not end the lease: %r', exc)
+
+    def _pause(self) -> float:
+        if self._state.tenure is not None:
+            return RENEW_PERIOD
+        return LOOK_PERIOD
+
+    async def _step(self) -> None:
+        state = self._state
+        if state.tenure is not None:
+            await self._renew(state.tenure)
+        elif state.home is None or self._is_doubtful():
+            await self._look()
+
+    def _is_doubtful(self) -> bool:
+        """Tell whether the home is silent or cannot reach the store."""
+        state = self._state
+        now = state.timers.now()
+        if now - state.home_heard_at > LEASE_SECONDS:
+            return True
+        return state.freshness.age(now) > LEASE_SECONDS
+
+    async def _renew(self, tenure: Tenure) -> None:
+        sent_at = self._state.timers.now()
+        await self._store.renew(tenure.lease)
+        tenure.valid_until = sent_at + LEASE_SECONDS - LEASE_MARGIN
+
+    async def _look(self) -> None:
+        item = await self._store.get(HOME_KEY)
+        if item is not None:
+            self._follow(item)
+        elif self._state.draining_since is None:
+            await self._try_to_hold()
+
+    def _follow(self, item: StoredItem) -> None:
+        state = self._state
+        content = msgspec.json.decode(item.content, type=HomeContent)
+        if state.home is not None and state.home.epoch == item.revision:
+            return
+        logger.info(
+            'The home is %s, epoch %s',
+            content.node,
+            item.revision,
+        )
+        state.home = HomeRecord(
+            content.node,
+            content.address,
+            content.incarnation,
+            item.revision,
+        )
+        state.home_heard_at = state.timers.now()
+
+    async def _try_to_hold(self) -> None:
+        state = self._state
+        cfg = state.cfg
+        sent_at = state.timers.now()
+        lease = await self._store.grant(LEASE_SECONDS)
+        content = HomeContent(cfg.node, cfg.listen.links, state.incarnation)
+        write = Write(HOME_KEY, msgspec.json.encode(content), lease)
+        try:
+            epoch = await self._store.transact({HOME_KEY: 0}, (write,))
+        except ConditionFailedError:
+            logger.info('Another node became the home first')
+            return
+        now = state.timers.now()
+        valid_until = sent_at + LEASE_SECONDS - LEASE_MARGIN
+        state.tenure = Tenure(epoch, lease, valid_until, now)
+        state.home = HomeRecord(
+            cfg.node,
+            cfg.listen.links,
+            state.incarnation,
+            epoch,
+        )
+        logger.info('This node is the home now, epoch %s', epoch)
+
+    def _step_down(self, reason: str) -> None:
+        state = self._state
+        logger.warning('This node is not the home any more: %s', reason)
+        state.tenure = None
+        state.home = None
+        state.home_heard_at = state.timers.now()
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/logs.py
@@ -0,0 +1,63 @@
+"""Write the log as JSON lines to standard output, within a budget.
+
+Lines beyond the budget of a second are left out and counted; the next line
+that is written says how many.
+"""
+
+import logging
+import sys
+from collections.abc import Callable
+
+from prometheus_client import Counter
+from pythonjsonlogger.json import JsonFormatter
+
+_FIELDS = '%(asctime)s %(levelname)s %(name)s %(message)s'
+
+
+class LineBudget(logging.Filter):
+    """Leave out lines beyond a number a second."""
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        lines_per_second: int,
+        dropped: Counter,
+    ) -> None:
+        """Count by the seconds of a steady clock."""
+        super().__init__()
+        self._clock = clock
+        self._most = lines_per_second
+        self._counter = dropped
+        self._second = 0
+        self._written = 0
+        self._left_out = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Keep a line within the budget; errors are always kept."""
+        second = int(self._clock())
+        if second != self._second:
+            self._second = second
+            self._written = 0
+        self._written += 1
+        if self._written > self._most and record.levelno < logging.ERROR:
+            self._left_out += 1
+            self._counter.inc()
+            return False
+        if self._left_out:
+            record.left_out = self._left_out
+            self._left_out = 0
+        return True
+
+
+def set_up_logging(budget: LineBudget, node: str) -> None:
+    """Send the log of this node to standard output."""
+    handler = logging.StreamHandler(sys.stdout)
+    handler.addFilter(budget)
+    handler.setFormatter(JsonFormatter(_FIELDS, static_fields={'node': node}))
+    logging.basicConfig(
+        level=logging.INFO,
+        handlers=[handler],
+        force=True,
+    )
+    for name in ('websockets', 'asyncio'):
+        logging.getLogger(name).setLevel(logging.WARNING)
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/program.py
@@ -0,0 +1,122 @@
+"""Run a gateway: read settings, build the tables, start all parts."""
+
+import importlib
+import logging
+import secrets
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import anyio
+from anyio.abc import TaskGroup
+from spanfall_api.gateway_settings import GatewaySettings
+
+from spanfall_node.gateway.callers import Callers
+from spanfall_node.gateway.client import ConnectionPool
+from spanfall_node.gateway.duties import Cloud, UsageDuty
+from spanfall_node.gateway.leadership import Leadership
+from spanfall_node.gateway.lifecycle import StatusPages, stop_on_signal
+from spanfall_node.gateway.links import EntryLink, HomeLinks
+from spanfall_node.gateway.logs import LineBudget, set_up_logging
+from spanfall_node.gateway.ports import PlatformAdapter
+from spanfall_node.gateway.settings_watch import SettingsWatch
+from spanfall_node.gateway.state import GatewayState, build_state
+from spanfall_node.gateway.store_client import StoreClient
+from spanfall_node.gateway.sync import Sync
+from spanfall_node.timers import Timers
+
+logger = logging.getLogger(__name__)
+
+#: Bytes of the random name of one run of the process.
+INCARNATION_BYTES = 6
+#: Seconds before a part that failed is started again.
+RESTART_SECONDS = 0.5
+#: Connections that may wait to be accepted.
+BACKLOG = 1024
+
+
+def load_adapter(module_name: str) -> PlatformAdapter:
+    """Return the adapter of the platform that the settings name."""
+    return importlib.import_module(module_name).ADAPTER
+
+
+def run_gateway(cfg: GatewaySettings, path: Path) -> None:
+    """Run a gateway in the foreground until it is told to stop."""
+    timers = Timers(time.monotonic, time.time)
+    state = build_state(
+        cfg,
+        load_adapter(cfg.platform),
+        timers,
+        secrets.token_hex(INCARNATION_BYTES),
+    )
+    budget = LineBudget(
+        timers.now,
+        cfg.log_lines_per_second,
+        state.counters.dropped_logs,
+    )
+    set_up_logging(budget, cfg.node)
+    anyio.run(_run, state, path)
+
+
+async def _run(state: GatewayState, path: Path) -> None:
+    logger.info('Gateway starts in %s', state.cfg.data_centre)
+    async with anyio.create_task_group() as tasks:
+        await _start_parts(state, path, tasks)
+    logger.info('Gateway has stopped')
+
+
+async def _start_parts(
+    state: GatewayState,
+    path: Path,
+    tasks: TaskGroup,
+) -> None:
+    pool = ConnectionPool(tasks)
+    store = StoreClient(state, pool)
+    sync = Sync(state, store, pool)
+    callers = Callers(state, pool)
+    leadership = Leadership(state, store)
+    cloud = Cloud(state, pool)
+    pages = StatusPages(state)
+    tasks.start_soon(
+        stop_on_signal,
+        state,
+        callers,
+        leadership,
+        tasks.cancel_scope,
+    )
+    tasks.start_soon(SettingsWatch(state, path).run)
+    tasks.start_soon(_listen, state.cfg.listen.readiness, pages)
+    if state.cfg.listen.metrics:
+        tasks.start_soon(_listen, state.cfg.listen.metrics, pages)
+    tasks.start_soon(_listen, state.cfg.listen.callers, callers)
+    parts = [
+        HomeLinks(state).run,
+        state.timers.run,
+        sync.run,
+        leadership.run,
+        EntryLink(state, sync).run,
+    ]
+    if state.cfg.reports_usage:
+        parts.append(UsageDuty(state, store, cloud).run)
+    for part in parts:
+        tasks.start_soon(_keep_running, part)
+
+
+async def _keep_running(part: Callable[[], Awaitable[None]]) -> None:
+    """Start a part again when it fails, so that the node goes on."""
+    while True:
+        try:
+            await part()
+        except Exception:
+            logger.exception('A part failed and is started again')
+        await anyio.sleep(RESTART_SECONDS)
+
+
+async def _listen(address: str, server: Callers | StatusPages) -> None:
+    host, _, port = address.rpartition(':')
+    listener = await anyio.create_tcp_listener(
+        local_host=host,
+        local_port=int(port),
+        backlog=BACKLOG,
+    )
+    await listener.serve(server.serve_connection)
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/refusals.py
@@ -0,0 +1,55 @@
+"""Answer callers whose request is not served."""
+
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import msgspec
+from spanfall_core.reasons import RefusalReason
+
+from spanfall_node.gateway.ports import Headers
+
+#: Statuses that promise that the request has not run and never will.
+PROMISES = frozenset((408, 421, 429, 503))
+
+
+class RefusedError(Exception):
+    """Say that a request is not served, and when to come back."""
+
+    def __init__(
+        self,
+        status: int,
+        reason: RefusalReason,
+        retry_after: float = 0,
+    ) -> None:
+        """Hold the status, the reason and the seconds to wait."""
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+        self.retry_after = retry_after
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """Tell a caller why its request is not served (RFC 9457)."""
+
+    title: str
+    status: int
+    reason: str
+
+
+def refusal_body(refusal: RefusedError) -> bytes:
+    """Return the body of a refusal."""
+    title = HTTPStatus(refusal.status).phrase
+    problem = Problem(title, refusal.status, refusal.reason.value)
+    return msgspec.json.encode(problem)
+
+
+def refusal_headers(refusal: RefusedError, size: int) -> Headers:
+    """Return the headers of a refusal with a body of that size."""
+    headers = [
+        (b'content-type', b'application/problem+json'),
+        (b'content-length', b'%d' % size),
+    ]
+    if refusal.retry_after and refusal.status in PROMISES:
+        headers.append((b'retry-after', b'%.3f' % refusal.retry_after))
+    return headers
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/relay.py
@@ -0,0 +1,180 @@
+"""Send an admitted request to upstreams and relay the answer.
+
+One entry owns an attempt from its first byte to its last, so what was sent
+where is certain, and at most once needs no record elsewhere.
+"""
+
+import logging
+
+import anyio
+from spanfall_core.gateway.balance import Ask, Choice, choose
+from spanfall_core.gateway.sends import (
+    RETRY_REASONS,
+    NextStep,
+    next_step,
+)
+from spanfall_core.reasons import RefusalReason
+
+from spanfall_node.gateway.admission import Work
+from spanfall_node.gateway.attempt import (
+    Answered,
+    Exchange,
+    Failed,
+    count_run,
+    relay_whole,
+)
+from spanfall_node.gateway.caller_connection import CallerConnection
+from spanfall_node.gateway.client import ConnectionPool
+from spanfall_node.gateway.refusals import RefusedError
+from spanfall_node.gateway.sending import send
+from spanfall_node.gateway.state import GatewayState
+
+logger = logging.getLogger(__name__)
+
+#: Seconds after which a caller may ask again where nothing ran.
+RETRY_SECONDS = 0.2
+#: Seconds kept for the answer at the end of a request's time.
+ANSWER_SECONDS = 0.02
+
+
+async def serve(
+    state: GatewayState,
+    pool: ConnectionPool,
+    work: Work,
+    caller: CallerConnection,
+) -> None:
+    """Serve one admitted request until its answer ends.
+
+    Raises:
+        RefusedError: nothing has run, or nobody knows; nothing was relayed.
+        CallerGoneError: the caller left.
+    """
+    exchange = Exchange(work, caller)
+    left = work.deadline - state.timers.now() - ANSWER_SECONDS
+    scope = anyio.move_on_after(max(0, left))
+    with scope:
+        await _send_until_answered(state, pool, exchange)
+    if scope.cancelled_caught:
+        await _run_out_of_time(state, exchange)
+
+
+async def _run_out_of_time(state: GatewayState, exchange: Exchange) -> None:
+    if exchange.started:
+        await _cut(state, exchange, 'timeout')
+        return
+    if exchange.sends.sends:
+        count_run(state, exchange.work)
+        raise RefusedError(504, RefusalReason.DEADLINE)
+    raise RefusedError(503, RefusalReason.DEADLINE, RETRY_SECONDS)
+
+
+async def _cut(state: GatewayState, exchange: Exchange, reason: str) -> None:
+    state.counters.cuts.labels(reason).inc()
+    logger.warning(
+        'Cut the answer to %s: %s; the caller sees it as unfinished',
+        exchange.work.attempt_id,
+        reason,
+    )
+    exchange.caller.closing = True
+    exchange.caller.gone = True
+    await exchange.caller.close_at_once()
+
+
+async def _send_until_answered(
+    state: GatewayState,
+    pool: ConnectionPool,
+    exchange: Exchange,
+) -> None:
+    while True:
+        choice = _choose(state, exchange)
+        if choice is None:
+            raise _nothing_left(exchange)
+        ended = await send(state, pool, exchange, choice)
+        if isinstance(ended, Answered):
+            return
+        if not await _goes_on(state, exchange, choice, ended):
+            return
+
+
+def _choose(state: GatewayState, exchange: Exchange) -> Choice | None:
+    work = exchange.work
+    ask = Ask(
+        work.attempt_id,
+        state.cfg.data_centre,
+        work.parts,
+        work.prompt_tokens,
+        frozenset(exchange.tried),
+    )
+    return choose(
+        state.directory.serving(work.service),
+        ask,
+        state.loads,
+        state.prefixes,
+        state.timers.now(),
+    )
+
+
+def _nothing_left(exchange: Exchange) -> RefusedError:
+    if exchange.sends.proven_not_run:
+        return RefusedError(503, RefusalReason.NO_UPSTREAM, RETRY_SECONDS)
+    return RefusedError(502, RefusalReason.OUTCOME_UNKNOWN)
+
+
+async def _goes_on(
+    state: GatewayState,
+    exchange: Exchange,
+    choice: Choice,
+    failed: Failed,
+) -> bool:
+    """Note a failed send; tell whether the request is sent again."""
+    work = exchange.work
+    exchange.tried.add(choice.upstream.upstream_id)
+    step = next_step(
+        failed.end,
+        work.route,
+        exchange.sends,
+        can_retry=_can_retry(state, exchange),
+    )
+    logger.info(
+        'Request %s at %s ended %s: %s; next: %s',
+        work.attempt_id,
+        choice.upstream.upstream_id,
+        failed.end,
+        failed.reason,
+        step,
+    )
+    if step is NextStep.SEND_AGAIN:
+        state.counters.retries.labels(RETRY_REASONS[failed.end]).inc()
+        return True
+    await _end_failed(state, exchange, failed, step)
+    return False
+
+
+def _can_retry(state: GatewayState, exchange: Exchange) -> bool:
+    if _choose(state, exchange) is None:
+        return False
+    now = state.timers.now()
+    return state.retries.try_spend(exchange.work.service, now)
+
+
+async def _end_failed(
+    state: GatewayState,
+    exchange: Exchange,
+    failed: Failed,
+    step: NextStep,
+) -> None:
+    if step is not NextStep.ANSWER_NOT_RUN:
+        count_run(state, exchange.work)
+    if exchange.started:
+        await _cut(state, exchange, failed.reason)
+        return
+    if step is NextStep.RELAY and failed.head is not None:
+        await relay_whole(state, exchange, failed.head, failed.body)
+        return
+    raise _final_refusal(step)
+
+
+def _final_refusal(step: NextStep) -> RefusedError:
+    if step is NextStep.ANSWER_NOT_RUN:
+        return RefusedError(503, RefusalReason.NO_UPSTREAM, RETRY_SECONDS)
+    return RefusedError(502, RefusalReason.OUTCOME_UNKNOWN)
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/sending.py
@@ -0,0 +1,226 @@
+"""Send a request to one upstream and relay what it answers."""
+
+import logging
+from dataclasses import dataclass
+
+import anyio
+from spanfall_core.gateway.balance import Choice
+from spanfall_core.gateway.sends import SendEnd
+
+from spanfall_node.gateway.attempt import (
+    Answered,
+    Exchange,
+    Failed,
+    count_run,
+    note_answer,
+    relay_whole,
+)
+from spanfall_node.gateway.client import (
+    AnswerHead,
+    Connection,
+    ConnectionPool,
+)
+from spanfall_node.gateway.errors import (
+    BrokenCallError,
+    CallerGoneError,
+    CallError,
+    NotSentError,
+)
+from spanfall_node.gateway.event_parts import EventTooLargeError
+from spanfall_node.gateway.forwarded import (
+    answer_headers,
+    is_event_stream,
+    upstream_call,
+)
+from spanfall_node.gateway.refusals import PROMISES
+from spanfall_node.gateway.state import GatewayState
+
+logger = logging.getLogger(__name__)
+
+#: Seconds for a new connection to an upstream.
+CONNECT_SECONDS = 0.4
+#: Largest answer that is read whole before it is relayed.
+WHOLE_ANSWER_BYTES = 8_388_608
+#: Weights of failures: a server that refuses is less suspect than one that
+#: fails, one that cannot be reached more.
+REFUSED_WEIGHT = 0.3
+UNREACHABLE_WEIGHT = 3.0
+
+
+async def send(
+    state: GatewayState,
+    pool: ConnectionPool,
+    exchange: Exchange,
+    choice: Choice,
+) -> Answered | Failed:
+    """Send a request to one upstream and relay what it answers."""
+    upstream = choice.upstream
+    state.loads.begin(upstream.upstream_id, choice.prefill)
+    state.prefixes.remember(upstream.upstream_id, exchange.work.parts)
+    pending = Prefill(state, upstream.upstream_id, choice.prefill)
+    try:
+        return await _send_over(state, pool, exchange, choice, pending)
+    except NotSentError as exc:
+        _note_failure(state, choice, UNREACHABLE_WEIGHT)
+        return Failed(SendEnd.NOT_SENT, exc.reason)
+    finally:
+        pending.done()
+        state.loads.end(upstream.upstream_id)
+
+
+@dataclass(slots=True)
+class Prefill:
+    """Hold the prompt tokens that an upstream has still to read for us."""
+
+    state: GatewayState
+    upstream_id: str
+    tokens: int
+
+    def done(self) -> None:
+        """Count the prompt as read, once."""
+        self.state.loads.first_token(self.upstream_id, self.tokens)
+        self.tokens = 0
+
+
+async def _send_over(
+    state: GatewayState,
+    pool: ConnectionPool,
+    exchange: Exchange,
+    choice: Choice,
+    pending: Prefill,
+) -> Answered | Failed:
+    upstream = choice.upstream
+    conn = await pool.take(
+        upstream.upstream_id,
+        upstream.address,
+        CONNECT_SECONDS,
+    )
+    exchange.sends.sends += 1
+    try:
+        return await _talk(state, exchange, choice, conn, pending)
+    except CallerGoneError:
+        await conn.close()
+        raise
+    except (BrokenCallError, EventTooLargeError) as exc:
+        _note_failure(state, choice, 1)
+        return Failed(SendEnd.BROKEN, _reason(exc))
+    finally:
+        with anyio.CancelScope(shield=True):
+            await pool.give_back(upstream.upstream_id, conn)
+
+
+def _reason(exc: Exception) -> str:
+    if isinstance(exc, CallError):
+        return exc.reason
+    return type(exc).__name__
+
+
+def _note_failure(state: GatewayState, choice: Choice, weight: float) -> None:
+    now = state.timers.now()
+    state.loads.fail(choice.upstream.upstream_id, now, weight)
+
+
+async def _talk(
+    state: GatewayState,
+    exchange: Exchange,
+    choice: Choice,
+    conn: Connection,
+    pending: Prefill,
+) -> Answered | Failed:
+    work = exchange.work
+    names = state.platform.names
+    call = upstream_call(
+        names,
+        work,
+        choice.upstream.upstream_id,
+        exchange.events.last_id,
+        work.deadline - state.timers.now(),
+    )
+    wanted = work.attempt_id.encode('latin-1')
+    await conn.send(call, work.req.header(b'host'))
+
+    def is_ours(head: AnswerHead) -> bool:
+        answered = head.header(names.attempt_id)
+        if answered:
+            return answered == wanted
+        return head.status >= 300
+
+    head = await conn.read_head(is_ours)
+    if is_event_stream(head) and head.status == 200:
+        return await _relay_stream(state, exchange, head, conn, pending)
+    body = await conn.read_body(WHOLE_ANSWER_BYTES)
+    failed = _classified(state, choice, head, body)
+    if failed is not None:
+        return failed
+    count_run(state, work)
+    await relay_whole(state, exchange, head, body)
+    return Answered()
+
+
+def _classified(
+    state: GatewayState,
+    choice: Choice,
+    head: AnswerHead,
+    body: bytes,
+) -> Failed | None:
+    """Return how a whole answer failed, or None if it is relayed."""
+    names = state.platform.names
+    if head.status == 421:
+        state.directory.end(choice.upstream.upstream_id)
+        return Failed(SendEnd.OTHER_LIFETIME, 'another lifetime answers there')
+    if head.header(names.not_run):
+        if head.status in PROMISES:
+            _note_failure(state, choice, REFUSED_WEIGHT)
+            return Failed(SendEnd.REFUSED, f'refused with {head.status}')
+        return None
+    if head.status in PROMISES:
+        _note_failure(state, choice, 1)
+        return Failed(SendEnd.BROKEN, f'{head.status} but may have run')
+    if head.status >= 500:
+        _note_failure(state, choice, 1)
+        return Failed(SendEnd.FAILED, f'failed with {head.status}', head, body)
+    if head.status < 300 and not head.header(names.signature):
+        _note_failure(state, choice, 1)
+        return Failed(SendEnd.BROKEN, 'success without a signature')
+    return None
+
+
+async def _relay_stream(
+    state: GatewayState,
+    exchange: Exchange,
+    head: AnswerHead,
+    conn: Connection,
+    pending: Prefill,
+) -> Answered | Failed:
+    if not head.header(state.platform.names.signature):
+        return Failed(SendEnd.BROKEN, 'a stream without a signature')
+    exchange.events.restart()
+    while True:
+        part = await conn.read_part()
+        if part is None:
+            break
+        pending.done()
+        count_run(state, exchange.work)
+        whole = exchange.events.feed(part)
+        if whole:
+            await _start(state, exchange, head)
+            await exchange.caller.send_part(whole)
+    await _start(state, exchange, head)
+    if exchange.events.rest:
+        await exchange.caller.send_part(exchange.events.rest)
+    await exchange.caller.send_end()
+    return Answered()
+
+
+async def _start(
+    state: GatewayState,
+    exchange: Exchange,
+    head: AnswerHead,
+) -> None:
+    if exchange.started:
+        return
+    headers = answer_headers(head, None, exchange.work.req.method)
+    exchange.started = True
+    exchange.sends.relayed = True
+    await exchange.caller.send_head(head.status, headers)
+    note_answer(state, exchange, head.status)
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/state.py
@@ -0,0 +1,136 @@
+"""Hold the tables that the parts of a gateway share."""
+
+from dataclasses import dataclass, field
+
+from spanfall_api.gateway_settings import GatewaySettings
+from spanfall_core.gateway.configuration import (
+    CallerLimits,
+    ServedConfiguration,
+)
+from spanfall_core.gateway.directory import Directory
+from spanfall_core.gateway.fleet import Counts, EntryReport, FleetState
+from spanfall_core.gateway.freshness import Freshness
+from spanfall_core.gateway.loads import Loads
+from spanfall_core.gateway.prefixes import PrefixIndex
+from spanfall_core.gateway.quotas import Quotas
+from spanfall_core.gateway.retry_budget import RetryBudget, RetryLimits
+from spanfall_core.gateway.true_time import TrueTime
+from spanfall_core.gateway.usage import UsageCounts
+
+from spanfall_node.gateway.counters import Counters
+from spanfall_node.gateway.ports import PlatformAdapter
+from spanfall_node.timers import Timers
+
+
+@dataclass(slots=True)
+class HomeRecord:
+    """Name the home of the fleet as the store holds it."""
+
+    node: str
+    address: str
+    incarnation: str
+    #: Revision of the record: grows with each change of the home.
+    epoch: int = 0
+
+
+@dataclass(slots=True)
+class Tenure:
+    """Hold this node's own time as home."""
+
+    epoch: int
+    lease: int
+    #: Steady time until which the lease is certain to last.
+    valid_until: float
+    began_at: float
+
+
+@dataclass(slots=True)
+class GatewayState:
+    """Hold everything that one gateway knows."""
+
+    cfg: GatewaySettings
+    platform: PlatformAdapter
+    timers: Timers
+    incarnation: str
+    counters: Counters
+    freshness: Freshness
+    quotas: Quotas
+    retries: RetryBudget
+    usage: UsageCounts
+    true_time: TrueTime
+    configuration: ServedConfiguration | None = None
+    #: The configuration as the store holds it, to be passed on.
+    configuration_source: bytes = b''
+    directory: Directory = field(default_factory=Directory)
+    loads: Loads = field(default_factory=Loads)
+    prefixes: PrefixIndex = field(default_factory=PrefixIndex)
+    fleet: FleetState = field(default_factory=FleetState)
+    home: HomeRecord | None = None
+    tenure: Tenure | None = None
+    #: When the home last answered.
+    home_heard_at: float = float('-inf')
+    #: Requests and prompt tokens begun, by service.
+    requests: Counts = field(default_factory=dict)
+    prompt_tokens: Counts = field(default_factory=dict)
+    draining_since: float | None = None
+    #: Requests that callers wait for.
+    open_requests: int = 0
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the limits in force for callers."""
+        if self.configuration is None:
+            return CallerLimits()
+        return self.configuration.limits
+
+    def is_home(self, now: float) -> bool:
+        """Tell whether this node certainly is the home."""
+        return self.tenure is not None and now < self.tenure.valid_until
+
+    def is_ready(self, now: float) -> bool:
+        """Tell whether new callers should be sent here."""
+        if self.draining_since is not None or self.configuration is None:
+            return False
+        return self.freshness.is_ready(now)
+
+    def report(self) -> EntryReport:
+        """Return what the home is to know of this entry."""
+        return EntryReport(
+            node=self.cfg.node,
+            incarnation=self.incarnation,
+            running=dict(self.loads.running),
+            prefill=dict(+self.loads.prefill),
+            failed=dict(self.loads.failed),
+            spent=self.quotas.spent(),
+            usage={key: dict(row) for key, row in self.usage.windows.items()},
+            requests=dict(self.requests),
+            prompt_tokens=dict(self.prompt_tokens),
+        )
+
+
+def build_state(
+    cfg: GatewaySettings,
+    platform: PlatformAdapter,
+    timers: Timers,
+    incarnation: str,
+) -> GatewayState:
+    """Build the empty tables of a node that has just started."""
+    return GatewayState(
+        cfg=cfg,
+        platform=platform,
+        timers=timers,
+        incarnation=incarnation,
+        counters=Counters(),
+        freshness=Freshness(cfg.bounds.revoke_seconds),
+        quotas=Quotas(divisor=cfg.assumed_entries),
+        retries=RetryBudget(
+            RetryLimits(
+                cfg.bounds.retry_ratio,
+                cfg.bounds.retry_allowance,
+                cfg.bounds.retry_window_seconds,
+            ),
+            entries=cfg.assumed_entries,
+        ),
+        usage=UsageCounts(cfg.bounds.usage_window_seconds),
+        true_time=TrueTime(timers.epoch() - timers.now()),
+    )
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store_client.py
@@ -0,0 +1,161 @@
+"""Call the platform's store; the one client of it.
+
+Each call has its own deadline and ends in one of three ways: an answer, a
+refusal that had no effect, or an outcome that nobody knows.
+"""
+
+import logging
+from dataclasses import dataclass
+
+from spanfall_node.gateway.client import ConnectionPool, call_once
+from spanfall_node.gateway.errors import BrokenCallError, NotSentError
+from spanfall_node.gateway.ports import (
+    HttpCall,
+    HttpReply,
+    Listing,
+    StoredItem,
+    Write,
+)
+from spanfall_node.gateway.state import GatewayState
+
+logger = logging.getLogger(__name__)
+
+#: Seconds that a call may take; the store answers in milliseconds, and
+#: fifty times as slowly on a bad day.
+CALL_SECONDS = 1.2
+
+
+class StoreError(Exception):
+    """Say that a call to the store brought no result."""
+
+
+class StoreRefusedError(StoreError):
+    """Say that a call had no effect."""
+
+
+class StoreUncertainError(StoreError):
+    """Say that a call may have had an effect, now or seconds later."""
+
+
+class ConditionFailedError(StoreError):
+    """Say that an item was changed since it was read."""
+
+
+class LeaseLostError(StoreError):
+    """Say that a lease has ended."""
+
+
+@dataclass(slots=True)
+class StoreHealth:
+    """Hold when the store last began to answer again after an outage."""
+
+    failing: bool = False
+    outage_ended: float = float('-inf')
+
+    def note(self, answered: bool, now: float) -> None:
+        """Note the end of a call."""
+        if answered and self.failing:
+            self.outage_ended = now
+            logger.info('The store answers again')
+        if not answered and not self.failing:
+            logger.warning('The store does not answer; going on without')
+        self.failing = not answered
+
+
+class StoreClient:
+    """Make calls to the store in the platform's dialect."""
+
+    def __init__(self, state: GatewayState, pool: ConnectionPool) -> None:
+        """Use the node's settings and connections."""
+        self._state = state
+        self._pool = pool
+        self._dialect = state.platform.store
+        self.health = StoreHealth()
+
+    async def get(self, key: str) -> StoredItem | None:
+        """Return an item as it is now, or None."""
+        reply = await self._call(self._dialect.get(key), missing_ok=True)
+        if reply.status == 404:
+            return None
+        return self._dialect.read_item(reply.body)
+
+    async def list_items(self, prefix: str) -> Listing:
+        """Return all items below a prefix, page by page."""
+        page = await self._page(prefix, '')
+        items = list(page.items)
+        revision = page.revision
+        while page.has_more and items:
+            page = await self._page(prefix, items[-1].key)
+            items.extend(page.items)
+        return Listing(tuple(items), revision)
+
+    async def transact(
+        self,
+        expected: dict[str, int],
+        writes: tuple[Write, ...],
+    ) -> int:
+        """Write if the items still have the expected revisions.
+
+        Raises:
+            ConditionFailedError: an item was changed; nothing was written.
+            LeaseLostError: a lease has ended; nothing was written.
+        """
+        call = self._dialect.transact(expected, writes)
+        reply = await self._call(call, missing_ok=True)
+        if reply.status == 412:
+            raise ConditionFailedError
+        if reply.status == 404:
+            raise LeaseLostError
+        return self._dialect.read_revision(reply.body)
+
+    async def grant(self, seconds: float) -> int:
+        """Return a new lease."""
+        reply = await self._call(self._dialect.grant(int(seconds * 1000)))
+        return self._dialect.read_lease(reply.body)
+
+    async def renew(self, lease: int) -> None:
+        """Renew a lease.
+
+        Raises:
+            LeaseLostError: the lease has ended.
+        """
+        call = self._dialect.renew(lease)
+        reply = await self._call(call, missing_ok=True)
+        if reply.status == 404:
+            raise LeaseLostError
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease and remove its items."""
+        await self._call(self._dialect.revoke(lease), missing_ok=True)
+
+    async def _page(self, prefix: str, after: str) -> Listing:
+        reply = await self._call(self._dialect.list_items(prefix, after))
+        return self._dialect.read_listing(reply.body)
+
+    async def _call(
+        self,
+        call: HttpCall,
+        *,
+        missing_ok: bool = False,
+    ) -> HttpReply:
+        now = self._state.timers.now
+        counter = self._state.counters.store_calls
+        address = self._state.cfg.store
+        try:
+            reply = await call_once(self._pool, address, call, CALL_SECONDS)
+        except NotSentError as exc:
+            counter.labels('not-sent').inc()
+            self.health.note(answered=False, now=now())
+            raise StoreRefusedError(exc.reason) from exc
+        except BrokenCallError as exc:
+            counter.labels('uncertain').inc()
+            self.health.note(answered=False, now=now())
+            raise StoreUncertainError(exc.reason) from exc
+        counter.labels(reply.status).inc()
+        allowed = {200, 404, 412} if missing_ok else {200}
+        if reply.status in {429, 503}:
+            self.health.note(answered=False, now=now())
+        if reply.status not in allowed:
+            raise StoreRefusedError(f'the store answered {reply.status}')
+        self.health.note(answered=True, now=now())
+        return reply
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/sync.py
@@ -0,0 +1,147 @@
+"""Learn the configuration and the upstreams, from the store or the home.
+
+The home reads the store for all. Another node reads it too as soon as the
+home's word is old: then it is on its own.
+"""
+
+import logging
+
+import anyio
+import msgspec
+from spanfall_core.gateway.directory import ListedUpstream
+
+from spanfall_node.gateway.client import ConnectionPool
+from spanfall_node.gateway.state import GatewayState
+from spanfall_node.gateway.store_client import StoreClient, StoreError
+
+logger = logging.getLogger(__name__)
+
+#: Seconds between two reads of the store. With the seconds until the home's
+#: next word this stays well under the two seconds in which a change is due.
+READ_PERIOD = 0.6
+#: Age of the newest proof at which a node reads the store itself.
+OLD_PROOF = 1.1
+#: End of the last outage where there was none.
+NO_OUTAGE = float('-inf')
+
+
+class Sync:
+    """Keep the configuration and the directory of a node up to date."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        store: StoreClient,
+        pool: ConnectionPool,
+    ) -> None:
+        """Use the tables, the store and the connections of the node."""
+        self._state = state
+        self._store = store
+        self._pool = pool
+
+    async def run(self) -> None:
+        """Read the store as often as this node has to, until cancelled."""
+        while True:
+            if self._must_read():
+                await self.read_all()
+            await anyio.sleep(READ_PERIOD)
+
+    async def read_all(self) -> None:
+        """Read the configuration and the upstreams once."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._guarded_configuration)
+            tasks.start_soon(self._guarded_upstreams)
+
+    def learn_configuration(
+        self,
+        revision: int,
+        source: bytes,
+        proved_at: float,
+    ) -> None:
+        """Take over a configuration unless it is older."""
+        state = self._state
+        known = state.configuration
+        if known is None or revision > known.revision:
+            state.configuration = state.platform.read_configuration(
+                revision,
+                source,
+            )
+            state.configuration_source = source
+            logger.info(
+                'Configuration %s is in force; it replaces %s',
+                revision,
+                known.revision if known else None,
+            )
+        if known is None or revision >= known.revision:
+            state.freshness.prove(proved_at)
+
+    def learn_upstreams(
+        self,
+        revision: int,
+        rows: list[ListedUpstream],
+        outage_ended: float = NO_OUTAGE,
+    ) -> None:
+        """Take over a listing of upstreams unless it is older."""
+        now = self._state.timers.now()
+        before = self._state.directory.rows.keys()
+        changed = self._state.directory.apply(
+            revision,
+            rows,
+            now,
+            outage_ended,
+        )
+        for row in changed:
+            logger.info(
+                'Upstream %s of %s leaves or went, by listing %s',
+                row.upstream_id,
+                row.service,
+                revision,
+            )
+        for upstream_id in before - self._state.directory.rows.keys():
+            self._state.prefixes.forget(upstream_id)
+
+    def _must_read(self) -> bool:
+        state = self._state
+        now = state.timers.now()
+        if state.tenure is not None:
+            return True
+        return state.freshness.age(now) > OLD_PROOF
+
+    async def _guarded_configuration(self) -> None:
+        try:
+            await self._read_configuration()
+        except StoreError as exc:
+            logger.info('Could not read the configuration: %r', exc)
+        except msgspec.MsgspecError:
+            logger.exception('The configuration in the store is not valid')
+
+    async def _guarded_upstreams(self) -> None:
+        try:
+            await self._read_upstreams()
+        except StoreError as exc:
+            logger.info('Could not list the upstreams: %r', exc)
+        except msgspec.MsgspecError:
+            logger.exception('An upstream in the store is not valid')
+
+    async def _read_configuration(self) -> None:
+        state = self._state
+        began_at = state.timers.now()
+        item = await self._store.get(state.platform.store.configuration_key)
+        if item is None:
+            logger.info('The store holds no configuration yet')
+            return
+        self.learn_configuration(item.revision, item.content, began_at)
+
+    async def _read_upstreams(self) -> None:
+        state = self._state
+        prefix = state.platform.store.upstream_prefix
+        listing = await self._store.list_items(prefix)
+        rows = [
+            state.platform.read_upstream(item.key, item.content)
+            for item in listing.items
+        ]
+        self.learn_upstreams(
+            listing.revision,
+            rows,
+            self._store.health.outage_ended,
+        )
