Order upstreams by load, reclaimable ones first

Change: the home measures the need (running requests and prompt tokens), orders reclaimable upstreams spread over the data centres with room for the loss of one, bridges with others only what is badly missing. The very first home acts at once, a later one waits for the lease of the one before.

--- a/packages/spanfall-core/src/spanfall_core/gateway/quotas.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/quotas.py
@@ -9,7 +9,10 @@
 
 #: Part of a full bucket that a new process starts with: after a restart of
 #: the whole fleet the buckets may have been empty.
-FIRST_FILL = 0.5
+FIRST_FILL = 0.7
+#: How many times its equal part of what is left an entry may spend before
+#: it hears of the others again: callers are spread unevenly.
+UNEVENNESS = 2.5
 
 
 @dataclass(slots=True)
@@ -22,6 +25,8 @@
     spent: float = 0
     #: Units spent by others as far as subtracted from the level.
     others_spent: float | None = None
+    #: Units that may still be spent here until the others are heard again.
+    allowance: float = 0
 
 
 @dataclass(slots=True)
@@ -31,6 +36,8 @@
     buckets: dict[str, Bucket] = field(default_factory=dict)
     #: Entries that share each limit; 1 while a home reports their spending.
     divisor: float = 1
+    #: Entries that may spend at the same time before they hear of another.
+    entries: int = 1
 
     def try_spend(
         self,
@@ -40,13 +47,18 @@
         units: float,
         now: float,
     ) -> bool:
-        """Spend units of a workspace unless its bucket is empty."""
+        """Spend units of a workspace unless its bucket is empty.
+
+        A bucket that is not empty pays for a request of any size and may go
+        below zero, so that large requests get their turn as small ones do.
+        """
         if not rate:
             return True
         bucket = self._refilled(workspace, rate, burst, now)
-        if bucket.level < min(units, burst):
+        if bucket.level <= 0 or bucket.allowance <= 0:
             return False
         bucket.level -= units
+        bucket.allowance -= units
         bucket.spent += units
         return True
 
@@ -55,6 +67,7 @@
         bucket = self.buckets.get(workspace)
         if bucket is not None:
             bucket.level += units
+            bucket.allowance += units
             bucket.spent -= units
 
     def spent(self) -> dict[str, float]:
@@ -70,12 +83,17 @@
             if bucket.others_spent is not None:
                 bucket.level -= max(0, total - bucket.others_spent)
             bucket.others_spent = total
+        for row in self.buckets.values():
+            row.allowance = self._allowance(row.level)
 
     def forget_others(self) -> None:
         """Start a new count of the others, after a change of the home."""
         for bucket in self.buckets.values():
             bucket.others_spent = None
 
+    def _allowance(self, level: float) -> float:
+        return level * UNEVENNESS / max(1, self.entries)
+
     def _refilled(
         self,
         workspace: str,
@@ -86,9 +104,12 @@
         bucket = self.buckets.get(workspace)
         if bucket is None:
             bucket = Bucket(burst * FIRST_FILL, now)
+            bucket.allowance = self._allowance(bucket.level)
             self.buckets[workspace] = bucket
         passed = now - bucket.refilled_at
         bucket.refilled_at = now
-        refilled = bucket.level + passed * rate / self.divisor
+        added = passed * rate / self.divisor
+        bucket.allowance += added
+        refilled = bucket.level + added
         bucket.level = min(burst, refilled)
         return bucket
--- a/packages/spanfall-node/src/spanfall_node/gateway/admission.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/admission.py
@@ -1,5 +1,6 @@
 """Decide whether a request is served at all, before anything is sent."""
 
+import logging
 from dataclasses import dataclass
 
 from spanfall_core.gateway.configuration import (
@@ -15,10 +16,13 @@
 from spanfall_node.gateway.refusals import RefusedError
 from spanfall_node.gateway.state import GatewayState
 
+logger = logging.getLogger(__name__)
+
 #: Seconds after which a caller may ask a node that has no configuration.
 NOT_READY_RETRY = 0.5
 #: Longest time that a caller over its quota is told to wait.
 LONGEST_QUOTA_WAIT = 5.0
+SHORTEST_QUOTA_WAIT = 0.1
 #: Digits of a header number that are read; more is not a time or a count.
 NUMBER_DIGITS = 12
 
@@ -171,5 +175,17 @@
         now,
     )
     if not taken:
-        wait = min(LONGEST_QUOTA_WAIT, units / workspace.rate)
+        level = state.quotas.buckets[workspace.name].level
+        logger.info(
+            'Quota of %s: %s units asked, %.0f left of %s, %s a second',
+            workspace.name,
+            units,
+            level,
+            workspace.burst,
+            workspace.rate,
+        )
+        wait = min(
+            LONGEST_QUOTA_WAIT,
+            max(SHORTEST_QUOTA_WAIT, -level / workspace.rate),
+        )
         raise RefusedError(429, RefusalReason.RATE_LIMITED, wait)
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/capacity_duty.py
@@ -0,0 +1,149 @@
+"""Order the upstreams that the load of the fleet needs."""
+
+import logging
+from dataclasses import dataclass, field
+
+import anyio
+from spanfall_core.gateway.capacity import (
+    Order,
+    ServiceOrders,
+    count_present,
+    needed_upstreams,
+    note_accepted,
+    note_refused,
+    plan_orders,
+)
+from spanfall_core.gateway.configuration import ServedService
+from spanfall_core.gateway.fleet import Counts
+
+from spanfall_node.gateway.duties import Cloud
+from spanfall_node.gateway.state import GatewayState
+
+logger = logging.getLogger(__name__)
+
+#: Seconds between two plans.
+PLAN_PERIOD = 0.5
+#: Seconds after which a new home knows all upstreams and all load.
+SETTLE_SECONDS = 1.6
+#: Seconds over which the rate of prompt tokens is averaged.
+RATE_SECONDS = 2.0
+
+
+@dataclass(slots=True)
+class TokenRate:
+    """Measure the prompt tokens a second of each service."""
+
+    counted: Counts = field(default_factory=dict)
+    rates: dict[str, float] = field(default_factory=dict)
+    at: float = 0
+
+    def learn(self, counted: Counts, now: float) -> None:
+        """Take new sums; the rate follows them with a delay."""
+        passed = now - self.at
+        for service, total in counted.items():
+            known = self.counted.get(service, total)
+            part = min(1.0, passed / RATE_SECONDS)
+            rate = max(0, total - known) / max(passed, 0.01)
+            old = self.rates.get(service, 0)
+            self.rates[service] = old + part * (rate - old)
+        self.counted = counted
+        self.at = now
+
+
+class CapacityDuty:
+    """Keep the orders of each service in line with its load."""
+
+    def __init__(self, state: GatewayState, cloud: Cloud) -> None:
+        """Use the tables of the node and the cloud."""
+        self._state = state
+        self._cloud = cloud
+        self._epoch = 0
+        self._orders: dict[str, ServiceOrders] = {}
+        self._rate = TokenRate()
+
+    async def run(self) -> None:
+        """Plan and order until cancelled."""
+        while True:
+            await anyio.sleep(PLAN_PERIOD)
+            if self._state.tenure is not None:
+                await self._step()
+
+    async def _step(self) -> None:
+        state = self._state
+        if self._epoch != state.tenure.epoch:
+            self._epoch = state.tenure.epoch
+            self._orders = {}
+            self._rate = TokenRate()
+        if state.configuration is None:
+            return
+        now = state.timers.now()
+        self._rate.learn(state.fleet.prompt_tokens(), now)
+        for service in state.configuration.services.values():
+            if service.scaling is not None and service.engine is not None:
+                await self._serve_service(service, now)
+
+    async def _serve_service(
+        self,
+        service: ServedService,
+        now: float,
+    ) -> None:
+        state = self._state
+        orders = self._orders.setdefault(service.name, ServiceOrders())
+        rows = [
+            row
+            for row in state.directory.rows.values()
+            if row.service == service.name
+        ]
+        self._learn_demand(service, orders, now)
+        settled = now - state.tenure.began_at >= SETTLE_SECONDS
+        if not rows or not settled or not self._cloud.may_act():
+            return
+        planned = plan_orders(
+            service.name,
+            service.scaling,
+            orders,
+            count_present(rows),
+            now,
+        )
+        for order in planned:
+            await self._send(order, orders)
+
+    def _learn_demand(
+        self,
+        service: ServedService,
+        orders: ServiceOrders,
+        now: float,
+    ) -> None:
+        state = self._state
+        running = state.fleet.running(now)
+        mine = sum(
+            running.get(row.upstream_id, 0)
+            for row in state.directory.rows.values()
+            if row.service == service.name
+        )
+        rate = self._rate.rates.get(service.name, 0)
+        needed = needed_upstreams(service.engine, mine, rate)
+        orders.demand.learn(needed, now)
+
+    async def _send(self, order: Order, orders: ServiceOrders) -> None:
+        state = self._state
+        call = state.platform.cloud.order_upstreams(
+            state.cfg.node,
+            self._epoch,
+            order.service,
+            order.data_centre,
+            order.count,
+            order.reclaimable,
+        )
+        status = await self._cloud.call('order', call)
+        now = state.timers.now()
+        if status == 200:
+            note_accepted(order, orders, now)
+        elif status == 409:
+            note_refused(order, orders, now)
+        logger.info(
+            'Ordered %s, status %s; peak demand %.1f',
+            order,
+            status,
+            orders.demand.peak,
+        )
--- a/packages/spanfall-node/src/spanfall_node/gateway/duties.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties.py
@@ -50,6 +50,8 @@
         now = state.timers.now()
         if not state.is_home(now) or state.draining_since is not None:
             return False
+        if state.tenure.is_first:
+            return True
         waited = now - state.tenure.began_at
         return waited >= state.cfg.bounds.duty_lease_seconds
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
@@ -23,6 +23,8 @@
 
 #: Key of the record that names the home.
 HOME_KEY = 'spanfall/home'
+#: Key of a record that is written with each new home and never removed.
+HISTORY_KEY = 'spanfall/history'
 #: Seconds that the home's lease lasts without renewal.
 LEASE_SECONDS = 2.5
 #: Seconds before the end of the lease at which its holder stops to act.
@@ -124,18 +126,25 @@
     async def _try_to_hold(self) -> None:
         state = self._state
         cfg = state.cfg
+        history = await self._store.get(HISTORY_KEY)
+        before = history.revision if history else 0
         sent_at = state.timers.now()
         lease = await self._store.grant(LEASE_SECONDS)
-        content = HomeContent(cfg.node, cfg.listen.links, state.incarnation)
-        write = Write(HOME_KEY, msgspec.json.encode(content), lease)
+        record = self._own_record()
+        writes = (Write(HOME_KEY, record, lease), Write(HISTORY_KEY, record))
+        expected = {HOME_KEY: 0, HISTORY_KEY: before}
         try:
-            epoch = await self._store.transact({HOME_KEY: 0}, (write,))
+            epoch = await self._store.transact(expected, writes)
         except ConditionFailedError:
             logger.info('Another node became the home first')
             return
-        now = state.timers.now()
-        valid_until = sent_at + LEASE_SECONDS - LEASE_MARGIN
-        state.tenure = Tenure(epoch, lease, valid_until, now)
+        state.tenure = Tenure(
+            epoch,
+            lease,
+            valid_until=sent_at + LEASE_SECONDS - LEASE_MARGIN,
+            began_at=state.timers.now(),
+            is_first=not before,
+        )
         state.home = HomeRecord(
             cfg.node,
             cfg.listen.links,
@@ -144,6 +153,15 @@
         )
         logger.info('This node is the home now, epoch %s', epoch)
 
+    def _own_record(self) -> bytes:
+        cfg = self._state.cfg
+        content = HomeContent(
+            cfg.node,
+            cfg.listen.links,
+            self._state.incarnation,
+        )
+        return msgspec.json.encode(content)
+
     def _step_down(self, reason: str) -> None:
         state = self._state
         logger.warning('This node is not the home any more: %s', reason)
--- a/packages/spanfall-node/src/spanfall_node/gateway/links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links.py
@@ -245,8 +245,9 @@
     state.loads.others_running = others.running
     state.loads.others_prefill = others.prefill
     state.loads.learn_failures(others.failed, now)
-    state.quotas.learn_others(others.spent)
     state.quotas.divisor = 1
+    state.quotas.entries = max(1, others.entries)
+    state.quotas.learn_others(others.spent)
     state.retries.entries = max(1, others.entries)
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/program.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/program.py
@@ -12,6 +12,7 @@
 from spanfall_api.gateway_settings import GatewaySettings
 
 from spanfall_node.gateway.callers import Callers
+from spanfall_node.gateway.capacity_duty import CapacityDuty
 from spanfall_node.gateway.client import ConnectionPool
 from spanfall_node.gateway.duties import Cloud, UsageDuty
 from spanfall_node.gateway.leadership import Leadership
@@ -98,6 +99,8 @@
     ]
     if state.cfg.reports_usage:
         parts.append(UsageDuty(state, store, cloud).run)
+    if state.cfg.orders_upstreams:
+        parts.append(CapacityDuty(state, cloud).run)
     for part in parts:
         tasks.start_soon(_keep_running, part)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/state.py
@@ -42,6 +42,8 @@
     #: Steady time until which the lease is certain to last.
     valid_until: float
     began_at: float
+    #: Whether no node of this fleet was ever the home before.
+    is_first: bool = False
 
 
 @dataclass(slots=True)
