Keep one bucket of each workspace at the home

Change: the home holds the bucket and gives out its level; an entry may spend only a part of it before it hears again, and alone keeps its own part of the rate and of the bucket. A new home goes on from the levels that entries heard.

--- a/packages/spanfall-core/src/spanfall_core/gateway/configuration.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/configuration.py
@@ -11,6 +11,8 @@
 
 from xxhash import xxh3_64_intdigest
 
+from spanfall_core.gateway.quotas import Limit
+
 
 @unique
 class RouteKind(StrEnum):
@@ -160,6 +162,14 @@
             key: row for row in self.workspaces.values() for key in row.keys
         }
 
+    def limits_by_workspace(self) -> dict[str, Limit]:
+        """Return the limits of the workspaces that have one."""
+        return {
+            row.name: Limit(row.rate, row.burst)
+            for row in self.workspaces.values()
+            if row.rate
+        }
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path, if any."""
         rows = self._hosts.get(host, [])
--- a/packages/spanfall-core/src/spanfall_core/gateway/fleet.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/fleet.py
@@ -28,6 +28,8 @@
     prefill: Counts = field(default_factory=dict)
     failed: Counts = field(default_factory=dict)
     spent: Units = field(default_factory=dict)
+    #: What each workspace may still spend, as heard from the last home.
+    levels: Units = field(default_factory=dict)
     usage: WindowCounts = field(default_factory=dict)
     #: Requests and prompt tokens begun by service since the process started.
     requests: Counts = field(default_factory=dict)
@@ -43,15 +45,14 @@
 class FleetTotals:
     """Give sums over entries that reported to this home.
 
-    What runs is a sum of the present; what failed and was spent is counted
-    since each entry first reported to this home.
+    What runs is a sum of the present; what failed is counted since each
+    entry first reported to this home.
     """
 
     entries: int = 0
     running: Counts = field(default_factory=dict)
     prefill: Counts = field(default_factory=dict)
     failed: Counts = field(default_factory=dict)
-    spent: Units = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -70,7 +71,6 @@
             running=self.report.running if live else {},
             prefill=self.report.prefill if live else {},
             failed=_less(self.report.failed, self.first.failed),
-            spent=_less_units(self.report.spent, self.first.spent),
         )
 
 
@@ -112,7 +112,6 @@
             running=_less(summed.running, own.running),
             prefill=_less(summed.prefill, own.prefill),
             failed=_less(summed.failed, own.failed),
-            spent=_less_units(summed.spent, own.spent),
         )
 
     def running(self, now: float) -> Counts:
@@ -142,7 +141,6 @@
             running=_sum(row.running for row in rows),
             prefill=_sum(row.prefill for row in rows),
             failed=_sum(row.failed for row in rows),
-            spent=_sum_units(row.spent for row in rows),
         )
         return Summed(now, parts, totals)
 
@@ -163,22 +161,9 @@
     return dict(total)
 
 
-def _sum_units(rows: Iterable[Mapping[str, float]]) -> Units:
-    total: Units = {}
-    for row in rows:
-        for name, units in row.items():
-            total[name] = total.get(name, 0) + units
-    return total
-
-
 def _less(counts: Mapping[str, int], part: Mapping[str, int]) -> Counts:
     """Return the differences that are not zero."""
     differences = (
         (key, count - part.get(key, 0)) for key, count in counts.items()
     )
     return {key: count for key, count in differences if count}
-
-
-def _less_units(units: Mapping[str, float], part: Mapping[str, float]) -> Units:
-    """Return the differences, of which new names start at zero."""
-    return {key: count - part.get(key, 0) for key, count in units.items()}
--- a/packages/spanfall-core/src/spanfall_core/gateway/quotas.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/quotas.py
@@ -1,49 +1,67 @@
 """Share the limits of workspaces over all entries.
 
-Each entry keeps a bucket of every workspace. While a home answers, the entry
-subtracts what the others spent; alone, it refills at its share of the rate,
-so that all entries alone together stay inside the limit.
+The home keeps one bucket of each workspace and gives out its level. An entry
+spends from the level it heard last, but only a part of it before it hears
+again. An entry that hears nobody keeps its own part of the bucket, so that
+all entries alone together stay inside the limit.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-#: Part of a full bucket that a new process starts with: after a restart of
-#: the whole fleet the buckets may have been empty.
-FIRST_FILL = 0.7
+#: Part of a full bucket that a new home starts with where no entry knows a
+#: level: after a restart of the whole fleet the bucket may have been empty.
+HOME_FILL = 0.25
+#: Part of its own share of a bucket that an entry alone starts with.
+ALONE_FILL = 0.15
 #: How many times its equal part of what is left an entry may spend before
 #: it hears of the others again: callers are spread unevenly.
 UNEVENNESS = 2.5
 
+Units = dict[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Limit:
+    """State the limit of a workspace, in units a second and at once."""
+
+    rate: float
+    burst: float
+
 
 @dataclass(slots=True)
 class Bucket:
-    """Hold what a workspace may still spend here; units as configured."""
+    """Hold what a workspace may still spend."""
 
     level: float
     refilled_at: float
-    #: Units spent here since the process started.
-    spent: float = 0
-    #: Units spent by others as far as subtracted from the level.
-    others_spent: float | None = None
-    #: Units that may still be spent here until the others are heard again.
+    #: Units that may still be spent here until the home is heard again.
     allowance: float = 0
 
+    def refill(self, rate: float, most: float, now: float) -> None:
+        """Add what the passed time allows."""
+        added = max(0, now - self.refilled_at) * rate
+        self.refilled_at = now
+        self.allowance += added
+        self.level = min(most, self.level + added)
+
 
 @dataclass(slots=True)
 class Quotas:
     """Hold the buckets of all workspaces at one entry."""
 
-    buckets: dict[str, Bucket] = field(default_factory=dict)
-    #: Entries that share each limit; 1 while a home reports their spending.
-    divisor: float = 1
-    #: Entries that may spend at the same time before they hear of another.
+    #: Entries that share each limit, as far as known.
     entries: int = 1
+    #: Whether a home gives out the levels.
+    shared: bool = False
+    buckets: dict[str, Bucket] = field(default_factory=dict)
+    #: Units spent here since the process started, by workspace.
+    spent: Units = field(default_factory=dict)
 
     def try_spend(
         self,
         workspace: str,
-        rate: float,
-        burst: float,
+        limit: Limit,
         units: float,
         now: float,
     ) -> bool:
@@ -52,64 +70,113 @@
         A bucket that is not empty pays for a request of any size and may go
         below zero, so that large requests get their turn as small ones do.
         """
-        if not rate:
-            return True
-        bucket = self._refilled(workspace, rate, burst, now)
-        if bucket.level <= 0 or bucket.allowance <= 0:
+        bucket = self._refilled(workspace, limit, now)
+        if bucket.level <= 0 or self.shared and bucket.allowance <= 0:
             return False
-        bucket.level -= units
-        bucket.allowance -= units
-        bucket.spent += units
+        self._spend(workspace, bucket, units)
         return True
 
     def give_back(self, workspace: str, units: float) -> None:
         """Return units of a request that no upstream ran."""
         bucket = self.buckets.get(workspace)
         if bucket is not None:
-            bucket.level += units
-            bucket.allowance += units
-            bucket.spent -= units
-
-    def spent(self) -> dict[str, float]:
-        """Return the units spent here, by workspace, since the start."""
-        return {name: row.spent for name, row in self.buckets.items()}
-
-    def learn_others(self, totals: dict[str, float]) -> None:
-        """Subtract what other entries spent since the last report."""
-        for name, total in totals.items():
-            bucket = self.buckets.get(name)
-            if bucket is None:
-                continue
-            if bucket.others_spent is not None:
-                bucket.level -= max(0, total - bucket.others_spent)
-            bucket.others_spent = total
-        for row in self.buckets.values():
-            row.allowance = self._allowance(row.level)
-
-    def forget_others(self) -> None:
-        """Start a new count of the others, after a change of the home."""
-        for bucket in self.buckets.values():
-            bucket.others_spent = None
-
-    def _allowance(self, level: float) -> float:
-        return level * UNEVENNESS / max(1, self.entries)
-
-    def _refilled(
+            self._spend(workspace, bucket, -units)
+
+    def learn_levels(self, levels: Units, reported: Units, now: float) -> None:
+        """Follow the home's levels.
+
+        ``reported`` is what this entry had spent when it last reported; the
+        home does not know yet what it has spent since.
+        """
+        self.shared = True
+        for workspace, level in levels.items():
+            spent = self.spent.get(workspace, 0)
+            since = spent - reported.get(workspace, 0)
+            left = level - since
+            part = min(1.0, UNEVENNESS / max(1, self.entries))
+            self.buckets[workspace] = Bucket(left, now, left * part)
+
+    def levels(self) -> Units:
+        """Return the levels that were heard, for a new home."""
+        if not self.shared:
+            return {}
+        return {name: row.level for name, row in self.buckets.items()}
+
+    def go_alone(self) -> None:
+        """Keep this entry's own part of what is left."""
+        if self.shared:
+            for bucket in self.buckets.values():
+                bucket.level /= max(1, self.entries)
+        self.shared = False
+
+    def _spend(self, workspace: str, bucket: Bucket, units: float) -> None:
+        bucket.level -= units
+        bucket.allowance -= units
+        self.spent[workspace] = self.spent.get(workspace, 0) + units
+
+    def _refilled(self, workspace: str, limit: Limit, now: float) -> Bucket:
+        divisor = 1 if self.shared else max(1, self.entries)
+        most = limit.burst / divisor
+        bucket = self.buckets.get(workspace)
+        if bucket is None:
+            bucket = Bucket(most * ALONE_FILL, now)
+            bucket.allowance = bucket.level
+            self.buckets[workspace] = bucket
+        bucket.refill(limit.rate / divisor, most, now)
+        return bucket
+
+
+@dataclass(slots=True)
+class SharedLevels:
+    """Hold the bucket of each workspace at the home."""
+
+    _buckets: dict[str, Bucket] = field(default_factory=dict)
+    _spent: dict[str, Units] = field(default_factory=dict)
+
+    def learn(
+        self,
+        entry: str,
+        spent: Units,
+        levels: Units,
+        limits: Mapping[str, Limit],
+        now: float,
+    ) -> None:
+        """Subtract what an entry spent since its last report.
+
+        The first report of an entry shows where it stands; its levels, heard
+        from an earlier home, set the buckets that are not known here yet.
+        """
+        known = self._spent.get(entry)
+        for workspace, limit in limits.items():
+            bucket = self._bucket(workspace, limit, levels, now)
+            bucket.refill(limit.rate, limit.burst, now)
+            if known is not None:
+                total = spent.get(workspace, 0)
+                bucket.level -= total - known.get(workspace, 0)
+        self._spent[entry] = dict(spent)
+
+    def levels(self, limits: Mapping[str, Limit], now: float) -> Units:
+        """Return what each workspace may still spend."""
+        return {
+            workspace: self._level(workspace, limit, now)
+            for workspace, limit in limits.items()
+        }
+
+    def _level(self, workspace: str, limit: Limit, now: float) -> float:
+        bucket = self._bucket(workspace, limit, {}, now)
+        bucket.refill(limit.rate, limit.burst, now)
+        return bucket.level
+
+    def _bucket(
         self,
         workspace: str,
-        rate: float,
-        burst: float,
+        limit: Limit,
+        levels: Units,
         now: float,
     ) -> Bucket:
-        bucket = self.buckets.get(workspace)
+        bucket = self._buckets.get(workspace)
         if bucket is None:
-            bucket = Bucket(burst * FIRST_FILL, now)
-            bucket.allowance = self._allowance(bucket.level)
-            self.buckets[workspace] = bucket
-        passed = now - bucket.refilled_at
-        bucket.refilled_at = now
-        added = passed * rate / self.divisor
-        bucket.allowance += added
-        refilled = bucket.level + added
-        bucket.level = min(burst, refilled)
+            level = levels.get(workspace, limit.burst * HOME_FILL)
+            bucket = Bucket(level, now)
+            self._buckets[workspace] = bucket
         return bucket
--- a/packages/spanfall-node/src/spanfall_node/gateway/admission.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/admission.py
@@ -9,6 +9,7 @@
     ServedWorkspace,
 )
 from spanfall_core.gateway.prefixes import PromptPart
+from spanfall_core.gateway.quotas import Limit
 from spanfall_core.reasons import RefusalReason
 
 from spanfall_node.gateway.caller_connection import CallerRequest
@@ -165,12 +166,11 @@
     units: float,
     now: float,
 ) -> None:
-    if workspace is None:
+    if workspace is None or not workspace.rate:
         return
     taken = state.quotas.try_spend(
         workspace.name,
-        workspace.rate,
-        workspace.burst,
+        Limit(workspace.rate, workspace.burst),
         units,
         now,
     )
--- a/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
@@ -167,4 +167,6 @@
         logger.warning('This node is not the home any more: %s', reason)
         state.tenure = None
         state.home = None
+        state.quotas.go_alone()
+        state.loads.forget_others()
         state.home_heard_at = state.timers.now()
--- a/packages/spanfall-node/src/spanfall_node/gateway/links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links.py
@@ -81,8 +81,8 @@
         state = self._state
         message = decode_report(received)
         now = state.timers.now()
-        state.fleet.learn(message.report, now)
-        state.fleet.learn(state.report(), now)
+        state.learn_report(message.report, now)
+        state.learn_report(state.report(), now)
         return encode(self._table(message, now))
 
     def _table(self, message: ReportMessage, now: float) -> TableMessage:
@@ -94,6 +94,7 @@
             configuration_revision=revision,
             proof_age=min(state.freshness.age(now), 1e9),
             true_time=state.true_time.at(now),
+            levels=state.levels(now),
             configuration=self._configuration(message, revision),
             upstreams=self._upstreams(message),
         )
@@ -142,7 +143,8 @@
         state = self._state
         now = state.timers.now()
         report = state.report()
-        state.fleet.learn(report, now)
+        state.learn_report(report, now)
+        state.quotas.learn_levels(state.levels(now), report.spent, now)
         apply_totals(state, state.fleet.others(report.key, now), now)
 
     async def _follow_home(self) -> None:
@@ -169,7 +171,6 @@
 
     async def _report_until_lost(self, link: ClientConnection) -> None:
         epoch = self._state.home.epoch
-        self._state.quotas.forget_others()
         self._state.loads.forget_others()
         while self._state.home is not None:
             if self._state.home.epoch != epoch or self._state.tenure:
@@ -198,6 +199,8 @@
         await link.send(encode(message))
         table = decode_table(await link.recv())
         self._apply(table, sent_at)
+        now = state.timers.now()
+        state.quotas.learn_levels(table.levels, report.spent, now)
 
     def _apply(
         self,
@@ -232,7 +235,7 @@
             reason,
         )
         state.home = None
-        state.quotas.divisor = state.retries.entries
+        state.quotas.go_alone()
         state.loads.forget_others()
 
 
@@ -245,9 +248,7 @@
     state.loads.others_running = others.running
     state.loads.others_prefill = others.prefill
     state.loads.learn_failures(others.failed, now)
-    state.quotas.divisor = 1
     state.quotas.entries = max(1, others.entries)
-    state.quotas.learn_others(others.spent)
     state.retries.entries = max(1, others.entries)
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/messages.py
@@ -42,6 +42,8 @@
     #: Seconds since that was last proved the newest.
     proof_age: float
     true_time: float
+    #: Units that each workspace may still spend.
+    levels: dict[str, float] = {}
     configuration: ConfigurationPart | None = None
     upstreams: UpstreamsPart | None = None
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/state.py
@@ -12,7 +12,7 @@
 from spanfall_core.gateway.freshness import Freshness
 from spanfall_core.gateway.loads import Loads
 from spanfall_core.gateway.prefixes import PrefixIndex
-from spanfall_core.gateway.quotas import Quotas
+from spanfall_core.gateway.quotas import Limit, Quotas, SharedLevels
 from spanfall_core.gateway.retry_budget import RetryBudget, RetryLimits
 from spanfall_core.gateway.true_time import TrueTime
 from spanfall_core.gateway.usage import UsageCounts
@@ -67,6 +67,7 @@
     loads: Loads = field(default_factory=Loads)
     prefixes: PrefixIndex = field(default_factory=PrefixIndex)
     fleet: FleetState = field(default_factory=FleetState)
+    shared_levels: SharedLevels = field(default_factory=SharedLevels)
     home: HomeRecord | None = None
     tenure: Tenure | None = None
     #: When the home last answered.
@@ -95,6 +96,26 @@
             return False
         return self.freshness.is_ready(now)
 
+    def learn_report(self, report: EntryReport, now: float) -> None:
+        """Take over the report of an entry as the home."""
+        self.fleet.learn(report, now)
+        self.shared_levels.learn(
+            report.key,
+            report.spent,
+            report.levels,
+            self._limits(),
+            now,
+        )
+
+    def levels(self, now: float) -> dict[str, float]:
+        """Return what each workspace may still spend, as the home."""
+        return self.shared_levels.levels(self._limits(), now)
+
+    def _limits(self) -> dict[str, Limit]:
+        if self.configuration is None:
+            return {}
+        return self.configuration.limits_by_workspace()
+
     def report(self) -> EntryReport:
         """Return what the home is to know of this entry."""
         return EntryReport(
@@ -103,7 +124,8 @@
             running=dict(self.loads.running),
             prefill=dict(+self.loads.prefill),
             failed=dict(self.loads.failed),
-            spent=self.quotas.spent(),
+            spent=dict(self.quotas.spent),
+            levels=self.quotas.levels(),
             usage={key: dict(row) for key, row in self.usage.windows.items()},
             requests=dict(self.requests),
             prompt_tokens=dict(self.prompt_tokens),
@@ -124,7 +146,7 @@
         incarnation=incarnation,
         counters=Counters(),
         freshness=Freshness(cfg.bounds.revoke_seconds),
-        quotas=Quotas(divisor=cfg.assumed_entries),
+        quotas=Quotas(entries=cfg.assumed_entries),
         retries=RetryBudget(
             RetryLimits(
                 cfg.bounds.retry_ratio,
