--- a/packages/spanfall-node/src/spanfall_node/gateway/program.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/program.py
@@ -5,6 +5,7 @@
 import secrets
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from pathlib import Path
 
 import anyio
@@ -59,33 +60,39 @@
     anyio.run(_run, state, path)
 
 
+@dataclass(slots=True)
+class Gateway:
+    """Hold the parts of a running gateway that stop it."""
+
+    state: GatewayState
+    callers: Callers
+    leadership: Leadership
+
+
 async def _run(state: GatewayState, path: Path) -> None:
     logger.info('Gateway starts in %s', state.cfg.data_centre)
     async with anyio.create_task_group() as tasks:
-        await _start_parts(state, path, tasks)
+        gateway = start_gateway(state, tasks)
+        tasks.start_soon(SettingsWatch(state, path).run)
+        tasks.start_soon(
+            stop_on_signal,
+            state,
+            gateway.callers,
+            gateway.leadership,
+            tasks.cancel_scope,
+        )
     logger.info('Gateway has stopped')
 
 
-async def _start_parts(
-    state: GatewayState,
-    path: Path,
-    tasks: TaskGroup,
-) -> None:
+def start_gateway(state: GatewayState, tasks: TaskGroup) -> Gateway:
+    """Start all parts that serve, in a task group of the caller."""
     pool = ConnectionPool(tasks)
     store = StoreClient(state, pool)
-    sync = Sync(state, store, pool)
+    sync = Sync(state, store)
     callers = Callers(state, pool)
     leadership = Leadership(state, store)
     cloud = Cloud(state, pool)
     pages = StatusPages(state)
-    tasks.start_soon(
-        stop_on_signal,
-        state,
-        callers,
-        leadership,
-        tasks.cancel_scope,
-    )
-    tasks.start_soon(SettingsWatch(state, path).run)
     tasks.start_soon(_listen, state.cfg.listen.readiness, pages)
     if state.cfg.listen.metrics:
         tasks.start_soon(_listen, state.cfg.listen.metrics, pages)
@@ -103,6 +110,7 @@
         parts.append(CapacityDuty(state, cloud).run)
     for part in parts:
         tasks.start_soon(_keep_running, part)
+    return Gateway(state, callers, leadership)
 
 
 async def _keep_running(part: Callable[[], Awaitable[None]]) -> None:
--- a/packages/spanfall-node/src/spanfall_node/gateway/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/sync.py
@@ -10,7 +10,6 @@
 import msgspec
 from spanfall_core.gateway.directory import ListedUpstream
 
-from spanfall_node.gateway.client import ConnectionPool
 from spanfall_node.gateway.state import GatewayState
 from spanfall_node.gateway.store_client import StoreClient, StoreError
 
@@ -32,12 +31,10 @@
         self,
         state: GatewayState,
         store: StoreClient,
-        pool: ConnectionPool,
     ) -> None:
-        """Use the tables, the store and the connections of the node."""
+        """Use the tables and the store of the node."""
         self._state = state
         self._store = store
-        self._pool = pool
 
     async def run(self) -> None:
         """Read the store as often as this node has to, until cancelled."""
--- /dev/null
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
@@ -0,0 +1,259 @@
+"""Speak the dialect of the stand-in platform: plain JSON, short names."""
+
+from urllib.parse import urlencode
+
+import msgspec
+from spanfall_core.gateway.configuration import (
+    CallerLimits,
+    Route,
+    RouteKind,
+    Scaling,
+    ServedConfiguration,
+    ServedService,
+    ServedWorkspace,
+    ServiceShare,
+)
+from spanfall_core.gateway.directory import ListedUpstream
+from spanfall_node.gateway.ports import (
+    CloudDialect,
+    HeaderNames,
+    HttpCall,
+    Listing,
+    PlatformAdapter,
+    StoreDialect,
+    StoredItem,
+    Write,
+)
+
+CONFIGURATION_KEY = 'operator/configuration'
+UPSTREAM_PREFIX = 'upstreams/'
+
+NAMES = HeaderNames(
+    attempt_id=b'attempt',
+    deadline_ms=b'left-ms',
+    prompt_parts=b'parts',
+    token_counts=b'tokens',
+    last_event_id=b'last-event-id',
+    signature=b'signed',
+    workspace=b'workspace',
+    expected_lifetime=b'lifetime-wanted',
+    lifetime=b'lifetime',
+    load=b'load',
+    not_run=b'not-run',
+    engine_priority=b'rank',
+    key_scheme=b'Key',
+    set_by_nodes=frozenset((b'workspace', b'left-ms', b'lifetime-wanted')),
+)
+
+
+class PlainShare(msgspec.Struct):
+    """Give a service its part of a route."""
+
+    service: str
+    weight: int = 1
+
+
+class PlainRoute(msgspec.Struct):
+    """Describe a route; times in seconds."""
+
+    name: str
+    host: str
+    prefix: str
+    shares: list[PlainShare]
+    kind: RouteKind = RouteKind.NON_IDEMPOTENT
+    timeout: float = 5
+    target: float = 1
+    most: int = 2
+    key: bool = False
+    resumable: bool = False
+
+
+class PlainWorkspace(msgspec.Struct):
+    """Describe a workspace."""
+
+    name: str
+    keys: list[str]
+    rate: float = 0
+    burst: float = 0
+
+
+class PlainService(msgspec.Struct):
+    """Describe a service; with a size, its upstreams may be ordered."""
+
+    name: str
+    most: int = 0
+
+
+class PlainConfiguration(msgspec.Struct):
+    """Describe a whole configuration."""
+
+    routes: list[PlainRoute]
+    services: list[PlainService] = []
+    workspaces: list[PlainWorkspace] = []
+    header_bytes: int = 16384
+    body_bytes: int = 4194304
+    header_timeout: float = 3
+    idle_timeout: float = 15
+
+
+class PlainItem(msgspec.Struct):
+    """Carry one item of the store; contents are text."""
+
+    key: str
+    content: str
+    revision: int
+    created: int
+    lease: int = 0
+
+
+class PlainPage(msgspec.Struct):
+    """Carry all items below a prefix."""
+
+    items: list[PlainItem]
+    revision: int
+
+
+class PlainTransaction(msgspec.Struct):
+    """Carry a conditional write."""
+
+    expected: dict[str, int]
+    writes: list[tuple[str, str, int]]
+
+
+def _read_configuration(revision: int, source: bytes) -> ServedConfiguration:
+    plain = msgspec.json.decode(source, type=PlainConfiguration)
+    return ServedConfiguration(
+        revision,
+        [_route(row) for row in plain.routes],
+        [_service(row) for row in plain.services],
+        [
+            ServedWorkspace(
+                row.name,
+                frozenset(row.keys),
+                rate=row.rate,
+                burst=row.burst,
+            )
+            for row in plain.workspaces
+        ],
+        CallerLimits(
+            plain.header_bytes,
+            plain.body_bytes,
+            plain.header_timeout,
+            plain.idle_timeout,
+        ),
+    )
+
+
+def _route(row: PlainRoute) -> Route:
+    return Route(
+        name=row.name,
+        host=row.host,
+        path_prefix=row.prefix,
+        kind=row.kind,
+        timeout=row.timeout,
+        target=row.target,
+        shares=tuple(
+            ServiceShare(share.service, share.weight) for share in row.shares
+        ),
+        max_upstreams=row.most,
+        needs_key=row.key,
+        resumable=row.resumable,
+    )
+
+
+def _service(row: PlainService) -> ServedService:
+    if not row.most:
+        return ServedService(row.name, 100)
+    return ServedService(row.name, 100, scaling=Scaling(0, row.most, 1))
+
+
+def _read_upstream(key: str, source: bytes) -> ListedUpstream:
+    return msgspec.json.decode(source, type=ListedUpstream)
+
+
+def _get(key: str) -> HttpCall:
+    return HttpCall('GET', '/item?{0}'.format(urlencode({'key': key})))
+
+
+def _list_items(prefix: str, after: str) -> HttpCall:
+    return HttpCall('GET', '/items?{0}'.format(urlencode({'prefix': prefix})))
+
+
+def _transact(expected: dict[str, int], writes: tuple[Write, ...]) -> HttpCall:
+    rows = [(row.key, row.content.decode(), row.lease) for row in writes]
+    body = msgspec.json.encode(PlainTransaction(expected, rows))
+    return HttpCall('POST', '/transaction', body=body)
+
+
+def _item(plain: PlainItem) -> StoredItem:
+    return StoredItem(
+        plain.key,
+        plain.content.encode(),
+        plain.revision,
+        plain.created,
+        plain.lease,
+    )
+
+
+def _read_listing(body: bytes) -> Listing:
+    page = msgspec.json.decode(body, type=PlainPage)
+    return Listing(tuple(_item(row) for row in page.items), page.revision)
+
+
+STORE = StoreDialect(
+    configuration_key=CONFIGURATION_KEY,
+    upstream_prefix=UPSTREAM_PREFIX,
+    get=_get,
+    list_items=_list_items,
+    transact=_transact,
+    grant=lambda ttl_ms: HttpCall('POST', f'/lease/new/{ttl_ms}'),
+    renew=lambda lease: HttpCall('POST', f'/lease/renew/{lease}'),
+    revoke=lambda lease: HttpCall('POST', f'/lease/end/{lease}'),
+    read_item=lambda body: _item(msgspec.json.decode(body, type=PlainItem)),
+    read_listing=_read_listing,
+    read_revision=int,
+    read_lease=int,
+)
+
+
+class PlainUsage(msgspec.Struct):
+    """Carry the usage of one window."""
+
+    holder: str
+    token: int
+    window: int
+    counts: dict[str, int]
+
+
+class PlainOrder(msgspec.Struct):
+    """Carry an order of upstreams."""
+
+    holder: str
+    token: int
+    service: str
+    data_centre: str
+    count: int
+    reclaimable: bool
+
+
+CLOUD = CloudDialect(
+    report_usage=lambda *row: HttpCall(
+        'POST',
+        '/usage',
+        body=msgspec.json.encode(PlainUsage(*row)),
+    ),
+    order_upstreams=lambda *row: HttpCall(
+        'POST',
+        '/order',
+        body=msgspec.json.encode(PlainOrder(*row)),
+    ),
+)
+
+ADAPTER = PlatformAdapter(
+    names=NAMES,
+    store=STORE,
+    cloud=CLOUD,
+    readiness_path='/ready',
+    read_configuration=_read_configuration,
+    read_upstream=_read_upstream,
+)
--- /dev/null
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/store.py
@@ -0,0 +1,126 @@
+"""Stand in for the platform's store, with faults on demand."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+from anyio.abc import SocketStream
+
+from spanfall_standins.gateway.dialect import (
+    PlainItem,
+    PlainPage,
+    PlainTransaction,
+)
+from spanfall_standins.gateway.server import Seen, answer_bytes
+
+
+@dataclass(slots=True)
+class StandInStore:
+    """Hold the items; time comes from the test."""
+
+    clock: Callable[[], float]
+    items: dict[str, PlainItem] = field(default_factory=dict)
+    leases: dict[int, tuple[float, float]] = field(default_factory=dict)
+    revision: int = 0
+    #: Status that every call gets instead of an answer; 0: none.
+    failing: int = 0
+    #: Whether writes are done and their answers lost.
+    loses_answers: bool = False
+    calls: list[str] = field(default_factory=list)
+
+    async def answer(self, seen: Seen, stream: SocketStream) -> bool:
+        """Answer one call."""
+        self.calls.append(seen.target)
+        if self.failing:
+            await stream.send(answer_bytes(self.failing, b''))
+            return True
+        self._expire()
+        status, body = self._handle(seen)
+        if self.loses_answers and seen.method == 'POST':
+            return False
+        await stream.send(answer_bytes(status, body))
+        return True
+
+    def put(self, key: str, content: str, lease: int = 0) -> int:
+        """Write an item."""
+        self.revision += 1
+        known = self.items.get(key)
+        created = known.created if known else self.revision
+        item = PlainItem(key, content, self.revision, created, lease)
+        self.items[key] = item
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        self.revision += 1
+        self.items.pop(key, None)
+
+    def _handle(self, seen: Seen) -> tuple[int, bytes]:
+        parts = urlsplit(seen.target)
+        query = parse_qs(parts.query)
+        if parts.path == '/item':
+            return self._get(query['key'][0])
+        if parts.path == '/items':
+            return 200, self._list(query['prefix'][0])
+        if parts.path == '/transaction':
+            return self._transact(seen.body)
+        return self._lease(parts.path.split('/'))
+
+    def _get(self, key: str) -> tuple[int, bytes]:
+        item = self.items.get(key)
+        if item is None:
+            return 404, b''
+        return 200, msgspec.json.encode(item)
+
+    def _list(self, prefix: str) -> bytes:
+        rows = [
+            row for key, row in self.items.items() if key.startswith(prefix)
+        ]
+        return msgspec.json.encode(PlainPage(rows, self.revision))
+
+    def _transact(self, body: bytes) -> tuple[int, bytes]:
+        wanted = msgspec.json.decode(body, type=PlainTransaction)
+        for key, revision in wanted.expected.items():
+            if self._revision_of(key) != revision:
+                return 412, b'[]'
+        leases = {lease for _, _, lease in wanted.writes if lease}
+        if leases - self.leases.keys():
+            return 404, b''
+        for name, content, lease in wanted.writes:
+            self.put(name, content, lease)
+        return 200, str(self.revision).encode()
+
+    def _revision_of(self, key: str) -> int:
+        item = self.items.get(key)
+        return item.revision if item else 0
+
+    def _lease(self, path: list[str]) -> tuple[int, bytes]:
+        verb, number = path[2], int(path[3])
+        if verb == 'new':
+            lease = len(self.leases) + 100 + self.revision
+            self.leases[lease] = (number / 1000, self.clock())
+            return 200, str(lease).encode()
+        if number not in self.leases:
+            return 404, b''
+        if verb == 'renew':
+            self.leases[number] = (self.leases[number][0], self.clock())
+        else:
+            self._end(number)
+        return 200, b''
+
+    def _expire(self) -> None:
+        now = self.clock()
+        over = [
+            lease
+            for lease, (seconds, began) in self.leases.items()
+            if now - began > seconds
+        ]
+        for lease in over:
+            self._end(lease)
+
+    def _end(self, lease: int) -> None:
+        self.leases.pop(lease)
+        held = [key for key, row in self.items.items() if row.lease == lease]
+        for key in held:
+            self.remove(key)
--- /dev/null
+++ b/tests/gateway_world.py
@@ -0,0 +1,253 @@
+"""Start gateways before stand-ins of a platform, inside one test."""
+
+import json
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from itertools import count
+
+import anyio
+import h11
+import msgspec
+from anyio.abc import SocketStream, TaskGroup
+from spanfall_api.gateway_settings import Bounds, GatewaySettings, Listen
+from spanfall_core.gateway.configuration import RouteKind
+from spanfall_core.gateway.directory import ListedUpstream
+from spanfall_node.gateway.program import start_gateway
+from spanfall_node.gateway.state import GatewayState, build_state
+from spanfall_node.timers import Timers
+from spanfall_standins.gateway.dialect import (
+    ADAPTER,
+    CONFIGURATION_KEY,
+    UPSTREAM_PREFIX,
+    PlainConfiguration,
+    PlainRoute,
+    PlainService,
+    PlainShare,
+)
+from spanfall_standins.gateway.server import (
+    Seen,
+    answer_bytes,
+    start_server,
+)
+from spanfall_standins.gateway.store import StandInStore
+from spanfall_standins.gateway.upstream import Behaviour, StandInUpstream
+from support import run_async, wait_until
+
+HOST = 'depot.example'
+SERVICE = 'sheets'
+
+
+def route(prefix: str, kind: RouteKind, **fields: object) -> PlainRoute:
+    """Return a route of the one service."""
+    shares = [PlainShare(SERVICE)]
+    return PlainRoute(prefix, HOST, prefix, shares, kind, **fields)
+
+
+ROUTES = [
+    route('/once/', RouteKind.NON_IDEMPOTENT),
+    route('/any/', RouteKind.IDEMPOTENT),
+    route('/short/', RouteKind.IDEMPOTENT, timeout=0.3),
+    route('/stream/', RouteKind.STREAM),
+    route('/resume/', RouteKind.STREAM, resumable=True),
+    route('/keyed/', RouteKind.NON_IDEMPOTENT, key=True),
+]
+
+
+@dataclass(slots=True)
+class Answer:
+    """Hold what a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    #: Whether the answer ended as HTTP says it ends.
+    complete: bool
+
+    def goes_on(self, event: object) -> bool:
+        """Take an event; tell whether there is more to come."""
+        if isinstance(event, h11.Response):
+            self.status = event.status_code
+            self.headers = {
+                name.decode(): text.decode() for name, text in event.headers
+            }
+            return True
+        if isinstance(event, h11.Data):
+            self.body += bytes(event.data)
+            return True
+        self.complete = isinstance(event, h11.EndOfMessage)
+        return False
+
+
+@dataclass(slots=True)
+class World:
+    """Hold the stand-ins and gateways of one test."""
+
+    tasks: TaskGroup
+    store: StandInStore
+    store_address: str
+    cloud_address: str
+    cloud_calls: list[dict[str, object]] = field(default_factory=list)
+    upstreams: dict[str, StandInUpstream] = field(default_factory=dict)
+    configuration: PlainConfiguration = field(
+        default_factory=lambda: PlainConfiguration(
+            list(ROUTES),
+            [PlainService(SERVICE)],
+        ),
+    )
+    _numbers: count = field(default_factory=lambda: count(1))
+
+    def configure(self, **changes: object) -> int:
+        """Write a configuration with some fields changed."""
+        for name, content in changes.items():
+            setattr(self.configuration, name, content)
+        encoded = msgspec.json.encode(self.configuration).decode()
+        return self.store.put(CONFIGURATION_KEY, encoded)
+
+    async def add_upstream(self, behaviour: Behaviour) -> StandInUpstream:
+        """Start an upstream and list it."""
+        lifetime = f'u-{next(self._numbers)}'
+        upstream = StandInUpstream(lifetime, behaviour)
+        address = await start_server(self.tasks, upstream.answer)
+        row = ListedUpstream(lifetime, SERVICE, address, 'north', slots=4)
+        encoded = msgspec.json.encode(row).decode()
+        self.store.put(f'{UPSTREAM_PREFIX}{lifetime}', encoded)
+        self.upstreams[lifetime] = upstream
+        return upstream
+
+    async def add_gateway(self, **bounds: float) -> GatewayState:
+        """Start a gateway and wait until it is ready."""
+        state = await self.add_unready_gateway(**bounds)
+        await wait_until(lambda: state.is_ready(state.timers.now()))
+        await wait_until(
+            lambda: len(state.directory.rows) >= len(self.upstreams),
+        )
+        return state
+
+    async def add_unready_gateway(self, **bounds: float) -> GatewayState:
+        """Start a gateway."""
+        number = next(self._numbers)
+        listen = Listen(
+            callers=await free_address(),
+            readiness=await free_address(),
+            links=await free_address(),
+        )
+        cfg = GatewaySettings(
+            node=f'node-{number}',
+            data_centre='north',
+            platform='spanfall_standins.gateway.dialect',
+            listen=listen,
+            store=self.store_address,
+            cloud=self.cloud_address,
+            reports_usage=True,
+            bounds=Bounds(**bounds),
+        )
+        timers = Timers(time.monotonic, time.time)
+        state = build_state(cfg, ADAPTER, timers, f'i-{number}')
+        start_gateway(state, self.tasks)
+        await wait_until_open(listen.callers)
+        return state
+
+    async def answer_cloud(self, seen: Seen, stream: SocketStream) -> bool:
+        """Record a call of the cloud API."""
+        self.cloud_calls.append(json.loads(seen.body))
+        await stream.send(answer_bytes(200, b''))
+        return True
+
+
+async def free_address() -> str:
+    """Return a loopback address that nothing listens on."""
+    listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    await listener.aclose()
+    return f'127.0.0.1:{port}'
+
+
+async def wait_until_open(address: str) -> None:
+    """Wait until something accepts connections at an address."""
+    while True:
+        try:
+            stream = await dial(address)
+        except OSError:
+            await anyio.sleep(0.01)
+        else:
+            await stream.aclose()
+            return
+
+
+async def dial(address: str) -> SocketStream:
+    """Connect to an address."""
+    host, _, port = address.rpartition(':')
+    return await anyio.connect_tcp(host, int(port))
+
+
+def request_bytes(
+    path: str,
+    attempt: str = 'a1',
+    body: bytes = b'',
+    **headers: str,
+) -> bytes:
+    """Return the bytes of a request."""
+    method = 'POST' if body else 'GET'
+    rows = {'host': HOST, 'attempt': attempt}
+    rows.update({key.replace('_', '-'): text for key, text in headers.items()})
+    if body:
+        rows['content-length'] = str(len(body))
+    lines = ''.join(f'{name}: {text}\r\n' for name, text in rows.items())
+    return f'{method} {path} HTTP/1.1\r\n{lines}\r\n'.encode() + body
+
+
+async def read_answer(stream: SocketStream) -> Answer:
+    """Read one answer from a stream."""
+    protocol = h11.Connection(h11.CLIENT)
+    protocol.send(
+        h11.Request(method='GET', target='/', headers=[('host', 'x')])
+    )
+    protocol.send(h11.EndOfMessage())
+    answer = Answer(0, {}, b'', complete=False)
+    while True:
+        try:
+            event = protocol.next_event()
+        except h11.RemoteProtocolError:
+            return answer
+        if event is h11.NEED_DATA:
+            protocol.receive_data(await _received(stream))
+        elif not answer.goes_on(event):
+            return answer
+
+
+async def _received(stream: SocketStream) -> bytes:
+    try:
+        return await stream.receive()
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        return b''
+
+
+async def ask(state: GatewayState, path: str, **fields: object) -> Answer:
+    """Send one request over a new connection and return its answer."""
+    stream = await dial(state.cfg.listen.callers)
+    async with stream:
+        await stream.send(request_bytes(path, **fields))
+        return await read_answer(stream)
+
+
+def in_world(test: Callable[[World], Awaitable[None]]) -> Callable[[], None]:
+    """Run a test with a store, a cloud API and a first configuration."""
+
+    def run() -> None:
+        run_async(lambda: _play(test))
+
+    run.__name__ = test.__name__
+    run.__doc__ = test.__doc__
+    return run
+
+
+async def _play(test: Callable[[World], Awaitable[None]]) -> None:
+    async with anyio.create_task_group() as tasks:
+        store = StandInStore(time.monotonic)
+        address = await start_server(tasks, store.answer)
+        world = World(tasks, store, address, '')
+        world.cloud_address = await start_server(tasks, world.answer_cloud)
+        world.configure()
+        await test(world)
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_gateway_relay.py
@@ -0,0 +1,236 @@
+"""Relay whole answers: at most once, never mixed, true refusals."""
+
+import anyio
+from gateway_world import World, ask, dial, in_world, read_answer, request_bytes
+from spanfall_standins.gateway.upstream import (
+    in_turn,
+    raw,
+    refused,
+    silent,
+    whole,
+)
+from support import wait_until
+
+WHOLE = (
+    b'HTTP/1.1 200 OK\r\nattempt: {id}\r\nsigned: s\r\n'
+    b'content-length: 4\r\n\r\ndone'
+)
+
+
+def runs(world: World) -> int:
+    """Return how many requests reached upstreams."""
+    return sum(len(row.seen) for row in world.upstreams.values())
+
+
+@in_world
+async def test_an_answer_comes_back_unchanged(world):
+    upstream = await world.add_upstream(whole(201, b'sheet'))
+    state = await world.add_gateway()
+    answer = await ask(state, '/once/7?x=1', body=b'work', left_ms='900')
+    seen = upstream.seen[0]
+    assert (answer.status, answer.body) == (201, b'sheet')
+    assert answer.headers['signed'] == 'u-1.a1'
+    assert (seen.method, seen.target, seen.body) == (
+        'POST',
+        '/once/7?x=1',
+        b'work',
+    )
+    assert seen.headers['lifetime-wanted'] == 'u-1'
+    assert 0 < int(seen.headers['left-ms']) < 900
+
+
+@in_world
+async def test_what_only_nodes_set_is_dropped(world):
+    upstream = await world.add_upstream(whole())
+    state = await world.add_gateway()
+    await ask(state, '/once/7', workspace='other', lifetime_wanted='u-9')
+    headers = upstream.seen[0].headers
+    assert 'workspace' not in headers
+    assert headers['lifetime-wanted'] == 'u-1'
+
+
+@in_world
+async def test_no_route_and_no_configuration(world):
+    world.store.remove('operator/configuration')
+    state = await world.add_unready_gateway()
+    unknown = await ask(state, '/once/7')
+    world.configure()
+    await wait_until(lambda: state.configuration is not None)
+    missing = await ask(state, '/nowhere/7')
+    assert (unknown.status, missing.status) == (503, 404)
+    assert float(unknown.headers['retry-after']) > 0
+
+
+@in_world
+async def test_a_refusal_is_sent_to_another_upstream(world):
+    await world.add_upstream(refused())
+    await world.add_upstream(whole())
+    state = await world.add_gateway()
+    answers = [
+        await ask(state, '/once/7', attempt=f'a{turn}') for turn in range(4)
+    ]
+    assert {answer.status for answer in answers} == {200}
+
+
+@in_world
+async def test_all_refuse_so_nothing_ran(world):
+    await world.add_upstream(refused())
+    state = await world.add_gateway()
+    answer = await ask(state, '/once/7')
+    assert answer.status == 503
+    assert 'signed' not in answer.headers
+
+
+@in_world
+async def test_an_unanswered_request_is_not_sent_again(world):
+    """A reset after the send says nothing: 502, and one run at most."""
+    await world.add_upstream(raw())
+    await world.add_upstream(raw())
+    state = await world.add_gateway()
+    answer = await ask(state, '/once/7')
+    assert (answer.status, runs(world)) == (502, 1)
+
+
+@in_world
+async def test_an_idempotent_request_is_sent_again(world):
+    await world.add_upstream(in_turn(raw(), whole()))
+    await world.add_upstream(in_turn(raw(), whole()))
+    state = await world.add_gateway()
+    first = await ask(state, '/any/7', attempt='a1')
+    assert (first.status, runs(world)) == (502, 2)
+    second = await ask(state, '/any/7', attempt='a2')
+    assert second.status == 200
+
+
+@in_world
+async def test_a_failure_of_the_upstream_is_passed_on(world):
+    await world.add_upstream(whole(500, b'broken'))
+    state = await world.add_gateway()
+    answer = await ask(state, '/once/7')
+    assert (answer.status, answer.body) == (500, b'broken')
+    assert answer.headers['signed'] == 'u-1.a1'
+
+
+@in_world
+async def test_a_promise_without_its_mark_is_dropped(world):
+    """An upstream that ran a request must not look as if it had not."""
+    await world.add_upstream(whole(503, b'busy'))
+    state = await world.add_gateway()
+    answer = await ask(state, '/once/7')
+    assert answer.status == 502
+
+
+@in_world
+async def test_a_late_answer_to_another_is_dropped(world):
+    late = WHOLE.replace(b'{id}', b'zz')
+    await world.add_upstream(raw(late, WHOLE, keep=True))
+    state = await world.add_gateway()
+    answer = await ask(state, '/once/7')
+    assert (answer.status, answer.headers['attempt']) == (200, 'a1')
+
+
+@in_world
+async def test_bytes_after_an_answer_are_dropped(world):
+    """The second answer on a connection is never taken for the next one's."""
+    extra = WHOLE.replace(b'done', b'evil')
+    upstream = await world.add_upstream(in_turn(raw(WHOLE, extra), whole()))
+    state = await world.add_gateway()
+    first = await ask(state, '/once/7', attempt='a1')
+    second = await ask(state, '/once/7', attempt='a1')
+    assert (first.body, second.body) == (b'done', b'done')
+    assert len(upstream.seen) == 2
+
+
+@in_world
+async def test_a_truncated_answer_is_no_answer(world):
+    await world.add_upstream(raw(WHOLE[:-2]))
+    state = await world.add_gateway()
+    answer = await ask(state, '/once/7')
+    assert (answer.status, answer.body != b'do') == (502, True)
+
+
+@in_world
+async def test_bytes_that_are_no_answer(world):
+    await world.add_upstream(raw(b'garbage\r\n\r\n'))
+    state = await world.add_gateway()
+    answer = await ask(state, '/once/7')
+    assert answer.status == 502
+
+
+@in_world
+async def test_the_end_of_a_routes_time(world):
+    """The answer goes out at the timeout, and the upstream is let go."""
+    upstream = await world.add_upstream(silent())
+    state = await world.add_gateway()
+    answer = await ask(state, '/short/7')
+    assert answer.status == 504
+    await wait_until(lambda: bool(upstream.left))
+
+
+@in_world
+async def test_a_caller_that_leaves_ends_the_run(world):
+    upstream = await world.add_upstream(silent())
+    state = await world.add_gateway()
+    stream = await dial(state.cfg.listen.callers)
+    await stream.send(request_bytes('/once/7'))
+    await wait_until(lambda: bool(upstream.seen))
+    await stream.aclose()
+    await wait_until(lambda: bool(upstream.left))
+    await wait_until(lambda: state.open_requests == 0)
+
+
+@in_world
+async def test_another_lifetime_is_never_asked_again(world):
+    upstream = await world.add_upstream(
+        raw(b'HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n')
+    )
+    state = await world.add_gateway()
+    answers = [await ask(state, '/once/7') for _ in range(2)]
+    assert [row.status for row in answers] == [503, 503]
+    assert len(upstream.seen) == 1
+
+
+@in_world
+async def test_a_kept_connection_carries_many_requests(world):
+    await world.add_upstream(whole())
+    state = await world.add_gateway()
+    stream = await dial(state.cfg.listen.callers)
+    async with stream:
+        for number in range(3):
+            await stream.send(request_bytes('/once/7', f'a{number}'))
+            answer = await read_answer(stream)
+            assert answer.headers['attempt'] == f'a{number}'
+
+
+@in_world
+async def test_a_malformed_request_is_refused(world):
+    state = await world.add_gateway()
+    stream = await dial(state.cfg.listen.callers)
+    async with stream:
+        await stream.send(
+            b'POST /once/7 HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n'
+            b'transfer-encoding: chunked\r\ncontent-length: 9\r\n\r\n',
+        )
+        answer = await read_answer(stream)
+        assert answer.status == 400
+        with anyio.fail_after(5):
+            assert await _closed(stream)
+
+
+async def _closed(stream):
+    try:
+        await stream.receive()
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        return True
+    return False
+
+
+@in_world
+async def test_limits_of_the_configuration_in_force(world):
+    world.configure(body_bytes=100, header_bytes=300)
+    await world.add_upstream(whole())
+    state = await world.add_gateway()
+    large = await ask(state, '/once/7', body=b'x' * 101)
+    long = await ask(state, '/once/7', filler='y' * 400)
+    fine = await ask(state, '/once/7', body=b'x' * 100)
+    assert (large.status, long.status, fine.status) == (413, 431, 200)
