Hand the home's part over before the home stops

Change: a resigned home goes on to answer until it knows its successor, and tells entries to look for one. An entry alone keeps its part of what was left when that is more than its own. A restarted entry has a small free part.

--- a/packages/spanfall-core/src/spanfall_core/gateway/quotas.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/quotas.py
@@ -14,6 +14,9 @@
 #: Part of a limit that a new home takes as spent where neither an entry nor
 #: the record in the store tells: the record is kept while more is spent.
 UNRECORDED_PART = 0.5
+#: Part of its share of a limit that an entry may spend at its start, before
+#: it finds the home: enough for the first requests of each workspace.
+FIRST_FREE = 0.06
 #: Pieces in which spending that is only assumed leaves the window.
 ASSUMED_PIECES = 32
 #: Seconds for which spending is kept as one number.
@@ -143,7 +146,7 @@
         part = limit.total / max(1, self.entries)
         if own is None:
             own = Spending()
-            own.assume(part, limit.window, now)
+            own.assume(part * (1 - FIRST_FREE), limit.window, now)
             self._own[workspace] = own
         heard = self._heard.get(workspace)
         if heard is None:
@@ -179,9 +182,21 @@
         """Return the levels that were heard, for a new home."""
         return {name: row.level for name, row in self._heard.items()}
 
-    def go_alone(self) -> None:
-        """Keep to this entry's own part, as no home is heard."""
+    def go_alone(self, limits: Mapping[str, Limit], now: float) -> None:
+        """Keep to this entry's own part, as no home is heard.
+
+        An entry that gets more than its equal part of the requests keeps its
+        part of what the home said is left, if that is more.
+        """
+        heard = self._heard
         self._heard = {}
+        for workspace, row in heard.items():
+            own = self._own.get(workspace)
+            limit = limits.get(workspace)
+            if own is not None and limit is not None:
+                part = row.level / max(1, self.entries)
+                missing = part - self.left(workspace, limit, now)
+                own.add(-max(0, missing), now)
 
     def _spend(self, workspace: str, units: float, now: float) -> None:
         self._own[workspace].add(units, now)
--- a/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
@@ -37,7 +37,7 @@
 #: Seconds between two renewals.
 RENEW_PERIOD = 0.7
 #: Seconds between two looks at the record while there is no home.
-LOOK_PERIOD = 0.5
+LOOK_PERIOD = 0.3
 
 
 class HomeContent(msgspec.Struct, frozen=True):
@@ -68,37 +68,44 @@
             try:
                 await self._step()
             except LeaseLostError:
-                self._step_down('the lease has ended')
+                self._lay_down('the lease has ended')
             except StoreError as exc:
                 logger.info('Could not look up the home: %r', exc)
             await anyio.sleep(self._pause())
 
     async def resign(self) -> None:
-        """Give the record up, so that another node takes over at once."""
+        """Give the record up, so that another node takes over at once.
+
+        This node goes on to answer the entries until it knows another home.
+        """
         tenure = self._state.tenure
         if tenure is None:
             return
-        self._step_down('this node stops')
+        self._lay_down('this node stops')
         try:
             await self._store.revoke(tenure.lease)
         except StoreError as exc:
             logger.info('Could not end the lease: %r', exc)
 
     def _pause(self) -> float:
-        if self._state.tenure is not None:
+        tenure = self._state.tenure
+        if tenure is not None and not tenure.resigned:
             return RENEW_PERIOD
         return LOOK_PERIOD
 
     async def _step(self) -> None:
         state = self._state
-        if state.tenure is not None:
-            await self._renew(state.tenure)
+        tenure = state.tenure
+        if tenure is not None and not tenure.resigned:
+            await self._renew(tenure)
         elif state.home is None or self._is_doubtful():
             await self._look()
 
     def _is_doubtful(self) -> bool:
         """Tell whether the home is silent or cannot reach the store."""
         state = self._state
+        if state.home_resigned or state.tenure is not None:
+            return True
         now = state.timers.now()
         if now - state.home_heard_at > LEASE_SECONDS:
             return True
@@ -133,6 +140,8 @@
             item.revision,
         )
         state.home_heard_at = state.timers.now()
+        state.home_resigned = False
+        state.tenure = None
 
     async def _try_to_hold(self) -> None:
         state = self._state
@@ -159,6 +168,7 @@
             began_at=state.timers.now(),
             is_first=not before,
         )
+        state.home_resigned = False
         state.home = HomeRecord(
             cfg.node,
             cfg.listen.links,
@@ -176,11 +186,10 @@
         )
         return msgspec.json.encode(content)
 
-    def _step_down(self, reason: str) -> None:
-        state = self._state
+    def _lay_down(self, reason: str) -> None:
+        tenure = self._state.tenure
+        if tenure is None or tenure.resigned:
+            return
         logger.warning('This node is not the home any more: %s', reason)
-        state.tenure = None
-        state.home = None
-        state.quotas.go_alone()
-        state.loads.forget_others()
-        state.home_heard_at = state.timers.now()
+        tenure.resigned = True
+        tenure.valid_until = float('-inf')
--- a/packages/spanfall-node/src/spanfall_node/gateway/links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links.py
@@ -95,6 +95,7 @@
             proof_age=min(state.freshness.age(now), 1e9),
             true_time=state.true_time.at(now),
             levels=state.levels(now),
+            resigned=state.tenure.resigned,
             configuration=self._configuration(message, revision),
             upstreams=self._upstreams(message),
         )
@@ -209,6 +210,7 @@
         state = self._state
         now = state.timers.now()
         state.home_heard_at = now
+        state.home_resigned = table.resigned
         if table.configuration is not None:
             self._sync.learn_configuration(
                 table.configuration.revision,
@@ -233,9 +235,7 @@
             state.home.node if state.home else None,
             reason,
         )
-        state.home = None
-        state.quotas.go_alone()
-        state.loads.forget_others()
+        state.lose_home()
 
 
 def apply_totals(
--- a/packages/spanfall-node/src/spanfall_node/gateway/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/messages.py
@@ -44,6 +44,8 @@
     true_time: float
     #: Units that each workspace may still spend.
     levels: dict[str, float] = {}
+    #: Whether the entry should look for another home.
+    resigned: bool = False
     configuration: ConfigurationPart | None = None
     upstreams: UpstreamsPart | None = None
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/state.py
@@ -47,6 +47,8 @@
     began_at: float
     #: Whether no node of this fleet was ever the home before.
     is_first: bool = False
+    #: Whether it gave up its record and only answers until there is another.
+    resigned: bool = False
 
 
 @dataclass(slots=True)
@@ -78,6 +80,8 @@
     #: Requests and prompt tokens begun, by service.
     requests: Counts = field(default_factory=dict)
     prompt_tokens: Counts = field(default_factory=dict)
+    #: Whether the home says that another is to be looked for.
+    home_resigned: bool = False
     draining_since: float | None = None
     #: Requests that callers wait for.
     open_requests: int = 0
@@ -123,6 +127,12 @@
         if levels:
             self.quotas.learn_levels(levels, report.spent, self._limits())
 
+    def lose_home(self) -> None:
+        """Go on alone: nobody tells what the other entries do."""
+        self.home = None
+        self.quotas.go_alone(self._limits(), self.timers.now())
+        self.loads.forget_others()
+
     def pressed(self, now: float) -> dict[str, list[float]]:
         """Return what workspaces spent that use much of their limits."""
         return self.shared_levels.pressed(self._limits(), now)
