Find the home sooner after a restart of all nodes

Cause: after all nodes lost power, entries followed the record of a dead run until its lease ended or its links closed, and refused requests meanwhile.

Tests: tests/test_gateway_home.py.

--- a/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
@@ -11,7 +11,7 @@
 import msgspec
 from spanfall_core.gateway.fleet import FleetState
 
-from spanfall_node.gateway.ports import StoredItem, Write
+from spanfall_node.gateway.ports import Write
 from spanfall_node.gateway.quota_record import QuotaRecord
 from spanfall_node.gateway.state import (
     HOME_KEY,
@@ -118,32 +118,44 @@
 
     async def _look(self) -> None:
         item = await self._store.get(HOME_KEY)
-        if item is not None:
-            self._follow(item)
-        elif self._state.draining_since is None:
-            await self._try_to_hold()
-
-    def _follow(self, item: StoredItem) -> None:
         state = self._state
+        if item is None:
+            if state.draining_since is None:
+                await self._try_to_hold(0)
+            return
         content = msgspec.json.decode(item.content, type=HomeContent)
-        if state.home is not None and state.home.epoch == item.revision:
+        if self._was_this_node(content) and state.draining_since is None:
+            await self._try_to_hold(item.revision)
+        else:
+            self._follow(item.revision, content)
+
+    def _was_this_node(self, content: HomeContent) -> bool:
+        """Tell whether an earlier run of this node holds the record.
+
+        That run is over, so its record may be replaced at once.
+        """
+        state = self._state
+        if content.node != state.cfg.node:
+            return False
+        return content.incarnation != state.incarnation
+
+    def _follow(self, epoch: int, content: HomeContent) -> None:
+        state = self._state
+        if state.home is not None and state.home.epoch == epoch:
             return
-        logger.info(
-            'The home is %s, epoch %s',
-            content.node,
-            item.revision,
-        )
+        logger.info('The home is %s, epoch %s', content.node, epoch)
         state.home = HomeRecord(
             content.node,
             content.address,
             content.incarnation,
-            item.revision,
+            epoch,
         )
         state.home_heard_at = state.timers.now()
         state.home_resigned = False
         state.tenure = None
 
-    async def _try_to_hold(self) -> None:
+    async def _try_to_hold(self, known: int) -> None:
+        """Write this node's record over one of revision ``known``."""
         state = self._state
         cfg = state.cfg
         history = await self._store.get(HISTORY_KEY)
@@ -153,7 +165,7 @@
         lease = await self._store.grant(LEASE_SECONDS)
         record = self._own_record()
         writes = (Write(HOME_KEY, record, lease), Write(HISTORY_KEY, record))
-        expected = {HOME_KEY: 0, HISTORY_KEY: before}
+        expected = {HOME_KEY: known, HISTORY_KEY: before}
         try:
             epoch = await self._store.transact(expected, writes)
         except ConditionFailedError:
--- a/packages/spanfall-node/src/spanfall_node/gateway/links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links.py
@@ -31,6 +31,8 @@
 
 #: Seconds between two reports of an entry.
 REPORT_PERIOD = 0.25
+#: Seconds between two looks at which node is the home.
+LINK_PERIOD = 0.1
 #: Seconds for an answer of the home, and for a new link to it.
 ANSWER_SECONDS = 0.8
 #: Digits that a digest may have in a message between nodes.
@@ -131,7 +133,7 @@
                 await self._follow_home()
             elif self._state.tenure is not None:
                 self._count_alone()
-            await anyio.sleep(REPORT_PERIOD)
+            await anyio.sleep(LINK_PERIOD)
 
     def _should_link(self) -> bool:
         state = self._state
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/store.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/store.py
@@ -45,10 +45,7 @@
     def put(self, key: str, content: str, lease: int = 0) -> int:
         """Write an item."""
         self.revision += 1
-        known = self.items.get(key)
-        created = known.created if known else self.revision
-        item = PlainItem(key, content, self.revision, created, lease)
-        self.items[key] = item
+        self._set(key, content, lease)
         return self.revision
 
     def remove(self, key: str) -> None:
@@ -56,6 +53,12 @@
         self.revision += 1
         self.items.pop(key, None)
 
+    def _set(self, key: str, content: str, lease: int) -> None:
+        known = self.items.get(key)
+        created = known.created if known else self.revision
+        item = PlainItem(key, content, self.revision, created, lease)
+        self.items[key] = item
+
     def _handle(self, seen: Seen) -> tuple[int, bytes]:
         parts = urlsplit(seen.target)
         query = parse_qs(parts.query)
@@ -87,8 +90,9 @@
         leases = {lease for _, _, lease in wanted.writes if lease}
         if leases - self.leases.keys():
             return 404, b''
+        self.revision += 1
         for name, content, lease in wanted.writes:
-            self.put(name, content, lease)
+            self._set(name, content, lease)
         return 200, str(self.revision).encode()
 
     def _revision_of(self, key: str) -> int:
@@ -106,7 +110,7 @@
         if verb == 'renew':
             self.leases[number] = (self.leases[number][0], self.clock())
         else:
-            self._end(number)
+            self.end(number)
         return 200, b''
 
     def _expire(self) -> None:
@@ -117,9 +121,10 @@
             if now - began > seconds
         ]
         for lease in over:
-            self._end(lease)
+            self.end(lease)
 
-    def _end(self, lease: int) -> None:
+    def end(self, lease: int) -> None:
+        """End a lease and remove its items."""
         self.leases.pop(lease)
         held = [key for key, row in self.items.items() if row.lease == lease]
         for key in held:
--- /dev/null
+++ b/tests/test_gateway_home.py
@@ -0,0 +1,150 @@
+"""One node is the home; entries follow it, and its end hurts nobody."""
+
+import json
+
+from gateway_world import ask, in_world
+from spanfall_node.gateway.leadership import Leadership
+from spanfall_node.gateway.state import HOME_KEY
+from spanfall_standins.gateway.dialect import PlainWorkspace
+from spanfall_standins.gateway.upstream import whole
+from support import wait_until
+
+
+async def two_gateways(world):
+    """Start two gateways; return the home and the other."""
+    first = await world.add_gateway()
+    second = await world.add_gateway()
+    await wait_until(lambda: home_of(first, second) is not None)
+    home = home_of(first, second)
+    other = second if home is first else first
+    await wait_until(lambda: other.home_heard_at > 0 and bool(other.home))
+    return home, other
+
+
+def home_of(*states):
+    holders = [row for row in states if row.is_home(row.timers.now())]
+    return holders[0] if len(holders) == 1 else None
+
+
+@in_world
+async def test_one_node_becomes_the_home(world):
+    home, other = await two_gateways(world)
+    assert home.tenure.epoch == world.store.items[HOME_KEY].revision
+    assert other.tenure is None
+
+
+@in_world
+async def test_an_entry_hears_of_a_change(world):
+    """The home reads the store for all, and vouches for what it read."""
+    _, other = await two_gateways(world)
+    revision = world.configure(body_bytes=10)
+    await wait_until(lambda: other.configuration.revision == revision)
+    assert other.freshness.may_serve_keys(other.timers.now())
+
+
+@in_world
+async def test_a_home_that_resigns_is_followed(world):
+    """Entries keep what the old home said until the new one speaks."""
+    world.configure(workspaces=[PlainWorkspace('w', ['k'], 100, 100)])
+    await world.add_upstream(whole())
+    home, other = await two_gateways(world)
+    await ask(other, '/keyed/7', authorization='Key k')
+    await wait_until(lambda: bool(other.quotas.levels()))
+    home.draining_since = home.timers.now()
+    leases = list(world.store.leases)
+    await Leadership(home, _StoreOf(world), None).resign()
+    assert not home.is_home(home.timers.now())
+    assert not world.store.leases.keys() & set(leases)
+    await wait_until(lambda: other.is_home(other.timers.now()))
+    assert other.quotas.levels()
+    await wait_until(lambda: home.tenure is None)
+    assert home.home.incarnation == other.incarnation
+
+
+class _StoreOf:
+    """End leases of the stand-in store directly."""
+
+    def __init__(self, world):
+        self._world = world
+
+    async def revoke(self, lease):
+        self._world.store.end(lease)
+
+
+@in_world
+async def test_a_record_that_is_gone_ends_a_tenure(world):
+    """A home whose lease ended acts no more, and one is found again."""
+    home, other = await two_gateways(world)
+    epoch = home.tenure.epoch
+    for lease in list(world.store.leases):
+        world.store.end(lease)
+    await wait_until(lambda: not home.is_home(home.timers.now()))
+    await wait_until(lambda: home_of(home, other) is not None)
+    assert home_of(home, other).tenure.epoch > epoch
+
+
+@in_world
+async def test_a_restarted_home_takes_over_at_once(world):
+    """The record of its own earlier run need not run out."""
+    record = {'node': 'node-1', 'address': '127.0.0.1:1', 'incarnation': 'old'}
+    world.store.leases[7] = (1000, 0)
+    old = world.store.put(HOME_KEY, json.dumps(record), 7)
+    state = await world.add_gateway()
+    await wait_until(lambda: state.is_home(state.timers.now()))
+    assert state.tenure.epoch > old
+
+
+@in_world
+async def test_a_lost_answer_to_the_claim_is_settled(world):
+    """The record may be ours though no answer came; only its lease tells."""
+    world.store.loses_answers = True
+    state = await world.add_unready_gateway()
+    await wait_until(lambda: len(world.store.leases) > 0)
+    world.store.loses_answers = False
+    await wait_until(lambda: state.is_home(state.timers.now()))
+
+
+@in_world
+async def test_keys_are_refused_when_the_store_is_away(world):
+    """A revoked key must not work longer than the bound."""
+    world.configure(workspaces=[PlainWorkspace('w', ['k'])])
+    await world.add_upstream(whole())
+    state = await world.add_gateway(revoke_seconds=0.5)
+    before = await ask(state, '/keyed/7', authorization='Key k')
+    world.store.failing = 503
+    now = state.timers.now
+    await wait_until(lambda: not state.freshness.may_serve_keys(now()))
+    after = await ask(state, '/keyed/7', authorization='Key k')
+    open_route = await ask(state, '/once/7')
+    statuses = (before.status, after.status, open_route.status)
+    assert statuses == (200, 503, 200)
+    assert not state.is_ready(now())
+
+
+@in_world
+async def test_keys_are_checked_and_not_passed_on(world):
+    world.configure(workspaces=[PlainWorkspace('w', ['k'])])
+    upstream = await world.add_upstream(whole())
+    state = await world.add_gateway()
+    unknown = await ask(state, '/keyed/7', authorization='Key other')
+    known = await ask(state, '/keyed/7', authorization='Key k', workspace='x')
+    seen = upstream.seen[0].headers
+    assert (unknown.status, known.status) == (401, 200)
+    assert (seen['workspace'], 'authorization' in seen) == ('w', False)
+
+
+@in_world
+async def test_usage_is_reported_once_by_window(world):
+    world.configure(workspaces=[PlainWorkspace('w', ['k'])])
+    await world.add_upstream(whole())
+    state = await world.add_gateway(usage_window_seconds=0.5)
+    for turn in range(3):
+        await ask(state, '/keyed/7', attempt=f'a{turn}', authorization='Key k')
+    await wait_until(lambda: len(world.cloud_calls) > 1)
+    windows = [call['window'] for call in world.cloud_calls]
+    counted = sum(call['counts'].get('w', 0) for call in world.cloud_calls)
+    assert windows == list(range(windows[0], windows[0] + len(windows)))
+    assert counted == 3
+    assert {call['token'] for call in world.cloud_calls} == {
+        state.tenure.epoch,
+    }
