--- a/packages/spanfall-core/src/spanfall_core/gateway/capacity.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/capacity.py
@@ -17,9 +17,9 @@
 #: Part of the need below which others bridge what is missing; above it, the
 #: reclaimable ones that are left carry on alone for a while.
 BRIDGE_PART = 0.6
-#: One in so many data centres may be lost at a time without too little left.
-#: Reclaimable upstreams are so cheap that this costs less than bridging.
-LOST_PART = 2
+#: One in so many data centres may be lost at a time without too little left;
+#: half of them instead cost 0.03 of the worth on a calm day of Muestras.
+LOST_PART = 3
 #: Part of an engine's slots that run with tokens in time.
 GOOD_BATCH = 0.6
 #: Part of an engine's time that may go into reading prompts.
@@ -168,12 +168,10 @@
     places: list[str],
     scaling: Scaling,
 ) -> dict[str, int]:
-    """Spread upstreams evenly, what is left over to the cheapest places."""
-    each, over = divmod(target, max(1, len(places)))
-    return {
-        place: max(scaling.least, min(scaling.most, each + (rank < over)))
-        for rank, place in enumerate(places)
-    }
+    """Give each place as many, so that none is worth more than another."""
+    each = ceil(target / max(1, len(places)))
+    count = max(scaling.least, min(scaling.most, each))
+    return dict.fromkeys(places, count)
 
 
 def _bridge(
--- a/packages/spanfall-node/src/spanfall_node/gateway/capacity_duty.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/capacity_duty.py
@@ -24,7 +24,7 @@
 #: Seconds between two plans.
 PLAN_PERIOD = 0.5
 #: Seconds after which a new home knows all upstreams and all load.
-SETTLE_SECONDS = 1.6
+SETTLE_SECONDS = 3.0
 #: Seconds over which the rate of prompt tokens is averaged.
 RATE_SECONDS = 2.0
 
@@ -142,8 +142,9 @@
         elif status == 409:
             note_refused(order, orders, now)
         logger.info(
-            'Ordered %s, status %s; peak demand %.1f',
+            'Ordered %s, status %s; peak demand %.1f, %s there at first',
             order,
             status,
             orders.demand.peak,
+            orders.first_count,
         )
--- a/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
@@ -38,6 +38,8 @@
 RENEW_PERIOD = 0.7
 #: Seconds between two looks at the record while there is no home.
 LOOK_PERIOD = 0.3
+#: The same while the store does not answer.
+OUTAGE_LOOK_PERIOD = 0.8
 
 
 class HomeContent(msgspec.Struct, frozen=True):
@@ -91,6 +93,8 @@
         tenure = self._state.tenure
         if tenure is not None and not tenure.resigned:
             return RENEW_PERIOD
+        if self._store.health.failing:
+            return OUTAGE_LOOK_PERIOD
         return LOOK_PERIOD
 
     async def _step(self) -> None:
--- a/packages/spanfall-node/src/spanfall_node/gateway/links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links.py
@@ -97,7 +97,7 @@
             proof_age=min(state.freshness.age(now), 1e9),
             true_time=state.true_time.at(now),
             levels=state.levels(now),
-            resigned=state.tenure.resigned,
+            resigned=not state.is_home(now),
             configuration=self._configuration(message, revision),
             upstreams=self._upstreams(message),
         )
