--- /dev/null
+++ b/tests/test_gateway_capacity.py
@@ -0,0 +1,118 @@
+"""Order upstreams: reclaimable first, spread, bridged only when needed."""
+
+from collections import Counter
+from itertools import product
+
+from hypothesis import given
+from hypothesis import strategies as st
+from spanfall_core.gateway.capacity import (
+    Demand,
+    Present,
+    ServiceOrders,
+    count_present,
+    needed_upstreams,
+    note_accepted,
+    note_refused,
+    plan_orders,
+)
+from spanfall_core.gateway.configuration import EngineLimits, Scaling
+from spanfall_core.gateway.directory import ListedUpstream
+
+PLACES = {'north': 1.0, 'south': 0.8, 'east': 1.2, 'west': 0.9}
+SCALING = Scaling(1, 5, boot_seconds=4, reclaimable_price=0.2, prices=PLACES)
+
+
+def listed(reclaimable, others):
+    """Return rows with so many upstreams of each kind in each place."""
+    return [
+        ListedUpstream(
+            f'{place}-{number}',
+            'llm',
+            '',
+            place,
+            slots=32,
+            reclaimable=number < reclaimable,
+        )
+        for place, number in product(PLACES, range(reclaimable + others))
+    ]
+
+
+def as_rows(planned):
+    return {
+        (order.data_centre, order.reclaimable): order.count for order in planned
+    }
+
+
+def plan(orders, present, now=0):
+    return plan_orders('llm', SCALING, orders, present, now)
+
+
+def test_the_first_plan_swaps_to_reclaimable_ones():
+    present = count_present(listed(0, 2))
+    planned = as_rows(plan(ServiceOrders(), present))
+    assert {planned[place, True] for place in PLACES} == {3}
+    assert {planned[place, False] for place in PLACES} == {1}
+
+
+def test_others_leave_when_they_are_not_needed():
+    orders = ServiceOrders(first_count=8, demand=Demand(peak=6))
+    planned = as_rows(plan(orders, count_present(listed(3, 1))))
+    assert {planned[place, False] for place in PLACES} == {0}
+
+
+def test_a_large_gap_is_bridged():
+    orders = ServiceOrders(first_count=8, demand=Demand(peak=10))
+    present = count_present(listed(1, 0))
+    planned = plan(orders, present)
+    for order in planned:
+        if order.reclaimable:
+            note_refused(order, orders, 0)
+        else:
+            note_accepted(order, orders, 0)
+    bridge = sum(row.count for row in planned if not row.reclaimable)
+    assert bridge == 2
+    assert not any(row.reclaimable for row in plan(orders, present, 1))
+    assert any(row.reclaimable for row in plan(orders, present, 4))
+
+
+def test_what_is_in_force_is_not_ordered_again():
+    orders = ServiceOrders()
+    present = count_present(listed(0, 2))
+    for order in plan(orders, present):
+        note_accepted(order, orders, 0)
+    assert not plan(orders, present, 1)
+    late = plan(orders, present, 8)
+    assert late
+    assert all(order.reclaimable for order in late)
+
+
+def test_demand_rises_at_once_and_falls_slowly():
+    demand = Demand()
+    demand.learn(10, 0)
+    demand.learn(0, 40)
+    assert round(demand.peak, 3) == 5
+    demand.learn(9, 41)
+    assert demand.peak == 9
+
+
+def test_need_counts_running_and_reading():
+    engine = EngineLimits(slots=32, cache_tokens=1)
+    assert needed_upstreams(engine, 0, 0) == 0
+    reading = needed_upstreams(engine, 0, 66000)
+    both = needed_upstreams(engine, 96, 66000)
+    assert 1.9 < reading < 2.1
+    assert 6.9 < both < 7.1
+
+
+COUNTS = st.dictionaries(st.sampled_from(sorted(PLACES)), st.integers(0, 5))
+
+
+@given(COUNTS, COUNTS, st.floats(0, 60), st.integers(0, 20))
+def test_orders_stay_within_bounds(reclaimable, others, peak, first):
+    present = Present(Counter(reclaimable), Counter(others))
+    orders = ServiceOrders(first_count=first, demand=Demand(peak=peak))
+    for order in plan(orders, present):
+        assert 0 <= order.count <= SCALING.most
+        if order.reclaimable:
+            there = present.others[order.data_centre]
+            assert order.count + there <= max(SCALING.most, there)
