Let the test of early answers fail where it should

Change: the test calls the connection itself, with a body that the sockets of both ends do not hold.

--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -79,20 +79,6 @@
         return False
 
 
-@dataclass(slots=True)
-class Unread:
-    """Answer each connection at once and leave what it sends unread."""
-
-    answer: bytes
-    connections: int = 0
-
-    async def serve(self, stream: SocketStream) -> None:
-        """Answer and keep the connection open."""
-        self.connections += 1
-        await stream.send(self.answer)
-        await anyio.sleep_forever()
-
-
 @dataclass(slots=True)
 class World:
     """Hold the stand-ins and gateways of one test."""
@@ -129,17 +115,6 @@
         self.upstreams[lifetime] = upstream
         return upstream
 
-    async def add_unread_upstream(self, answer: bytes) -> 'Unread':
-        """List an upstream that answers at once and never reads."""
-        unread = Unread(answer)
-        multi = await anyio.create_tcp_listener(local_host='127.0.0.1')
-        port = multi.extra(anyio.abc.SocketAttribute.local_port)
-        self.tasks.start_soon(multi.serve, unread.serve)
-        row = ListedUpstream('u-0', SERVICE, f'127.0.0.1:{port}', 'north', 4)
-        encoded = msgspec.json.encode(row).decode()
-        self.store.put(f'{UPSTREAM_PREFIX}u-0', encoded)
-        return unread
-
     async def add_gateway(self, **bounds: float) -> GatewayState:
         """Start a gateway and wait until it is ready."""
         state = await self.add_unready_gateway(**bounds)
--- /dev/null
+++ b/tests/test_gateway_client.py
@@ -0,0 +1,38 @@
+"""Call servers that misbehave on the connection itself."""
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+from spanfall_node.gateway.client import connect
+from spanfall_node.gateway.ports import HttpCall
+from support import run_async
+
+#: More than the sockets of both ends hold.
+LARGE = b'x' * 16_000_000
+#: Bound in seconds on a wait that should be none; reaching it is a failure.
+SOON = 25
+EARLY = b'HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n'
+
+
+async def answer_unread(stream: SocketStream) -> None:
+    """Answer at once and never read the request."""
+    await stream.send(EARLY)
+    await anyio.sleep_forever()
+
+
+def test_an_answer_before_the_body_is_read():
+    """A server that refuses early and reads no more does not hold us up."""
+
+    async def main() -> None:
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(SocketAttribute.local_port)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, answer_unread)
+            conn = await connect(f'127.0.0.1:{port}', SOON)
+            call = HttpCall('POST', '/', body=LARGE)
+            with anyio.fail_after(SOON):
+                head = await conn.send_and_read_head(call, 'x', bool)
+                body = await conn.read_body(1)
+            assert (head.status, body, conn.reusable) == (503, b'', False)
+            tasks.cancel_scope.cancel()
+
+    run_async(main)
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -225,18 +225,6 @@
     return False
 
 
-@in_world
-async def test_an_answer_before_the_body_is_read(world):
-    """A server that refuses early and reads no more does not hold us up."""
-    body = b'x' * 4_000_000
-    early = await world.add_unread_upstream(
-        b'HTTP/1.1 503 X\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n',
-    )
-    state = await world.add_gateway()
-    answer = await ask(state, '/once/7', body=body)
-    assert (answer.status, early.connections) == (503, 1)
-
-
 @in_world
 async def test_limits_of_the_configuration_in_force(world):
     world.configure(body_bytes=100, header_bytes=300)
