--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -7,6 +7,7 @@
 import sys
 
 import control
+import gateway_tables
 import tables
 import traffic
 from fits import Slope, fit, save, stored_slopes
@@ -34,7 +35,8 @@
 def measure() -> None:
     """Measure everything and store the results."""
     today = datetime.date.today().isoformat()
-    for name, (units, run) in tables.SLOPES.items():
+    slopes = {**tables.SLOPES, **gateway_tables.SLOPES}
+    for name, (units, run) in slopes.items():
         save(fit(name, units, today, run()))
         print(name, flush=True)
     rows = control.measure_all()
--- /dev/null
+++ b/bench/gateway_tables.py
@@ -0,0 +1,107 @@
+"""Measure the decisions of a gateway and the home's answer, without I/O."""
+
+import time
+from itertools import count
+
+from spanfall_core.gateway.balance import Ask, choose
+from spanfall_core.gateway.directory import ListedUpstream
+from spanfall_core.gateway.fleet import EntryReport, FleetState
+from spanfall_core.gateway.loads import Loads
+from spanfall_core.gateway.prefixes import PrefixIndex, PromptPart
+from spanfall_node.gateway.messages import (
+    ReportMessage,
+    TableMessage,
+    decode_report,
+    encode,
+)
+
+Points = list[tuple[float, float]]
+
+NODE_SIZES = (10, 40, 160, 570)
+UPSTREAM_SIZES = (10, 40, 160, 640)
+REPEATS = 50
+#: Requests that each entry has in flight, and workspaces that it served.
+IN_FLIGHT = 20
+WORKSPACES = 16
+MICROSECONDS = 1e6
+
+
+def make_report(number: int, upstreams: int) -> EntryReport:
+    """Return the report of one entry of a busy fleet."""
+    running = {
+        f'i-{(number * 7 + place) % upstreams:010d}': 1
+        for place in range(min(IN_FLIGHT, upstreams))
+    }
+    counts = {f'workspace-{place}': 100 for place in range(WORKSPACES)}
+    return EntryReport(
+        node=f'edge-{number}',
+        incarnation='0123456789ab',
+        running=running,
+        prefill=dict.fromkeys(running, 2000),
+        spent={name: 1e6 for name in counts},
+        levels={name: 1e6 for name in counts},
+        usage={window: counts for window in range(7)},
+    )
+
+
+def time_answer(nodes: int) -> float:
+    """Return the processor microseconds of the home for one report."""
+    fleet = FleetState()
+    sent = [
+        encode(ReportMessage(make_report(number, nodes)))
+        for number in range(nodes)
+    ]
+    clock = count(0, 0.25 / nodes)
+    for received in sent:
+        fleet.learn(decode_report(received).report, next(clock))
+    began = time.process_time()
+    for received in sent:
+        now = next(clock)
+        report = decode_report(received).report
+        fleet.learn(report, now)
+        totals = fleet.others(report.key, now)
+        encode(TableMessage(1, totals, 1, 0.1, now))
+    return (time.process_time() - began) / nodes * MICROSECONDS
+
+
+def time_choice(upstreams: int) -> float:
+    """Return the processor microseconds of choosing an upstream."""
+    rows = [
+        ListedUpstream(f'i-{number}', 'llm', '', 'north', slots=32)
+        for number in range(upstreams)
+    ]
+    parts = tuple(PromptPart(f'p-{number}', 2000) for number in range(3))
+    loads, prefixes = Loads(), PrefixIndex()
+    began = time.process_time()
+    for number in range(REPEATS):
+        ask = Ask(f'a-{number}', 'north', parts, 6000)
+        choose(rows, ask, loads, prefixes, 0)
+    return (time.process_time() - began) / REPEATS * MICROSECONDS
+
+
+def report_bytes(upstreams: int) -> float:
+    """Return the bytes of a report with requests at so many upstreams."""
+    running = {f'i-{number:010d}': 1 for number in range(upstreams)}
+    report = EntryReport(
+        'edge-1',
+        '0123456789ab',
+        running=running,
+        prefill=dict.fromkeys(running, 2000),
+    )
+    return len(encode(ReportMessage(report)))
+
+
+SLOPES = {
+    'gateway-answer': (
+        ('entries', 'us of the home a report'),
+        lambda: [(size, time_answer(size)) for size in NODE_SIZES],
+    ),
+    'gateway-choice': (
+        ('upstreams of a service', 'us a request'),
+        lambda: [(size, time_choice(size)) for size in UPSTREAM_SIZES],
+    ),
+    'gateway-report': (
+        ('upstreams in use', 'bytes a report'),
+        lambda: [(size, report_bytes(size)) for size in UPSTREAM_SIZES],
+    ),
+}
