Take leases as short as the store grants, and let large fleets report less

Cause: a store whose shortest lease is longer than ours would never have had a home; at 570 nodes the home's answers alone take 1.7 cores. Counters with reasons were created twice in two modules; a setting was read by nobody.

--- a/packages/spanfall-api/src/spanfall_api/gateway_settings.py
+++ b/packages/spanfall-api/src/spanfall_api/gateway_settings.py
@@ -42,8 +42,6 @@
     #: Least time of a duty's lease, and wait before a new holder acts.
     duty_lease_seconds: Positive = 3
     usage_window_seconds: Positive = 5
-    #: A usage report is due this long after the end of its window.
-    usage_due_seconds: Positive = 10
 
 
 class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -56,6 +54,8 @@
     listen: Listen
     #: Address of the store, host:port.
     store: str
+    #: Shortest lease that the store grants.
+    least_lease_seconds: float = 0
     #: Address of the cloud API, host:port; empty: this fleet has no duties.
     cloud: str = ''
     #: Whether this fleet reports usage and orders upstreams.
--- a/packages/spanfall-node/src/spanfall_node/gateway/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/counters.py
@@ -1,10 +1,10 @@
 """Count what a gateway does, with a counter for each reason."""
 
-from enum import StrEnum
-
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from spanfall_core.reasons import RefusalReason, RetryReason
 
+from spanfall_node.metric_kinds import labelled_counter, reason_counter
+
 #: Bucket bounds in seconds around the targets of 0.1 to 1.2 s.
 LATENCY_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 5, 15)
 
@@ -15,12 +15,14 @@
     def __init__(self) -> None:
         """Create all metrics, with a zero for each known reason."""
         self.registry = CollectorRegistry()
-        self.refusals = self._by_reason(
+        self.refusals = reason_counter(
+            self.registry,
             'spanfall_refusals',
             'Requests refused, by reason',
             RefusalReason,
         )
-        self.retries = self._by_reason(
+        self.retries = reason_counter(
+            self.registry,
             'spanfall_retries',
             'Requests sent again, by reason',
             RetryReason,
@@ -63,15 +65,4 @@
         )
 
     def _labelled(self, name: str, text: str, label: str) -> Counter:
-        return Counter(name, text, [label], registry=self.registry)
-
-    def _by_reason(
-        self,
-        name: str,
-        text: str,
-        reasons: type[StrEnum],
-    ) -> Counter:
-        counter = self._labelled(name, text, 'reason')
-        for reason in reasons:
-            counter.labels(reason.value)
-        return counter
+        return labelled_counter(self.registry, name, text, label)
--- a/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
@@ -30,7 +30,8 @@
 
 #: Key of a record that is written with each new home and never removed.
 HISTORY_KEY = 'spanfall/history'
-#: Seconds that the home's lease lasts without renewal.
+#: Seconds that the home's lease lasts without renewal, where the store
+#: grants one as short.
 LEASE_SECONDS = 2.5
 #: Seconds before the end of the lease at which its holder stops to act.
 LEASE_MARGIN = 0.5
@@ -89,6 +90,10 @@
         except StoreError as exc:
             logger.info('Could not end the lease: %r', exc)
 
+    @property
+    def _lease_seconds(self) -> float:
+        return max(LEASE_SECONDS, self._state.cfg.least_lease_seconds)
+
     def _pause(self) -> float:
         tenure = self._state.tenure
         if tenure is not None and not tenure.resigned:
@@ -118,7 +123,7 @@
     async def _renew(self, tenure: Tenure) -> None:
         sent_at = self._state.timers.now()
         await self._store.renew(tenure.lease)
-        tenure.valid_until = sent_at + LEASE_SECONDS - LEASE_MARGIN
+        tenure.valid_until = sent_at + self._lease_seconds - LEASE_MARGIN
 
     async def _look(self) -> None:
         item = await self._store.get(HOME_KEY)
@@ -166,7 +171,7 @@
         before = history.revision if history else 0
         shared_levels = await self._spending.read()
         sent_at = state.timers.now()
-        lease = await self._store.grant(LEASE_SECONDS)
+        lease = await self._store.grant(self._lease_seconds)
         record = self._own_record()
         writes = (Write(HOME_KEY, record, lease), Write(HISTORY_KEY, record))
         expected = {HOME_KEY: known, HISTORY_KEY: before}
@@ -180,7 +185,7 @@
         state.tenure = Tenure(
             epoch,
             lease,
-            valid_until=sent_at + LEASE_SECONDS - LEASE_MARGIN,
+            valid_until=sent_at + self._lease_seconds - LEASE_MARGIN,
             began_at=state.timers.now(),
             is_first=not before,
         )
--- a/packages/spanfall-node/src/spanfall_node/gateway/links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links.py
@@ -31,6 +31,9 @@
 
 #: Seconds between two reports of an entry.
 REPORT_PERIOD = 0.25
+#: Reports a second that the home takes from all entries together: above
+#: 100 entries each reports more rarely.
+MOST_REPORTS = 400
 #: Seconds between two looks at which node is the home.
 LINK_PERIOD = 0.1
 #: Seconds for an answer of the home, and for a new link to it.
@@ -39,6 +42,11 @@
 DIGEST_BITS = 0xFFFFFFFFFFFF
 
 
+def report_period(entries: int) -> float:
+    """Return the seconds between two reports of each of so many entries."""
+    return max(REPORT_PERIOD, entries / MOST_REPORTS)
+
+
 def upstreams_digest(state: GatewayState) -> int:
     """Return a digest of the table of upstreams."""
     rows = sorted(
@@ -188,7 +196,7 @@
                 logger.exception('The home sent no table; check its version')
                 self._lose('no table')
                 return
-            await anyio.sleep(REPORT_PERIOD)
+            await anyio.sleep(report_period(self._state.quotas.entries))
 
     async def _report(self, link: ClientConnection) -> None:
         state = self._state
--- a/packages/spanfall-node/src/spanfall_node/metrics.py
+++ b/packages/spanfall-node/src/spanfall_node/metrics.py
@@ -4,8 +4,6 @@
 reason which never occurred reads zero instead of missing.
 """
 
-from enum import StrEnum
-
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -15,6 +13,8 @@
 )
 from spanfall_core.reasons import DropReason, RefusalReason, RetryReason
 
+from spanfall_node.metric_kinds import labelled_counter, reason_counter
+
 #: Bucket bounds, in seconds, around the target of 0.57 s (letter 1).
 LATENCY_BUCKETS = (
     0.005,
@@ -40,17 +40,20 @@
         """Create all metrics, with a zero for each known reason."""
         self.registry = CollectorRegistry()
         ProcessCollector(registry=self.registry)
-        self.refusals = self._by_reason(
+        self.refusals = reason_counter(
+            self.registry,
             'spanfall_refusals',
             'Requests refused, by reason',
             RefusalReason,
         )
-        self.retries = self._by_reason(
+        self.retries = reason_counter(
+            self.registry,
             'spanfall_retries',
             'Requests sent again, by reason',
             RetryReason,
         )
-        self.drops = self._by_reason(
+        self.drops = reason_counter(
+            self.registry,
             'spanfall_dropped_frames',
             'Frames from other nodes dropped, by reason',
             DropReason,
@@ -116,18 +119,7 @@
         )
 
     def _counter(self, name: str, text: str, label: str) -> Counter:
-        return Counter(name, text, [label], registry=self.registry)
+        return labelled_counter(self.registry, name, text, label)
 
     def _gauge(self, name: str, text: str, label: str) -> Gauge:
         return Gauge(name, text, [label], registry=self.registry)
-
-    def _by_reason(
-        self,
-        name: str,
-        text: str,
-        reasons: type[StrEnum],
-    ) -> Counter:
-        counter = self._counter(name, text, 'reason')
-        for reason in reasons:
-            counter.labels(reason.value)
-        return counter
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/store.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/store.py
@@ -25,6 +25,7 @@
     revision: int = 0
     #: Status that every call gets instead of an answer; 0: none.
     failing: int = 0
+    least_lease_ms: int = 0
     #: Whether writes are done and their answers lost.
     loses_answers: bool = False
     calls: list[str] = field(default_factory=list)
@@ -101,6 +102,8 @@
 
     def _lease(self, path: list[str]) -> tuple[int, bytes]:
         verb, number = path[2], int(path[3])
+        if verb == 'new' and number < self.least_lease_ms:
+            return 400, b''
         if verb == 'new':
             lease = len(self.leases) + 100 + self.revision
             self.leases[lease] = (number / 1000, self.clock())
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -123,7 +123,11 @@
         await wait_until(lambda: len(state.directory.rows) >= len(listed))
         return state
 
-    async def add_unready_gateway(self, **bounds: float) -> GatewayState:
+    async def add_unready_gateway(
+        self,
+        least_lease_seconds: float = 0,
+        **bounds: float,
+    ) -> GatewayState:
         """Start a gateway."""
         number = next(self._numbers)
         listen = Listen(
@@ -139,6 +143,7 @@
             store=self.store_address,
             cloud=self.cloud_address,
             reports_usage=True,
+            least_lease_seconds=least_lease_seconds,
             bounds=Bounds(**bounds),
         )
         timers = Timers(time.monotonic, time.time)
--- a/tests/test_gateway_home.py
+++ b/tests/test_gateway_home.py
@@ -4,6 +4,7 @@
 
 from gateway_world import ask, in_world
 from spanfall_node.gateway.leadership import Leadership
+from spanfall_node.gateway.links import report_period
 from spanfall_node.gateway.state import HOME_KEY
 from spanfall_standins.gateway.dialect import PlainWorkspace
 from spanfall_standins.gateway.upstream import whole
@@ -26,6 +27,11 @@
     return holders[0] if len(holders) == 1 else None
 
 
+def test_a_large_fleet_reports_more_rarely():
+    periods = [report_period(entries) for entries in (1, 87, 100, 570)]
+    assert periods == [0.25, 0.25, 0.25, 1.425]
+
+
 @in_world
 async def test_one_node_becomes_the_home(world):
     home, other = await two_gateways(world)
@@ -94,6 +100,13 @@
     assert state.tenure.epoch > old
 
 
+@in_world
+async def test_a_store_that_grants_long_leases_only(world):
+    world.store.least_lease_ms = 4000
+    state = await world.add_gateway(least_lease_seconds=4)
+    await wait_until(lambda: state.is_home(state.timers.now()))
+
+
 @in_world
 async def test_a_lost_answer_to_the_claim_is_settled(world):
     """The record may be ours though no answer came; only its lease tells."""
--- /dev/null
+++ b/tests/test_gateway_settings.py
@@ -0,0 +1,47 @@
+"""Read settings of a gateway and name what is wrong."""
+
+import pytest
+from click.testing import CliRunner
+from spanfall_api.gateway_settings import GatewaySettingsError, parse_settings
+from spanfall_node.gateway.main import main
+
+GOOD = """
+// a comment
+{
+  "node": "n", "data_centre": "north", "platform": "x",
+  "listen": {"callers": "a:1", "readiness": "a:2", "links": "a:3"},
+  "store": "a:4", "bounds": {"revoke_seconds": 5000e-3}
+}
+"""
+
+
+def test_defaults_and_numbers():
+    cfg = parse_settings(GOOD)
+    assert (cfg.bounds.revoke_seconds, cfg.bounds.stop_seconds) == (5, 8)
+    assert (cfg.cloud, cfg.reports_usage) == ('', False)
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'named'),
+    [
+        ('"store": "a:4"', '"store": 4', '$.store'),
+        ('"callers"', '"caller"', 'caller'),
+        ('5000e-3', '-1', '$.bounds.revoke_seconds'),
+        ('"node": "n",', '', 'node'),
+        ('{', '', 'not JSON'),
+    ],
+)
+def test_a_wrong_setting_is_named(old, new, named):
+    with pytest.raises(GatewaySettingsError) as caught:
+        parse_settings(GOOD.replace(old, new, 1))
+    assert named in str(caught.value)
+
+
+def test_the_command_checks_a_file(tmp_path):
+    path = tmp_path / 'settings.json'
+    path.write_text(GOOD, 'utf-8')
+    right = CliRunner().invoke(main, ['--settings', str(path), '--check'])
+    path.write_text('{}', 'utf-8')
+    wrong = CliRunner().invoke(main, ['--settings', str(path), '--check'])
+    assert (right.exit_code, wrong.exit_code) == (0, 2)
+    assert 'settings:' in wrong.output
