Take a retry from the budget only where another send is allowed

Cause: every failed send took a retry from the entry's budget, also where the route forbids another send, so a service that fails often left none for those that may be repeated. A stream that could not go on anywhere was refused after its head had been sent; the connection then failed by an error of ours.

Change: the table of ends asks for a retry last; a started answer is cut.

--- a/packages/spanfall-core/src/spanfall_core/gateway/sends.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/sends.py
@@ -4,6 +4,7 @@
 request ran, and so which answers are true.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum, unique
 
@@ -75,15 +76,16 @@
     end: SendEnd,
     route: Route,
     state: SendState,
-    can_retry: bool,
+    take_retry: Callable[[], bool],
 ) -> NextStep:
     """Decide what follows the end of a send.
 
-    ``can_retry`` tells whether time, budget and another upstream are left.
+    ``take_retry`` takes a retry from the budget if there is one and another
+    upstream is left; it is asked only where another send is allowed.
     """
     if end not in NOT_RUN_ENDS:
         state.may_have_run += 1
-    if can_retry and _may_send(route, state):
+    if _may_send(route, state) and take_retry():
         return NextStep.SEND_AGAIN
     if state.proven_not_run:
         return NextStep.ANSWER_NOT_RUN
--- a/packages/spanfall-node/src/spanfall_node/gateway/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/relay.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+from functools import partial
 
 import anyio
 from spanfall_core.gateway.balance import Ask, Choice, choose
@@ -88,7 +89,8 @@
     while True:
         choice = _choose(state, exchange)
         if choice is None:
-            raise _nothing_left(exchange)
+            await _end_with_nothing_left(state, exchange)
+            return
         ended = await send(state, pool, exchange, choice)
         if isinstance(ended, Answered):
             return
@@ -114,10 +116,16 @@
     )
 
 
-def _nothing_left(exchange: Exchange) -> RefusedError:
-    if exchange.sends.proven_not_run:
-        return RefusedError(503, RefusalReason.NO_UPSTREAM, RETRY_SECONDS)
-    return RefusedError(502, RefusalReason.OUTCOME_UNKNOWN)
+async def _end_with_nothing_left(
+    state: GatewayState,
+    exchange: Exchange,
+) -> None:
+    if exchange.started:
+        await _cut(state, exchange, 'no upstream is left')
+    elif exchange.sends.proven_not_run:
+        raise _final_refusal(NextStep.ANSWER_NOT_RUN)
+    else:
+        raise _final_refusal(NextStep.ANSWER_UNKNOWN)
 
 
 async def _goes_on(
@@ -133,7 +141,7 @@
         failed.end,
         work.route,
         exchange.sends,
-        can_retry=_can_retry(state, exchange),
+        partial(_take_retry, state, exchange),
     )
     logger.info(
         'Request %s at %s ended %s: %s; next: %s',
@@ -150,7 +158,7 @@
     return False
 
 
-def _can_retry(state: GatewayState, exchange: Exchange) -> bool:
+def _take_retry(state: GatewayState, exchange: Exchange) -> bool:
     if _choose(state, exchange) is None:
         return False
     now = state.timers.now()
