Tell a new home only what was spent since the last levels

Cause: an entry that lost its home before it found the next one sent no levels, and the new home then took all that it had spent since its process started as spent now: 367,291 units below zero for a workspace with 562,000 a window, so nearly all requests were refused with 429 for a whole window after each silent loss of a home.

Change: entries keep the levels they heard last and what they had spent by then, and report their own spending of the last window; a new home adds only what those levels do not know of. The full report goes out once a link. Requests by service, the entry's count of received bytes: used by nothing, removed.

--- a/bench/gateway_tables.py
+++ b/bench/gateway_tables.py
@@ -8,6 +8,7 @@
 from spanfall_core.gateway.fleet import EntryReport, FleetState
 from spanfall_core.gateway.loads import Loads
 from spanfall_core.gateway.prefixes import PrefixIndex, PromptPart
+from spanfall_core.gateway.quotas import EntrySpending
 from spanfall_node.gateway.messages import (
     ReportMessage,
     TableMessage,
@@ -38,8 +39,7 @@
         incarnation='0123456789ab',
         running=running,
         prefill=dict.fromkeys(running, 2000),
-        spent={name: 1e6 for name in counts},
-        levels={name: 1e6 for name in counts},
+        spending=EntrySpending({name: 1e6 for name in counts}),
         usage={window: counts for window in range(7)},
     )
 
--- a/packages/spanfall-core/src/spanfall_core/gateway/fleet.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/fleet.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
+from spanfall_core.gateway.quotas import EntrySpending
 from spanfall_core.gateway.usage import FleetUsage, WindowCounts
 
 #: Seconds without a report after which an entry's running requests no
@@ -15,7 +16,6 @@
 FORGET_SECONDS = 60.0
 
 Counts = dict[str, int]
-Units = dict[str, float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,12 +27,9 @@
     running: Counts = field(default_factory=dict)
     prefill: Counts = field(default_factory=dict)
     failed: Counts = field(default_factory=dict)
-    spent: Units = field(default_factory=dict)
-    #: What each workspace may still spend, as heard from the last home.
-    levels: Units = field(default_factory=dict)
+    spending: EntrySpending = field(default_factory=EntrySpending)
     usage: WindowCounts = field(default_factory=dict)
-    #: Requests and prompt tokens begun by service since the process started.
-    requests: Counts = field(default_factory=dict)
+    #: Prompt tokens begun by service since the process started.
     prompt_tokens: Counts = field(default_factory=dict)
 
     @property
@@ -118,15 +115,8 @@
         """Return what runs at each upstream."""
         return self._sum(now).totals.running
 
-    def requests(self) -> Counts:
-        """Return the requests begun since the home knows each entry."""
-        return _sum(
-            _less(row.report.requests, row.first.requests)
-            for row in self._heard.values()
-        )
-
     def prompt_tokens(self) -> Counts:
-        """Return the prompt tokens begun, counted in the same way."""
+        """Return the prompt tokens begun since the home knows each entry."""
         return _sum(
             _less(row.report.prompt_tokens, row.first.prompt_tokens)
             for row in self._heard.values()
--- a/packages/spanfall-core/src/spanfall_core/gateway/quotas.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/quotas.py
@@ -46,6 +46,37 @@
         return self.rate * self.window + self.burst
 
 
+@dataclass(frozen=True, slots=True)
+class EntrySpending:
+    """Tell the home what one entry spent, by workspace.
+
+    Only a home that hears the entry for the first time needs the rest.
+    """
+
+    #: Units since the process started.
+    spent: Units = field(default_factory=dict)
+    #: What is left of each limit, as an earlier home said last.
+    levels: Units = field(default_factory=dict)
+    #: What of ``spent`` those levels know of.
+    counted: Units = field(default_factory=dict)
+    #: Units in the last window.
+    recent: Units = field(default_factory=dict)
+
+    def new_to(self, known: Units) -> Units:
+        """Return what was spent beyond what a home knows."""
+        return {
+            workspace: units - known.get(workspace, 0)
+            for workspace, units in self.spent.items()
+        }
+
+    def uncounted(self) -> Units:
+        """Return what no earlier home told of, in the last window."""
+        return {
+            workspace: min(units, self.recent.get(workspace, 0))
+            for workspace, units in self.new_to(self.counted).items()
+        }
+
+
 @dataclass(slots=True)
 class Spending:
     """Hold what was spent in the last window, in pieces by time."""
@@ -64,6 +95,16 @@
             return
         self._pieces.append((now, units))
 
+    def credit(self, units: float, now: float) -> None:
+        """Free units for one window, as if less had been spent before."""
+        self._assumed.append((now, -units))
+        self.spent -= units
+
+    def recent(self, window: float, now: float) -> float:
+        """Return what was truly spent in the window that ends now."""
+        self.left(0, window, now)
+        return sum(units for _, units in self._pieces)
+
     def assume(self, units: float, window: float, now: float) -> None:
         """Take units as spent evenly over the window before now."""
         step = window / ASSUMED_PIECES
@@ -122,6 +163,9 @@
     spent: Units = field(default_factory=dict)
     _heard: dict[str, HeardLevel] = field(default_factory=dict)
     _own: dict[str, Spending] = field(default_factory=dict)
+    #: The levels heard last, and what was spent by then, while alone.
+    _last_levels: Units = field(default_factory=dict)
+    _last_spent: Units = field(default_factory=dict)
 
     def try_spend(
         self,
@@ -178,9 +222,30 @@
             left = level - spent + reported.get(workspace, 0)
             self._heard[workspace] = HeardLevel(left, left * part)
 
-    def levels(self) -> Units:
-        """Return the levels that were heard, for a new home."""
-        return {name: row.level for name, row in self._heard.items()}
+    def report(
+        self,
+        limits: Mapping[str, Limit],
+        now: float,
+    ) -> EntrySpending:
+        """Return what a home that is new to this entry is to know."""
+        recent = {
+            workspace: own.recent(limits[workspace].window, now)
+            for workspace, own in self._own.items()
+            if workspace in limits
+        }
+        spent = dict(self.spent)
+        if self._heard:
+            return EntrySpending(spent, self._levels(), spent, recent)
+        return EntrySpending(
+            spent,
+            self._last_levels,
+            self._last_spent,
+            recent,
+        )
+
+    def brief_report(self) -> EntrySpending:
+        """Return what a home that knows this entry is to know."""
+        return EntrySpending(dict(self.spent))
 
     def go_alone(self, limits: Mapping[str, Limit], now: float) -> None:
         """Keep to this entry's own part, as no home is heard.
@@ -189,6 +254,9 @@
         part of what the home said is left, if that is more.
         """
         heard = self._heard
+        if heard:
+            self._last_levels = self._levels()
+            self._last_spent = dict(self.spent)
         self._heard = {}
         for workspace, row in heard.items():
             own = self._own.get(workspace)
@@ -196,7 +264,10 @@
             if own is not None and limit is not None:
                 part = row.level / max(1, self.entries)
                 missing = part - self.left(workspace, limit, now)
-                own.add(-max(0, missing), now)
+                own.credit(max(0, missing), now)
+
+    def _levels(self) -> Units:
+        return {name: row.level for name, row in self._heard.items()}
 
     def _spend(self, workspace: str, units: float, now: float) -> None:
         self._own[workspace].add(units, now)
@@ -219,25 +290,21 @@
     def learn(
         self,
         entry: str,
-        spent: Units,
-        levels: Units,
+        report: EntrySpending,
         limits: Mapping[str, Limit],
         now: float,
     ) -> None:
         """Add what an entry spent since its last report.
 
         The levels of its first report, heard from an earlier home, stand for
-        what was spent before this one; without levels all that it spent is
-        new.
+        what all had spent by then; only what it spent since is new.
         """
         known = self._spent.get(entry)
-        if known is None:
-            known = dict(spent) if levels else {}
+        new = report.uncounted() if known is None else report.new_to(known)
         for workspace, limit in limits.items():
-            spending = self._of(workspace, limit, levels, now)
-            total = spent.get(workspace, 0)
-            spending.add(total - known.get(workspace, 0), now)
-        self._spent[entry] = dict(spent)
+            spending = self._of(workspace, limit, report.levels, now)
+            spending.add(new.get(workspace, 0), now)
+        self._spent[entry] = report.spent
 
     def pressed(
         self,
--- a/packages/spanfall-node/src/spanfall_node/gateway/caller_connection.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/caller_connection.py
@@ -68,8 +68,6 @@
     #: Whether the answer under way tells the caller to close.
     closing: bool = False
     gone: bool = False
-    #: Bytes that arrived since the last whole request.
-    received: int = 0
     _ahead: int = 0
 
     def __post_init__(self) -> None:
@@ -213,7 +211,6 @@
                 self.gone = True
                 return False
             self.protocol.receive_data(received)
-            self.received += len(received)
             return True
         return False
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/callers.py
@@ -183,8 +183,6 @@
     def _note_admitted(self, work: Work) -> None:
         state = self._state
         state.retries.earn(work.service, state.timers.now())
-        begun = state.requests.get(work.service, 0)
-        state.requests[work.service] = begun + 1
         tokens = state.prompt_tokens.get(work.service, 0)
         state.prompt_tokens[work.service] = tokens + work.prompt_tokens
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links.py
@@ -183,12 +183,13 @@
     async def _report_until_lost(self, link: ClientConnection) -> None:
         epoch = self._state.home.epoch
         self._state.loads.forget_others()
+        is_first = True
         while self._state.home is not None:
             if self._state.home.epoch != epoch or self._state.tenure:
                 return
             try:
                 with anyio.fail_after(ANSWER_SECONDS):
-                    await self._report(link)
+                    await self._report(link, to_new_home=is_first)
             except (OSError, TimeoutError, WebSocketException) as exc:
                 self._lose(f'no answer: {exc!r}')
                 return
@@ -196,11 +197,17 @@
                 logger.exception('The home sent no table; check its version')
                 self._lose('no table')
                 return
+            is_first = False
             await anyio.sleep(report_period(self._state.quotas.entries))
 
-    async def _report(self, link: ClientConnection) -> None:
+    async def _report(
+        self,
+        link: ClientConnection,
+        *,
+        to_new_home: bool,
+    ) -> None:
         state = self._state
-        report = state.report()
+        report = state.report(to_new_home=to_new_home)
         sent_at = state.timers.now()
         message = ReportMessage(
             report,
--- a/packages/spanfall-node/src/spanfall_node/gateway/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/state.py
@@ -77,8 +77,7 @@
     tenure: Tenure | None = None
     #: When the home last answered.
     home_heard_at: float = float('-inf')
-    #: Requests and prompt tokens begun, by service.
-    requests: Counts = field(default_factory=dict)
+    #: Prompt tokens begun, by service.
     prompt_tokens: Counts = field(default_factory=dict)
     #: Whether the home says that another is to be looked for.
     home_resigned: bool = False
@@ -108,8 +107,7 @@
         self.fleet.learn(report, now)
         self.shared_levels.learn(
             report.key,
-            report.spent,
-            report.levels,
+            report.spending,
             self._limits(),
             now,
         )
@@ -125,7 +123,8 @@
     ) -> None:
         """Follow the home's levels, which know of a report of this entry."""
         if levels:
-            self.quotas.learn_levels(levels, report.spent, self._limits())
+            reported = report.spending.spent
+            self.quotas.learn_levels(levels, reported, self._limits())
 
     def lose_home(self) -> None:
         """Go on alone: nobody tells what the other entries do."""
@@ -142,18 +141,20 @@
             return {}
         return self.configuration.quotas(self.cfg.bounds.quota_window_seconds)
 
-    def report(self) -> EntryReport:
+    def report(self, *, to_new_home: bool = True) -> EntryReport:
         """Return what the home is to know of this entry."""
+        now = self.timers.now()
+        spending = self.quotas.brief_report()
+        if to_new_home:
+            spending = self.quotas.report(self._limits(), now)
         return EntryReport(
             node=self.cfg.node,
             incarnation=self.incarnation,
             running=dict(self.loads.running),
             prefill=dict(+self.loads.prefill),
             failed=dict(self.loads.failed),
-            spent=dict(self.quotas.spent),
-            levels=self.quotas.levels(),
+            spending=spending,
             usage={key: dict(row) for key, row in self.usage.windows.items()},
-            requests=dict(self.requests),
             prompt_tokens=dict(self.prompt_tokens),
         )
 
--- a/tests/test_gateway_home.py
+++ b/tests/test_gateway_home.py
@@ -55,14 +55,14 @@
     await world.add_upstream(whole())
     home, other = await two_gateways(world)
     await ask(other, '/keyed/7', authorization='Key k')
-    await wait_until(lambda: bool(other.quotas.levels()))
+    await wait_until(lambda: bool(other.quotas.report({}, 0).levels))
     home.draining_since = home.timers.now()
     leases = list(world.store.leases)
     await Leadership(home, _StoreOf(world), None).resign()
     assert not home.is_home(home.timers.now())
     assert not world.store.leases.keys() & set(leases)
     await wait_until(lambda: other.is_home(other.timers.now()))
-    assert other.quotas.levels()
+    assert other.quotas.report({}, 0).levels
     await wait_until(lambda: home.tenure is None)
     assert home.home.incarnation == other.incarnation
 
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -2,7 +2,12 @@
 
 from itertools import product
 
-from spanfall_core.gateway.quotas import Limit, Quotas, SharedLevels
+from spanfall_core.gateway.quotas import (
+    EntrySpending,
+    Limit,
+    Quotas,
+    SharedLevels,
+)
 
 #: Units a second and at once, as of a large workspace of the deployments.
 #: The window is the one in which the platform counts.
@@ -32,7 +37,7 @@
     limits = {'large': LIMIT}
     for place, entry in enumerate(entries):
         reported[place] = dict(entry.spent)
-        home.learn(str(place), entry.spent, entry.levels(), limits, now)
+        home.learn(str(place), entry.report(limits, now), limits, now)
     for place, entry in enumerate(entries):
         entry.entries = ENTRIES
         entry.learn_levels(home.levels(limits, now), reported[place], limits)
@@ -75,13 +80,45 @@
     assert after == before
 
 
+def test_a_new_home_counts_only_what_is_new():
+    """The home dies silently after entries have served for a long time."""
+    limits = {'large': LIMIT}
+    home, entries, reported = SharedLevels(), fresh_entries(), {}
+    lost_at = START * 4
+    for step in range(lost_at):
+        spend_all(entries, step, most=1)
+        tick(home, entries, reported, step)
+    for entry in entries:
+        entry.go_alone(limits, lost_at)
+    alone = spend_all(entries, lost_at, most=1)
+    expected = home.levels(limits, lost_at)['large'] - alone
+    successor = SharedLevels()
+    tick(successor, entries, reported, lost_at)
+    left = successor.levels(limits, lost_at)['large']
+    # The levels are a second old: what has left the window since counts.
+    assert expected - ENTRIES * REQUEST <= left <= expected
+
+
+def test_what_was_spent_long_ago_does_not_count():
+    limits = {'large': LIMIT}
+    alone = Quotas()
+    assert alone.try_spend('large', LIMIT, REQUEST, 0)
+    home = SharedLevels()
+    home.learn('home', EntrySpending(), limits, 0)
+    before = home.levels(limits, START)['large']
+    home.learn('alone', alone.report(limits, START), limits, START)
+    assert home.levels(limits, START)['large'] == before
+
+
 def test_what_entries_spent_alone_counts():
     """A new home adds what restarted entries spent before it came."""
     home = SharedLevels()
     limits = {'large': LIMIT}
-    home.learn('home', {}, {}, limits, 0)
+    home.learn('home', EntrySpending(), limits, 0)
     before = home.levels(limits, START)['large']
-    home.learn('other', {'large': REQUEST}, {}, limits, START)
+    other = Quotas()
+    assert other.try_spend('large', LIMIT, REQUEST, START)
+    home.learn('other', other.report(limits, START), limits, START)
     assert before - home.levels(limits, START)['large'] == REQUEST
 
 
@@ -89,8 +126,9 @@
     """All nodes were killed; the next home reads what was spent when."""
     limits = {'large': LIMIT}
     before = SharedLevels()
-    before.learn('home', {}, {}, limits, 0)
-    before.learn('home', {'large': LIMIT.total}, {}, limits, START)
+    before.learn('home', EntrySpending(), limits, 0)
+    spent = EntrySpending({'large': LIMIT.total})
+    before.learn('home', spent, limits, START)
     record = before.pressed(limits, START + 1)
     after = SharedLevels(record, recorded_age=2)
     free = [after.levels(limits, START + at)['large'] for at in (3, 7, 10)]
