Order no others where the rest of the fleet is enough

Change: others that serve stay until reclaimable ones do; new ones come only below the part of the need that bridging starts at.

--- a/packages/spanfall-core/src/spanfall_core/gateway/capacity.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/capacity.py
@@ -212,7 +212,10 @@
         reclaimable=True,
         count=max(0, min(wanted.count, room)),
     )
-    keep = max(bridge, scaling.least - present.reclaimable[place])
+    # Others that serve stay until reclaimable ones do; none is ordered where
+    # a place lost its reclaimable ones and the rest of the fleet is enough.
+    least = scaling.least - present.reclaimable[place]
+    keep = max(bridge, min(present.others[place], least))
     if others >= scaling.most:
         # A full place takes no reclaimable upstream until one has left.
         keep = min(keep, others - 1)
--- a/tests/test_gateway_capacity.py
+++ b/tests/test_gateway_capacity.py
@@ -60,6 +60,14 @@
     assert {planned[place, False] for place in PLACES} == {0}
 
 
+def test_the_rest_carries_a_place_that_lost_all():
+    orders = ServiceOrders(first_count=5, demand=Demand(peak=3.5))
+    rows = [row for row in listed(2, 0) if row.data_centre != 'south']
+    planned = as_rows(plan(orders, count_present(rows)))
+    assert planned['south', True] == 2
+    assert planned['south', False] == 0
+
+
 def test_a_large_gap_is_bridged():
     orders = ServiceOrders(first_count=8, demand=Demand(peak=10))
     present = count_present(listed(1, 0))
