Let the home grant each request its upstream

Cause: entries chose from counts that were up to half a second old, so requests of one moment met at the same free upstream, and each entry knew only the prompts it had sent itself.

Change: entries ask the home over their link; it counts its grants at once, knows which upstream read which prompt for whom, and answers with the upstream. Entries tell what runs whenever it changes, with the number of the last grant that this includes.

--- a/bench/gateway_tables.py
+++ b/bench/gateway_tables.py
@@ -12,7 +12,7 @@
 from spanfall_node.gateway.messages import (
     ReportMessage,
     TableMessage,
-    decode_report,
+    decode_from_entry,
     encode,
 )
 
@@ -53,11 +53,11 @@
     ]
     clock = count(0, 0.25 / nodes)
     for received in sent:
-        fleet.learn(decode_report(received).report, next(clock))
+        fleet.learn(decode_from_entry(received).report, next(clock))
     began = time.process_time()
     for received in sent:
         now = next(clock)
-        report = decode_report(received).report
+        report = decode_from_entry(received).report
         fleet.learn(report, now)
         totals = fleet.others(report.key, now)
         encode(TableMessage(1, totals, 1, 0.1, now))
--- a/packages/spanfall-core/src/spanfall_core/gateway/balance.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/balance.py
@@ -5,11 +5,11 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Protocol
 
 from xxhash import xxh3_64_intdigest
 
 from spanfall_core.gateway.directory import ListedUpstream
-from spanfall_core.gateway.loads import Loads
 from spanfall_core.gateway.prefixes import PrefixIndex, PromptPart
 
 #: Prompt tokens read a second, assumed until an engine is measured.
@@ -36,6 +36,19 @@
 STALL_WEIGHT = 1.0
 
 
+class KnownLoads(Protocol):
+    """Tell what a choice has to know of each upstream."""
+
+    def running_at(self, upstream_id: str) -> int:
+        """Return the requests that run there, fleet wide."""
+
+    def prefill_at(self, upstream_id: str) -> int:
+        """Return the prompt tokens that are still to be read there."""
+
+    def failures_at(self, upstream_id: str, now: float) -> float:
+        """Return the recent failures there."""
+
+
 @dataclass(frozen=True, slots=True)
 class Ask:
     """State what the choice for one request depends on."""
@@ -60,7 +73,7 @@
 def choose(
     candidates: Iterable[ListedUpstream],
     ask: Ask,
-    loads: Loads,
+    loads: KnownLoads,
     prefixes: PrefixIndex,
     now: float,
 ) -> Choice | None:
@@ -83,7 +96,7 @@
 def estimate(
     row: ListedUpstream,
     ask: Ask,
-    loads: Loads,
+    loads: KnownLoads,
     prefill: int,
     now: float,
 ) -> float:
--- a/packages/spanfall-core/src/spanfall_core/gateway/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/directory.py
@@ -7,11 +7,15 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from xxhash import xxh3_64_intdigest
+
 #: Seconds that a row missing after an outage of the store is kept; the
 #: platform says that living upstreams are back within about two seconds.
 LAPSE_GRACE = 2.0
 #: Lifetimes remembered as over; a listing that is late by more is not seen.
 REMEMBERED_ENDS = 4096
+#: Bits of a digest, so that any codec carries it.
+DIGEST_BITS = 0xFFFFFFFFFFFF
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +40,8 @@
     def __init__(self) -> None:
         """Start with no upstream known."""
         self.revision = 0
+        #: Digest of the rows: equal where nodes know the same upstreams.
+        self.digest = 0
         self.rows: dict[str, ListedUpstream] = {}
         self._ended: dict[str, None] = {}
         self._by_service: dict[str, list[ListedUpstream]] = {}
@@ -108,3 +114,9 @@
             if not row.leaving:
                 by_service.setdefault(row.service, []).append(row)
         self._by_service = by_service
+        self.digest = _digest(self.rows.values())
+
+
+def _digest(rows: Iterable[ListedUpstream]) -> int:
+    known = sorted((row.upstream_id, row.address, row.leaving) for row in rows)
+    return xxh3_64_intdigest(repr(known).encode()) & DIGEST_BITS
--- a/packages/spanfall-core/src/spanfall_core/gateway/loads.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/loads.py
@@ -37,6 +37,8 @@
     running: Counter[str] = field(default_factory=Counter)
     prefill: Counter[str] = field(default_factory=Counter)
     failed: Counter[str] = field(default_factory=Counter)
+    #: How often the counts of what runs have changed.
+    changes: int = 0
     others_running: Mapping[str, int] = field(default_factory=dict)
     others_prefill: Mapping[str, int] = field(default_factory=dict)
     _failed_elsewhere: dict[str, int] | None = None
@@ -44,15 +46,18 @@
 
     def begin(self, upstream_id: str, prefill: int) -> None:
         """Count a request that is sent."""
+        self.changes += 1
         self.running[upstream_id] += 1
         self.prefill[upstream_id] += prefill
 
     def first_token(self, upstream_id: str, prefill: int) -> None:
         """Count the prompt of a request as read."""
+        self.changes += 1
         self.prefill[upstream_id] -= prefill
 
     def end(self, upstream_id: str) -> None:
         """Count a request as over."""
+        self.changes += 1
         self.running[upstream_id] -= 1
         if not self.running[upstream_id]:
             self.running.pop(upstream_id)
--- a/packages/spanfall-node/src/spanfall_node/gateway/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/callers.py
@@ -11,14 +11,13 @@
     CallerConnection,
     CallerRequest,
 )
-from spanfall_node.gateway.client import ConnectionPool
 from spanfall_node.gateway.errors import BadRequestError, CallerGoneError
 from spanfall_node.gateway.refusals import (
     RefusedError,
     refusal_body,
     refusal_headers,
 )
-from spanfall_node.gateway.relay import serve
+from spanfall_node.gateway.relay import UpstreamAccess, serve
 from spanfall_node.gateway.state import GatewayState
 
 logger = logging.getLogger(__name__)
@@ -38,10 +37,10 @@
 class Callers:
     """Serve the connections of callers."""
 
-    def __init__(self, state: GatewayState, pool: ConnectionPool) -> None:
-        """Use the tables of the node and its connections to upstreams."""
+    def __init__(self, state: GatewayState, access: UpstreamAccess) -> None:
+        """Use the tables of the node and its ways to upstreams."""
         self._state = state
-        self._pool = pool
+        self._access = access
         self._connections: dict[int, CallerConnection] = {}
         self._idle: set[int] = set()
 
@@ -139,7 +138,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch, caller, tasks.cancel_scope)
             try:
-                await serve(self._state, self._pool, work, caller)
+                await serve(self._state, self._access, work, caller)
             except RefusedError as exc:
                 refusals.append(exc)
             except CallerGoneError:
--- a/packages/spanfall-node/src/spanfall_node/gateway/links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
@@ -1,27 +1,27 @@
-"""Exchange reports and tables between the entries and the home.
+"""Hold an entry's link to the home: report on it and follow its table.
 
-Each entry holds one websocket to the home, sends its report on it and gets
-the table back. A node that is no home closes the link, and the entry looks
-the home up again.
+The counts of what runs go out whenever they change, so that the home's
+grants rest on the present; reports with all the rest go out from time to
+time, and the home answers each with its table.
 """
 
 import logging
+from collections.abc import Awaitable, Callable
 
 import anyio
 from spanfall_core.gateway.fleet import FleetTotals
 from websockets.asyncio.client import ClientConnection, connect
-from websockets.asyncio.server import ServerConnection, serve
 from websockets.exceptions import WebSocketException
-from xxhash import xxh3_64_intdigest
 
+from spanfall_node.gateway.grants import Grants
 from spanfall_node.gateway.messages import (
     MESSAGE_BYTES,
-    ConfigurationPart,
+    AskMessage,
+    GrantMessage,
+    LoadMessage,
     ReportMessage,
     TableMessage,
-    UpstreamsPart,
-    decode_report,
-    decode_table,
+    decode_from_home,
     encode,
 )
 from spanfall_node.gateway.state import GatewayState
@@ -38,8 +38,11 @@
 LINK_PERIOD = 0.1
 #: Seconds for an answer of the home, and for a new link to it.
 ANSWER_SECONDS = 0.8
-#: Digits that a digest may have in a message between nodes.
-DIGEST_BITS = 0xFFFFFFFFFFFF
+#: Seconds between two looks at whether the counts of what runs changed.
+LOAD_PERIOD = 0.05
+
+
+Part = Callable[[ClientConnection], Awaitable[None]]
 
 
 def report_period(entries: int) -> float:
@@ -47,92 +50,21 @@
     return max(REPORT_PERIOD, entries / MOST_REPORTS)
 
 
-def upstreams_digest(state: GatewayState) -> int:
-    """Return a digest of the table of upstreams."""
-    rows = sorted(
-        (row.upstream_id, row.address, row.leaving)
-        for row in state.directory.rows.values()
-    )
-    return xxh3_64_intdigest(repr(rows).encode()) & DIGEST_BITS
-
-
-class HomeLinks:
-    """Answer the reports of entries while this node is the home."""
-
-    def __init__(self, state: GatewayState) -> None:
-        """Use the tables of the node."""
-        self._state = state
-
-    async def run(self) -> None:
-        """Listen for entries until cancelled."""
-        host, _, port = self._state.cfg.listen.links.rpartition(':')
-        async with serve(
-            self._serve_link,
-            host,
-            int(port),
-            max_size=MESSAGE_BYTES,
-            compression=None,
-            server_header=None,
-        ):
-            await anyio.sleep_forever()
-
-    async def _serve_link(self, link: ServerConnection) -> None:
-        try:
-            async for received in link:
-                if self._state.tenure is None:
-                    return
-                await link.send(self._answer(received))
-        except (WebSocketException, OSError) as exc:
-            logger.info('A link from an entry ended: %r', exc)
-        except ValueError:
-            logger.exception('An entry sent no report; check its version')
-
-    def _answer(self, received: bytes) -> bytes:
-        state = self._state
-        message = decode_report(received)
-        now = state.timers.now()
-        state.learn_report(message.report, now)
-        state.learn_report(state.report(), now)
-        return encode(self._table(message, now))
-
-    def _table(self, message: ReportMessage, now: float) -> TableMessage:
-        state = self._state
-        revision = _revision(state)
-        return TableMessage(
-            epoch=state.tenure.epoch,
-            totals=state.fleet.others(message.report.key, now),
-            configuration_revision=revision,
-            proof_age=min(state.freshness.age(now), 1e9),
-            true_time=state.true_time.at(now),
-            levels=state.levels(now),
-            resigned=not state.is_home(now),
-            configuration=self._configuration(message, revision),
-            upstreams=self._upstreams(message),
-        )
-
-    def _configuration(
-        self,
-        message: ReportMessage,
-        revision: int,
-    ) -> ConfigurationPart | None:
-        if message.configuration_revision >= revision:
-            return None
-        return ConfigurationPart(revision, self._state.configuration_source)
-
-    def _upstreams(self, message: ReportMessage) -> UpstreamsPart | None:
-        if message.upstreams_digest == upstreams_digest(self._state):
-            return None
-        directory = self._state.directory
-        return UpstreamsPart(directory.revision, list(directory.rows.values()))
-
-
 class EntryLink:
     """Report to the home and follow its table."""
 
-    def __init__(self, state: GatewayState, sync: Sync) -> None:
-        """Use the tables of the node and its way to learn."""
+    def __init__(
+        self,
+        state: GatewayState,
+        sync: Sync,
+        grants: Grants,
+    ) -> None:
+        """Use the tables of the node, its way to learn and to ask."""
         self._state = state
         self._sync = sync
+        self._grants = grants
+        self._tables: list[TableMessage] = []
+        self._heard = anyio.Event()
 
     async def run(self) -> None:
         """Keep a link to whichever node is the home, until cancelled."""
@@ -167,8 +99,9 @@
             self._lose(f'no link: {exc!r}')
             return
         try:
-            await self._report_until_lost(link)
+            await self._use(link)
         finally:
+            self._grants.disconnect()
             link.transport.abort()
 
     async def _connect(self, address: str) -> ClientConnection:
@@ -180,26 +113,63 @@
             user_agent_header=None,
         )
 
-    async def _report_until_lost(self, link: ClientConnection) -> None:
-        epoch = self._state.home.epoch
+    async def _use(self, link: ClientConnection) -> None:
+        """Use a link until it fails or there is another home."""
         self._state.loads.forget_others()
-        is_first = True
-        while self._state.home is not None:
-            if self._state.home.epoch != epoch or self._state.tenure:
-                return
+        self._tables = []
+        async with anyio.create_task_group() as tasks:
+
+            async def run(part: Part) -> None:
+                await self._until_lost(part, link)
+                tasks.cancel_scope.cancel()
+
+            for part in (self._receive, self._report_often, self._tell_load):
+                tasks.start_soon(run, part)
+
+    async def _until_lost(self, part: Part, link: ClientConnection) -> None:
+        try:
+            await part(link)
+        except TimeoutError as exc:
+            self._lose(f'no answer: {exc!r}')
+        except (OSError, WebSocketException) as exc:
+            self._lose(f'the link ended: {exc!r}')
+        except ValueError:
+            logger.exception('The home sent no message; check its version')
+            self._lose('no message')
+
+    async def _receive(self, link: ClientConnection) -> None:
+        """Take what the home sends; the reports wait for their tables."""
+
+        async def ask(message: AskMessage) -> None:
             try:
-                with anyio.fail_after(ANSWER_SECONDS):
-                    await self._report(link, to_new_home=is_first)
-            except (OSError, TimeoutError, WebSocketException) as exc:
-                self._lose(f'no answer: {exc!r}')
-                return
-            except ValueError:
-                logger.exception('The home sent no table; check its version')
-                self._lose('no table')
-                return
+                await link.send(encode(message))
+            except (OSError, WebSocketException) as exc:
+                logger.info('Could not ask the home: %r', exc)
+
+        self._grants.connect(ask)
+        while True:
+            message = decode_from_home(await link.recv())
+            if isinstance(message, GrantMessage):
+                self._grants.learn(message.number, message.grant)
+            else:
+                self._tables.append(message)
+                self._heard.set()
+
+    async def _report_often(self, link: ClientConnection) -> None:
+        epoch = self._state.home.epoch
+        is_first = True
+        while self._is_home_still(epoch):
+            with anyio.fail_after(ANSWER_SECONDS):
+                await self._report(link, to_new_home=is_first)
             is_first = False
             await anyio.sleep(report_period(self._state.quotas.entries))
 
+    def _is_home_still(self, epoch: int) -> bool:
+        home = self._state.home
+        if home is None or self._state.tenure is not None:
+            return False
+        return home.epoch == epoch
+
     async def _report(
         self,
         link: ClientConnection,
@@ -211,14 +181,29 @@
         sent_at = state.timers.now()
         message = ReportMessage(
             report,
-            _revision(state),
-            upstreams_digest(state),
+            state.revision,
+            state.directory.digest,
+            self._grants.load().seen,
         )
+        self._heard = anyio.Event()
         await link.send(encode(message))
-        table = decode_table(await link.recv())
+        while not self._tables:
+            await self._heard.wait()
+        table = self._tables.pop()
         self._apply(table, sent_at)
         state.learn_levels(table.levels, report)
 
+    async def _tell_load(self, link: ClientConnection) -> None:
+        """Tell the home what runs here whenever it has changed."""
+        told = -1
+        while True:
+            await anyio.sleep(LOAD_PERIOD)
+            if told != self._state.loads.changes:
+                told = self._state.loads.changes
+                entry = self._state.entry_key
+                message = LoadMessage(entry, self._grants.load())
+                await link.send(encode(message))
+
     def _apply(
         self,
         table: TableMessage,
@@ -234,7 +219,7 @@
                 table.configuration.source,
                 sent_at - table.proof_age,
             )
-        elif table.configuration_revision == _revision(state):
+        elif table.configuration_revision == state.revision:
             state.freshness.prove(sent_at - table.proof_age)
         if table.upstreams is not None:
             self._sync.learn_upstreams(
@@ -266,7 +251,3 @@
     state.loads.learn_failures(others.failed, now)
     state.quotas.entries = max(1, others.entries)
     state.retries.entries = max(1, others.entries)
-
-
-def _revision(state: GatewayState) -> int:
-    return state.configuration.revision if state.configuration else 0
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home_links.py
@@ -0,0 +1,117 @@
+"""Answer the entries while this node is the home.
+
+Each entry holds one websocket to the home. It reports on it and gets the
+home's table back, tells what it has running, and asks which upstream is to
+serve a request. A node that is no home closes the link, and the entry looks
+the home up again.
+"""
+
+import logging
+
+import anyio
+from spanfall_core.gateway.grants import EntryLoad
+from websockets.asyncio.server import ServerConnection, serve
+from websockets.exceptions import WebSocketException
+
+from spanfall_node.gateway.grants import decide
+from spanfall_node.gateway.messages import (
+    MESSAGE_BYTES,
+    AskMessage,
+    ConfigurationPart,
+    GrantMessage,
+    LoadMessage,
+    ReportMessage,
+    TableMessage,
+    UpstreamsPart,
+    decode_from_entry,
+    encode,
+)
+from spanfall_node.gateway.state import GatewayState
+
+logger = logging.getLogger(__name__)
+
+
+class HomeLinks:
+    """Answer what entries send while this node is the home."""
+
+    def __init__(self, state: GatewayState) -> None:
+        """Use the tables of the node."""
+        self._state = state
+
+    async def run(self) -> None:
+        """Listen for entries until cancelled."""
+        host, _, port = self._state.cfg.listen.links.rpartition(':')
+        async with serve(
+            self._serve_link,
+            host,
+            int(port),
+            max_size=MESSAGE_BYTES,
+            compression=None,
+            server_header=None,
+        ):
+            await anyio.sleep_forever()
+
+    async def _serve_link(self, link: ServerConnection) -> None:
+        try:
+            async for received in link:
+                if self._state.tenure is None:
+                    return
+                answer = self._answer(received)
+                if answer is not None:
+                    await link.send(answer)
+        except (WebSocketException, OSError) as exc:
+            logger.info('A link from an entry ended: %r', exc)
+        except ValueError:
+            logger.exception('An entry sent no message; check its version')
+
+    def _answer(self, received: bytes) -> bytes | None:
+        message = decode_from_entry(received)
+        now = self._state.timers.now()
+        if isinstance(message, AskMessage):
+            return encode(self._grant(message, now))
+        if isinstance(message, LoadMessage):
+            self._state.grant_book.learn(message.entry, message.load, now)
+            return None
+        return encode(self._table(message, now))
+
+    def _grant(self, message: AskMessage, now: float) -> GrantMessage:
+        state = self._state
+        state.grant_book.learn(message.entry, message.load, now)
+        grant = decide(state, message.entry, message.number, message.request)
+        return GrantMessage(message.number, grant)
+
+    def _table(self, message: ReportMessage, now: float) -> TableMessage:
+        state = self._state
+        report = message.report
+        state.learn_report(report, now)
+        state.learn_report(state.report(), now)
+        load = EntryLoad(report.running, report.prefill, message.seen)
+        state.grant_book.learn(report.key, load, now)
+        state.grant_book.forget_silent(now)
+        revision = state.revision
+        return TableMessage(
+            epoch=state.tenure.epoch,
+            totals=state.fleet.others(report.key, now),
+            configuration_revision=revision,
+            proof_age=min(state.freshness.age(now), 1e9),
+            true_time=state.true_time.at(now),
+            levels=state.levels(now),
+            resigned=not state.is_home(now),
+            configuration=self._configuration(message, revision),
+            upstreams=self._upstreams(message),
+        )
+
+    def _configuration(
+        self,
+        message: ReportMessage,
+        revision: int,
+    ) -> ConfigurationPart | None:
+        if message.configuration_revision >= revision:
+            return None
+        return ConfigurationPart(revision, self._state.configuration_source)
+
+    def _upstreams(self, message: ReportMessage) -> UpstreamsPart | None:
+        directory = self._state.directory
+        if message.upstreams_digest == directory.digest:
+            return None
+        return UpstreamsPart(directory.revision, list(directory.rows.values()))
--- a/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
@@ -10,6 +10,8 @@
 import anyio
 import msgspec
 from spanfall_core.gateway.fleet import FleetState
+from spanfall_core.gateway.grants import GrantBook
+from spanfall_core.gateway.prefixes import PrefixIndex
 
 from spanfall_node.gateway.ports import Write
 from spanfall_node.gateway.quota_record import QuotaRecord
@@ -182,6 +184,8 @@
             return
         state.shared_levels = shared_levels
         state.fleet = FleetState()
+        state.grant_book = GrantBook()
+        state.grant_prefixes = PrefixIndex()
         state.tenure = Tenure(
             epoch,
             lease,
--- a/packages/spanfall-node/src/spanfall_node/gateway/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/messages.py
@@ -1,21 +1,63 @@
-"""Define and encode the messages between an entry and the home (CBOR)."""
+"""Define and encode the messages between an entry and the home (CBOR).
+
+Each message carries its kind, so that several may be under way on one link.
+"""
 
 import cbor2
 import msgspec
+from spanfall_core.gateway.balance import Ask
 from spanfall_core.gateway.directory import ListedUpstream
 from spanfall_core.gateway.fleet import EntryReport, FleetTotals
+from spanfall_core.gateway.grants import EntryLoad, Grant
 
 #: Most bytes of one message.
 MESSAGE_BYTES = 4_194_304
 
 
-class ReportMessage(msgspec.Struct, frozen=True, omit_defaults=True):
+class ReportMessage(
+    msgspec.Struct,
+    frozen=True,
+    omit_defaults=True,
+    tag='report',
+):
     """Carry the report of an entry and what it knows already."""
 
     report: EntryReport
     configuration_revision: int = 0
     #: Digest of the entry's table of upstreams.
     upstreams_digest: int = 0
+    #: Number of the last grant that the report's counts include.
+    seen: int = 0
+
+
+class LoadMessage(msgspec.Struct, frozen=True, tag='load'):
+    """Carry the counts of what an entry has running."""
+
+    entry: str
+    load: EntryLoad
+
+
+class GrantRequest(msgspec.Struct, frozen=True):
+    """Describe the request that an upstream is wanted for."""
+
+    service: str
+    ask: Ask
+
+
+class AskMessage(msgspec.Struct, frozen=True, tag='ask'):
+    """Ask which upstream is to serve a request."""
+
+    entry: str
+    number: int
+    request: GrantRequest
+    load: EntryLoad
+
+
+class GrantMessage(msgspec.Struct, frozen=True, tag='grant'):
+    """Answer a question; without a grant, no upstream serves."""
+
+    number: int
+    grant: Grant | None = None
 
 
 class ConfigurationPart(msgspec.Struct, frozen=True):
@@ -32,7 +74,12 @@
     rows: list[ListedUpstream]
 
 
-class TableMessage(msgspec.Struct, frozen=True, omit_defaults=True):
+class TableMessage(
+    msgspec.Struct,
+    frozen=True,
+    omit_defaults=True,
+    tag='table',
+):
     """Carry the home's table to one entry."""
 
     epoch: int
@@ -55,22 +102,25 @@
     return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
 
 
-def decode_report(received: bytes) -> ReportMessage:
-    """Read a report.
+def decode_from_entry(
+    received: bytes,
+) -> ReportMessage | LoadMessage | AskMessage:
+    """Read a message of an entry.
 
     Raises:
-        ValueError: the bytes are no report.
+        ValueError: the bytes are no such message.
     """
-    return msgspec.convert(_plain(received), ReportMessage)
+    kinds = ReportMessage | LoadMessage | AskMessage
+    return msgspec.convert(_plain(received), kinds)
 
 
-def decode_table(received: bytes) -> TableMessage:
-    """Read a table.
+def decode_from_home(received: bytes) -> TableMessage | GrantMessage:
+    """Read a message of the home.
 
     Raises:
-        ValueError: the bytes are no table.
+        ValueError: the bytes are no such message.
     """
-    return msgspec.convert(_plain(received), TableMessage)
+    return msgspec.convert(_plain(received), TableMessage | GrantMessage)
 
 
 def _plain(received: bytes) -> object:
--- a/packages/spanfall-node/src/spanfall_node/gateway/program.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/program.py
@@ -16,12 +16,15 @@
 from spanfall_node.gateway.capacity_duty import CapacityDuty
 from spanfall_node.gateway.client import ConnectionPool
 from spanfall_node.gateway.duties import Cloud, UsageDuty
+from spanfall_node.gateway.entry_link import EntryLink
+from spanfall_node.gateway.grants import Grants
+from spanfall_node.gateway.home_links import HomeLinks
 from spanfall_node.gateway.leadership import Leadership
 from spanfall_node.gateway.lifecycle import StatusPages, stop_on_signal
-from spanfall_node.gateway.links import EntryLink, HomeLinks
 from spanfall_node.gateway.logs import LineBudget, set_up_logging
 from spanfall_node.gateway.ports import PlatformAdapter
 from spanfall_node.gateway.quota_record import QuotaRecord
+from spanfall_node.gateway.relay import UpstreamAccess
 from spanfall_node.gateway.settings_watch import SettingsWatch
 from spanfall_node.gateway.state import GatewayState, build_state
 from spanfall_node.gateway.store_client import StoreClient
@@ -90,7 +93,8 @@
     pool = ConnectionPool(tasks)
     store = StoreClient(state, pool)
     sync = Sync(state, store)
-    callers = Callers(state, pool)
+    grants = Grants(state)
+    callers = Callers(state, UpstreamAccess(pool, grants))
     spending = QuotaRecord(state, store)
     leadership = Leadership(state, store, spending)
     cloud = Cloud(state, pool)
@@ -105,7 +109,7 @@
         sync.run,
         leadership.run,
         spending.run,
-        EntryLink(state, sync).run,
+        EntryLink(state, sync, grants).run,
     ]
     if state.cfg.reports_usage:
         parts.append(UsageDuty(state, store, cloud).run)
--- a/packages/spanfall-node/src/spanfall_node/gateway/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/relay.py
@@ -5,10 +5,11 @@
 """
 
 import logging
+from dataclasses import dataclass
 from functools import partial
 
 import anyio
-from spanfall_core.gateway.balance import Ask, Choice, choose
+from spanfall_core.gateway.balance import Ask, Choice
 from spanfall_core.gateway.sends import (
     RETRY_REASONS,
     NextStep,
@@ -26,6 +27,7 @@
 )
 from spanfall_node.gateway.caller_connection import CallerConnection
 from spanfall_node.gateway.client import ConnectionPool
+from spanfall_node.gateway.grants import Grants
 from spanfall_node.gateway.refusals import RefusedError
 from spanfall_node.gateway.sending import send
 from spanfall_node.gateway.state import GatewayState
@@ -38,9 +40,17 @@
 ANSWER_SECONDS = 0.02
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamAccess:
+    """Hold what leads from this node to the upstreams."""
+
+    pool: ConnectionPool
+    grants: Grants
+
+
 async def serve(
     state: GatewayState,
-    pool: ConnectionPool,
+    access: UpstreamAccess,
     work: Work,
     caller: CallerConnection,
 ) -> None:
@@ -54,7 +64,7 @@
     left = work.deadline - state.timers.now() - ANSWER_SECONDS
     scope = anyio.move_on_after(max(0, left))
     with scope:
-        await _send_until_answered(state, pool, exchange)
+        await _send_until_answered(state, access, exchange)
     if scope.cancelled_caught:
         await _run_out_of_time(state, exchange)
 
@@ -83,37 +93,31 @@
 
 async def _send_until_answered(
     state: GatewayState,
-    pool: ConnectionPool,
+    access: UpstreamAccess,
     exchange: Exchange,
 ) -> None:
     while True:
-        choice = _choose(state, exchange)
+        ask = _ask(state, exchange)
+        choice = await access.grants.choose(exchange.work.service, ask)
         if choice is None:
             await _end_with_nothing_left(state, exchange)
             return
-        ended = await send(state, pool, exchange, choice)
+        ended = await send(state, access.pool, exchange, choice)
         if isinstance(ended, Answered):
             return
         if not await _goes_on(state, exchange, choice, ended):
             return
 
 
-def _choose(state: GatewayState, exchange: Exchange) -> Choice | None:
+def _ask(state: GatewayState, exchange: Exchange) -> Ask:
     work = exchange.work
-    ask = Ask(
+    return Ask(
         work.attempt_id,
         state.cfg.data_centre,
         work.parts,
         work.prompt_tokens,
         frozenset(exchange.tried),
     )
-    return choose(
-        state.directory.serving(work.service),
-        ask,
-        state.loads,
-        state.prefixes,
-        state.timers.now(),
-    )
 
 
 async def _end_with_nothing_left(
@@ -159,7 +163,8 @@
 
 
 def _take_retry(state: GatewayState, exchange: Exchange) -> bool:
-    if _choose(state, exchange) is None:
+    serving = state.directory.serving(exchange.work.service)
+    if all(row.upstream_id in exchange.tried for row in serving):
         return False
     now = state.timers.now()
     return state.retries.try_spend(exchange.work.service, now)
--- a/packages/spanfall-node/src/spanfall_node/gateway/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/state.py
@@ -10,6 +10,7 @@
 from spanfall_core.gateway.directory import Directory
 from spanfall_core.gateway.fleet import Counts, EntryReport, FleetState
 from spanfall_core.gateway.freshness import Freshness
+from spanfall_core.gateway.grants import EntryLoad, GrantBook
 from spanfall_core.gateway.loads import Loads
 from spanfall_core.gateway.prefixes import PrefixIndex
 from spanfall_core.gateway.quotas import Limit, Quotas, SharedLevels
@@ -73,6 +74,9 @@
     prefixes: PrefixIndex = field(default_factory=PrefixIndex)
     fleet: FleetState = field(default_factory=FleetState)
     shared_levels: SharedLevels = field(default_factory=SharedLevels)
+    #: As the home: what runs everywhere, and which prompts were read where.
+    grant_book: GrantBook = field(default_factory=GrantBook)
+    grant_prefixes: PrefixIndex = field(default_factory=PrefixIndex)
     home: HomeRecord | None = None
     tenure: Tenure | None = None
     #: When the home last answered.
@@ -92,6 +96,16 @@
             return CallerLimits()
         return self.configuration.limits
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the configuration in force, or 0."""
+        return self.configuration.revision if self.configuration else 0
+
+    @property
+    def entry_key(self) -> str:
+        """Name this node and its incarnation."""
+        return f'{self.cfg.node}/{self.incarnation}'
+
     def is_home(self, now: float) -> bool:
         """Tell whether this node certainly is the home."""
         return self.tenure is not None and now < self.tenure.valid_until
@@ -102,6 +116,15 @@
             return False
         return self.freshness.is_ready(now)
 
+    def own_load(self, seen: int) -> EntryLoad:
+        """Return what runs here, which includes grants up to a number."""
+        prefill = dict(+self.loads.prefill)
+        return EntryLoad(dict(self.loads.running), prefill, seen)
+
+    def learn_own_load(self, now: float) -> None:
+        """Count what runs here, as the home that also serves callers."""
+        self.grant_book.learn(self.entry_key, self.own_load(0), now)
+
     def learn_report(self, report: EntryReport, now: float) -> None:
         """Take over the report of an entry as the home."""
         self.fleet.learn(report, now)
--- a/packages/spanfall-node/src/spanfall_node/gateway/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/sync.py
@@ -96,6 +96,7 @@
             )
         for upstream_id in before - self._state.directory.rows.keys():
             self._state.prefixes.forget(upstream_id)
+            self._state.grant_prefixes.forget(upstream_id)
             self._state.loads.forget(upstream_id)
 
     def _must_read(self) -> bool:
--- a/tests/test_gateway_home.py
+++ b/tests/test_gateway_home.py
@@ -3,8 +3,8 @@
 import json
 
 from gateway_world import ask, in_world
+from spanfall_node.gateway.entry_link import report_period
 from spanfall_node.gateway.leadership import Leadership
-from spanfall_node.gateway.links import report_period
 from spanfall_node.gateway.state import HOME_KEY
 from spanfall_standins.gateway.dialect import PlainWorkspace
 from spanfall_standins.gateway.upstream import whole
