Bridge ahead of the next loss of reclaimable upstreams

Change: others bridge what is missing below 0.8 of the need, and below 0.6 of it with one more data centre lost while none are to be had. What came and went is ordered again at once, so scarcity is known early. Running requests beyond the slots there are no demand. Counts of others fall only by a fifth.

--- a/packages/spanfall-core/src/spanfall_core/gateway/capacity.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/capacity.py
@@ -16,7 +16,13 @@
 
 #: Part of the need below which others bridge what is missing; above it, the
 #: reclaimable ones that are left carry on alone for a while.
-BRIDGE_PART = 0.6
+BRIDGE_PART = 0.8
+#: Part of the need that has to be there even if one more data centre loses
+#: its reclaimable upstreams while none are to be had: those who boot need
+#: longer than a notice lasts.
+AHEAD_PART = 0.6
+#: Part by which fewer others must be needed before some are sent away.
+SWING_PART = 0.2
 #: One in so many data centres may be lost at a time without too little left;
 #: half of them instead cost 0.03 of the worth on a calm day of Muestras.
 LOST_PART = 3
@@ -76,6 +82,12 @@
     in_force: dict[tuple[str, bool], int] = field(default_factory=dict)
     ordered_at: dict[tuple[str, bool], float] = field(default_factory=dict)
     refused_until: dict[str, float] = field(default_factory=dict)
+    #: What was ordered and has come since.
+    reached: set[tuple[str, bool]] = field(default_factory=set)
+
+    def is_scarce(self, now: float) -> bool:
+        """Tell whether a data centre refused reclaimable ones lately."""
+        return any(until > now for until in self.refused_until.values())
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +101,11 @@
         """Return all upstreams that serve."""
         return self.reclaimable.total() + self.others.total()
 
+    def count(self, subject: tuple[str, bool]) -> int:
+        """Return the upstreams of one kind in one data centre."""
+        place, reclaimable = subject
+        return (self.reclaimable if reclaimable else self.others)[place]
+
 
 def count_present(rows: Iterable[ListedUpstream]) -> Present:
     """Count the upstreams that are listed and not leaving."""
@@ -103,12 +120,15 @@
     engine: EngineLimits,
     running: int,
     prompt_rate: float,
+    there: int,
 ) -> float:
     """Return the engines that a load keeps busy with answers in time.
 
-    ``prompt_rate`` is in prompt tokens a second.
+    ``prompt_rate`` is in prompt tokens a second. What waits beyond the slots
+    of the engines that are there tells of a jam, not of a lasting need.
     """
-    decoding = running / (engine.slots * GOOD_BATCH)
+    served = min(running, there * engine.slots)
+    decoding = served / (engine.slots * GOOD_BATCH)
     return decoding + prompt_rate / (PREFILL_RATE * GOOD_PREFILL)
 
 
@@ -123,7 +143,8 @@
     places = sorted(scaling.prices, key=lambda place: scaling.prices[place])
     orders.first_count = orders.first_count or present.total()
     wanted = _spread(_target(orders, len(places)), places, scaling)
-    bridge = _bridge(orders, present, places, scaling)
+    bridge = _bridge(orders, present, places, scaling, now)
+    _note_reached(orders, present)
     planned: list[Order] = []
     for place in places:
         planned.extend(
@@ -150,6 +171,7 @@
     """Note that an order is in force."""
     orders.in_force[order.subject] = order.count
     orders.ordered_at[order.subject] = now
+    orders.reached.discard(order.subject)
 
 
 def note_refused(order: Order, orders: ServiceOrders, now: float) -> None:
@@ -174,28 +196,48 @@
     return dict.fromkeys(places, count)
 
 
+def _note_reached(orders: ServiceOrders, present: Present) -> None:
+    orders.reached.update(
+        subject
+        for subject, count in orders.in_force.items()
+        if present.count(subject) >= count
+    )
+
+
 def _bridge(
     orders: ServiceOrders,
     present: Present,
     places: list[str],
     scaling: Scaling,
+    now: float,
 ) -> dict[str, int]:
     """Return the others that must stay or come, by data centre."""
-    peak = orders.demand.peak
-    there = present.reclaimable.total()
-    missing = ceil(peak * BRIDGE_PART) - there
-    kept = ceil(peak) - there
+    missing = _missing(orders, present, now)
     bridge: dict[str, int] = {}
     for place in places:
         room = scaling.most - present.reclaimable[place]
-        now_there = orders.in_force.get((place, False), 0)
-        keep = max(0, min(now_there, kept))
-        bridge[place] = max(keep, min(room, missing))
+        bridge[place] = max(0, min(room, missing))
         missing -= bridge[place]
-        kept -= bridge[place]
     return bridge
 
 
+def _missing(orders: ServiceOrders, present: Present, now: float) -> int:
+    """Return how many others the fleet needs beside reclaimable ones."""
+    peak = orders.demand.peak
+    there = present.reclaimable.total()
+    missing = ceil(peak * BRIDGE_PART) - there
+    if orders.is_scarce(now):
+        largest = max(present.reclaimable.values(), default=0)
+        ahead = round(peak * AHEAD_PART) - (there - largest)
+        missing = max(missing, ahead)
+    ordered = sum(
+        count for (_, kind), count in orders.in_force.items() if not kind
+    )
+    if 0 < ordered - missing <= ordered * SWING_PART:
+        return ordered
+    return missing
+
+
 def _place_orders(
     wanted: Order,
     bridge: int,
@@ -244,7 +286,9 @@
     now: float,
 ) -> bool:
     """Tell whether ordered upstreams did not come, or went since."""
-    kind = present.reclaimable if order.reclaimable else present.others
+    if present.count(order.subject) >= order.count:
+        return False
+    if order.subject in orders.reached:
+        return True
     waited = now - orders.ordered_at.get(order.subject, now)
-    late = waited > scaling.boot_seconds + REPEAT_SECONDS
-    return late and kind[order.data_centre] < order.count
+    return waited > scaling.boot_seconds + REPEAT_SECONDS
--- a/packages/spanfall-node/src/spanfall_node/gateway/capacity_duty.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/capacity_duty.py
@@ -116,13 +116,14 @@
     ) -> None:
         state = self._state
         running = state.fleet.running(now)
-        mine = sum(
-            running.get(row.upstream_id, 0)
+        there = [
+            row.upstream_id
             for row in state.directory.rows.values()
             if row.service == service.name
-        )
+        ]
+        mine = sum(running.get(upstream_id, 0) for upstream_id in there)
         rate = self._rate.rates.get(service.name, 0)
-        needed = needed_upstreams(service.engine, mine, rate)
+        needed = needed_upstreams(service.engine, mine, rate, len(there))
         orders.demand.learn(needed, now)
 
     async def _send(self, order: Order, orders: ServiceOrders) -> None:
--- a/tests/test_gateway_capacity.py
+++ b/tests/test_gateway_capacity.py
@@ -78,11 +78,56 @@
         else:
             note_accepted(order, orders, 0)
     bridge = sum(row.count for row in planned if not row.reclaimable)
-    assert bridge == 2
+    assert bridge == 6
     assert not any(row.reclaimable for row in plan(orders, present, 1))
     assert any(row.reclaimable for row in plan(orders, present, 4))
 
 
+def test_a_second_loss_is_bridged_before_it_comes():
+    """None are to be had: what one more place has may go too."""
+    orders = ServiceOrders(first_count=8, demand=Demand(peak=12))
+    there = count_present(listed(4, 0))
+    assert not any(
+        as_rows(plan(orders, there))[place, False] for place in PLACES
+    )
+    for place in PLACES:
+        orders.refused_until[place] = 3
+    one_lost = listed(4, 0)[4:]
+    planned = as_rows(plan(orders, count_present(one_lost)))
+    assert sum(planned[place, False] for place in PLACES) == 0
+    two_lost = listed(4, 0)[8:]
+    planned = as_rows(plan(orders, count_present(two_lost)))
+    assert sum(planned[place, False] for place in PLACES) == 4
+
+
+def test_what_came_and_went_is_ordered_again_at_once():
+    orders = ServiceOrders(first_count=8, demand=Demand(peak=6))
+    there = count_present(listed(3, 0))
+    for order in plan(orders, there):
+        note_accepted(order, orders, 0)
+    assert not plan(orders, there, 1)
+    lost = count_present(listed(3, 0)[3:])
+    again = [order for order in plan(orders, lost, 1) if order.reclaimable]
+    assert [order.data_centre for order in again] == ['north']
+
+
+def test_a_jam_is_no_lasting_need():
+    engine = EngineLimits(slots=10, cache_tokens=1)
+    waiting = needed_upstreams(engine, 300, 0, there=3)
+    assert waiting == needed_upstreams(engine, 30, 0, there=3)
+
+
+def test_few_others_less_are_not_sent_away():
+    """Counts that swing by one would start and stop upstreams."""
+    orders = ServiceOrders(first_count=8, demand=Demand(peak=18))
+    orders.in_force['south', False] = 3
+    orders.in_force['west', False] = 2
+    reclaimable = Counter(north=5, east=5, south=2, west=2)
+    present = Present(reclaimable, Counter(south=3, west=2))
+    kept = [row for row in plan(orders, present) if not row.reclaimable]
+    assert not [row for row in kept if row.count]
+
+
 def test_what_is_in_force_is_not_ordered_again():
     orders = ServiceOrders()
     present = count_present(listed(0, 2))
@@ -105,9 +150,9 @@
 
 def test_need_counts_running_and_reading():
     engine = EngineLimits(slots=32, cache_tokens=1)
-    assert needed_upstreams(engine, 0, 0) == 0
-    reading = needed_upstreams(engine, 0, 66000)
-    both = needed_upstreams(engine, 96, 66000)
+    assert needed_upstreams(engine, 0, 0, there=9) == 0
+    reading = needed_upstreams(engine, 0, 66000, there=9)
+    both = needed_upstreams(engine, 96, 66000, there=9)
     assert 1.9 < reading < 2.1
     assert 6.9 < both < 7.1
 
