Place prompts of like length together; ask the store less in large fleets

Change: the engines of a service form a row in an order that all nodes share; a prompt belongs at the place up to which the shorter ones fill them, by work of reading lately seen, and each other place costs some. In fleets of more than 25 entries a node on its own reads more rarely, within the time in which a change is due; while the store is away one call at a time asks for it.

--- a/bench/gateway_tables.py
+++ b/bench/gateway_tables.py
@@ -3,11 +3,11 @@
 import time
 from itertools import count
 
-from spanfall_core.gateway.balance import Ask, choose
+from spanfall_core.gateway.balance import Ask, PromptHistory, choose
 from spanfall_core.gateway.directory import ListedUpstream
 from spanfall_core.gateway.fleet import EntryReport, FleetState
 from spanfall_core.gateway.loads import Loads
-from spanfall_core.gateway.prefixes import PrefixIndex, PromptPart
+from spanfall_core.gateway.prefixes import PromptPart
 from spanfall_core.gateway.quotas import EntrySpending
 from spanfall_node.gateway.messages import (
     ReportMessage,
@@ -71,11 +71,11 @@
         for number in range(upstreams)
     ]
     parts = tuple(PromptPart(f'p-{number}', 2000) for number in range(3))
-    loads, prefixes = Loads(), PrefixIndex()
+    loads, prompts = Loads(), PromptHistory()
     began = time.process_time()
     for number in range(REPEATS):
         ask = Ask(f'a-{number}', 'north', parts, 6000)
-        choose(rows, ask, loads, prefixes, 0)
+        choose(rows, ask, loads, prompts, 0)
     return (time.process_time() - began) / REPEATS * MICROSECONDS
 
 
--- a/packages/spanfall-core/src/spanfall_core/gateway/balance.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/balance.py
@@ -3,14 +3,15 @@
 The estimate is a sum of plain terms in seconds; each has a named weight.
 """
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Sequence
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from xxhash import xxh3_64_intdigest
 
 from spanfall_core.gateway.directory import ListedUpstream
 from spanfall_core.gateway.prefixes import PrefixIndex, PromptPart
+from spanfall_core.gateway.sizes import PromptSizes
 
 #: Prompt tokens read a second, assumed until an engine is measured.
 PREFILL_RATE = 60000.0
@@ -29,6 +30,10 @@
 #: Part of a prompt's shared tokens that the upstream which the hash prefers
 #: is expected to have read for another entry.
 EXPECTED_CACHED = 0.7
+#: Seconds that an engine counts for which is the whole row of engines away
+#: from where prompts of this length belong: what a stream loses that meets a
+#: long prompt, times how likely that is.
+SIZE_SECONDS = 0.35
 #: Seconds of reading without a token that streams bear; while a prompt is
 #: read, all streams of its upstream stand still.
 BEARABLE_STALL = 0.25
@@ -61,6 +66,19 @@
     tried: frozenset[str] = frozenset()
 
 
+@dataclass(slots=True)
+class PromptHistory:
+    """Hold which prompts were read where, and how long they were."""
+
+    prefixes: PrefixIndex = field(default_factory=PrefixIndex)
+    sizes: PromptSizes = field(default_factory=PromptSizes)
+
+    def learn(self, ask: Ask, now: float) -> None:
+        """Count the length of a prompt that is to be read."""
+        if ask.prompt_tokens:
+            self.sizes.learn(ask.prompt_tokens, now)
+
+
 @dataclass(frozen=True, slots=True)
 class Choice:
     """Name the chosen upstream and what the choice rests on."""
@@ -71,24 +89,33 @@
 
 
 def choose(
-    candidates: Iterable[ListedUpstream],
+    candidates: Sequence[ListedUpstream],
     ask: Ask,
     loads: KnownLoads,
-    prefixes: PrefixIndex,
+    prompts: PromptHistory,
     now: float,
 ) -> Choice | None:
-    """Return the best upstream that was not tried yet, if any."""
-    rows = [row for row in candidates if row.upstream_id not in ask.tried]
-    hashes = {row.upstream_id: _hash_part(row, ask) for row in rows}
-    preferred = max(hashes, key=lambda name: hashes[name], default='')
+    """Return the best upstream that was not tried yet, if any.
+
+    ``candidates`` come in an order that all nodes share: the row in which
+    prompts are placed by their length.
+    """
+    belongs = prompts.sizes.place(ask.prompt_tokens)
+    hashes = [_hash_part(row, ask) for row in candidates]
+    preferred = max(hashes, default=0)
     choices: list[Choice] = []
-    for row in rows:
-        cached = prefixes.cached_tokens(row.upstream_id, ask.parts)
-        if row.upstream_id == preferred:
+    for number, row in enumerate(candidates):
+        if row.upstream_id in ask.tried:
+            continue
+        cached = prompts.prefixes.cached_tokens(row.upstream_id, ask.parts)
+        if hashes[number] == preferred:
             cached = max(cached, _expected_cached(ask))
         prefill = max(0, ask.prompt_tokens - cached)
         seconds = estimate(row, ask, loads, prefill, now)
-        seconds -= HASH_SECONDS * hashes[row.upstream_id]
+        seconds -= HASH_SECONDS * hashes[number]
+        if ask.prompt_tokens:
+            place = (number + 0.5) / len(candidates)
+            seconds += SIZE_SECONDS * abs(place - belongs)
         choices.append(Choice(row, seconds, prefill))
     return min(choices, key=lambda choice: choice.seconds, default=None)
 
--- a/packages/spanfall-core/src/spanfall_core/gateway/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/directory.py
@@ -80,7 +80,11 @@
         return changed
 
     def serving(self, service: str) -> list[ListedUpstream]:
-        """Return the upstreams of a service that may get new work."""
+        """Return the upstreams of a service that may get new work.
+
+        All nodes that know the same upstreams have them in the same order,
+        which has nothing to do with their data centres.
+        """
         return self._by_service.get(service, [])
 
     def end(self, upstream_id: str) -> None:
@@ -110,13 +114,17 @@
 
     def _index(self) -> None:
         by_service: dict[str, list[ListedUpstream]] = {}
-        for row in self.rows.values():
+        for row in sorted(self.rows.values(), key=_place_in_row):
             if not row.leaving:
                 by_service.setdefault(row.service, []).append(row)
         self._by_service = by_service
         self.digest = _digest(self.rows.values())
 
 
+def _place_in_row(row: ListedUpstream) -> int:
+    return xxh3_64_intdigest(row.upstream_id.encode())
+
+
 def _digest(rows: Iterable[ListedUpstream]) -> int:
     known = sorted((row.upstream_id, row.address, row.leaving) for row in rows)
     return xxh3_64_intdigest(repr(known).encode()) & DIGEST_BITS
--- a/packages/spanfall-node/src/spanfall_node/gateway/grants.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/grants.py
@@ -37,17 +37,19 @@
     """Choose an upstream for an entry's request, as the home."""
     now = state.timers.now()
     state.learn_own_load(now)
+    state.granted_prompts.learn(request.ask, now)
     choice = choose(
         state.directory.serving(request.service),
         request.ask,
         FleetLoads(state.grant_book, state.loads),
-        state.grant_prefixes,
+        state.granted_prompts,
         now,
     )
     if choice is None:
         return None
     upstream_id = choice.upstream.upstream_id
-    state.grant_prefixes.remember(upstream_id, request.ask.parts)
+    prefixes = state.granted_prompts.prefixes
+    prefixes.remember(upstream_id, request.ask.parts)
     grant = Grant(number, upstream_id, choice.prefill)
     if entry != state.entry_key:
         # The home's own counts include its own grants at once.
@@ -102,6 +104,7 @@
         The caller counts the request at once, before it waits for anything.
         """
         state = self.state
+        state.prompts.learn(ask, state.timers.now())
         if state.tenure is not None:
             request = GrantRequest(service, ask)
             return self._usable(decide(state, state.entry_key, 0, request))
@@ -152,6 +155,6 @@
             state.directory.serving(service),
             ask,
             state.loads,
-            state.prefixes,
+            state.prompts,
             state.timers.now(),
         )
--- a/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
@@ -9,9 +9,9 @@
 
 import anyio
 import msgspec
+from spanfall_core.gateway.balance import PromptHistory
 from spanfall_core.gateway.fleet import FleetState
 from spanfall_core.gateway.grants import GrantBook
-from spanfall_core.gateway.prefixes import PrefixIndex
 
 from spanfall_node.gateway.ports import Write
 from spanfall_node.gateway.quota_record import QuotaRecord
@@ -43,6 +43,16 @@
 LOOK_PERIOD = 0.3
 #: The same while the store does not answer.
 OUTAGE_LOOK_PERIOD = 0.8
+#: Looks a second that a fleet without a home makes in all: one of many nodes
+#: finds a free record as fast as one of few, and the others then follow.
+MOST_LOOKS = 80
+#: Longest time between two looks of one node.
+LONGEST_LOOK_PERIOD = 2.5
+
+
+def look_period(shortest: float, entries: int) -> float:
+    """Return the seconds between two looks of each of so many entries."""
+    return min(LONGEST_LOOK_PERIOD, max(shortest, entries / MOST_LOOKS))
 
 
 class HomeContent(msgspec.Struct, frozen=True):
@@ -101,8 +111,8 @@
         if tenure is not None and not tenure.resigned:
             return RENEW_PERIOD
         if self._store.health.failing:
-            return OUTAGE_LOOK_PERIOD
-        return LOOK_PERIOD
+            return look_period(OUTAGE_LOOK_PERIOD, self._state.quotas.entries)
+        return look_period(LOOK_PERIOD, self._state.quotas.entries)
 
     async def _step(self) -> None:
         state = self._state
@@ -185,7 +195,7 @@
         state.shared_levels = shared_levels
         state.fleet = FleetState()
         state.grant_book = GrantBook()
-        state.grant_prefixes = PrefixIndex()
+        state.granted_prompts = PromptHistory()
         state.tenure = Tenure(
             epoch,
             lease,
--- a/packages/spanfall-node/src/spanfall_node/gateway/sending.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/sending.py
@@ -57,7 +57,8 @@
     """Send a request to one upstream and relay what it answers."""
     upstream = choice.upstream
     state.loads.begin(upstream.upstream_id, choice.prefill)
-    state.prefixes.remember(upstream.upstream_id, exchange.work.parts)
+    parts = exchange.work.parts
+    state.prompts.prefixes.remember(upstream.upstream_id, parts)
     pending = Prefill(state, upstream.upstream_id, choice.prefill)
     try:
         return await _send_over(state, pool, exchange, choice, pending)
--- a/packages/spanfall-node/src/spanfall_node/gateway/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/state.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from spanfall_api.gateway_settings import GatewaySettings
+from spanfall_core.gateway.balance import PromptHistory
 from spanfall_core.gateway.configuration import (
     CallerLimits,
     ServedConfiguration,
@@ -12,7 +13,6 @@
 from spanfall_core.gateway.freshness import Freshness
 from spanfall_core.gateway.grants import EntryLoad, GrantBook
 from spanfall_core.gateway.loads import Loads
-from spanfall_core.gateway.prefixes import PrefixIndex
 from spanfall_core.gateway.quotas import Limit, Quotas, SharedLevels
 from spanfall_core.gateway.retry_budget import RetryBudget, RetryLimits
 from spanfall_core.gateway.true_time import TrueTime
@@ -71,12 +71,13 @@
     configuration_source: bytes = b''
     directory: Directory = field(default_factory=Directory)
     loads: Loads = field(default_factory=Loads)
-    prefixes: PrefixIndex = field(default_factory=PrefixIndex)
+    #: What this node has sent itself, and what it granted as the home.
+    prompts: PromptHistory = field(default_factory=PromptHistory)
+    granted_prompts: PromptHistory = field(default_factory=PromptHistory)
     fleet: FleetState = field(default_factory=FleetState)
     shared_levels: SharedLevels = field(default_factory=SharedLevels)
-    #: As the home: what runs everywhere, and which prompts were read where.
+    #: As the home: what runs everywhere.
     grant_book: GrantBook = field(default_factory=GrantBook)
-    grant_prefixes: PrefixIndex = field(default_factory=PrefixIndex)
     home: HomeRecord | None = None
     tenure: Tenure | None = None
     #: When the home last answered.
--- a/packages/spanfall-node/src/spanfall_node/gateway/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/sync.py
@@ -20,10 +20,26 @@
 READ_PERIOD = 0.6
 #: Age of the newest proof at which a node reads the store itself.
 OLD_PROOF = 1.1
+#: Entries that read the store at the full pace when they are on their own;
+#: each of a larger fleet reads more rarely, since calls are limited and paid.
+FULL_PACE_ENTRIES = 25
+#: Longest time between two reads of such an entry, while the store answers
+#: and while it does not.
+LONGEST_READ_PERIOD = 1.2
+LONGEST_OUTAGE_PERIOD = 2.0
 #: End of the last outage where there was none.
 NO_OUTAGE = float('-inf')
 
 
+def read_period(entries: int, *, is_home: bool, failing: bool) -> float:
+    """Return the seconds between two reads of a node in such a fleet."""
+    if is_home:
+        return READ_PERIOD
+    longest = LONGEST_OUTAGE_PERIOD if failing else LONGEST_READ_PERIOD
+    paced = READ_PERIOD * entries / FULL_PACE_ENTRIES
+    return min(longest, max(READ_PERIOD, paced))
+
+
 class Sync:
     """Keep the configuration and the directory of a node up to date."""
 
@@ -41,10 +57,16 @@
         while True:
             if self._must_read():
                 await self.read_all()
-            await anyio.sleep(READ_PERIOD)
+            await anyio.sleep(self._period())
 
     async def read_all(self) -> None:
         """Read the configuration and the upstreams once."""
+        if self._store.health.failing:
+            # One call tells whether the store is back.
+            await self._guarded_configuration()
+            if not self._store.health.failing:
+                await self._guarded_upstreams()
+            return
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._guarded_configuration)
             tasks.start_soon(self._guarded_upstreams)
@@ -95,10 +117,17 @@
                 revision,
             )
         for upstream_id in before - self._state.directory.rows.keys():
-            self._state.prefixes.forget(upstream_id)
-            self._state.grant_prefixes.forget(upstream_id)
+            self._state.prompts.prefixes.forget(upstream_id)
+            self._state.granted_prompts.prefixes.forget(upstream_id)
             self._state.loads.forget(upstream_id)
 
+    def _period(self) -> float:
+        return read_period(
+            self._state.quotas.entries,
+            is_home=self._state.tenure is not None,
+            failing=self._store.health.failing,
+        )
+
     def _must_read(self) -> bool:
         state = self._state
         now = state.timers.now()
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/store.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/store.py
@@ -30,6 +30,11 @@
     loses_answers: bool = False
     calls: list[str] = field(default_factory=list)
 
+    @property
+    def listings(self) -> int:
+        """Return how often items were listed or were to be."""
+        return sum(target.startswith('/items?') for target in self.calls)
+
     async def answer(self, seen: Seen, stream: SocketStream) -> bool:
         """Answer one call."""
         self.calls.append(seen.target)
--- a/tests/test_gateway_grants.py
+++ b/tests/test_gateway_grants.py
@@ -6,7 +6,7 @@
 from gateway_world import SERVICE, ask, in_world
 from hypothesis import given
 from hypothesis import strategies as st
-from spanfall_core.gateway.balance import Ask, choose
+from spanfall_core.gateway.balance import Ask, PromptHistory, choose
 from spanfall_core.gateway.directory import ListedUpstream
 from spanfall_core.gateway.grants import (
     ENTRY_SILENCE,
@@ -16,7 +16,6 @@
     GrantBook,
 )
 from spanfall_core.gateway.loads import Loads
-from spanfall_core.gateway.prefixes import PrefixIndex
 from spanfall_node.gateway.grants import ALONE_SECONDS, Grants
 from spanfall_standins.gateway.upstream import whole
 from support import wait_until
@@ -34,7 +33,7 @@
         UPSTREAMS,
         Ask(f'a{entry}{number}', 'north', prompt_tokens=9000),
         FleetLoads(book, Loads()),
-        PrefixIndex(),
+        PromptHistory(),
         0,
     )
     upstream_id = choice.upstream.upstream_id
--- a/tests/test_gateway_home.py
+++ b/tests/test_gateway_home.py
@@ -2,10 +2,12 @@
 
 import json
 
+import anyio
 from gateway_world import ask, in_world
 from spanfall_node.gateway.entry_link import report_period
-from spanfall_node.gateway.leadership import Leadership
+from spanfall_node.gateway.leadership import Leadership, look_period
 from spanfall_node.gateway.state import HOME_KEY
+from spanfall_node.gateway.sync import READ_PERIOD, read_period
 from spanfall_standins.gateway.dialect import PlainWorkspace
 from spanfall_standins.gateway.upstream import whole
 from support import wait_until
@@ -32,6 +34,34 @@
     assert periods == [0.25, 0.25, 0.25, 1.425]
 
 
+def test_a_large_fleet_reads_more_rarely():
+    entries = (1, 9, 50, 87, 570)
+    reads = [
+        read_period(count, is_home=False, failing=False) for count in entries
+    ]
+    assert reads == [0.6, 0.6, 1.2, 1.2, 1.2]
+    outage = [
+        read_period(count, is_home=False, failing=True) for count in entries
+    ]
+    assert outage == [0.6, 0.6, 1.2, 2.0, 2.0]
+    assert read_period(570, is_home=True, failing=True) == 0.6
+    looks = [look_period(0.3, count) for count in entries]
+    assert looks == [0.3, 0.3, 0.625, 1.0875, 2.5]
+
+
+@in_world
+async def test_a_store_that_is_away_gets_one_call(world):
+    """Listings wait until one call has told that the store is back."""
+    state = await world.add_gateway()
+    world.store.failing = 503
+    await wait_until(lambda: not state.is_ready(state.timers.now()))
+    listed = world.store.listings
+    await anyio.sleep(2 * READ_PERIOD)
+    assert world.store.listings == listed
+    world.store.failing = 0
+    await wait_until(lambda: world.store.listings > listed)
+
+
 @in_world
 async def test_one_node_becomes_the_home(world):
     home, other = await two_gateways(world)
