End connections whose other end cannot be reached; count grants

Calls to the store have time-outs, but a request sent to an upstream on such a connection waited for its whole deadline, and so did a stream whose upstream went dark.

What sockets raise and how much is read at a time stands once. Choices are counted by who made them.

--- a/packages/spanfall-node/src/spanfall_node/gateway/caller_connection.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/caller_connection.py
@@ -14,9 +14,8 @@
 
 from spanfall_node.gateway.errors import BadRequestError, CallerGoneError
 from spanfall_node.gateway.ports import Headers
+from spanfall_node.gateway.sockets import READ_BYTES, SOCKET_ERRORS
 
-#: Bytes read from a socket at a time.
-READ_BYTES = 65536
 #: Bytes that a caller may send ahead of the answer to its last request.
 AHEAD_BYTES = 65536
 #: Seconds that a closed connection waits for the caller to close too, so
@@ -25,13 +24,6 @@
 #: Most bytes of a body that was refused are read and dropped.
 DISCARD_BYTES = 8_388_608
 
-_SOCKET_ERRORS = (
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    anyio.EndOfStream,
-    OSError,
-)
-
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
@@ -115,7 +107,7 @@
         while self._ahead < AHEAD_BYTES:
             try:
                 received = await self.stream.receive(READ_BYTES)
-            except _SOCKET_ERRORS:
+            except SOCKET_ERRORS:
                 self.gone = True
                 return
             self._ahead += len(received)
@@ -186,7 +178,7 @@
         with anyio.move_on_after(LINGER_SECONDS, shield=True):
             try:
                 await self._linger()
-            except _SOCKET_ERRORS:
+            except SOCKET_ERRORS:
                 self.gone = True
         await self.close_at_once()
 
@@ -207,7 +199,7 @@
         with anyio.move_on_after(self.limits.idle_timeout):
             try:
                 received = await self.stream.receive(READ_BYTES)
-            except _SOCKET_ERRORS:
+            except SOCKET_ERRORS:
                 self.gone = True
                 return False
             self.protocol.receive_data(received)
@@ -240,7 +232,7 @@
     async def _receive(self) -> None:
         try:
             received = await self.stream.receive(READ_BYTES)
-        except _SOCKET_ERRORS as exc:
+        except SOCKET_ERRORS as exc:
             self.gone = True
             raise CallerGoneError from exc
         self.protocol.receive_data(received)
@@ -266,6 +258,6 @@
             raise CallerGoneError
         try:
             await self.stream.send(outgoing)
-        except _SOCKET_ERRORS as exc:
+        except SOCKET_ERRORS as exc:
             self.gone = True
             raise CallerGoneError from exc
--- a/packages/spanfall-node/src/spanfall_node/gateway/client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/client.py
@@ -16,11 +16,14 @@
 
 from spanfall_node.gateway.errors import BrokenCallError, NotSentError
 from spanfall_node.gateway.ports import Headers, HttpCall, HttpReply
+from spanfall_node.gateway.sockets import (
+    READ_BYTES,
+    SOCKET_ERRORS,
+    end_when_unreachable,
+)
 
 logger = logging.getLogger(__name__)
 
-#: Bytes read from a socket at a time.
-READ_BYTES = 65536
 #: Most bytes of an answer's head.
 HEAD_BYTES = 65536
 #: Bodies of at least this size are sent while the answer is awaited, since
@@ -31,12 +34,6 @@
 #: Part of the idle time that a server names after which we close first.
 IDLE_PART = 0.7
 _KEEP_ALIVE = re.compile(rb'timeout=(\d+)')
-_SOCKET_ERRORS = (
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    anyio.EndOfStream,
-    OSError,
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -193,7 +190,7 @@
         with anyio.move_on_after(self.idle_seconds):
             try:
                 await self.stream.receive(READ_BYTES)
-            except _SOCKET_ERRORS:
+            except SOCKET_ERRORS:
                 return
 
     def start_next(self) -> None:
@@ -246,14 +243,14 @@
             received = await self.stream.receive(READ_BYTES)
         except anyio.EndOfStream:
             received = b''
-        except _SOCKET_ERRORS as exc:
+        except SOCKET_ERRORS as exc:
             raise BrokenCallError('reset by the server') from exc
         self.protocol.receive_data(received)
 
     async def _write(self, outgoing: bytes) -> None:
         try:
             await self.stream.send(outgoing)
-        except _SOCKET_ERRORS as exc:
+        except SOCKET_ERRORS as exc:
             raise BrokenCallError('reset while sending') from exc
 
 
@@ -278,6 +275,7 @@
             stream = await anyio.connect_tcp(host, int(port))
     except (OSError, TimeoutError) as exc:
         raise NotSentError(f'no connection: {type(exc).__name__}') from exc
+    end_when_unreachable(stream)
     return Connection(stream, address)
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/counters.py
@@ -32,6 +32,11 @@
             'Answers given to callers, by status',
             'status',
         )
+        self.grants = self._labelled(
+            'spanfall_grants',
+            'Upstreams chosen for requests, by who chose',
+            'outcome',
+        )
         self.cuts = self._labelled(
             'spanfall_cut_answers',
             'Answers that ended early, by reason',
--- a/packages/spanfall-node/src/spanfall_node/gateway/grants.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/grants.py
@@ -25,6 +25,11 @@
 #: Seconds for which an entry decides alone after the home was too slow.
 ALONE_SECONDS = 0.5
 
+#: Outcomes of a choice, as counted.
+AS_HOME = 'as-home'
+GRANTED = 'granted'
+ALONE = 'alone'
+
 SendAsk = Callable[[AskMessage], Awaitable[None]]
 
 
@@ -106,12 +111,15 @@
         state = self.state
         state.prompts.learn(ask, state.timers.now())
         if state.tenure is not None:
+            state.counters.grants.labels(AS_HOME).inc()
             request = GrantRequest(service, ask)
             return self._usable(decide(state, state.entry_key, 0, request))
         if self._send is not None and state.timers.now() >= self._alone_until:
             choice = await self._ask_home(service, ask)
             if choice is not None:
+                state.counters.grants.labels(GRANTED).inc()
                 return choice
+        state.counters.grants.labels(ALONE).inc()
         return self._choose_alone(service, ask)
 
     async def _ask_home(self, service: str, ask: Ask) -> Choice | None:
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/sockets.py
@@ -0,0 +1,42 @@
+"""Set up sockets, and name the ways in which they end."""
+
+import socket
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+
+#: Bytes read from a socket at a time.
+READ_BYTES = 65536
+#: Milliseconds after which bytes that nobody acknowledges end a connection:
+#: before a caller gives up on a stream that pauses (4 s at the users'), and
+#: long enough for a lossy link and for a server that is slow to read.
+UNACKNOWLEDGED_MS = 3000
+#: Seconds of silence after which the other end is probed, and seconds between
+#: two probes. A host without power says nothing; only this shows it.
+PROBE_AFTER_SECONDS = 1
+PROBE_PERIOD_SECONDS = 1
+#: Probes without an answer that end a connection.
+MOST_PROBES = 2
+
+#: What a socket raises when its connection is over.
+SOCKET_ERRORS = (
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    OSError,
+)
+
+_PROBES = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_PERIOD_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, MOST_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+)
+
+
+def end_when_unreachable(stream: SocketStream) -> None:
+    """Let the system end a connection whose other end cannot be reached."""
+    raw = stream.extra(SocketAttribute.raw_socket)
+    for level, option, setting in _PROBES:
+        raw.setsockopt(level, option, setting)
--- a/tests/test_gateway_client.py
+++ b/tests/test_gateway_client.py
@@ -1,9 +1,12 @@
 """Call servers that misbehave on the connection itself."""
 
+import socket
+
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 from spanfall_node.gateway.client import connect
 from spanfall_node.gateway.ports import HttpCall
+from spanfall_node.gateway.sockets import UNACKNOWLEDGED_MS
 from support import run_async
 
 #: More than the sockets of both ends hold.
@@ -36,3 +39,21 @@
             tasks.cancel_scope.cancel()
 
     run_async(main)
+
+
+def test_a_silent_connection_is_probed():
+    """A host without power neither answers nor closes."""
+
+    async def main() -> None:
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(SocketAttribute.local_port)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, answer_unread)
+            conn = await connect(f'127.0.0.1:{port}', SOON)
+            raw = conn.stream.extra(SocketAttribute.raw_socket)
+            probed = raw.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+            bound = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+            assert (probed, bound) == (1, UNACKNOWLEDGED_MS)
+            tasks.cancel_scope.cancel()
+
+    run_async(main)
