Read the upstreams from the store when the home's list is old

Cause: a node knew how lately its configuration was proved, not how lately its list of upstreams was; where the home's listing failed and its read of the configuration did not, entries went on with an old list.

Change: the home's table tells the age of its list; an entry whose list is older than a healthy home's reads the store itself.

--- a/packages/spanfall-core/src/spanfall_core/gateway/balance.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/balance.py
@@ -27,6 +27,8 @@
 FAR_SECONDS = 0.004
 #: Seconds within which upstreams count as equal and the hash decides.
 HASH_SECONDS = 0.01
+#: Number of different hashes.
+HASH_RANGE = 2**64
 #: Part of a prompt's shared tokens that the upstream which the hash prefers
 #: is expected to have read for another entry.
 EXPECTED_CACHED = 0.7
@@ -101,9 +103,9 @@
     prompts are placed by their length.
     """
     belongs = prompts.sizes.place(ask.prompt_tokens)
-    hashes = [_hash_part(row, ask) for row in candidates]
+    hashes = _hash_parts(candidates, ask)
     preferred = max(hashes, default=0)
-    choices: list[Choice] = []
+    best: tuple[float, int, int] | None = None
     for number, row in enumerate(candidates):
         if row.upstream_id in ask.tried:
             continue
@@ -116,8 +118,11 @@
         if ask.prompt_tokens:
             place = (number + 0.5) / len(candidates)
             seconds += SIZE_SECONDS * abs(place - belongs)
-        choices.append(Choice(row, seconds, prefill))
-    return min(choices, key=lambda choice: choice.seconds, default=None)
+        if best is None or seconds < best[0]:
+            best = (seconds, number, prefill)
+    if best is None:
+        return None
+    return Choice(candidates[best[1]], best[0], best[2])
 
 
 def estimate(
@@ -158,11 +163,20 @@
     return seconds + QUEUE_SECONDS * max(0, running + 1 - slots) / slots
 
 
-def _hash_part(row: ListedUpstream, ask: Ask) -> float:
-    """Prefer the same upstream for the same shared prompt on every entry."""
+def _hash_parts(
+    candidates: Sequence[ListedUpstream],
+    ask: Ask,
+) -> list[float]:
+    """Prefer the same upstream for the same shared prompt on every entry.
+
+    Return a part from 0 to 1 for each candidate.
+    """
     key = ask.attempt_id
     if len(ask.parts) > 1:
         # The last part is the request's own, the one before is shared.
         key = ask.parts[-2].part_id
-    digest = xxh3_64_intdigest(f'{key}\0{row.upstream_id}'.encode())
-    return digest / 2**64
+    seed = xxh3_64_intdigest(key.encode())
+    return [
+        xxh3_64_intdigest(row.upstream_id.encode(), seed) / HASH_RANGE
+        for row in candidates
+    ]
--- a/packages/spanfall-core/src/spanfall_core/gateway/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/directory.py
@@ -40,6 +40,8 @@
     def __init__(self) -> None:
         """Start with no upstream known."""
         self.revision = 0
+        #: Start of the newest read that showed these rows to be the newest.
+        self.proved_at = float('-inf')
         #: Digest of the rows: equal where nodes know the same upstreams.
         self.digest = 0
         self.rows: dict[str, ListedUpstream] = {}
@@ -79,6 +81,10 @@
         self._index()
         return changed
 
+    def prove(self, proved_at: float) -> None:
+        """Note a read that showed the rows; an older one changes nothing."""
+        self.proved_at = max(self.proved_at, proved_at)
+
     def serving(self, service: str) -> list[ListedUpstream]:
         """Return the upstreams of a service that may get new work.
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
@@ -23,17 +23,13 @@
     TableMessage,
     decode_from_home,
     encode,
+    report_period,
 )
 from spanfall_node.gateway.state import GatewayState
 from spanfall_node.gateway.sync import Sync
 
 logger = logging.getLogger(__name__)
 
-#: Seconds between two reports of an entry.
-REPORT_PERIOD = 0.25
-#: Reports a second that the home takes from all entries together: above
-#: 100 entries each reports more rarely.
-MOST_REPORTS = 400
 #: Seconds between two looks at which node is the home.
 LINK_PERIOD = 0.1
 #: Seconds for an answer of the home, and for a new link to it.
@@ -45,11 +41,6 @@
 Part = Callable[[ClientConnection], Awaitable[None]]
 
 
-def report_period(entries: int) -> float:
-    """Return the seconds between two reports of each of so many entries."""
-    return max(REPORT_PERIOD, entries / MOST_REPORTS)
-
-
 class EntryLink:
     """Report to the home and follow its table."""
 
@@ -221,10 +212,14 @@
             )
         elif table.configuration_revision == state.revision:
             state.freshness.prove(sent_at - table.proof_age)
-        if table.upstreams is not None:
+        listed_at = sent_at - table.upstreams_age
+        if table.upstreams is None:
+            state.directory.prove(listed_at)
+        else:
             self._sync.learn_upstreams(
                 table.upstreams.revision,
                 table.upstreams.rows,
+                listed_at,
             )
         if state.true_time.correct(table.true_time, now):
             logger.warning('Followed the time of day of the home')
--- a/packages/spanfall-node/src/spanfall_node/gateway/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home_links.py
@@ -30,6 +30,9 @@
 
 logger = logging.getLogger(__name__)
 
+#: Age of what was never read, as a finite number of seconds.
+NEVER_SECONDS = 1e9
+
 
 class HomeLinks:
     """Answer what entries send while this node is the home."""
@@ -93,7 +96,11 @@
             epoch=state.tenure.epoch,
             totals=state.fleet.others(report.key, now),
             configuration_revision=revision,
-            proof_age=min(state.freshness.age(now), 1e9),
+            proof_age=min(state.freshness.age(now), NEVER_SECONDS),
+            upstreams_age=min(
+                now - state.directory.proved_at,
+                NEVER_SECONDS,
+            ),
             true_time=state.true_time.at(now),
             levels=state.levels(now),
             resigned=not state.is_home(now),
--- a/packages/spanfall-node/src/spanfall_node/gateway/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/messages.py
@@ -12,6 +12,12 @@
 
 #: Most bytes of one message.
 MESSAGE_BYTES = 4_194_304
+#: Seconds between two reports of an entry.
+REPORT_PERIOD = 0.25
+#: Reports a second that the home takes from all entries together: above
+#: 50 entries each reports more rarely. What runs is told besides, as it
+#: changes.
+MOST_REPORTS = 200
 
 
 class ReportMessage(
@@ -88,6 +94,8 @@
     configuration_revision: int
     #: Seconds since that was last proved the newest.
     proof_age: float
+    #: Seconds since the home began its last read of the upstreams.
+    upstreams_age: float
     true_time: float
     #: Units that each workspace may still spend.
     levels: dict[str, float] = {}
@@ -97,6 +105,11 @@
     upstreams: UpstreamsPart | None = None
 
 
+def report_period(entries: int) -> float:
+    """Return the seconds between two reports of each of so many entries."""
+    return max(REPORT_PERIOD, entries / MOST_REPORTS)
+
+
 def encode(message: msgspec.Struct) -> bytes:
     """Return the bytes of a message."""
     return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
--- a/packages/spanfall-node/src/spanfall_node/gateway/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/sync.py
@@ -10,6 +10,7 @@
 import msgspec
 from spanfall_core.gateway.directory import ListedUpstream
 
+from spanfall_node.gateway.messages import report_period
 from spanfall_node.gateway.state import GatewayState
 from spanfall_node.gateway.store_client import StoreClient, StoreError
 
@@ -18,8 +19,12 @@
 #: Seconds between two reads of the store. With the seconds until the home's
 #: next word this stays well under the two seconds in which a change is due.
 READ_PERIOD = 0.6
-#: Age of the newest proof at which a node reads the store itself.
+#: Age of the newest proof, of the configuration or of the upstreams, at which
+#: a node reads the store itself.
 OLD_PROOF = 1.1
+#: Seconds that a healthy home's word takes beyond the two periods: its read,
+#: and the ways between data centres.
+PROOF_SLACK = 0.25
 #: Entries that read the store at the full pace when they are on their own;
 #: each of a larger fleet reads more rarely, since calls are limited and paid.
 FULL_PACE_ENTRIES = 25
@@ -40,6 +45,11 @@
     return min(longest, max(READ_PERIOD, paced))
 
 
+def old_proof(entries: int) -> float:
+    """Return the age at which a proof is older than a healthy home's."""
+    return max(OLD_PROOF, READ_PERIOD + report_period(entries) + PROOF_SLACK)
+
+
 class Sync:
     """Keep the configuration and the directory of a node up to date."""
 
@@ -98,10 +108,16 @@
         self,
         revision: int,
         rows: list[ListedUpstream],
+        proved_at: float,
         outage_ended: float = NO_OUTAGE,
     ) -> None:
-        """Take over a listing of upstreams unless it is older."""
+        """Take over a listing of upstreams unless it is older.
+
+        ``proved_at`` is when the read of it began.
+        """
         now = self._state.timers.now()
+        if revision >= self._state.directory.revision:
+            self._state.directory.prove(proved_at)
         before = self._state.directory.rows.keys()
         changed = self._state.directory.apply(
             revision,
@@ -130,10 +146,11 @@
 
     def _must_read(self) -> bool:
         state = self._state
-        now = state.timers.now()
         if state.tenure is not None:
             return True
-        return state.freshness.age(now) > OLD_PROOF
+        proved_at = min(state.freshness.proved_at, state.directory.proved_at)
+        age = state.timers.now() - proved_at
+        return age > old_proof(state.quotas.entries)
 
     async def _guarded_configuration(self) -> None:
         try:
@@ -162,6 +179,7 @@
 
     async def _read_upstreams(self) -> None:
         state = self._state
+        began_at = state.timers.now()
         prefix = state.platform.store.upstream_prefix
         listing = await self._store.list_items(prefix)
         rows = [
@@ -171,5 +189,6 @@
         self.learn_upstreams(
             listing.revision,
             rows,
+            began_at,
             self._store.health.outage_ended,
         )
