Keep the home's messages small, and the home off small hosts

Change: entries ask for sums 80 times a second in all, and get what changed in the list since the revision that they know; digests find what that misses. A host below a core or 50 Mbit/s leaves a free record to others for 0.8 s.

--- a/packages/spanfall-api/src/spanfall_api/gateway_settings.py
+++ b/packages/spanfall-api/src/spanfall_api/gateway_settings.py
@@ -44,6 +44,17 @@
     usage_window_seconds: Positive = 5
 
 
+class Host(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """State what the host gives to this node."""
+
+    #: Part of a core's time that the node gets.
+    processor_part: Positive = 1
+    #: How many times as fast as a plain core it runs.
+    processor_speed: Positive = 1
+    #: Bandwidth of the host's link, in Mbit/s.
+    link_megabits: Positive = 1000
+
+
 class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Hold the settings of one gateway."""
 
@@ -62,6 +73,7 @@
     reports_usage: bool = False
     orders_upstreams: bool = False
     bounds: Bounds = Bounds()
+    host: Host = Host()
     #: Entries that share each limit as long as nobody counts them.
     assumed_entries: Count = 8
     #: Log lines a second; more are left out and counted.
--- a/packages/spanfall-core/src/spanfall_core/gateway/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/directory.py
@@ -34,6 +34,14 @@
     leaves_in: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class DirectoryChange:
+    """State what of a directory has changed since a revision."""
+
+    rows: tuple[ListedUpstream, ...]
+    removed: tuple[str, ...]
+
+
 class Directory:
     """Hold the upstreams that may get work, by service."""
 
@@ -47,6 +55,9 @@
         self.rows: dict[str, ListedUpstream] = {}
         self._ended: dict[str, None] = {}
         self._by_service: dict[str, list[ListedUpstream]] = {}
+        #: Revision of the listing that changed each row or had it no more.
+        self._changed: dict[str, int] = {}
+        self._removed: dict[str, int] = {}
 
     def apply(
         self,
@@ -78,9 +89,36 @@
         )
         for upstream_id in before.keys() - self.rows.keys():
             self._note_ended(upstream_id)
+            self._changed.pop(upstream_id, None)
+            self._removed[upstream_id] = revision
+        for key, row in self.rows.items():
+            if before.get(key) != row:
+                self._changed[key] = revision
         self._index()
         return changed
 
+    def changes_since(self, revision: int) -> DirectoryChange:
+        """Return what a node that knows a revision has to learn."""
+        rows = (
+            self.rows[key]
+            for key, changed in self._changed.items()
+            if changed > revision and key in self.rows
+        )
+        removed = (
+            key for key, gone in self._removed.items() if gone > revision
+        )
+        return DirectoryChange(tuple(rows), tuple(removed))
+
+    def with_change(self, change: DirectoryChange) -> list[ListedUpstream]:
+        """Return the rows as they are after a change."""
+        rows = {
+            key: row
+            for key, row in self.rows.items()
+            if key not in change.removed
+        }
+        rows.update((row.upstream_id, row) for row in change.rows)
+        return list(rows.values())
+
     def prove(self, proved_at: float) -> None:
         """Note a read that showed the rows; an older one changes nothing."""
         self.proved_at = max(self.proved_at, proved_at)
@@ -102,7 +140,9 @@
     def _note_ended(self, upstream_id: str) -> None:
         self._ended[upstream_id] = None
         if len(self._ended) > REMEMBERED_ENDS:
-            self._ended.pop(next(iter(self._ended)))
+            oldest = next(iter(self._ended))
+            self._ended.pop(oldest)
+            self._removed.pop(oldest, None)
 
     def _is_ending(self, upstream_id: str) -> bool:
         row = self.rows.get(upstream_id)
--- a/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+from spanfall_core.gateway.directory import DirectoryChange
 from spanfall_core.gateway.fleet import FleetTotals
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import WebSocketException
@@ -21,9 +22,11 @@
     LoadMessage,
     ReportMessage,
     TableMessage,
+    UpstreamsPart,
     decode_from_home,
     encode,
     report_period,
+    totals_period,
 )
 from spanfall_node.gateway.state import GatewayState
 from spanfall_node.gateway.sync import Sync
@@ -56,6 +59,7 @@
         self._grants = grants
         self._tables: list[TableMessage] = []
         self._heard = anyio.Event()
+        self._totals_at = float('-inf')
 
     async def run(self) -> None:
         """Keep a link to whichever node is the home, until cancelled."""
@@ -107,6 +111,7 @@
     async def _use(self, link: ClientConnection) -> None:
         """Use a link until it fails or there is another home."""
         self._state.loads.forget_others()
+        self._totals_at = float('-inf')
         self._tables = []
         async with anyio.create_task_group() as tasks:
 
@@ -174,7 +179,9 @@
             report,
             state.revision,
             state.directory.digest,
-            self._grants.load().seen,
+            state.directory.revision,
+            wants_totals=self._wants_totals(sent_at),
+            seen=self._grants.load().seen,
         )
         self._heard = anyio.Event()
         await link.send(encode(message))
@@ -216,14 +223,28 @@
         if table.upstreams is None:
             state.directory.prove(listed_at)
         else:
-            self._sync.learn_upstreams(
-                table.upstreams.revision,
-                table.upstreams.rows,
-                listed_at,
-            )
+            self._learn_upstreams(table.upstreams, listed_at)
         if state.true_time.correct(table.true_time, now):
             logger.warning('Followed the time of day of the home')
-        apply_totals(state, table.totals, now)
+        if table.totals is not None:
+            self._totals_at = now
+            apply_totals(state, table.totals, now)
+
+    def _wants_totals(self, now: float) -> bool:
+        return now - self._totals_at >= totals_period(
+            self._state.quotas.entries,
+        )
+
+    def _learn_upstreams(
+        self,
+        part: UpstreamsPart,
+        listed_at: float,
+    ) -> None:
+        rows = list(part.rows)
+        if part.is_change:
+            change = DirectoryChange(part.rows, part.removed)
+            rows = self._state.directory.with_change(change)
+        self._sync.learn_upstreams(part.revision, rows, listed_at)
 
     def _lose(self, reason: str) -> None:
         state = self._state
--- a/packages/spanfall-node/src/spanfall_node/gateway/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home_links.py
@@ -92,9 +92,12 @@
         state.grant_book.learn(report.key, load, now)
         state.grant_book.forget_silent(now)
         revision = state.revision
+        totals = None
+        if message.wants_totals:
+            totals = state.fleet.others(report.key, now)
         return TableMessage(
             epoch=state.tenure.epoch,
-            totals=state.fleet.others(report.key, now),
+            totals=totals,
             configuration_revision=revision,
             proof_age=min(state.freshness.age(now), NEVER_SECONDS),
             upstreams_age=min(
@@ -121,4 +124,14 @@
         directory = self._state.directory
         if message.upstreams_digest == directory.digest:
             return None
-        return UpstreamsPart(directory.revision, list(directory.rows.values()))
+        known = message.upstreams_revision
+        if not 0 < known < directory.revision:
+            rows = tuple(directory.rows.values())
+            return UpstreamsPart(directory.revision, rows)
+        change = directory.changes_since(known)
+        return UpstreamsPart(
+            directory.revision,
+            change.rows,
+            change.removed,
+            is_change=True,
+        )
--- a/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
@@ -9,6 +9,7 @@
 
 import anyio
 import msgspec
+from spanfall_api.gateway_settings import Host
 from spanfall_core.gateway.balance import PromptHistory
 from spanfall_core.gateway.fleet import FleetState
 from spanfall_core.gateway.grants import GrantBook
@@ -46,6 +47,12 @@
 #: Looks a second that a fleet without a home makes in all: one of many nodes
 #: finds a free record as fast as one of few, and the others then follow.
 MOST_LOOKS = 80
+#: Cores and Mbit/s below which a host is small: the home of a large fleet
+#: needs a fifth of a core and some Mbit/s.
+SMALL_CORES = 1.0
+SMALL_MEGABITS = 50.0
+#: Seconds for which a small host leaves a free record to others.
+SMALL_HOST_SECONDS = 0.8
 #: Longest time between two looks of one node.
 LONGEST_LOOK_PERIOD = 2.5
 
@@ -55,6 +62,12 @@
     return min(LONGEST_LOOK_PERIOD, max(shortest, entries / MOST_LOOKS))
 
 
+def is_small(host: Host) -> bool:
+    """Tell whether other hosts should rather be the home."""
+    cores = host.processor_part * host.processor_speed
+    return cores < SMALL_CORES or host.link_megabits < SMALL_MEGABITS
+
+
 class HomeContent(msgspec.Struct, frozen=True):
     """Hold the record of the home as it is stored."""
 
@@ -76,6 +89,8 @@
         self._state = state
         self._store = store
         self._spending = spending
+        #: When this node first saw that nobody holds the record.
+        self._free_since: float | None = None
 
     async def run(self) -> None:
         """Follow or hold the home's record until cancelled."""
@@ -141,15 +156,26 @@
         item = await self._store.get(HOME_KEY)
         state = self._state
         if item is None:
-            if state.draining_since is None:
+            if state.draining_since is None and self._is_its_turn():
                 await self._try_to_hold(0)
             return
+        self._free_since = None
         content = msgspec.json.decode(item.content, type=HomeContent)
         if self._was_this_node(content) and state.draining_since is None:
             await self._try_to_hold(item.revision)
         else:
             self._follow(item.revision, content)
 
+    def _is_its_turn(self) -> bool:
+        """Tell whether larger hosts have had time to become the home."""
+        now = self._state.timers.now()
+        if self._free_since is None:
+            self._free_since = now
+        waited = now - self._free_since
+        return not is_small(self._state.cfg.host) or (
+            waited >= SMALL_HOST_SECONDS
+        )
+
     def _was_this_node(self, content: HomeContent) -> bool:
         """Tell whether an earlier run of this node holds the record.
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/messages.py
@@ -18,6 +18,9 @@
 #: 50 entries each reports more rarely. What runs is told besides, as it
 #: changes.
 MOST_REPORTS = 200
+#: Tables a second with sums over the entries, which are the largest part of
+#: a table: more would fill the link of a small host.
+MOST_TOTALS = 80
 
 
 class ReportMessage(
@@ -32,6 +35,10 @@
     configuration_revision: int = 0
     #: Digest of the entry's table of upstreams.
     upstreams_digest: int = 0
+    #: Revision of the listing that it knows.
+    upstreams_revision: int = 0
+    #: Whether the sums over the other entries are wanted.
+    wants_totals: bool = True
     #: Number of the last grant that the report's counts include.
     seen: int = 0
 
@@ -73,11 +80,14 @@
     source: bytes
 
 
-class UpstreamsPart(msgspec.Struct, frozen=True):
-    """Carry a whole listing of upstreams."""
+class UpstreamsPart(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Carry a listing of upstreams, or what of it has changed."""
 
     revision: int
-    rows: list[ListedUpstream]
+    rows: tuple[ListedUpstream, ...]
+    removed: tuple[str, ...] = ()
+    #: Whether the entry keeps the other rows that it knows.
+    is_change: bool = False
 
 
 class TableMessage(
@@ -89,7 +99,6 @@
     """Carry the home's table to one entry."""
 
     epoch: int
-    totals: FleetTotals
     #: Revision of the configuration that the home has in force.
     configuration_revision: int
     #: Seconds since that was last proved the newest.
@@ -97,6 +106,8 @@
     #: Seconds since the home began its last read of the upstreams.
     upstreams_age: float
     true_time: float
+    #: Sums over the other entries, for one that has to decide alone.
+    totals: FleetTotals | None = None
     #: Units that each workspace may still spend.
     levels: dict[str, float] = {}
     #: Whether the entry should look for another home.
@@ -105,6 +116,11 @@
     upstreams: UpstreamsPart | None = None
 
 
+def totals_period(entries: int) -> float:
+    """Return the seconds after which an entry wants new sums."""
+    return entries / MOST_TOTALS
+
+
 def report_period(entries: int) -> float:
     """Return the seconds between two reports of each of so many entries."""
     return max(REPORT_PERIOD, entries / MOST_REPORTS)
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -10,7 +10,7 @@
 import h11
 import msgspec
 from anyio.abc import SocketStream, TaskGroup
-from spanfall_api.gateway_settings import Bounds, GatewaySettings, Listen
+from spanfall_api.gateway_settings import Bounds, GatewaySettings, Host, Listen
 from spanfall_core.gateway.configuration import RouteKind
 from spanfall_core.gateway.directory import ListedUpstream
 from spanfall_node.gateway.program import start_gateway
@@ -126,6 +126,7 @@
     async def add_unready_gateway(
         self,
         least_lease_seconds: float = 0,
+        host: Host | None = None,
         **bounds: float,
     ) -> GatewayState:
         """Start a gateway."""
@@ -145,6 +146,7 @@
             reports_usage=True,
             least_lease_seconds=least_lease_seconds,
             bounds=Bounds(**bounds),
+            host=host or Host(),
         )
         timers = Timers(time.monotonic, time.time)
         state = build_state(cfg, ADAPTER, timers, f'i-{number}')
--- a/tests/test_gateway_home.py
+++ b/tests/test_gateway_home.py
@@ -4,7 +4,12 @@
 
 import anyio
 from gateway_world import ask, in_world
-from spanfall_node.gateway.leadership import Leadership, look_period
+from spanfall_api.gateway_settings import Host
+from spanfall_node.gateway.leadership import (
+    Leadership,
+    is_small,
+    look_period,
+)
 from spanfall_node.gateway.messages import report_period
 from spanfall_node.gateway.state import HOME_KEY
 from spanfall_node.gateway.sync import READ_PERIOD, old_proof, read_period
@@ -67,6 +72,30 @@
     await wait_until(lambda: world.store.listings > listed)
 
 
+def test_small_hosts_leave_the_home_to_others():
+    hosts = [
+        Host(),
+        Host(processor_part=0.5, processor_speed=2, link_megabits=100),
+        Host(processor_part=0.5),
+        Host(link_megabits=5),
+    ]
+    assert [is_small(host) for host in hosts] == [False, False, True, True]
+
+
+@in_world
+async def test_a_small_host_is_the_home_if_none_other(world):
+    state = await world.add_gateway(host=Host(link_megabits=5))
+    await wait_until(lambda: state.is_home(state.timers.now()))
+
+
+@in_world
+async def test_a_large_host_goes_before_a_small_one(world):
+    small = await world.add_unready_gateway(host=Host(link_megabits=5))
+    large = await world.add_gateway()
+    await wait_until(lambda: home_of(small, large) is not None)
+    assert home_of(small, large) is large
+
+
 @in_world
 async def test_one_node_becomes_the_home(world):
     home, other = await two_gateways(world)
