--- a/bench/gateway_tables.py
+++ b/bench/gateway_tables.py
@@ -6,10 +6,19 @@
 from spanfall_core.gateway.balance import Ask, PromptHistory, choose
 from spanfall_core.gateway.directory import ListedUpstream
 from spanfall_core.gateway.fleet import EntryReport, FleetState
+from spanfall_core.gateway.grants import (
+    EntryLoad,
+    FleetLoads,
+    Grant,
+    GrantBook,
+)
 from spanfall_core.gateway.loads import Loads
 from spanfall_core.gateway.prefixes import PromptPart
 from spanfall_core.gateway.quotas import EntrySpending
 from spanfall_node.gateway.messages import (
+    AskMessage,
+    GrantMessage,
+    GrantRequest,
     ReportMessage,
     TableMessage,
     decode_from_entry,
@@ -25,6 +34,7 @@
 IN_FLIGHT = 20
 WORKSPACES = 16
 MICROSECONDS = 1e6
+PARTS = tuple(PromptPart(f'p-{number}', 2000) for number in range(3))
 
 
 def make_report(number: int, upstreams: int) -> EntryReport:
@@ -60,25 +70,48 @@
         report = decode_from_entry(received).report
         fleet.learn(report, now)
         totals = fleet.others(report.key, now)
-        encode(TableMessage(1, totals, 1, 0.1, now))
+        encode(TableMessage(1, 1, 0.1, 0.1, now, totals))
     return (time.process_time() - began) / nodes * MICROSECONDS
 
 
-def time_choice(upstreams: int) -> float:
-    """Return the processor microseconds of choosing an upstream."""
-    rows = [
+def make_rows(upstreams: int) -> list[ListedUpstream]:
+    """Return so many upstreams of one service."""
+    return [
         ListedUpstream(f'i-{number}', 'llm', '', 'north', slots=32)
         for number in range(upstreams)
     ]
-    parts = tuple(PromptPart(f'p-{number}', 2000) for number in range(3))
+
+
+def time_choice(upstreams: int) -> float:
+    """Return the processor microseconds of choosing an upstream."""
+    rows = make_rows(upstreams)
     loads, prompts = Loads(), PromptHistory()
     began = time.process_time()
     for number in range(REPEATS):
-        ask = Ask(f'a-{number}', 'north', parts, 6000)
+        ask = Ask(f'a-{number}', 'north', PARTS, 6000)
         choose(rows, ask, loads, prompts, 0)
     return (time.process_time() - began) / REPEATS * MICROSECONDS
 
 
+def time_grant(upstreams: int) -> float:
+    """Return the processor microseconds of the home for one grant."""
+    rows = make_rows(upstreams)
+    request = GrantRequest('llm', Ask('a', 'north', PARTS, 6000))
+    load = EntryLoad({'i-0': 1, 'i-1': 1}, {'i-0': 6000}, seen=0)
+    received = encode(AskMessage('edge-1/0123', 1, request, load))
+    book, prompts = GrantBook(), PromptHistory()
+    loads = FleetLoads(book, Loads())
+    began = time.process_time()
+    for number in range(1, REPEATS + 1):
+        asked = decode_from_entry(received)
+        book.learn(asked.entry, asked.load, 0)
+        choice = choose(rows, asked.request.ask, loads, prompts, 0)
+        grant = Grant(number, choice.upstream.upstream_id, choice.prefill)
+        book.grant(asked.entry, grant)
+        encode(GrantMessage(number, grant))
+    return (time.process_time() - began) / REPEATS * MICROSECONDS
+
+
 def report_bytes(upstreams: int) -> float:
     """Return the bytes of a report with requests at so many upstreams."""
     running = {f'i-{number:010d}': 1 for number in range(upstreams)}
@@ -100,6 +133,10 @@
         ('upstreams of a service', 'us a request'),
         lambda: [(size, time_choice(size)) for size in UPSTREAM_SIZES],
     ),
+    'gateway-grant': (
+        ('upstreams of a service', 'us of the home a request'),
+        lambda: [(size, time_grant(size)) for size in UPSTREAM_SIZES],
+    ),
     'gateway-report': (
         ('upstreams in use', 'bytes a report'),
         lambda: [(size, report_bytes(size)) for size in UPSTREAM_SIZES],
--- a/tests/test_gateway_client.py
+++ b/tests/test_gateway_client.py
@@ -1,10 +1,11 @@
 """Call servers that misbehave on the connection itself."""
 
 import socket
+from collections.abc import Awaitable, Callable
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
-from spanfall_node.gateway.client import connect
+from spanfall_node.gateway.client import Connection, connect
 from spanfall_node.gateway.ports import HttpCall
 from spanfall_node.gateway.sockets import UNACKNOWLEDGED_MS
 from support import run_async
@@ -22,38 +23,40 @@
     await anyio.sleep_forever()
 
 
-def test_an_answer_before_the_body_is_read():
-    """A server that refuses early and reads no more does not hold us up."""
+def with_unread_server(test: Callable[[Connection], Awaitable[None]]) -> None:
+    """Run a test with a connection to a server that never reads."""
 
     async def main() -> None:
         listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
         port = listener.extra(SocketAttribute.local_port)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(listener.serve, answer_unread)
-            conn = await connect(f'127.0.0.1:{port}', SOON)
-            call = HttpCall('POST', '/', body=LARGE)
-            with anyio.fail_after(SOON):
-                head = await conn.send_and_read_head(call, 'x', bool)
-                body = await conn.read_body(1)
-            assert (head.status, body, conn.reusable) == (503, b'', False)
+            await test(await connect(f'127.0.0.1:{port}', SOON))
             tasks.cancel_scope.cancel()
 
     run_async(main)
 
 
+def test_an_answer_before_the_body_is_read():
+    """A server that refuses early and reads no more does not hold us up."""
+
+    async def check(conn: Connection) -> None:
+        call = HttpCall('POST', '/', body=LARGE)
+        with anyio.fail_after(SOON):
+            head = await conn.send_and_read_head(call, 'x', bool)
+            body = await conn.read_body(1)
+        assert (head.status, body, conn.reusable) == (503, b'', False)
+
+    with_unread_server(check)
+
+
 def test_a_silent_connection_is_probed():
     """A host without power neither answers nor closes."""
 
-    async def main() -> None:
-        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
-        port = listener.extra(SocketAttribute.local_port)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(listener.serve, answer_unread)
-            conn = await connect(f'127.0.0.1:{port}', SOON)
-            raw = conn.stream.extra(SocketAttribute.raw_socket)
-            probed = raw.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
-            bound = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
-            assert (probed, bound) == (1, UNACKNOWLEDGED_MS)
-            tasks.cancel_scope.cancel()
+    async def check(conn: Connection) -> None:
+        raw = conn.stream.extra(SocketAttribute.raw_socket)
+        probed = raw.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        bound = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        assert (probed, bound) == (1, UNACKNOWLEDGED_MS)
 
-    run_async(main)
+    with_unread_server(check)
