Keep one copy of an entry's silence, its counts and its question number

Cause: read once more, ENTRY_SILENCE stood in fleet.py and grants.py, a report copied the counts of what runs beside own_load, and the entry kept the number of its last question beside an iterator that counts the same.

Change: one constant, one function, one number. Behaviour is the same.

--- a/packages/spanfall-core/src/spanfall_core/gateway/fleet.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/fleet.py
@@ -7,8 +7,8 @@
 from spanfall_core.gateway.quotas import EntrySpending
 from spanfall_core.gateway.usage import FleetUsage, WindowCounts
 
-#: Seconds without a report after which an entry's running requests no
-#: longer count.
+#: Seconds without a word after which an entry's running requests no longer
+#: count.
 ENTRY_SILENCE = 2.0
 #: Seconds for which sums are kept before they are added up again.
 SUM_SECONDS = 0.05
--- a/packages/spanfall-core/src/spanfall_core/gateway/grants.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/grants.py
@@ -9,11 +9,9 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from spanfall_core.gateway.fleet import ENTRY_SILENCE
 from spanfall_core.gateway.loads import Loads
 
-#: Seconds without a word after which an entry's requests no longer count.
-ENTRY_SILENCE = 2.0
-
 
 @dataclass(frozen=True, slots=True)
 class EntryLoad:
--- a/packages/spanfall-node/src/spanfall_node/gateway/grants.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/grants.py
@@ -8,7 +8,6 @@
 import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from itertools import count
 
 import anyio
 from spanfall_core.gateway.balance import Ask, Choice, choose
@@ -77,7 +76,7 @@
     state: GatewayState
     _send: SendAsk | None = None
     _pending: dict[int, PendingAsk] = field(default_factory=dict)
-    _numbers: count = field(default_factory=lambda: count(1))
+    #: Number of the last question.
     _last: int = 0
     _alone_until: float = 0
 
@@ -123,7 +122,7 @@
         return self._choose_alone(service, ask)
 
     async def _ask_home(self, service: str, ask: Ask) -> Choice | None:
-        number = next(self._numbers)
+        number = self._last + 1
         pending = PendingAsk()
         message = AskMessage(
             self.state.entry_key,
--- a/packages/spanfall-node/src/spanfall_node/gateway/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/state.py
@@ -171,11 +171,12 @@
         spending = self.quotas.brief_report()
         if to_new_home:
             spending = self.quotas.report(self._limits(), now)
+        load = self.own_load(0)
         return EntryReport(
             node=self.cfg.node,
             incarnation=self.incarnation,
-            running=dict(self.loads.running),
-            prefill=dict(+self.loads.prefill),
+            running=load.running,
+            prefill=load.prefill,
             failed=dict(self.loads.failed),
             spending=spending,
             usage={key: dict(row) for key, row in self.usage.windows.items()},
--- a/tests/test_gateway_grants.py
+++ b/tests/test_gateway_grants.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 from spanfall_core.gateway.balance import Ask, PromptHistory, choose
 from spanfall_core.gateway.directory import ListedUpstream
+from spanfall_core.gateway.fleet import ENTRY_SILENCE
 from spanfall_core.gateway.grants import (
-    ENTRY_SILENCE,
     EntryLoad,
     FleetLoads,
     Grant,
