Show the open requests that the gauge tells of

Cause: the gauge spanfall_open_requests was made and never set, so it read zero whatever a node had open.

Change: it reads the node's own count at each scrape.

Measured: nothing; the new test fails without the change. Linters and the gateway's and platform's tests pass.

--- a/packages/spanfall-node/src/spanfall_node/gateway/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/state.py
@@ -191,7 +191,7 @@
     incarnation: str,
 ) -> GatewayState:
     """Build the empty tables of a node that has just started."""
-    return GatewayState(
+    state = GatewayState(
         cfg=cfg,
         platform=platform,
         timers=timers,
@@ -210,3 +210,5 @@
         usage=UsageCounts(cfg.bounds.usage_window_seconds),
         true_time=TrueTime(timers.epoch() - timers.now()),
     )
+    state.counters.open_requests.set_function(lambda: state.open_requests)
+    return state
--- a/tests/test_gateway_home.py
+++ b/tests/test_gateway_home.py
@@ -238,3 +238,12 @@
     assert {call['token'] for call in world.cloud_calls} == {
         state.tenure.epoch,
     }
+
+
+@in_world
+async def test_open_requests_are_shown(world):
+    state = await world.add_gateway()
+    registry = state.counters.registry
+    assert registry.get_sample_value('spanfall_open_requests') == 0
+    state.open_requests = 2
+    assert registry.get_sample_value('spanfall_open_requests') == 2
