Show what each workspace is admitted, runs and gets back

Cause: logs and counters told what was refused below a limit, not what ran, so hypotheses on what is counted could not be told apart from outside. Change: counters of units admitted, run and given back by workspace; the line of an answer names its units and workspace. No change of logic.

--- a/packages/spanfall-node/src/spanfall_node/gateway/attempt.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/attempt.py
@@ -86,7 +86,8 @@
     logger.info(
         'Request %s of %s: %s from %s, send %s, first part after %.3f s, '
         'longest pause %.3f s, all %.3f s, '
-        '%s prompt tokens, %s running there, configuration %s',
+        '%s prompt tokens, %s running there, configuration %s, '
+        '%.0f units of %s',
         work.attempt_id,
         work.route.name,
         status,
@@ -98,6 +99,8 @@
         work.prompt_tokens,
         state.loads.running_at(upstream_id),
         state.configuration.revision if state.configuration else None,
+        work.units,
+        work.workspace.name if work.workspace else None,
     )
 
 
@@ -113,6 +116,7 @@
     if work.counted or work.workspace is None:
         return
     work.counted = True
+    state.counters.units_run.labels(work.workspace.name).inc(work.units)
     began = work.began_at
     if work.route.kind is RouteKind.STREAM:
         began = state.timers.now()
--- a/packages/spanfall-node/src/spanfall_node/gateway/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/callers.py
@@ -185,12 +185,12 @@
         scope.cancel()
 
     def _give_back(self, work: Work, refusal: RefusedError) -> None:
-        if refusal.status == 503 and work.workspace is not None:
-            self._state.quotas.give_back(
-                work.workspace.name,
-                work.units,
-                self._state.timers.now(),
-            )
+        if refusal.status != 503 or work.workspace is None:
+            return
+        state = self._state
+        workspace = work.workspace.name
+        state.counters.units_returned.labels(workspace).inc(work.units)
+        state.quotas.give_back(workspace, work.units, state.timers.now())
 
     def _check_stopping(self, caller: CallerConnection) -> None:
         state = self._state
@@ -208,6 +208,9 @@
     def _note_admitted(self, work: Work) -> None:
         state = self._state
         state.retries.earn(work.service, state.timers.now())
+        if work.workspace is not None:
+            workspace = work.workspace.name
+            state.counters.units_admitted.labels(workspace).inc(work.units)
 
     async def _refuse_bad(
         self,
--- a/packages/spanfall-node/src/spanfall_node/gateway/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/counters.py
@@ -32,6 +32,21 @@
             'Answers given to callers, by status',
             'status',
         )
+        self.units_admitted = self._labelled(
+            'spanfall_units_admitted',
+            'Units of limits taken by admitted requests',
+            'workspace',
+        )
+        self.units_run = self._labelled(
+            'spanfall_units_run',
+            'Units of limits of requests that upstreams ran or may have run',
+            'workspace',
+        )
+        self.units_returned = self._labelled(
+            'spanfall_units_returned',
+            'Units of limits given back, as their requests did not run',
+            'workspace',
+        )
         self.grants = self._labelled(
             'spanfall_grants',
             'Upstreams chosen for requests, by who chose',
