--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,27 @@
+"""Pass over the tests that are known to fail, and print them."""
+
+from pathlib import Path
+
+KNOWN_RED = Path(__file__).parents[1] / 'KNOWN-RED.txt'
+
+
+def known_red():
+    """Return the lines of the list, each beginning with a test."""
+    if not KNOWN_RED.exists():
+        return []
+    lines = KNOWN_RED.read_text().splitlines()
+    return [line for line in lines if line.strip()]
+
+
+def pytest_collection_modifyitems(config, items):
+    names = {line.split()[0].rstrip(':') for line in known_red()}
+    red = [node for node in items if node.nodeid.partition('[')[0] in names]
+    if red:
+        config.hook.pytest_deselected(items=red)
+        for node in red:
+            items.remove(node)
+
+
+def pytest_terminal_summary(terminalreporter):
+    for line in known_red():
+        terminalreporter.write_line(f'known red, not run: {line}')
