Show that a restart of all nodes as pressure begins passes a limit

Cause: suspected: what was spent before the restart is taken as spent evenly over the window, though it may all have been in the last moment; the record is up to a second old.

--- a/tests/test_gateway_limit_promise.py
+++ b/tests/test_gateway_limit_promise.py
@@ -76,3 +76,30 @@
     world.demand = PRESSING
     world.run(2 * WINDOW)
     assert world.most_beyond <= 0
+
+
+def test_all_nodes_killed_as_pressure_begins():
+    """The next home does not know what was spent in the last moment."""
+    beyond = []
+    for seed in range(12):
+        world = small_world(seed)
+        world.run(3 * WINDOW)
+        world.demand = PRESSING
+        world.run(Random(seed).uniform(0.3, 3))
+        world.kill(*range(ENTRIES))
+        world.run(12)
+        beyond.append(world.most_beyond)
+    assert max(beyond) <= 0, beyond
+
+
+def test_all_nodes_killed_after_a_burst_in_a_calm_time():
+    """Too little was spent to be recorded, all of it in the last moment."""
+    world = small_world(sizes=lambda: 1_000)
+    world.demand = 0
+    world.run(2 * WINDOW)
+    world.demand = SMALL.total * 0.45
+    world.run(1)
+    world.kill(*range(ENTRIES))
+    world.demand = PRESSING
+    world.run(WINDOW)
+    assert world.most_beyond <= 0
