Take what was spent before a restart as spent in its last moment

Cause: a new home and a new process took unknown spending as spread evenly over the window, so it came free while what had really been spent, all at the end, still counted. The record of spending was up to a second old, and its age rested on clocks that may jump. Change: unknown spending counts for a whole window from the takeover on.

--- a/packages/spanfall-core/src/spanfall_core/gateway/quotas.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/quotas.py
@@ -293,12 +293,16 @@
         return recent - returned.recent(limit.window, now)
 
     def _row(self, workspace: str, limit: Limit, now: float) -> Held:
-        """Return what is held; at first it is an assumed part of the limit."""
+        """Return what is held; at first it is an assumed part of the limit.
+
+        What an earlier process here may have spent counts as spent now: it
+        may all have been in its last moment.
+        """
         row = self._held.get(workspace)
         if row is None:
             part = limit.total / max(1, self.entries)
             row = Held(owned=part, owned_of=limit.total)
-            row.assumed.assume(part * (1 - FIRST_FREE), limit.window, now)
+            row.assumed.add(part * (1 - FIRST_FREE), now)
             self._held[workspace] = row
             self._own[workspace] = Spending()
         return row
--- a/packages/spanfall-core/src/spanfall_core/gateway/shared_levels.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/shared_levels.py
@@ -58,7 +58,6 @@
     tolerance: Tolerance = field(default_factory=Tolerance)
     #: What the home before recorded, by workspace and age in seconds.
     recorded: dict[str, ByAge] = field(default_factory=dict)
-    recorded_age: float = 0
     _entries: dict[str, EntryAccount] = field(default_factory=dict)
     #: Sums over the entries that are heard, and the others.
     _held: defaultdict[str, float] = field(default_factory=_sums)
@@ -316,15 +315,18 @@
         limit: Limit,
         now: float,
     ) -> Spending:
-        """Return what was spent before, where no entry lived to tell."""
+        """Return what was spent before, where no entry lived to tell.
+
+        It may all have been in the last moment of those who spent it, so it
+        leaves the window as if it had been spent now.
+        """
         assumed = self._assumed.get(workspace)
         if assumed is None:
             assumed = Spending()
             self._assumed[workspace] = assumed
             by_age = self.recorded.get(workspace)
             if by_age is None:
-                spent = limit.total * UNRECORDED_PART
-                assumed.assume(spent, limit.window, now)
+                assumed.add(limit.total * UNRECORDED_PART, now)
             else:
-                assumed.recall(by_age, now - self.recorded_age)
+                assumed.recall(by_age, now)
         return assumed
--- a/packages/spanfall-core/src/spanfall_core/gateway/spending.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/spending.py
@@ -46,12 +46,6 @@
         self.recent(window, now)
         return floor(at / SLOT_SECONDS) >= self._first
 
-    def assume(self, units: float, window: float, now: float) -> None:
-        """Take units as spent evenly over the window before now."""
-        pieces = round(window / SLOT_SECONDS)
-        for number in range(pieces):
-            self.add(units / pieces, now - window + number * SLOT_SECONDS)
-
     def by_age(self, now: float) -> ByAge:
         """Return the units by their age, none older than it is."""
         ages: dict[int, float] = {}
--- a/packages/spanfall-node/src/spanfall_node/gateway/quota_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/quota_record.py
@@ -1,7 +1,8 @@
 """Keep in the store what pressing workspaces spent, for the next home.
 
 When all nodes are killed at once nobody else knows it. The record is written
-only while a workspace uses much of its limit, so a calm day costs no call.
+only while a workspace uses much of its limit, and once more, empty, when none
+does any longer, so a calm day costs no call.
 """
 
 import logging
@@ -18,14 +19,22 @@
 
 #: Key of the record.
 SPENDING_KEY = 'spanfall/spending'
-#: Seconds between two records.
+#: Seconds between two records, and between two looks at whether a workspace
+#: spent so much since the last one that it is written sooner: what is spent
+#: after the last record is what may run twice once all nodes are killed.
 RECORD_PERIOD = 1.0
+LOOK_PERIOD = 0.25
+#: Part of a limit that is such much: half of what the platforms tolerate.
+SOON_PART = 0.05
 
 
 class SpendingRecord(msgspec.Struct, frozen=True):
-    """Hold spending by workspace and age in seconds at a true time."""
+    """Hold spending by workspace and age in seconds.
+
+    It has no time: clocks of hosts may jump, and a record of a workspace that
+    presses no more is replaced, so what it holds was spent lately.
+    """
 
-    at: float
     spent: dict[str, list[float]]
 
 
@@ -36,6 +45,9 @@
         """Use the tables of the node and the store."""
         self._state = state
         self._store = store
+        #: What the record in the store holds; None: there is none.
+        self._written: dict[str, float] | None = None
+        self._written_at = float('-inf')
 
     async def read(self) -> SharedLevels:
         """Return the levels that a new home starts with.
@@ -43,33 +55,54 @@
         Raises:
             StoreError: the record cannot be read.
         """
-        state = self._state
         item = await self._store.get(SPENDING_KEY)
-        bounds = state.cfg.bounds
+        bounds = self._state.cfg.bounds
         tolerance = Tolerance(bounds.quota_overage, bounds.quota_allowance)
         if item is None:
+            self._written = None
             return SharedLevels(tolerance)
         record = msgspec.json.decode(item.content, type=SpendingRecord)
-        age = state.true_time.at(state.timers.now()) - record.at
-        return SharedLevels(tolerance, record.spent, max(0, age))
+        self._written = _sums(record.spent)
+        return SharedLevels(tolerance, record.spent)
 
     async def run(self) -> None:
         """Write the record while it is needed, until cancelled."""
         while True:
-            await anyio.sleep(RECORD_PERIOD)
-            if self._state.is_home(self._state.timers.now()):
-                await self._write()
-
-    async def _write(self) -> None:
-        state = self._state
-        now = state.timers.now()
-        pressed = state.pressed(now)
-        if not pressed:
+            await anyio.sleep(LOOK_PERIOD)
+            now = self._state.timers.now()
+            if self._state.is_home(now):
+                await self._write_if_due(now)
+
+    async def _write_if_due(self, now: float) -> None:
+        pressed = self._state.pressed(now)
+        if not pressed and not self._written:
             return
-        record = SpendingRecord(state.true_time.at(now), pressed)
+        is_old = now - self._written_at >= RECORD_PERIOD
+        if is_old or self._is_soon(_sums(pressed), now):
+            await self._write(pressed, now)
+
+    def _is_soon(self, sums: dict[str, float], now: float) -> bool:
+        """Tell whether a workspace spent much since the last record."""
+        limits = self._state.limits_at(now)
+        known = self._written or {}
+        return any(
+            units - known.get(workspace, limits[workspace].total / 2)
+            > limits[workspace].total * SOON_PART
+            for workspace, units in sums.items()
+        )
+
+    async def _write(self, pressed: dict[str, list[float]], now: float) -> None:
+        record = SpendingRecord(pressed)
         write = Write(SPENDING_KEY, msgspec.json.encode(record))
-        expected = {HOME_KEY: state.tenure.epoch}
+        expected = {HOME_KEY: self._state.tenure.epoch}
+        self._written_at = now
         try:
             await self._store.transact(expected, (write,))
         except StoreError as exc:
             logger.info('Could not record the spending: %r', exc)
+            return
+        self._written = _sums(pressed)
+
+
+def _sums(spent: dict[str, list[float]]) -> dict[str, float]:
+    return {workspace: sum(by_age) for workspace, by_age in spent.items()}
