Let courses of any order be drawn against a small limit

Change: hypothesis draws cuts, kills, freezes, jams, late refusals, a lost store, changed limits and the largest requests, judged by the checker.

--- a/tests/test_gateway_limit_promise.py
+++ b/tests/test_gateway_limit_promise.py
@@ -13,14 +13,18 @@
 from random import Random
 
 import pytest
-from quota_world import (
+import quota_events
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from quota_nodes import WINDOW
+from quota_traffic import (
     LARGEST,
-    SMALL,
-    WINDOW,
     Fate,
-    QuotaWorld,
     mixed_sizes,
+    run_at_once,
+    run_in_a_jam,
 )
+from quota_world import SMALL, QuotaWorld
 
 ENTRIES = 8
 USUAL = SMALL.rate / 1.8
@@ -103,3 +107,27 @@
     world.demand = PRESSING
     world.run(WINDOW)
     assert world.most_beyond <= 0
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(sorted(quota_events.EVENTS)),
+        st.sets(st.integers(0, ENTRIES - 1), min_size=1),
+        st.floats(0.1, 5),
+    ),
+    min_size=1,
+    max_size=9,
+)
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.integers(0, 10**6), st.booleans(), EVENTS)
+def test_no_course_passes_the_limit(seed, waits, events):
+    """Cuts, kills, freezes, jams, changed limits, a lost store, any order."""
+    fates = run_in_a_jam(seed, refused=0.3) if waits else run_at_once()
+    world = small_world(seed, fates=fates)
+    world.run(WINDOW)
+    for name, numbers, seconds in events:
+        quota_events.EVENTS[name](world, numbers)
+        world.run(seconds)
+    assert world.most_beyond <= 0
