--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -3,6 +3,8 @@
 from itertools import product
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from spanfall_core.gateway.configuration import Route, RouteKind, ServiceShare
 from spanfall_core.gateway.sends import (
     MOST_SENDS,
@@ -81,3 +83,25 @@
     state = SendState(sends=MOST_SENDS)
     step = next_step(SendEnd.REFUSED, ONCE, state, lambda: True)
     assert step is NextStep.ANSWER_NOT_RUN
+
+
+@given(
+    st.sampled_from((ONCE, STREAM, AGAIN, RESUMABLE)),
+    st.lists(st.sampled_from(list(SendEnd)), min_size=1, max_size=MOST_SENDS),
+    st.integers(0, MOST_SENDS),
+)
+def test_not_run_is_true_of_all_sends(kind, ends, retries):
+    """Units come back for it, so no send may have run the request."""
+    left = iter(range(retries))
+    state = SendState()
+
+    def take_retry():
+        return next(left, None) is not None
+
+    for number, end in enumerate(ends, 1):
+        state.sends = number
+        step = next_step(end, kind, state, take_retry)
+        if step is NextStep.ANSWER_NOT_RUN:
+            assert NOT_RUN_ENDS.issuperset(ends[:number])
+        if step is not NextStep.SEND_AGAIN:
+            return
