Part the home's sums of limits: what was spent, what is held, what is told

Change: unit_reports, fleet_spending, entry_account beside quotas and shared_levels; one sum a workspace and table (LimitUse); totals out of entry_link; a counter of questions for units by outcome.

--- a/bench/gateway_tables.py
+++ b/bench/gateway_tables.py
@@ -15,8 +15,8 @@
 from spanfall_core.gateway.limits import Limit
 from spanfall_core.gateway.loads import Loads
 from spanfall_core.gateway.prefixes import PromptPart
-from spanfall_core.gateway.quotas import EntrySpending
 from spanfall_core.gateway.shared_levels import SharedLevels
+from spanfall_core.gateway.unit_reports import EntrySpending
 from spanfall_node.gateway.messages import (
     AskMessage,
     GrantMessage,
@@ -93,7 +93,6 @@
         spending = EntrySpending(dict.fromkeys(limits, 10.0 + again))
         shared.learn(f'n-{again}/0', spending, limits, now)
         shared.give(f'n-{again}/0', limits, now)
-        shared.levels(limits, now)
     return (time.process_time() - began) / nodes * MICROSECONDS
 
 
--- a/packages/spanfall-core/src/spanfall_core/gateway/entry_account.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/entry_account.py
@@ -3,12 +3,13 @@
 from dataclasses import dataclass, field
 
 from spanfall_core.gateway.limits import Limit, Limits
-from spanfall_core.gateway.quotas import EntrySpending
 from spanfall_core.gateway.spending import (
     SLOT_SECONDS,
+    Pieces,
     Spending,
     Units,
 )
+from spanfall_core.gateway.unit_reports import EntrySpending
 
 #: Seconds by which units that came back may be younger than their age says:
 #: ages are whole seconds of slots. Taken as older, they never cancel more
@@ -16,10 +17,6 @@
 AGE_ERROR = 1 + 2 * SLOT_SECONDS
 
 
-#: Units by the time at which they were spent.
-Pieces = list[tuple[float, float]]
-
-
 @dataclass(slots=True)
 class EntryAccount:
     """Hold what one incarnation of an entry spent and may hold."""
@@ -71,12 +68,13 @@
             self._spend_held(report)
         self.given = {}
         self.given_beyond = {}
-        new = {
-            workspace: units - self.told.spent.get(workspace, 0)
+        told = self.told.spent
+        self.told = report
+        return {
+            workspace: units - told.get(workspace, 0)
             for workspace, units in report.spent.items()
+            if units != told.get(workspace)
         }
-        self.told = report
-        return new
 
     def learn_returned(self, report: EntrySpending, now: float) -> None:
         """Take over what it says came back in the last window."""
@@ -109,8 +107,10 @@
         }
 
     def _spend_held(self, report: EntrySpending) -> None:
-        before = self.told.net
-        for workspace, units in report.net.items():
-            new = units - before.get(workspace, 0)
+        told = self.told
+        for workspace, units in report.spent.items():
+            spent = units - told.spent.get(workspace, 0)
+            back = report.given_back.get(workspace, 0)
+            back -= told.given_back.get(workspace, 0)
             held = self.held.get(workspace, 0)
-            self.held[workspace] = max(0, held - new)
+            self.held[workspace] = max(0, held - spent + back)
--- a/packages/spanfall-core/src/spanfall_core/gateway/fleet.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/fleet.py
@@ -9,7 +9,7 @@
     ReadingSpeed,
     ReadingSums,
 )
-from spanfall_core.gateway.quotas import EntrySpending
+from spanfall_core.gateway.unit_reports import EntrySpending
 from spanfall_core.gateway.usage import FleetUsage, WindowCounts
 
 #: Seconds without a word after which an entry's running requests no longer
--- a/packages/spanfall-core/src/spanfall_core/gateway/limits.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/limits.py
@@ -20,6 +20,18 @@
         return self.rate * self.window + self.burst
 
 
+@dataclass(frozen=True, slots=True)
+class Tolerance:
+    """State how much more than a limit the platform lets run in a window."""
+
+    part: float = 0
+    units: float = 0
+
+    def beyond(self, limit: Limit) -> float:
+        """Return the units that may run beyond a limit."""
+        return limit.total * self.part + self.units
+
+
 Limits = Mapping[str, Limit]
 #: Limits of before, with the time until which each still counts.
 Lowered = deque[tuple[float, Limit]]
--- a/packages/spanfall-core/src/spanfall_core/gateway/shared_levels.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/shared_levels.py
@@ -10,14 +10,12 @@
 from dataclasses import dataclass, field
 
 from spanfall_core.gateway.entry_account import EntryAccount
-from spanfall_core.gateway.limits import Limit, Limits
-from spanfall_core.gateway.quotas import EntrySpending, GivenUnits
-from spanfall_core.gateway.spending import ByAge, Spending, Units, sum_ages
+from spanfall_core.gateway.fleet_spending import FleetSpending
+from spanfall_core.gateway.limits import Limit, Limits, Tolerance
+from spanfall_core.gateway.spending import ByAge, Spending, Units
 from spanfall_core.gateway.taken_over import FORGET_SECONDS, TakenOver
+from spanfall_core.gateway.unit_reports import EntrySpending, GivenUnits
 
-#: Part of a limit that a new home takes as spent where neither an entry nor
-#: the record in the store tells: the record is kept while more is spent.
-UNRECORDED_PART = 0.5
 #: Part of what the platform tolerates beyond a limit that entries may hold
 #: which are silent, or that all may spend which lose the home.
 COVERED_PART = 0.5
@@ -35,16 +33,35 @@
 SEVERAL_ENTRIES = 4
 
 
-@dataclass(frozen=True, slots=True)
-class Tolerance:
-    """State how much more than a limit the platform lets run in a window."""
+@dataclass(slots=True)
+class LimitUse:
+    """State where the units of one limit are."""
+
+    total: float
+    spent: float
+    #: What entries that are heard may hold, and may spend beyond it alone.
+    held: float
+    beyond: float
+    #: What those may still spend that are not heard.
+    hidden: float
+    #: What the tolerance covers of the last two.
+    covered: float
+
+    @property
+    def pool(self) -> float:
+        """Return the units that nobody spent or may hold."""
+        uncovered = max(0, self.hidden + self.beyond - self.covered)
+        return self.total - self.spent - self.held - uncovered
 
-    part: float = 0
-    units: float = 0
+    @property
+    def level(self) -> float:
+        """Return the units that nobody spent whom this home does not hear."""
+        return self.total - self.spent - self.hidden
 
-    def beyond(self, limit: Limit) -> float:
-        """Return the units that may run beyond a limit."""
-        return limit.total * self.part + self.units
+    def free_cover(self, live: int) -> float:
+        """Return what one more entry may spend beyond what it holds, alone."""
+        free = self.covered - self.hidden
+        return max(0, min(free / live, free - self.beyond))
 
 
 def _sums() -> defaultdict[str, float]:
@@ -56,17 +73,13 @@
     """Hold at the home what entries spent and hold."""
 
     tolerance: Tolerance = field(default_factory=Tolerance)
-    #: What the home before recorded, by workspace and age in seconds.
-    recorded: dict[str, ByAge] = field(default_factory=dict)
+    spending: FleetSpending = field(default_factory=FleetSpending)
     _entries: dict[str, EntryAccount] = field(default_factory=dict)
     #: Sums over the entries that are heard, and the others.
     _held: defaultdict[str, float] = field(default_factory=_sums)
     _beyond: defaultdict[str, float] = field(default_factory=_sums)
     _silent: dict[str, EntryAccount] = field(default_factory=dict)
     _looked_at: float = float('-inf')
-    _spending: dict[str, Spending] = field(default_factory=dict)
-    _returned: dict[str, Spending] = field(default_factory=dict)
-    _assumed: dict[str, Spending] = field(default_factory=dict)
     _taken: TakenOver | None = None
 
     def learn(
@@ -89,7 +102,9 @@
                 if units and workspace in limits:
                     self._add(account, workspace, limits[workspace], units, now)
         self._count_held(account, 1)
-        self._learn_returned(account, report, now)
+        self.spending.count_returned(account.returned, -1)
+        account.learn_returned(report, now)
+        self.spending.count_returned(account.returned, 1)
 
     def knows(self, entry: str) -> bool:
         """Tell whether an entry was heard in this time as the home."""
@@ -112,16 +127,17 @@
             return None
         account = self._entries[entry]
         self._count_held(account, -1)
+        levels: Units = {}
         for workspace, limit in limits.items():
-            pool = self._pool(workspace, limit, now)
-            part = max(0, pool) / (live + 1)
-            beyond = self._free_cover(workspace, limit, live, now)
-            account.hold(workspace, part, beyond)
+            use = self._use(workspace, limit, now)
+            part = max(0, use.pool) / (live + 1)
+            account.hold(workspace, part, use.free_cover(live))
+            levels[workspace] = use.level
         self._count_held(account, 1)
         return GivenUnits(
             dict(account.given),
             dict(account.given_beyond),
-            self.levels(limits, now),
+            levels,
         )
 
     def lend(
@@ -142,7 +158,7 @@
         live = self._live(limits, now)
         if limit is None or account is None or not live:
             return 0
-        pool = self._pool(workspace, limit, now)
+        pool = self._use(workspace, limit, now).pool
         borrowed = self.tolerance.beyond(limit) * BORROWED_PART
         if pool <= 0 or pool - units < -borrowed:
             return 0
@@ -154,20 +170,13 @@
     def levels(self, limits: Limits, now: float) -> Units:
         """Return what is left of each limit, in the pool or held."""
         return {
-            workspace: limit.total
-            - self._spent(workspace, limit, now)
-            - self._hidden(workspace, limit, now)
+            workspace: self._use(workspace, limit, now).level
             for workspace, limit in limits.items()
         }
 
     def pressed(self, limits: Limits, now: float) -> dict[str, ByAge]:
         """Return the spending, by age, of workspaces that use much."""
-        return {
-            workspace: self._by_age(workspace, now)
-            for workspace, limit in limits.items()
-            if self._spent(workspace, limit, now)
-            > limit.total * UNRECORDED_PART
-        }
+        return self.spending.pressed(limits, now)
 
     def _meet(
         self,
@@ -181,13 +190,13 @@
         self._forget_dead(node, now)
         if self._taken is None:
             self._taken = TakenOver(now)
-            for name, limit in limits.items():
-                self._assumed_of(name, limit, now)
+            self.spending.begin(limits, now)
         self._taken.learn(report)
+        self.spending.is_assumed = not self._taken.entries
         account = EntryAccount(node, now, report, dict(report.held))
         self._entries[entry] = account
         for workspace, by_age in report.recent.items():
-            self._of(workspace).recall(by_age, now)
+            self.spending.recall(workspace, by_age, now)
             account.own[workspace] = Spending()
             account.own[workspace].recall(by_age, now)
         return account
@@ -230,53 +239,26 @@
         units: float,
         now: float,
     ) -> None:
-        self._of(workspace).add(units, now)
+        self.spending.add(workspace, units, now)
         own = account.own.setdefault(workspace, Spending())
         own.recent(limit.window, now)
         own.add(units, now)
 
-    def _learn_returned(
-        self,
-        account: EntryAccount,
-        report: EntrySpending,
-        now: float,
-    ) -> None:
-        """Let what an entry says came back replace what it said before."""
-        self._count_returned(account, -1)
-        account.learn_returned(report, now)
-        self._count_returned(account, 1)
-
-    def _count_returned(self, account: EntryAccount, sign: int) -> None:
-        for workspace, pieces in account.returned.items():
-            total = self._returned.setdefault(workspace, Spending())
-            for at, units in pieces:
-                total.add(sign * units, at)
-
     def _count_held(self, account: EntryAccount, sign: int) -> None:
         for workspace, units in account.held.items():
             self._held[workspace] += sign * units
         for name, beyond in account.beyond.items():
             self._beyond[name] += sign * beyond
 
-    def _pool(self, workspace: str, limit: Limit, now: float) -> float:
-        """Return the units that nobody spent or may hold."""
-        covered = self.tolerance.beyond(limit) * COVERED_PART
-        alone = self._hidden(workspace, limit, now) + self._beyond[workspace]
-        spent = self._spent(workspace, limit, now)
-        held = self._held[workspace] + max(0, alone - covered)
-        return limit.total - spent - held
-
-    def _free_cover(
-        self,
-        workspace: str,
-        limit: Limit,
-        live: int,
-        now: float,
-    ) -> float:
-        """Return what one entry may spend beyond what it holds, alone."""
-        covered = self.tolerance.beyond(limit) * COVERED_PART
-        free = covered - self._hidden(workspace, limit, now)
-        return max(0, min(free / live, free - self._beyond[workspace]))
+    def _use(self, workspace: str, limit: Limit, now: float) -> LimitUse:
+        return LimitUse(
+            limit.total,
+            self.spending.recent(workspace, limit, now),
+            self._held[workspace],
+            self._beyond[workspace],
+            self._hidden(workspace, limit, now),
+            self.tolerance.beyond(limit) * COVERED_PART,
+        )
 
     def _hidden(self, workspace: str, limit: Limit, now: float) -> float:
         """Return what those may still spend that are not heard."""
@@ -288,45 +270,3 @@
             known = len(self._entries)
             hidden += self._taken.unknown(workspace, limit, known, now)
         return hidden
-
-    def _spent(self, workspace: str, limit: Limit, now: float) -> float:
-        spent = self._of(workspace).recent(limit.window, now)
-        returned = self._returned.get(workspace)
-        if returned is not None:
-            spent -= returned.recent(limit.window, now)
-        if self._taken is not None and self._taken.entries:
-            return spent
-        assumed = self._assumed_of(workspace, limit, now)
-        return spent + assumed.recent(limit.window, now)
-
-    def _by_age(self, workspace: str, now: float) -> ByAge:
-        rows = [self._of(workspace).by_age(now)]
-        assumed = self._assumed.get(workspace)
-        if assumed is not None:
-            rows.append(assumed.by_age(now))
-        return sum_ages(rows)
-
-    def _of(self, workspace: str) -> Spending:
-        return self._spending.setdefault(workspace, Spending())
-
-    def _assumed_of(
-        self,
-        workspace: str,
-        limit: Limit,
-        now: float,
-    ) -> Spending:
-        """Return what was spent before, where no entry lived to tell.
-
-        It may all have been in the last moment of those who spent it, so it
-        leaves the window as if it had been spent now.
-        """
-        assumed = self._assumed.get(workspace)
-        if assumed is None:
-            assumed = Spending()
-            self._assumed[workspace] = assumed
-            by_age = self.recorded.get(workspace)
-            if by_age is None:
-                assumed.add(limit.total * UNRECORDED_PART, now)
-            else:
-                assumed.recall(by_age, now)
-        return assumed
--- a/packages/spanfall-core/src/spanfall_core/gateway/spending.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/spending.py
@@ -12,6 +12,8 @@
 Units = dict[str, float]
 #: Units by their age in whole seconds, youngest first.
 ByAge = list[float]
+#: Units with the time at which they were spent.
+Pieces = list[tuple[float, float]]
 
 
 @dataclass(slots=True)
--- a/packages/spanfall-node/src/spanfall_node/gateway/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/counters.py
@@ -47,6 +47,11 @@
             'Units of limits given back, as their requests did not run',
             'workspace',
         )
+        self.unit_requests = self._labelled(
+            'spanfall_unit_requests',
+            'Questions to the home for units that a request lacks',
+            'outcome',
+        )
         self.grants = self._labelled(
             'spanfall_grants',
             'Upstreams chosen for requests, by who chose',
--- a/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
@@ -11,7 +11,6 @@
 import anyio
 import msgspec
 from spanfall_core.gateway.directory import DirectoryChange
-from spanfall_core.gateway.fleet import FleetTotals
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import WebSocketException
 
@@ -32,6 +31,7 @@
 )
 from spanfall_node.gateway.state import GatewayState
 from spanfall_node.gateway.sync import Sync
+from spanfall_node.gateway.totals import apply_totals
 from spanfall_node.gateway.unit_requests import UnitRequests
 
 logger = logging.getLogger(__name__)
@@ -291,16 +291,3 @@
             reason,
         )
         state.lose_home()
-
-
-def apply_totals(
-    state: GatewayState,
-    others: FleetTotals,
-    now: float,
-) -> None:
-    """Follow the sums over all other entries."""
-    state.loads.others_running = others.running
-    state.loads.others_prefill = others.prefill
-    state.loads.learn_failures(others.failed, now)
-    state.quotas.entries = max(1, others.entries)
-    state.retries.entries = max(1, others.entries)
--- a/packages/spanfall-node/src/spanfall_node/gateway/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/messages.py
@@ -10,7 +10,7 @@
 from spanfall_core.gateway.engine_model import ReadingSpeed
 from spanfall_core.gateway.fleet import EntryReport, FleetTotals
 from spanfall_core.gateway.grants import EntryLoad, Grant
-from spanfall_core.gateway.quotas import GivenUnits
+from spanfall_core.gateway.unit_reports import GivenUnits
 
 #: Most bytes of one message.
 MESSAGE_BYTES = 4_194_304
--- a/packages/spanfall-node/src/spanfall_node/gateway/quota_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/quota_record.py
@@ -9,7 +9,9 @@
 
 import anyio
 import msgspec
-from spanfall_core.gateway.shared_levels import SharedLevels, Tolerance
+from spanfall_core.gateway.fleet_spending import FleetSpending
+from spanfall_core.gateway.limits import Tolerance
+from spanfall_core.gateway.shared_levels import SharedLevels
 
 from spanfall_node.gateway.ports import Write
 from spanfall_node.gateway.state import HOME_KEY, GatewayState
@@ -63,7 +65,7 @@
             return SharedLevels(tolerance)
         record = msgspec.json.decode(item.content, type=SpendingRecord)
         self._written = _sums(record.spent)
-        return SharedLevels(tolerance, record.spent)
+        return SharedLevels(tolerance, FleetSpending(record.spent))
 
     async def run(self) -> None:
         """Write the record while it is needed, until cancelled."""
--- a/packages/spanfall-node/src/spanfall_node/gateway/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/state.py
@@ -21,10 +21,11 @@
 from spanfall_core.gateway.grants import EntryLoad, GrantBook
 from spanfall_core.gateway.limits import Limit, LimitsInForce
 from spanfall_core.gateway.loads import Loads
-from spanfall_core.gateway.quotas import GivenUnits, Quotas
+from spanfall_core.gateway.quotas import Quotas
 from spanfall_core.gateway.retry_budget import RetryBudget, RetryLimits
 from spanfall_core.gateway.shared_levels import SharedLevels
 from spanfall_core.gateway.true_time import TrueTime
+from spanfall_core.gateway.unit_reports import GivenUnits
 from spanfall_core.gateway.usage import UsageCounts
 
 from spanfall_node.gateway.counters import Counters
--- a/packages/spanfall-node/src/spanfall_node/gateway/unit_requests.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/unit_requests.py
@@ -16,6 +16,12 @@
 UNITS_SECONDS = 0.06
 
 
+#: Outcomes of a question, as counted.
+LENT = 'lent'
+NONE_LEFT = 'none-left'
+UNANSWERED = 'unanswered'
+
+
 @dataclass(slots=True)
 class UnitRequests:
     """Ask over the link that the entry holds to the home."""
@@ -52,10 +58,18 @@
         missing = state.quotas.missing(workspace, limit, units, now)
         if not missing:
             return False
+        outcome = await self._ask(workspace, missing)
+        state.counters.unit_requests.labels(outcome).inc()
+        return outcome == LENT
+
+    async def _ask(self, workspace: str, missing: float) -> str:
+        """Ask the home, which may be this node; return the outcome."""
+        state = self.state
         if state.tenure is not None:
+            now = state.timers.now()
             lent = state.lend_units(state.entry_key, workspace, missing, now)
             state.quotas.learn_lent(workspace, lent, now)
-            return lent > 0
+            return LENT if lent else NONE_LEFT
         question = await self._questions.ask(
             lambda number: UnitsRequest(
                 state.entry_key,
@@ -65,4 +79,6 @@
             ),
             UNITS_SECONDS,
         )
-        return bool(question.answer)
+        if not question.is_answered:
+            return UNANSWERED
+        return LENT if question.answer else NONE_LEFT
--- a/tests/quota_nodes.py
+++ b/tests/quota_nodes.py
@@ -4,7 +4,8 @@
 
 from quota_traffic import Fate
 from spanfall_core.gateway.limits import Limit, LimitsInForce
-from spanfall_core.gateway.quotas import EntrySpending, GivenUnits, Quotas
+from spanfall_core.gateway.quotas import Quotas
+from spanfall_core.gateway.unit_reports import EntrySpending, GivenUnits
 
 #: Units a second and at once, as of a large workspace of the deployments.
 #: The window is the one in which the platform counts.
--- a/tests/quota_world.py
+++ b/tests/quota_world.py
@@ -18,9 +18,10 @@
     run_at_once,
     run_in_a_jam,
 )
-from spanfall_core.gateway.limits import Limit, LimitsInForce
+from spanfall_core.gateway.fleet_spending import FleetSpending
+from spanfall_core.gateway.limits import Limit, LimitsInForce, Tolerance
 from spanfall_core.gateway.quotas import Quotas
-from spanfall_core.gateway.shared_levels import SharedLevels, Tolerance
+from spanfall_core.gateway.shared_levels import SharedLevels
 
 __all__ = (
     'LARGEST',
@@ -221,7 +222,7 @@
         self.epoch += 1
         self.home = node
         self.without_store = 0
-        self.levels = SharedLevels(TOLERANCE, self.record)
+        self.levels = SharedLevels(TOLERANCE, FleetSpending(self.record))
 
     def _report(self, node):
         if not node.runs:
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -15,14 +15,11 @@
     WINDOW,
     QuotaWorld,
 )
+from spanfall_core.gateway.fleet_spending import FleetSpending
 from spanfall_core.gateway.limits import LimitsInForce
-from spanfall_core.gateway.quotas import (
-    DENIED_SECONDS,
-    EntrySpending,
-    GivenUnits,
-    Quotas,
-)
+from spanfall_core.gateway.quotas import DENIED_SECONDS, Quotas
 from spanfall_core.gateway.shared_levels import SharedLevels
+from spanfall_core.gateway.unit_reports import EntrySpending, GivenUnits
 
 ENTRIES = 9
 #: Seconds after which nothing is assumed about the time before the start.
@@ -158,7 +155,7 @@
     spent = EntrySpending({'large': LIMIT.total})
     before.learn('home', spent, LIMITS, START)
     record = before.pressed(LIMITS, START + 1)
-    after = SharedLevels(recorded=record)
+    after = SharedLevels(spending=FleetSpending(record))
     free = [after.levels(LIMITS, START + at)['large'] for at in (3, 9, 11.2)]
     assert free == [0, 0, LIMIT.total]
 
--- a/tests/test_gateway_unit_requests.py
+++ b/tests/test_gateway_unit_requests.py
@@ -8,8 +8,10 @@
 import pytest
 from gateway_world import ask, in_world
 from spanfall_core.gateway.limits import Limit
-from spanfall_core.gateway.quotas import EntrySpending, GivenUnits, Quotas
+from spanfall_core.gateway.quotas import Quotas
 from spanfall_core.gateway.spending import SLOT_SECONDS
+from spanfall_core.gateway.unit_reports import EntrySpending, GivenUnits
+from spanfall_node.gateway.counters import Counters
 from spanfall_node.gateway.messages import UnitsMessage
 from spanfall_node.gateway.quota_record import SPENDING_KEY, SpendingRecord
 from spanfall_node.gateway.unit_requests import UNITS_SECONDS, UnitRequests
@@ -36,6 +38,7 @@
         quotas=quotas,
         tenure=None,
         entry_key='e/1',
+        counters=Counters(),
         timers=SimpleNamespace(now=int),
         limits_at=lambda _: LIMITS,
     )
