--- a/tests/quota_world.py
+++ b/tests/quota_world.py
@@ -1,30 +1,18 @@
 """Play entries, a home, cuts and kills against one limit, in virtual time."""
 
-from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass, field, replace
-from heapq import heappop, heappush
-from itertools import count
 from random import Random
 
-from limit_checker import Run, most_beyond, most_in_a_span
-from quota_nodes import LIMIT, WINDOW, Node, Table, Waiting
-from quota_traffic import (
-    LARGEST,
-    REQUEST,
-    Fate,
-    equal_sizes,
-    mixed_sizes,
-    run_at_once,
-    run_in_a_jam,
-)
+from limit_checker import most_beyond
+from quota_nodes import LIMIT, WINDOW, Node, Table
+from quota_requests import STEP, RequestWorld
+from quota_traffic import REQUEST
 from spanfall_core.gateway.fleet_spending import FleetSpending
 from spanfall_core.gateway.limits import Limit, LimitsInForce, Tolerance
 from spanfall_core.gateway.quotas import Quotas
 from spanfall_core.gateway.shared_levels import SharedLevels
 
 __all__ = (
-    'LARGEST',
     'LIMIT',
     'LIMITS',
     'MOST',
@@ -32,10 +20,7 @@
     'SMALL',
     'TOLERANCE',
     'WINDOW',
-    'Fate',
     'QuotaWorld',
-    'mixed_sizes',
-    'run_in_a_jam',
 )
 
 LIMITS = {'large': LIMIT}
@@ -45,7 +30,6 @@
 TOLERANCE = Tolerance(part=0.1, units=140_000)
 MOST = LIMIT.total * (1 + TOLERANCE.part) + TOLERANCE.units
 
-STEP = 0.05
 REPORT_STEPS = 5
 #: Steps until an entry finds that its link is dead, as ANSWER_SECONDS.
 LINK_STEPS = 16
@@ -60,18 +44,13 @@
 
 
 @dataclass(slots=True)
-class QuotaWorld:
+class QuotaWorld(RequestWorld):
     """Play a fleet; it gets ``demand`` units a second in all."""
 
-    entries: int
-    demand: float
     limit: Limit = LIMIT
-    sizes: Callable[[], float] = field(default_factory=equal_sizes)
-    fates: Callable[[], Fate] = field(default_factory=run_at_once)
     #: Most steps that a table is under way.
     transit: int = 0
     seed: int = 0
-    step: int = 0
     epoch: int = 0
     home: Node | None = None
     levels: SharedLevels | None = None
@@ -80,17 +59,9 @@
     without_home: int = 0
     without_store: int = 0
     nodes: list[Node] = field(default_factory=list)
-    runs: list[Run] = field(default_factory=list)
-    ran: deque = field(default_factory=deque)
-    admitted: int = 0
-    refused: int = 0
     #: Limits of before, with the time until which a node still held to each.
     earlier: list[list] = field(default_factory=list)
     _settling: list[list] = field(default_factory=list)
-    _due: dict[str, float] = field(default_factory=dict)
-    _next: dict[str, float] = field(default_factory=dict)
-    _waiting: list[Waiting] = field(default_factory=list)
-    _order: count = field(default_factory=count)
     _draw: Random = field(default_factory=Random)
 
     def __post_init__(self):
@@ -101,15 +72,6 @@
             self.nodes.append(node)
         self._become_home(self.nodes[0])
 
-    @property
-    def now(self):
-        return self.step * STEP
-
-    @property
-    def most_ran(self):
-        """Return the most units that ran in a window."""
-        return most_in_a_span(self.runs, WINDOW)
-
     @property
     def most_beyond(self):
         """Return by how much a span passes what is tolerated."""
@@ -160,10 +122,10 @@
             self.step += 1
             self._pass_time()
             self._lead()
-            self._end_waits()
+            self.end_waits()
             for serving in self.nodes:
                 if serving.runs:
-                    self._serve(serving)
+                    self.serve(serving, self._try_spend)
             for reporting in self.nodes:
                 self._report(reporting)
 
@@ -272,22 +234,6 @@
             self.now,
         )
 
-    def _serve(self, node):
-        name = node.name
-        due = self._due.get(name, 0) + self.demand * STEP / self.entries
-        while True:
-            size = self._next.setdefault(name, self.sizes())
-            if due < size:
-                break
-            due -= size
-            del self._next[name]
-            if self._try_spend(node, size):
-                self.admitted += 1
-                self._begin(node, size)
-            else:
-                self.refused += 1
-        self._due[name] = due
-
     def _try_spend(self, node, size):
         """Spend what is held; ask the home for what is missing."""
         limit = node.limits_at(self.now)['large']
@@ -309,39 +255,6 @@
             return False
         return node is home or (node.cut is None and home.cut is None)
 
-    def _begin(self, node, size):
-        fate = self.fates()
-        due = self.step + fate.steps
-        waiting = Waiting(due, next(self._order), node, fate, self.now, size)
-        heappush(self._waiting, waiting)
-        self._end_waits()
-
-    def _end_waits(self):
-        """Let those run, or be refused, that have waited long enough."""
-        while self._waiting and self._waiting[0].due <= self.step:
-            waiting = heappop(self._waiting)
-            if waiting.node.key != waiting.key:
-                continue
-            if waiting.fate.is_refused:
-                self._refuse(waiting)
-                continue
-            run = Run(waiting.sent_at, self.now, waiting.units)
-            self.runs.append(run)
-            self.ran.append((run.ran_at, run.units))
-        while self.ran and self.ran[0][0] <= self.now - WINDOW:
-            self.ran.popleft()
-
-    def _refuse(self, waiting):
-        """Refuse an admitted request that no upstream ran."""
-        node = waiting.node
-        node.quotas.give_back(
-            'large',
-            node.limits_at(self.now)['large'],
-            waiting.units,
-            waiting.sent_at,
-            self.now,
-        )
-
     def _allowed(self, end):
         """Return what a span that ends at a time may hold.
 
