--- a/packages/spanfall-core/src/spanfall_core/gateway/fleet_spending.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/fleet_spending.py
@@ -29,7 +29,9 @@
     it leaves the window as if it had been spent as this home began.
     """
 
+    #: What the record says, by its ages.
     recorded: Spending = field(default_factory=Spending)
+    #: What is taken as spent whatever the record says.
     least: Spending = field(default_factory=Spending)
 
     def larger(self, limit: Limit, now: float) -> Spending:
--- a/packages/spanfall-core/src/spanfall_core/gateway/shared_levels.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/shared_levels.py
@@ -16,8 +16,8 @@
 from spanfall_core.gateway.taken_over import FORGET_SECONDS, TakenOver
 from spanfall_core.gateway.unit_reports import EntrySpending, GivenUnits
 
-#: Part of what the platform tolerates beyond a limit that entries may hold
-#: which are silent, or that all may spend which lose the home.
+#: Part of what the platform tolerates beyond a limit that covers what silent
+#: entries hold, and what any entry may spend beyond its units once it is alone.
 COVERED_PART = 0.5
 #: Part of it by which the pool may fall below nothing for a request that is
 #: larger than what is left, so that large requests get their turn as small
@@ -55,7 +55,7 @@
 
     @property
     def level(self) -> float:
-        """Return the units that nobody spent whom this home does not hear."""
+        """Return what is left, in the pool or held by entries heard."""
         return self.total - self.spent - self.hidden
 
     def free_cover(self, live: int) -> float:
--- a/packages/spanfall-node/src/spanfall_node/gateway/quota_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/quota_record.py
@@ -1,8 +1,8 @@
 """Keep in the store what pressing workspaces spent, for the next home.
 
 When all nodes are killed at once nobody else knows it. The record is written
-only while a workspace uses much of its limit, and once more, empty, when none
-does any longer, so a calm day costs no call.
+while a workspace uses a quarter of its limit, a call a second at the usual
+load, and once more, empty, when none does any longer.
 """
 
 import logging
@@ -29,7 +29,7 @@
 #: after the last record is what may run twice once all nodes are killed.
 RECORD_PERIOD = 1.0
 LOOK_PERIOD = 0.25
-#: Part of a limit that is such much: half of what the platforms tolerate.
+#: Part of a limit that is so much: half of the part that platforms tolerate.
 SOON_PART = 0.05
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/unit_requests.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/unit_requests.py
@@ -15,7 +15,6 @@
 #: admitted, and several ways between regions.
 UNITS_SECONDS = 0.06
 
-
 #: Outcomes of a question, as counted.
 LENT = 'lent'
 NONE_LEFT = 'none-left'
--- a/tests/test_gateway_limit_promise.py
+++ b/tests/test_gateway_limit_promise.py
@@ -6,7 +6,7 @@
 two seconds later. Cause: units had two holders, and whoever held anything
 began a request of any size: what was counted was not what ran. Proof: the
 same course breaks the limit here, judged by sent and run alone; the home cut
-off is what it takes, and no cut without it did the same on a real fleet.
+off is what it takes: cuts without it did not do the same to real processes.
 """
 
 from itertools import repeat
