Let go of requests that left the window of the retry budget

Cause: the requests of a service were added up in slots of 0.1 s, which only a retry cleared away: where nothing is sent again a process kept ten slots a second for ever. Change: Spending.spend adds and lets go of what has left the window; the sums are the same.

--- a/packages/spanfall-core/src/spanfall_core/gateway/retry_budget.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/retry_budget.py
@@ -43,7 +43,7 @@
 
     def earn(self, service: str, now: float) -> None:
         """Count a request; it earns a part of a retry."""
-        self._of(service).first.add(1, now)
+        self._of(service).first.spend(1, self.limits.window, now)
 
     def try_spend(self, service: str, now: float) -> bool:
         """Take the credit for sending one request again.
@@ -58,7 +58,7 @@
         credit = (earned + share) * SAFE_PART
         if sent.again.recent(window, now) + 1 > credit:
             return False
-        sent.again.add(1, now)
+        sent.again.spend(1, window, now)
         return True
 
     def _of(self, service: str) -> SentRequests:
--- a/packages/spanfall-core/src/spanfall_core/gateway/spending.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/spending.py
@@ -33,6 +33,14 @@
         self._slots[slot] = self._slots.get(slot, 0) + units
         self.spent += units
 
+    def spend(self, units: float, window: float, now: float) -> None:
+        """Add units spent now; let go of what has left the window.
+
+        So a sum that is seldom asked for does not grow with the time.
+        """
+        self.recent(window, now)
+        self.add(units, now)
+
     def recent(self, window: float, now: float) -> float:
         """Return what was spent in the window that ends now."""
         first = floor((now - window) / SLOT_SECONDS)
--- a/tests/test_gateway_retry_budget.py
+++ b/tests/test_gateway_retry_budget.py
@@ -4,6 +4,7 @@
 
 import pytest
 from spanfall_core.gateway.retry_budget import RetryBudget, RetryLimits
+from spanfall_core.gateway.spending import SLOT_SECONDS
 
 #: As of the deployments: a fifth of the requests, and 54 in any 10 s.
 LIMITS = RetryLimits(ratio=0.2, allowance=54, window=10)
@@ -55,3 +56,12 @@
     budget = RetryBudget(LIMITS, ENTRIES)
     spent = product(('llm', 'desk'), range(5))
     assert all(budget.try_spend(service, 0) for service, _ in spent)
+
+
+def test_requests_never_retried_take_no_room():
+    """Nothing asks for the sum of a service whose sends all succeed."""
+    budget = RetryBudget(LIMITS, ENTRIES)
+    for second in range(1000):
+        budget.earn('llm', second / 2)
+    kept = budget._sent['llm'].first._slots
+    assert len(kept) <= LIMITS.window / SLOT_SECONDS + 1
