Split a large answer so that each message fits the link

Cause: parts of an answer that came while a link waited went out as one frame; above 4.2 MB the peer closed the link (1009, message too big: 4,872,484 bytes), and the entry took its home for lost: outcome-unknown, a cut body. Change: frames of at most BATCH_BYTES and one part.

--- a/packages/spanfall-node/src/spanfall_node/held.py
+++ b/packages/spanfall-node/src/spanfall_node/held.py
@@ -17,7 +17,7 @@
 from xxhash import xxh3_64_intdigest
 
 from spanfall_node.answers import Answer
-from spanfall_node.links import Link
+from spanfall_node.links import BATCH_BYTES, Link
 
 #: Blocks of a prompt that are indexed.
 MAX_BLOCKS = 64
@@ -128,14 +128,15 @@
         if answer.offset > follower.sent:
             is_known = follower.upstream == self.row.upstream_id
             follower.upstream = self.row.upstream_id
-            yield Progress(
-                request_id=self.request_id,
-                attempt=attempt,
-                offset=follower.sent,
-                pieces=tuple(answer.read(follower.sent)),
-                upstream='' if is_known else follower.upstream,
-            )
-            follower.sent = answer.offset
+            for pieces in split_pieces(answer.read(follower.sent)):
+                yield Progress(
+                    request_id=self.request_id,
+                    attempt=attempt,
+                    offset=follower.sent,
+                    pieces=pieces,
+                    upstream='' if is_known else follower.upstream,
+                )
+                follower.sent += len(pieces)
         if answer.outcome is not None and not follower.end_sent:
             follower.end_sent = True
             yield answer.outcome.model_copy(update={'attempt': attempt})
@@ -168,3 +169,22 @@
     def _lag(self) -> int:
         ahead = max(row.credit for row in self.followers.values())
         return self.answer.offset - ahead
+
+
+def split_pieces(pieces: Iterable[bytes]) -> Iterable[tuple[bytes, ...]]:
+    """Split parts of an answer so that each group fits a message.
+
+    An upstream may answer megabytes while a link waits; the peer closes a
+    link on which a message is larger than it takes.
+    """
+    group: list[bytes] = []
+    size = 0
+    for piece in pieces:
+        group.append(piece)
+        size += len(piece)
+        if size >= BATCH_BYTES:
+            yield tuple(group)
+            group = []
+            size = 0
+    if group:
+        yield tuple(group)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -7,6 +7,8 @@
 import httpx
 import pytest
 from spanfall_api.settings import Limits
+from spanfall_node.held import split_pieces
+from spanfall_node.links import BATCH_BYTES
 from spanfall_node.node import Node
 from spanfall_standins.fleet import Fleet, run_fleet
 from support import (
@@ -195,3 +197,13 @@
             assert reply.content == b'x' * size
 
     with_fleet(main)
+
+
+def test_parts_of_an_answer_fit_a_message() -> None:
+    """A fast upstream was read whole before the link was flushed."""
+    pieces = [bytes([number % 256]) * 65_536 for number in range(80)]
+    groups = list(split_pieces(pieces))
+    assert [piece for group in groups for piece in group] == pieces
+    sizes = [sum(map(len, group)) for group in groups]
+    assert max(sizes) < BATCH_BYTES + 65_536
+    assert not list(split_pieces([]))
