--- a/packages/spanfall-core/src/spanfall_core/gateway/balance.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/balance.py
@@ -11,6 +11,7 @@
 
 from spanfall_core.gateway.directory import ListedUpstream
 from spanfall_core.gateway.engine_model import ReadingSpeed
+from spanfall_core.gateway.lifetimes import Lifetime
 from spanfall_core.gateway.prefixes import PrefixIndex, PromptPart
 from spanfall_core.gateway.sizes import PromptSizes
 
@@ -45,13 +46,13 @@
 class KnownLoads(Protocol):
     """Tell what a choice has to know of each upstream."""
 
-    def running_at(self, upstream_id: str) -> int:
+    def running_at(self, lifetime: Lifetime) -> int:
         """Return the requests that run there, fleet wide."""
 
-    def prefill_at(self, upstream_id: str) -> int:
+    def prefill_at(self, lifetime: Lifetime) -> int:
         """Return the prompt tokens that are still to be read there."""
 
-    def failures_at(self, upstream_id: str, now: float) -> float:
+    def failures_at(self, lifetime: Lifetime, now: float) -> float:
         """Return the recent failures there."""
 
 
@@ -64,7 +65,7 @@
     parts: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
     #: Upstreams that were tried already.
-    tried: frozenset[str] = frozenset()
+    tried: frozenset[Lifetime] = frozenset()
 
 
 @dataclass(slots=True)
@@ -114,7 +115,7 @@
     preferred = max(hashes, default=0)
     best: tuple[float, int, int] | None = None
     for number, row in enumerate(candidates):
-        if row.upstream_id in ask.tried:
+        if row.lifetime in ask.tried:
             continue
         prefill = _prefill(row, ask, prompts, hashes[number] == preferred)
         seconds = estimate(row, ask, loads, prefill, prompts, now)
@@ -127,7 +128,7 @@
     if best is None:
         return None
     chosen = candidates[best[1]]
-    ahead = loads.prefill_at(chosen.upstream_id)
+    ahead = loads.prefill_at(chosen.lifetime)
     return Choice(chosen, best[0], best[2], ahead)
 
 
@@ -144,12 +145,12 @@
     This is its time to the first token, and the time that the streams which
     run there stand still for it.
     """
-    running = loads.running_at(row.upstream_id)
-    waiting = loads.prefill_at(row.upstream_id) + prefill
+    running = loads.running_at(row.lifetime)
+    waiting = loads.prefill_at(row.lifetime) + prefill
     reading = waiting / prompts.speed(row.service).rate
     seconds = _batch_seconds(row, running, ask) + row.warm_up / 10 + reading
     seconds += running * STALL_WEIGHT * max(0, reading - BEARABLE_STALL)
-    seconds += loads.failures_at(row.upstream_id, now) * FAILURE_SECONDS
+    seconds += loads.failures_at(row.lifetime, now) * FAILURE_SECONDS
     if row.data_centre != ask.data_centre:
         seconds += FAR_SECONDS
     return seconds
@@ -162,7 +163,7 @@
     is_preferred: bool,
 ) -> int:
     """Return the prompt tokens that an upstream is expected to read."""
-    cached = prompts.prefixes.cached_tokens(row.upstream_id, ask.parts)
+    cached = prompts.prefixes.cached_tokens(row.lifetime, ask.parts)
     if is_preferred:
         cached = max(cached, _expected_cached(ask))
     return max(0, ask.prompt_tokens - cached)
@@ -198,6 +199,6 @@
         key = ask.parts[-2].part_id
     seed = xxh3_64_intdigest(key.encode())
     return [
-        xxh3_64_intdigest(row.upstream_id.encode(), seed) / HASH_RANGE
+        xxh3_64_intdigest(row.lifetime.encode(), seed) / HASH_RANGE
         for row in candidates
     ]
--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/gateway/counting.py
@@ -0,0 +1,33 @@
+"""Add up counts by a key, as changes of them come."""
+
+from collections import Counter
+from collections.abc import Mapping
+from typing import TypeVar
+
+Key = TypeVar('Key', bound=str)
+
+
+def add_counts(
+    total: Counter[Key],
+    counts: Mapping[Key, int],
+    sign: int = 1,
+) -> None:
+    """Add counts to a total, or with a sign of -1 take them off; no zeros."""
+    for key, count in counts.items():
+        added = total[key] + sign * count
+        if added:
+            total[key] = added
+        else:
+            total.pop(key, None)
+
+
+def less(
+    counts: Mapping[Key, int],
+    part: Mapping[Key, int],
+) -> dict[Key, int]:
+    """Return the differences that are not zero."""
+    return {
+        key: left
+        for key, count in counts.items()
+        if (left := count - part.get(key, 0))
+    }
--- a/packages/spanfall-core/src/spanfall_core/gateway/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/directory.py
@@ -1,14 +1,22 @@
 """Keep the table of upstreams that the platform lists.
 
-A lifetime that was seen leaving or gone never comes back. Rows that vanish
-right after an outage of the store get a short time to be written again.
+A lifetime that was seen leaving or gone never comes back; another one of the
+same upstream does. Rows that vanish right after an outage of the store get a
+short time to be written again. An entry that names no upstream to use pauses
+the one that it belongs to, until the upstream writes it again.
 """
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, replace
 
 from xxhash import xxh3_64_intdigest
 
+from spanfall_core.gateway.lifetimes import (
+    Lifetime,
+    is_earlier,
+    name_lifetime,
+)
+
 #: Seconds that a row missing after an outage of the store is kept; the
 #: platform says that living upstreams are back within about two seconds.
 LAPSE_GRACE = 2.0
@@ -32,6 +40,28 @@
     warm_up: float = 0
     #: Seconds until it stops, where the platform tells.
     leaves_in: float | None = None
+    #: When it started, in milliseconds since 1970, where the platform tells.
+    born: int | None = None
+    #: Whether its entry names no upstream to use at the moment.
+    paused: bool = False
+
+    @property
+    def lifetime(self) -> Lifetime:
+        """Name this lifetime."""
+        return name_lifetime(self.upstream_id, self.born)
+
+    @property
+    def is_serving(self) -> bool:
+        """Tell whether it may get new work."""
+        return not (self.leaving or self.paused)
+
+
+@dataclass(frozen=True, slots=True)
+class UnusableEntry:
+    """Say why an entry of the platform's list names no upstream to use."""
+
+    upstream_id: str
+    reason: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +69,7 @@
     """State what of a directory has changed since a revision."""
 
     rows: tuple[ListedUpstream, ...]
-    removed: tuple[str, ...]
+    removed: tuple[Lifetime, ...]
 
 
 class Directory:
@@ -52,12 +82,15 @@
         self.proved_at = float('-inf')
         #: Digest of the rows: equal where nodes know the same upstreams.
         self.digest = 0
-        self.rows: dict[str, ListedUpstream] = {}
-        self._ended: dict[str, None] = {}
+        self.rows: dict[Lifetime, ListedUpstream] = {}
+        #: Lifetimes that are over, oldest first, and whose they are.
+        self._ended: dict[Lifetime, str] = {}
+        #: The latest start that is known of each upstream.
+        self._born: dict[str, int] = {}
         self._by_service: dict[str, list[ListedUpstream]] = {}
         #: Revision of the listing that changed each row or had it no more.
-        self._changed: dict[str, int] = {}
-        self._removed: dict[str, int] = {}
+        self._changed: dict[Lifetime, int] = {}
+        self._removed: dict[Lifetime, int] = {}
 
     def apply(
         self,
@@ -65,38 +98,65 @@
         listed: Iterable[ListedUpstream],
         now: float,
         outage_ended: float,
+        unusable: Collection[str] = (),
     ) -> tuple[ListedUpstream, ...]:
         """Take over a listing unless it is older than what is known.
 
         ``outage_ended`` is when the store answered again after its last
-        outage. Return the rows that began to leave or went.
+        outage, ``unusable`` names upstreams whose entries cannot be used.
+        Return the rows that began to leave or went.
         """
         if revision < self.revision:
             return ()
         before = self.rows
         self.revision = revision
-        found = {
-            row.upstream_id: row
-            for row in listed
-            if row.upstream_id not in self._ended
-        }
-        kept = self._lapsed(found, now, outage_ended)
-        self.rows = found | kept
+        found = self._newest(listed, unusable)
+        self.rows = found | self._lapsed(found, now, outage_ended)
         changed = tuple(
             row
             for row in before.values()
-            if not row.leaving and self._is_ending(row.upstream_id)
+            if not row.leaving and self._is_ending(row.lifetime)
         )
-        for upstream_id in before.keys() - self.rows.keys():
-            self._note_ended(upstream_id)
-            self._changed.pop(upstream_id, None)
-            self._removed[upstream_id] = revision
+        for gone in before.keys() - self.rows.keys():
+            self._note_ended(gone, before[gone].upstream_id)
+            self._changed.pop(gone, None)
+            self._removed[gone] = revision
         for key, row in self.rows.items():
             if before.get(key) != row:
                 self._changed[key] = revision
         self._index()
         return changed
 
+    def _newest(
+        self,
+        listed: Iterable[ListedUpstream],
+        unusable: Collection[str],
+    ) -> dict[Lifetime, ListedUpstream]:
+        """Return the rows of a listing that are not over.
+
+        An entry with an earlier start than is known was not written by the
+        upstream as it is now: like one that cannot be used, it pauses it.
+        """
+        found: dict[Lifetime, ListedUpstream] = {}
+        paused = set(unusable)
+        for row in listed:
+            if is_earlier(row.born, self._born.get(row.upstream_id)):
+                paused.add(row.upstream_id)
+                continue
+            if row.born is not None:
+                self._born[row.upstream_id] = row.born
+            if row.lifetime not in self._ended:
+                found[row.lifetime] = row
+        paused -= {usable.upstream_id for usable in found.values()}
+        return found | self._pause(paused) if paused else found
+
+    def _pause(self, paused: set[str]) -> dict[Lifetime, ListedUpstream]:
+        return {
+            key: replace(row, paused=True)
+            for key, row in self.rows.items()
+            if row.upstream_id in paused
+        }
+
     def changes_since(self, revision: int) -> DirectoryChange:
         """Return what a node that knows a revision has to learn."""
         rows = (
@@ -116,7 +176,7 @@
             for key, row in self.rows.items()
             if key not in change.removed
         }
-        rows.update((row.upstream_id, row) for row in change.rows)
+        rows.update((row.lifetime, row) for row in change.rows)
         return list(rows.values())
 
     def prove(self, proved_at: float) -> None:
@@ -126,51 +186,63 @@
     def serving(self, service: str) -> list[ListedUpstream]:
         """Return the upstreams of a service that may get new work.
 
-        All nodes that know the same upstreams have them in the same order,
+        All nodes that know the same lifetimes have them in the same order,
         which has nothing to do with their data centres.
         """
         return self._by_service.get(service, [])
 
-    def end(self, upstream_id: str) -> None:
+    def end(self, lifetime: Lifetime) -> None:
         """Note that a lifetime has proved to be over."""
-        self._note_ended(upstream_id)
-        self.rows.pop(upstream_id, None)
-        self._index()
-
-    def _note_ended(self, upstream_id: str) -> None:
-        self._ended[upstream_id] = None
-        if len(self._ended) > REMEMBERED_ENDS:
-            oldest = next(iter(self._ended))
-            self._ended.pop(oldest)
-            self._removed.pop(oldest, None)
-
-    def _is_ending(self, upstream_id: str) -> bool:
-        row = self.rows.get(upstream_id)
+        row = self.rows.pop(lifetime, None)
+        if row is not None:
+            self._note_ended(lifetime, row.upstream_id)
+            self._index()
+
+    def _note_ended(self, lifetime: Lifetime, upstream_id: str) -> None:
+        self._ended[lifetime] = upstream_id
+        if len(self._ended) <= REMEMBERED_ENDS:
+            return
+        oldest = next(iter(self._ended))
+        forgotten = self._ended.pop(oldest)
+        self._removed.pop(oldest, None)
+        born = self._born.get(forgotten)
+        if oldest == name_lifetime(forgotten, born):
+            self._born.pop(forgotten, None)
+
+    def _is_ending(self, lifetime: Lifetime) -> bool:
+        row = self.rows.get(lifetime)
         return row is None or row.leaving
 
     def _lapsed(
         self,
-        found: dict[str, ListedUpstream],
+        found: dict[Lifetime, ListedUpstream],
         now: float,
         outage_ended: float,
-    ) -> dict[str, ListedUpstream]:
+    ) -> dict[Lifetime, ListedUpstream]:
         if now - outage_ended > LAPSE_GRACE:
             return {}
-        return {key: row for key, row in self.rows.items() if key not in found}
+        listed = {row.upstream_id for row in found.values()}
+        return {
+            key: row
+            for key, row in self.rows.items()
+            if key not in found and row.upstream_id not in listed
+        }
 
     def _index(self) -> None:
         by_service: dict[str, list[ListedUpstream]] = {}
         for row in sorted(self.rows.values(), key=_place_in_row):
-            if not row.leaving:
+            if row.is_serving:
                 by_service.setdefault(row.service, []).append(row)
         self._by_service = by_service
         self.digest = _digest(self.rows.values())
 
 
 def _place_in_row(row: ListedUpstream) -> int:
-    return xxh3_64_intdigest(row.upstream_id.encode())
+    return xxh3_64_intdigest(row.lifetime.encode())
 
 
 def _digest(rows: Iterable[ListedUpstream]) -> int:
-    known = sorted((row.upstream_id, row.address, row.leaving) for row in rows)
+    known = sorted(
+        (row.lifetime, row.address, row.leaving, row.paused) for row in rows
+    )
     return xxh3_64_intdigest(repr(known).encode()) & DIGEST_BITS
--- a/packages/spanfall-core/src/spanfall_core/gateway/entry_account.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/entry_account.py
@@ -23,6 +23,8 @@
 
     node: str
     heard_at: float
+    #: When it is silent unless it reports before.
+    silent_at: float
     #: What it told last.
     told: EntrySpending = field(default_factory=EntrySpending)
     #: The most that it may hold, and spend besides without a home: until its
--- a/packages/spanfall-core/src/spanfall_core/gateway/fleet.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/fleet.py
@@ -1,25 +1,29 @@
 """Merge the reports of the entries into the table that the home gives out."""
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
+from spanfall_core.gateway.counting import add_counts, less
 from spanfall_core.gateway.engine_model import (
     ReadingModel,
     ReadingSpeed,
     ReadingSums,
 )
+from spanfall_core.gateway.lifetimes import ByLifetime, Lifetime
+from spanfall_core.gateway.reporting import report_period, unheard_after
 from spanfall_core.gateway.unit_reports import EntrySpending
 from spanfall_core.gateway.usage import FleetUsage, WindowCounts
 
-#: Seconds without a word after which an entry's running requests no longer
-#: count.
-ENTRY_SILENCE = 2.0
-#: Seconds for which sums are kept before they are added up again.
-SUM_SECONDS = 0.05
+#: Seconds between two looks for entries that are heard no more.
+LOOK_SECONDS = 0.05
 #: Seconds without a report after which an entry is forgotten, and is taken to
 #: hold nothing any more.
 FORGET_SECONDS = 60.0
+#: Seconds for which a new home takes the fleet to be as large as before: its
+#: first entries would report at the pace of a small one, and each take the
+#: part of a small fleet of what all share.
+MEETING_SECONDS = 3.0
 
 Counts = dict[str, int]
 
@@ -30,9 +34,9 @@
 
     node: str
     incarnation: str
-    running: Counts = field(default_factory=dict)
-    prefill: Counts = field(default_factory=dict)
-    failed: Counts = field(default_factory=dict)
+    running: ByLifetime = field(default_factory=dict)
+    prefill: ByLifetime = field(default_factory=dict)
+    failed: ByLifetime = field(default_factory=dict)
     spending: EntrySpending = field(default_factory=EntrySpending)
     usage: WindowCounts = field(default_factory=dict)
     #: Work of reading by service since the process started, in tokens.
@@ -54,10 +58,9 @@
     entry first reported to this home.
     """
 
-    entries: int = 0
-    running: Counts = field(default_factory=dict)
-    prefill: Counts = field(default_factory=dict)
-    failed: Counts = field(default_factory=dict)
+    running: ByLifetime = field(default_factory=dict)
+    prefill: ByLifetime = field(default_factory=dict)
+    failed: ByLifetime = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -67,25 +70,14 @@
     first: EntryReport
     report: EntryReport
     heard_at: float
+    #: When it is unheard, unless it reports before.
+    unheard_at: float
+    is_heard: bool = True
 
-    def totals(self, now: float) -> FleetTotals:
-        """Return what this entry adds to the sums."""
-        live = now - self.heard_at <= ENTRY_SILENCE
-        return FleetTotals(
-            entries=int(live),
-            running=self.report.running if live else {},
-            prefill=self.report.prefill if live else {},
-            failed=_less(self.report.failed, self.first.failed),
-        )
-
-
-@dataclass(slots=True)
-class Summed:
-    """Hold the sums of one moment and the part of each entry."""
-
-    at: float = float('-inf')
-    parts: dict[str, FleetTotals] = field(default_factory=dict)
-    totals: FleetTotals = field(default_factory=FleetTotals)
+    @property
+    def failed(self) -> ByLifetime:
+        """Return what failed since its first report here."""
+        return less(self.report.failed, self.first.failed)
 
 
 @dataclass(slots=True)
@@ -95,45 +87,77 @@
     #: How fast engines read, as the home before said.
     known_speeds: Mapping[str, ReadingSpeed] = field(default_factory=dict)
     usage: FleetUsage = field(default_factory=FleetUsage)
+    #: Entries that the fleet had before this home began, and until when it
+    #: is taken to have as many.
+    expected: int = 1
+    expected_until: float = float('-inf')
     _models: dict[str, ReadingModel] = field(default_factory=dict)
     _heard: dict[str, HeardEntry] = field(default_factory=dict)
-    _summed: Summed = field(default_factory=Summed)
+    #: Sums over the entries that are heard; for what failed, over all.
+    _entries: int = 0
+    _running: Counter[Lifetime] = field(default_factory=Counter)
+    _prefill: Counter[Lifetime] = field(default_factory=Counter)
+    _failed: Counter[Lifetime] = field(default_factory=Counter)
+    _looked_at: float = float('-inf')
 
     def learn(self, report: EntryReport, now: float) -> None:
         """Take over the newest report of an entry."""
         known = self._heard.get(report.key)
         if known is None:
-            self._heard[report.key] = HeardEntry(report, report, now)
+            known = HeardEntry(report, report, now, now)
+            self._heard[report.key] = known
         else:
-            known.report = report
-            known.heard_at = now
+            add_counts(self._failed, known.failed, -1)
+            self._count(known, -1)
+        known.report = report
+        known.heard_at = now
+        add_counts(self._failed, known.failed)
+        known.is_heard = True
+        self._count(known, 1)
+        known.unheard_at = now + unheard_after(self.period(now))
         self.usage.learn(report.key, report.usage)
         for service, sums in report.reading.items():
             self._model(service).learn(report.key, sums, now)
 
+    def size(self, now: float) -> int:
+        """Return how many entries the fleet has, as far as is known."""
+        self._look(now)
+        expected = self.expected if now < self.expected_until else 1
+        return max(1, expected, self._entries)
+
+    def period(self, now: float) -> float:
+        """Return the seconds until an entry heard now is to report again."""
+        return report_period(self.size(now))
+
     def others(self, key: str, now: float) -> FleetTotals:
         """Return the sums over all entries but one."""
-        if now - self._summed.at > SUM_SECONDS:
-            self._summed = self._sum(now)
-        summed = self._summed.totals
-        own = self._summed.parts.get(key, FleetTotals())
-        return replace(
-            summed,
-            running=_less(summed.running, own.running),
-            prefill=_less(summed.prefill, own.prefill),
-            failed=_less(summed.failed, own.failed),
+        self._look(now)
+        own = self._heard.get(key)
+        if own is None:
+            return FleetTotals(
+                dict(self._running),
+                dict(self._prefill),
+                dict(self._failed),
+            )
+        is_counted = own.is_heard
+        return FleetTotals(
+            less(self._running, own.report.running if is_counted else {}),
+            less(self._prefill, own.report.prefill if is_counted else {}),
+            less(self._failed, own.failed),
         )
 
-    def running(self, now: float) -> Counts:
+    def running(self, now: float) -> ByLifetime:
         """Return what runs at each upstream."""
-        return self._sum(now).totals.running
+        self._look(now)
+        return dict(self._running)
 
     def read_work(self) -> Counts:
         """Return the work of reading since the home knows each entry."""
-        return _sum(
-            _less(row.report.read_work, row.first.read_work)
-            for row in self._heard.values()
-        )
+        total: Counter[str] = Counter()
+        for row in self._heard.values():
+            first = row.first.read_work
+            add_counts(total, less(row.report.read_work, first))
+        return dict(total)
 
     def speeds(self) -> dict[str, ReadingSpeed]:
         """Return how fast engines read, by service."""
@@ -148,38 +172,24 @@
             self._models[service] = known
         return known
 
-    def _sum(self, now: float) -> Summed:
-        self._forget_old(now)
-        parts = {key: row.totals(now) for key, row in self._heard.items()}
-        rows = parts.values()
-        totals = FleetTotals(
-            entries=sum(row.entries for row in rows),
-            running=_sum(row.running for row in rows),
-            prefill=_sum(row.prefill for row in rows),
-            failed=_sum(row.failed for row in rows),
-        )
-        return Summed(now, parts, totals)
-
-    def _forget_old(self, now: float) -> None:
-        old = [
-            key
-            for key, row in self._heard.items()
-            if now - row.heard_at > FORGET_SECONDS
-        ]
-        for key in old:
-            self._heard.pop(key)
-
-
-def _sum(rows: Iterable[Mapping[str, int]]) -> Counts:
-    total: Counter[str] = Counter()
-    for row in rows:
-        total.update(row)
-    return dict(total)
-
-
-def _less(counts: Mapping[str, int], part: Mapping[str, int]) -> Counts:
-    """Return the differences that are not zero."""
-    differences = (
-        (key, count - part.get(key, 0)) for key, count in counts.items()
-    )
-    return {key: count for key, count in differences if count}
+    def _count(self, row: HeardEntry, sign: int) -> None:
+        """Add what an entry that is heard has running, or take it off."""
+        if row.is_heard:
+            self._entries += sign
+            add_counts(self._running, row.report.running, sign)
+            add_counts(self._prefill, row.report.prefill, sign)
+
+    def _look(self, now: float) -> None:
+        """Find the entries that are heard no more, and forget old ones."""
+        if now - self._looked_at < LOOK_SECONDS:
+            return
+        self._looked_at = now
+        old: list[str] = []
+        for key, row in self._heard.items():
+            if row.is_heard and now > row.unheard_at:
+                self._count(row, -1)
+                row.is_heard = False
+            if now - row.heard_at > FORGET_SECONDS:
+                old.append(key)
+        for forgotten in old:
+            add_counts(self._failed, self._heard.pop(forgotten).failed, -1)
--- a/packages/spanfall-core/src/spanfall_core/gateway/grants.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/grants.py
@@ -6,20 +6,21 @@
 """
 
 from collections import Counter
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.fleet import ENTRY_SILENCE
+from spanfall_core.gateway.counting import add_counts
+from spanfall_core.gateway.lifetimes import ByLifetime, Lifetime
 from spanfall_core.gateway.loads import Loads
+from spanfall_core.gateway.reporting import UNHEARD_SECONDS
 
 
 @dataclass(frozen=True, slots=True)
 class EntryLoad:
     """State what one entry has running, by upstream."""
 
-    running: dict[str, int] = field(default_factory=dict)
+    running: ByLifetime = field(default_factory=dict)
     #: Prompt tokens that the upstream has still to read.
-    prefill: dict[str, int] = field(default_factory=dict)
+    prefill: ByLifetime = field(default_factory=dict)
     #: Number of the last grant that the counts include, or that was not used.
     seen: int = 0
 
@@ -29,7 +30,7 @@
     """Let one entry send one request to one upstream."""
 
     number: int
-    upstream_id: str
+    lifetime: Lifetime
     #: Prompt tokens that the upstream is expected to read for it, and those
     #: that wait there.
     prefill: int
@@ -42,6 +43,8 @@
 
     load: EntryLoad = field(default_factory=EntryLoad)
     heard_at: float = 0
+    #: Seconds after which it is unheard, by the period that it was told.
+    unheard_after: float = UNHEARD_SECONDS
     pending: list[Grant] = field(default_factory=list)
 
 
@@ -49,8 +52,8 @@
 class GrantBook:
     """Hold the sums over all entries that are alive."""
 
-    running: Counter[str] = field(default_factory=Counter)
-    prefill: Counter[str] = field(default_factory=Counter)
+    running: Counter[Lifetime] = field(default_factory=Counter)
+    prefill: Counter[Lifetime] = field(default_factory=Counter)
     _entries: dict[str, EntryGrants] = field(default_factory=dict)
 
     def learn(self, entry: str, load: EntryLoad, now: float) -> None:
@@ -65,6 +68,10 @@
             self._count(grant, -1)
         row.pending = row.pending[len(included) :]
 
+    def expect(self, entry: str, unheard_after: float) -> None:
+        """Note how long an entry may be silent, as its reports are due."""
+        self._entries[entry].unheard_after = unheard_after
+
     def grant(self, entry: str, grant: Grant) -> None:
         """Count a grant until the entry's own counts include it."""
         self._entries.setdefault(entry, EntryGrants()).pending.append(grant)
@@ -75,7 +82,7 @@
         silent = [
             entry
             for entry, row in self._entries.items()
-            if now - row.heard_at > ENTRY_SILENCE
+            if now - row.heard_at > row.unheard_after
         ]
         for entry in silent:
             row = self._entries.pop(entry)
@@ -84,12 +91,12 @@
                 self._count(grant, -1)
 
     def _add(self, load: EntryLoad, sign: int) -> None:
-        _add_counts(self.running, load.running, sign)
-        _add_counts(self.prefill, load.prefill, sign)
+        add_counts(self.running, load.running, sign)
+        add_counts(self.prefill, load.prefill, sign)
 
     def _count(self, grant: Grant, sign: int) -> None:
-        _add_counts(self.running, {grant.upstream_id: 1}, sign)
-        _add_counts(self.prefill, {grant.upstream_id: grant.prefill}, sign)
+        add_counts(self.running, {grant.lifetime: 1}, sign)
+        add_counts(self.prefill, {grant.lifetime: grant.prefill}, sign)
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,25 +106,14 @@
     book: GrantBook
     failures: Loads
 
-    def running_at(self, upstream_id: str) -> int:
+    def running_at(self, lifetime: Lifetime) -> int:
         """Return the requests that run at an upstream, fleet wide."""
-        return self.book.running[upstream_id]
+        return self.book.running[lifetime]
 
-    def prefill_at(self, upstream_id: str) -> int:
+    def prefill_at(self, lifetime: Lifetime) -> int:
         """Return the prompt tokens that an upstream has still to read."""
-        return max(0, self.book.prefill[upstream_id])
+        return max(0, self.book.prefill[lifetime])
 
-    def failures_at(self, upstream_id: str, now: float) -> float:
+    def failures_at(self, lifetime: Lifetime, now: float) -> float:
         """Return the recent failures of an upstream."""
-        return self.failures.failures_at(upstream_id, now)
-
-
-def _add_counts(
-    total: Counter[str],
-    counts: Mapping[str, int],
-    sign: int,
-) -> None:
-    for key, count in counts.items():
-        total[key] += sign * count
-        if not total[key]:
-            total.pop(key)
+        return self.failures.failures_at(lifetime, now)
--- a/packages/spanfall-core/src/spanfall_core/gateway/orders.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders.py
@@ -81,8 +81,8 @@
 
 
 def count_present(rows: Iterable[ListedUpstream]) -> Present:
-    """Count the upstreams that are listed and not leaving."""
-    serving = [row for row in rows if not row.leaving]
+    """Count the upstreams that may get new work."""
+    serving = [row for row in rows if row.is_serving]
     return Present(
         Counter(row.data_centre for row in serving if row.reclaimable),
         Counter(row.data_centre for row in serving if not row.reclaimable),
--- a/packages/spanfall-core/src/spanfall_core/gateway/prefixes.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/prefixes.py
@@ -8,6 +8,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from spanfall_core.gateway.lifetimes import Lifetime
+
 #: Parts remembered for each upstream, newest kept.
 REMEMBERED_PARTS = 400
 
@@ -24,15 +26,15 @@
 class PrefixIndex:
     """Hold the parts that each upstream has read, oldest first."""
 
-    _parts: dict[str, OrderedDict[str, None]] = field(default_factory=dict)
+    _parts: dict[Lifetime, OrderedDict[str, None]] = field(default_factory=dict)
 
     def cached_tokens(
         self,
-        upstream_id: str,
+        lifetime: Lifetime,
         parts: tuple[PromptPart, ...],
     ) -> int:
         """Return how many leading tokens an upstream has read already."""
-        known = self._parts.get(upstream_id)
+        known = self._parts.get(lifetime)
         if not known:
             return 0
         total = 0
@@ -44,17 +46,17 @@
 
     def remember(
         self,
-        upstream_id: str,
+        lifetime: Lifetime,
         parts: tuple[PromptPart, ...],
     ) -> None:
         """Note that an upstream reads all parts of a prompt."""
-        known = self._parts.setdefault(upstream_id, OrderedDict())
+        known = self._parts.setdefault(lifetime, OrderedDict())
         for part in parts:
             known[part.part_id] = None
             known.move_to_end(part.part_id)
         while len(known) > REMEMBERED_PARTS:
             known.popitem(last=False)
 
-    def forget(self, upstream_id: str) -> None:
+    def forget(self, lifetime: Lifetime) -> None:
         """Drop the record of an upstream that is gone."""
-        self._parts.pop(upstream_id, None)
+        self._parts.pop(lifetime, None)
--- a/packages/spanfall-core/src/spanfall_core/gateway/shared_levels.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/shared_levels.py
@@ -13,6 +13,7 @@
 from spanfall_core.gateway.fleet import FORGET_SECONDS
 from spanfall_core.gateway.fleet_spending import FleetSpending
 from spanfall_core.gateway.limits import Limit, Limits, Tolerance
+from spanfall_core.gateway.reporting import SILENT_SECONDS
 from spanfall_core.gateway.spending import ByAge, Spending, Units
 from spanfall_core.gateway.taken_over import TakenOver
 from spanfall_core.gateway.unit_reports import EntrySpending, GivenUnits
@@ -24,9 +25,6 @@
 #: larger than what is left, so that large requests get their turn as small
 #: ones do. What remains is for the first units of restarted entries.
 BORROWED_PART = 0.35
-#: Seconds without a report after which an entry counts as silent: an entry
-#: whose link fails goes on alone by then.
-SILENT_SECONDS = 0.8
 #: Seconds between two looks for entries that fell silent.
 LOOK_SECONDS = 0.1
 #: Entries from which on a home that hears none of the others takes itself for
@@ -89,13 +87,19 @@
         report: EntrySpending,
         limits: Limits,
         now: float,
+        silent_after: float = SILENT_SECONDS,
     ) -> None:
-        """Add what an entry spent since its last report."""
+        """Add what an entry spent since its last report.
+
+        ``silent_after`` are the seconds after which it is silent unless it
+        reports again.
+        """
         account = self._entries.get(entry)
         if account is None:
             account = self._meet(entry, report, limits, now)
         else:
             self._hear_again(entry, report, limits, now)
+        account.silent_at = now + silent_after
         self._count_held(account, 1)
         self.spending.count_returned(account.returned, -1)
         account.learn_returned(report, now)
@@ -193,7 +197,7 @@
             self.spending.begin(limits, now)
         self._taken.learn(report)
         self.spending.is_assumed = not self._taken.entries
-        account = EntryAccount(node, now, report, dict(report.held))
+        account = EntryAccount(node, now, now, report, dict(report.held))
         self._entries[entry] = account
         for workspace, by_age in report.recent.items():
             self.spending.recall(workspace, by_age, now)
@@ -245,7 +249,7 @@
 
     def _find_silent(self, limits: Limits, now: float) -> None:
         for key, account in self._entries.items():
-            is_silent = now - account.heard_at > SILENT_SECONDS
+            is_silent = now > account.silent_at
             if is_silent and key not in self._silent:
                 self._silent[key] = account
                 self._count_held(account, -1)
--- a/packages/spanfall-node/src/spanfall_node/gateway/attempt.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/attempt.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from spanfall_core.gateway.configuration import RouteKind
+from spanfall_core.gateway.lifetimes import Lifetime
 from spanfall_core.gateway.sends import SendEnd, SendState
 
 from spanfall_node.gateway.admission import Work
@@ -55,7 +56,7 @@
     work: Work
     caller: CallerConnection
     sends: SendState = field(default_factory=SendState)
-    tried: set[str] = field(default_factory=set)
+    tried: set[Lifetime] = field(default_factory=set)
     events: EventSplitter = field(default_factory=EventSplitter)
     #: Whether the head of the answer has been sent to the caller.
     started: bool = False
@@ -77,7 +78,7 @@
 def log_answered(
     state: GatewayState,
     exchange: Exchange,
-    upstream_id: str,
+    lifetime: Lifetime,
     status: int,
 ) -> None:
     """Log the end of a whole answer with what decided it."""
@@ -91,13 +92,13 @@
         work.attempt_id,
         work.route.name,
         status,
-        upstream_id,
+        lifetime,
         exchange.sends.sends,
         max(0, exchange.pace.first_at - work.began_at),
         exchange.pace.longest,
         now - work.began_at,
         work.prompt_tokens,
-        state.loads.running_at(upstream_id),
+        state.loads.running_at(lifetime),
         state.configuration.revision if state.configuration else None,
         work.units,
         work.workspace.name if work.workspace else None,
--- a/packages/spanfall-node/src/spanfall_node/gateway/capacity_duty.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/capacity_duty.py
@@ -124,11 +124,11 @@
         state = self._state
         running = state.fleet.running(now)
         there = [
-            row.upstream_id
+            row.lifetime
             for row in state.directory.rows.values()
             if row.service == service.name
         ]
-        mine = sum(running.get(upstream_id, 0) for upstream_id in there)
+        mine = sum(running.get(lifetime, 0) for lifetime in there)
         load = OfferedLoad(mine, self._rate.rates.get(service.name, 0))
         speed = state.prompts.speed(service.name)
         needed = needed_upstreams(service.engine, load, speed, len(there))
--- a/packages/spanfall-node/src/spanfall_node/gateway/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/counters.py
@@ -72,6 +72,11 @@
             'Calls made for the whole fleet, by duty and status',
             'call',
         )
+        self.unusable_entries = Counter(
+            'spanfall_unusable_entries',
+            'Entries of the list of upstreams that name none to use',
+            registry=self.registry,
+        )
         self.dropped_logs = Counter(
             'spanfall_dropped_log_lines',
             'Log lines left out, because there were too many',
--- a/packages/spanfall-node/src/spanfall_node/gateway/duties.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties.py
@@ -9,8 +9,9 @@
 from spanfall_node.gateway.client import ConnectionPool, call_once
 from spanfall_node.gateway.errors import CallError
 from spanfall_node.gateway.ports import HttpCall, Write
-from spanfall_node.gateway.state import HOME_KEY, GatewayState
+from spanfall_node.gateway.state import GatewayState
 from spanfall_node.gateway.store_client import StoreClient, StoreError
+from spanfall_node.gateway.tenure import HOME_KEY
 
 logger = logging.getLogger(__name__)
 
@@ -103,6 +104,9 @@
         self._revision = 0
         self._record = UsageRecord({})
         self._unsent: list[int] = []
+        #: First window of a holder that cannot read what was sent before:
+        #: earlier ones may have been sent with other counts.
+        self._first: int | None = None
 
     async def run(self) -> None:
         """Report what is due until cancelled."""
@@ -136,9 +140,14 @@
         item = await self._store.get(USAGE_KEY)
         self._record = UsageRecord({})
         self._revision = 0
+        self._first = None
         if item is not None:
-            self._record = msgspec.json.decode(item.content, type=UsageRecord)
             self._revision = item.revision
+            try:
+                self._record = _read_usage(item.content)
+            except (ValueError, RecursionError):
+                logger.exception('The record of usage cannot be read')
+                self._first = self._due_window() + 1
         self._unsent = sorted(self._record.windows)
         self._epoch = epoch
 
@@ -152,6 +161,8 @@
         """Return the first window that was not recorded yet."""
         if self._record.windows:
             return max(self._record.windows) + 1
+        if self._first is not None:
+            return self._first
         state = self._state
         state.learn_report(state.own_report(), state.timers.now())
         known = [
@@ -193,3 +204,12 @@
             self._unsent.remove(window)
             return True
         return False
+
+
+def _read_usage(content: bytes) -> UsageRecord:
+    """Read the record of usage.
+
+    Raises:
+        ValueError: it is none.
+    """
+    return msgspec.json.decode(content, type=UsageRecord)
--- a/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
@@ -7,29 +7,35 @@
 
 import logging
 from collections.abc import Awaitable, Callable
+from random import uniform
 
 import anyio
 import msgspec
-from spanfall_core.gateway.directory import DirectoryChange
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import WebSocketException
 
+from spanfall_node.gateway.followed_table import FollowedTable
 from spanfall_node.gateway.grants import Grants
 from spanfall_node.gateway.messages import (
     MESSAGE_BYTES,
-    FarewellMessage,
+    FromHome,
     GrantMessage,
     LoadMessage,
     ReportMessage,
     TableMessage,
     UnitsMessage,
-    UpstreamsPart,
     decode_from_home,
     encode,
-    report_period,
-    totals_period,
 )
 from spanfall_node.gateway.state import GatewayState
+from spanfall_node.gateway.succession_messages import (
+    FarewellMessage,
+    HomeRecord,
+    ResignMessage,
+    StoreQuestion,
+    StoreReached,
+    SuccessorMessage,
+)
 from spanfall_node.gateway.sync import Sync
 from spanfall_node.gateway.totals import apply_totals
 from spanfall_node.gateway.unit_requests import UnitRequests
@@ -46,6 +52,11 @@
 #: Part of the period of reports after which one may go out early, since units
 #: of a workspace run out.
 SOONEST_PART = 0.25
+#: Seconds between two attempts to reach the last home without the store.
+LAST_HOME_PERIOD = 1.0
+#: Seconds over which entries that find the home's process ended look for a
+#: record of another.
+SPREAD_SECONDS = 0.2
 #: Early reports a second that the home takes from all entries together.
 MOST_EARLY = 400
 
@@ -70,7 +81,10 @@
         self._units = units
         self._tables: list[TableMessage] = []
         self._heard = anyio.Event()
-        self._totals_at = float('-inf')
+        self._table = FollowedTable(state, sync)
+        #: The last home that answered, and when it was last tried again.
+        self._last: HomeRecord | None = None
+        self._tried_at = float('-inf')
 
     async def run(self) -> None:
         """Keep a link to whichever node is the home, until cancelled."""
@@ -79,8 +93,21 @@
                 await self._follow_home()
             elif self._state.tenure is not None:
                 self._count_alone()
+            elif self._state.home is None:
+                self._try_last_home()
             await anyio.sleep(LINK_PERIOD)
 
+    def _try_last_home(self) -> None:
+        """Ask the last home for the next one, while the store is away.
+
+        It may be back, or know its successor; nobody else is known here.
+        """
+        now = self._state.timers.now()
+        is_due = now - self._tried_at >= LAST_HOME_PERIOD
+        if self._last is not None and is_due and not self._sync.hears_store:
+            self._tried_at = now
+            self._state.follow_home(self._last, now)
+
     def _should_link(self) -> bool:
         state = self._state
         if state.home is None or state.tenure is not None:
@@ -95,6 +122,7 @@
         state.learn_report(report, now)
         given = state.give_units(report.key, now)
         state.learn_given(given, report, now)
+        state.learn_size(state.fleet.size(now))
         state.learn_speeds(state.fleet.speeds())
         apply_totals(state, state.fleet.others(report.key, now), now)
 
@@ -103,6 +131,9 @@
         try:
             with anyio.fail_after(ANSWER_SECONDS):
                 link = await self._connect(home.address)
+        except ConnectionRefusedError as exc:
+            await self._note_ended(home, exc)
+            return
         except (OSError, TimeoutError, WebSocketException) as exc:
             self._lose(f'no link: {exc!r}')
             return
@@ -113,6 +144,17 @@
             self._units.disconnect()
             link.transport.abort()
 
+    async def _note_ended(self, home: HomeRecord, exc: OSError) -> None:
+        """Note that the process of a home is over, as nothing listens there.
+
+        All entries find this at the same moment: the first takes over, and
+        the others see its record.
+        """
+        self._lose(f'its process has ended: {exc!r}')
+        await anyio.sleep(uniform(0, SPREAD_SECONDS))
+        if self._state.home is None:
+            self._state.note_vacant(home.epoch)
+
     async def _connect(self, address: str) -> ClientConnection:
         return await connect(
             f'ws://{address}/',
@@ -125,7 +167,7 @@
     async def _use(self, link: ClientConnection) -> None:
         """Use a link until it fails or there is another home."""
         self._state.loads.forget_others()
-        self._totals_at = float('-inf')
+        self._table = FollowedTable(self._state, self._sync)
         self._tables = []
         async with anyio.create_task_group() as tasks:
 
@@ -158,15 +200,36 @@
 
         self._grants.connect(ask)
         self._units.connect(ask)
-        while True:
-            message = decode_from_home(await link.recv())
-            if isinstance(message, GrantMessage):
+        self._last = self._state.home
+        epoch = self._last.epoch
+        async with anyio.create_task_group() as tasks:
+            while self._is_home_still(epoch):
+                message = decode_from_home(await link.recv())
+                if isinstance(message, StoreQuestion):
+                    tasks.start_soon(self._reach_store, link, message.epoch)
+                else:
+                    self._learn(message)
+            tasks.cancel_scope.cancel()
+
+    def _learn(self, message: FromHome) -> None:
+        match message:
+            case GrantMessage():
                 self._grants.learn(message.number, message.grant)
-            elif isinstance(message, UnitsMessage):
+            case UnitsMessage():
                 self._units.learn(message)
-            else:
+            case TableMessage():
                 self._tables.append(message)
                 self._heard.set()
+            case ResignMessage():
+                self._state.note_vacant(message.epoch)
+            case SuccessorMessage():
+                now = self._state.timers.now()
+                self._state.follow_home(message.home, now)
+
+    async def _reach_store(self, link: ClientConnection, epoch: int) -> None:
+        """Tell a home that is cut off whether this node reaches the store."""
+        if await self._sync.reaches_store():
+            await link.send(encode(StoreReached(epoch)))
 
     async def _report_often(self, link: ClientConnection) -> None:
         epoch = self._state.home.epoch
@@ -175,7 +238,7 @@
             with anyio.fail_after(ANSWER_SECONDS):
                 await self._report(link, to_new_home=is_first)
             is_first = False
-            await self._pause()
+            await self._pause(epoch)
         await self._take_leave(link, epoch)
 
     async def _take_leave(self, link: ClientConnection, epoch: int) -> None:
@@ -184,14 +247,17 @@
         if home is not None and home.epoch > epoch:
             await link.send(encode(FarewellMessage(home)))
 
-    async def _pause(self) -> None:
+    async def _pause(self, epoch: int) -> None:
         """Wait for the next report; units that run out bring it forward."""
         quotas = self._state.quotas
-        period = report_period(quotas.entries)
+        period = self._table.report_after
         soonest = max(period * SOONEST_PART, quotas.entries / MOST_EARLY)
-        await anyio.sleep(soonest)
+        with anyio.move_on_after(soonest):
+            await self._state.home_changed.wait()
         waited = soonest
-        while waited < period and not quotas.is_low():
+        while waited < period and self._is_home_still(epoch):
+            if quotas.is_low():
+                return
             await anyio.sleep(LOAD_PERIOD)
             waited += LOAD_PERIOD
 
@@ -215,7 +281,7 @@
             state.revision,
             state.directory.digest,
             state.directory.revision,
-            wants_totals=self._wants_totals(sent_at),
+            wants_totals=self._table.wants_totals(sent_at),
             seen=self._grants.load().seen,
         )
         self._heard = anyio.Event()
@@ -223,7 +289,7 @@
         while not self._tables:
             await self._heard.wait()
         table = self._tables.pop()
-        self._apply(table, sent_at)
+        self._table.apply(table, sent_at)
         now = state.timers.now()
         state.learn_given(table.given, report, now)
 
@@ -238,51 +304,6 @@
                 message = LoadMessage(entry, self._grants.load())
                 await link.send(encode(message))
 
-    def _apply(
-        self,
-        table: TableMessage,
-        sent_at: float,
-    ) -> None:
-        state = self._state
-        now = state.timers.now()
-        state.home_heard_at = now
-        state.home_resigned = table.resigned
-        state.learn_speeds(table.speeds)
-        if table.configuration is not None:
-            self._sync.learn_configuration(
-                table.configuration.revision,
-                table.configuration.source,
-                sent_at - table.proof_age,
-            )
-        elif table.configuration_revision == state.revision:
-            state.freshness.prove(sent_at - table.proof_age)
-        listed_at = sent_at - table.upstreams_age
-        if table.upstreams is None:
-            state.directory.prove(listed_at)
-        else:
-            self._learn_upstreams(table.upstreams, listed_at)
-        if state.true_time.correct(table.true_time, now):
-            logger.warning('Followed the time of day of the home')
-        if table.totals is not None:
-            self._totals_at = now
-            apply_totals(state, table.totals, now)
-
-    def _wants_totals(self, now: float) -> bool:
-        return now - self._totals_at >= totals_period(
-            self._state.quotas.entries,
-        )
-
-    def _learn_upstreams(
-        self,
-        part: UpstreamsPart,
-        listed_at: float,
-    ) -> None:
-        rows = list(part.rows)
-        if part.is_change:
-            change = DirectoryChange(part.rows, part.removed)
-            rows = self._state.directory.with_change(change)
-        self._sync.learn_upstreams(part.revision, rows, listed_at)
-
     def _lose(self, reason: str) -> None:
         state = self._state
         logger.warning(
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/followed_table.py
@@ -0,0 +1,75 @@
+"""Take over what the home says in its tables."""
+
+import logging
+
+from spanfall_core.gateway.directory import DirectoryChange
+from spanfall_core.gateway.reporting import REPORT_PERIOD
+
+from spanfall_node.gateway.messages import (
+    TableMessage,
+    UpstreamsPart,
+    totals_period,
+)
+from spanfall_node.gateway.passing_on import unpack
+from spanfall_node.gateway.state import GatewayState
+from spanfall_node.gateway.sync import Sync
+from spanfall_node.gateway.totals import apply_totals
+
+logger = logging.getLogger(__name__)
+
+
+class FollowedTable:
+    """Follow the tables of one link to the home."""
+
+    def __init__(self, state: GatewayState, sync: Sync) -> None:
+        """Use the tables of the node and its way to learn."""
+        self._state = state
+        self._sync = sync
+        self._totals_at = float('-inf')
+        #: Seconds until the next report, as the home said.
+        self.report_after = REPORT_PERIOD
+
+    def apply(self, table: TableMessage, sent_at: float) -> None:
+        """Take over a table that answers a report sent at a time."""
+        state = self._state
+        now = state.timers.now()
+        state.home_heard_at = now
+        state.home_resigned = table.resigned
+        state.learn_size(table.entries)
+        self.report_after = table.report_after
+        state.learn_speeds(table.speeds)
+        if table.configuration is not None:
+            self._sync.learn_configuration(
+                table.configuration.revision,
+                unpack(table.configuration),
+                sent_at - table.proof_age,
+            )
+        elif table.configuration_revision == state.revision:
+            state.freshness.prove(sent_at - table.proof_age)
+        listed_at = sent_at - table.upstreams_age
+        if table.upstreams is None:
+            state.directory.prove(listed_at)
+        else:
+            self._learn_upstreams(table.upstreams, listed_at)
+        if state.true_time.correct(table.true_time, now):
+            logger.warning('Followed the time of day of the home')
+        if table.totals is not None:
+            self._totals_at = now
+            apply_totals(state, table.totals, now)
+
+    def wants_totals(self, now: float) -> bool:
+        """Tell whether the sums over the other entries are old."""
+        return now - self._totals_at >= totals_period(
+            self._state.quotas.entries,
+        )
+
+    def _learn_upstreams(
+        self,
+        part: UpstreamsPart,
+        listed_at: float,
+    ) -> None:
+        rows = list(part.rows)
+        if part.is_change:
+            change = DirectoryChange(part.rows, part.removed)
+            rows = self._state.directory.with_change(change)
+        self._sync.learn_upstreams(part.revision, rows, listed_at)
--- a/packages/spanfall-node/src/spanfall_node/gateway/forwarded.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/forwarded.py
@@ -29,7 +29,7 @@
 def upstream_call(
     names: HeaderNames,
     work: Work,
-    lifetime: str,
+    upstream_id: str,
     last_event_id: bytes,
     left: float,
 ) -> HttpCall:
@@ -40,7 +40,7 @@
     ]
     left_ms = max(1, int(left * 1000) - WAY_BACK_MS)
     headers.append((names.deadline_ms, b'%d' % left_ms))
-    headers.append((names.expected_lifetime, lifetime.encode()))
+    headers.append((names.expected_lifetime, upstream_id.encode()))
     if work.workspace is not None:
         headers = _without_key(headers)
         headers.append((names.workspace, work.workspace.name.encode()))
--- a/packages/spanfall-node/src/spanfall_node/gateway/grants.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/grants.py
@@ -48,10 +48,10 @@
     )
     if choice is None:
         return None
-    upstream_id = choice.upstream.upstream_id
+    lifetime = choice.upstream.lifetime
     prefixes = state.granted_prompts.prefixes
-    prefixes.remember(upstream_id, request.ask.parts)
-    grant = Grant(number, upstream_id, choice.prefill, choice.ahead)
+    prefixes.remember(lifetime, request.ask.parts)
+    grant = Grant(number, lifetime, choice.prefill, choice.ahead)
     if entry != state.entry_key:
         # The home's own counts include its own grants at once.
         state.grant_book.grant(entry, grant)
@@ -126,8 +126,8 @@
         """Return the granted choice unless this node knows better."""
         if grant is None:
             return None
-        row = self.state.directory.rows.get(grant.upstream_id)
-        if row is None or row.leaving:
+        row = self.state.directory.rows.get(grant.lifetime)
+        if row is None or not row.is_serving:
             return None
         return Choice(row, 0, grant.prefill, grant.ahead)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home_links.py
@@ -8,8 +8,8 @@
 
 import logging
 
-import anyio
 from spanfall_core.gateway.grants import EntryLoad
+from spanfall_core.gateway.reporting import unheard_after
 from websockets.asyncio.server import ServerConnection, serve
 from websockets.exceptions import WebSocketException
 
@@ -18,7 +18,6 @@
     MESSAGE_BYTES,
     AskMessage,
     ConfigurationPart,
-    FarewellMessage,
     GrantMessage,
     LoadMessage,
     ReportMessage,
@@ -29,7 +28,14 @@
     decode_from_entry,
     encode,
 )
+from spanfall_node.gateway.passing_on import PassingOn
 from spanfall_node.gateway.state import GatewayState
+from spanfall_node.gateway.succession import Succession
+from spanfall_node.gateway.succession_messages import (
+    FarewellMessage,
+    StoreReached,
+    SuccessorMessage,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -43,6 +49,8 @@
     def __init__(self, state: GatewayState) -> None:
         """Use the tables of the node."""
         self._state = state
+        self._succession = Succession(state)
+        self._passing_on = PassingOn(state.cfg.host.link_megabits)
 
     async def run(self) -> None:
         """Listen for entries until cancelled."""
@@ -55,12 +63,14 @@
             compression=None,
             server_header=None,
         ):
-            await anyio.sleep_forever()
+            await self._succession.run()
 
     async def _serve_link(self, link: ServerConnection) -> None:
+        self._succession.add(link)
         try:
             async for received in link:
                 if self._state.tenure is None:
+                    await self._refer(link)
                     return
                 answer = self._answer(received)
                 if answer is not None:
@@ -69,6 +79,13 @@
             logger.info('A link from an entry ended: %r', exc)
         except ValueError:
             logger.exception('An entry sent no message; check its version')
+        finally:
+            self._succession.remove(link)
+
+    async def _refer(self, link: ServerConnection) -> None:
+        """Name the home to an entry that takes this node for it."""
+        if self._state.home is not None:
+            await link.send(encode(SuccessorMessage(self._state.home)))
 
     def _answer(self, received: bytes) -> bytes | None:
         message = decode_from_entry(received)
@@ -76,6 +93,9 @@
         if isinstance(message, FarewellMessage):
             self._state.follow_home(message.home, now)
             return None
+        if isinstance(message, StoreReached):
+            resigned = self._succession.hand_over(message.epoch)
+            return None if resigned is None else encode(resigned)
         if isinstance(message, AskMessage):
             return encode(self._grant(message, now))
         if isinstance(message, UnitsRequest):
@@ -106,7 +126,9 @@
         state.learn_report(report, now)
         state.learn_report(state.own_report(), now)
         load = EntryLoad(report.running, report.prefill, message.seen)
+        period = state.fleet.period(now)
         state.grant_book.learn(report.key, load, now)
+        state.grant_book.expect(report.key, unheard_after(period))
         state.grant_book.forget_silent(now)
         revision = state.revision
         totals = None
@@ -114,6 +136,8 @@
             totals = state.fleet.others(report.key, now)
         return TableMessage(
             epoch=state.tenure.epoch,
+            entries=state.fleet.size(now),
+            report_after=period,
             totals=totals,
             configuration_revision=revision,
             proof_age=min(state.freshness.age(now), NEVER_SECONDS),
@@ -136,7 +160,11 @@
     ) -> ConfigurationPart | None:
         if message.configuration_revision >= revision:
             return None
-        return ConfigurationPart(revision, self._state.configuration_source)
+        return self._passing_on.part(
+            revision,
+            self._state.configuration_source,
+            self._state.timers.now(),
+        )
 
     def _upstreams(self, message: ReportMessage) -> UpstreamsPart | None:
         directory = self._state.directory
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home_pace.py
@@ -0,0 +1,36 @@
+"""State how often nodes look for a home, and which leave it to others."""
+
+from spanfall_api.gateway_settings import Host
+
+#: Seconds between two looks at the record while there is no home.
+LOOK_PERIOD = 0.3
+#: The same while the store does not answer.
+OUTAGE_LOOK_PERIOD = 0.8
+#: Looks a second that a fleet without a home makes in all, while the store
+#: answers and while it does not: one of many nodes finds a free record as fast
+#: as one of few, and the others then follow.
+MOST_LOOKS = 300
+MOST_OUTAGE_LOOKS = 80
+#: Cores and Mbit/s below which a host is small: the home of a large fleet
+#: needs a fifth of a core and some Mbit/s.
+SMALL_CORES = 1.0
+SMALL_MEGABITS = 50.0
+#: Seconds for which a small host leaves a free record to others.
+SMALL_HOST_SECONDS = 0.8
+#: Longest time between two looks of one node.
+LONGEST_LOOK_PERIOD = 2.5
+
+
+def look_period(
+    shortest: float,
+    entries: int,
+    most_looks: int = MOST_LOOKS,
+) -> float:
+    """Return the seconds between two looks of each of so many entries."""
+    return min(LONGEST_LOOK_PERIOD, max(shortest, entries / most_looks))
+
+
+def is_small(host: Host) -> bool:
+    """Tell whether other hosts should rather be the home."""
+    cores = host.processor_part * host.processor_speed
+    return cores < SMALL_CORES or host.link_megabits < SMALL_MEGABITS
--- a/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
@@ -9,25 +9,33 @@
 
 import anyio
 import msgspec
-from spanfall_api.gateway_settings import Host
 from spanfall_core.gateway.balance import PromptHistory
-from spanfall_core.gateway.fleet import FleetState
+from spanfall_core.gateway.fleet import MEETING_SECONDS, FleetState
 from spanfall_core.gateway.grants import GrantBook
-
-from spanfall_node.gateway.messages import HomeRecord
-from spanfall_node.gateway.ports import Write
-from spanfall_node.gateway.quota_record import QuotaRecord
-from spanfall_node.gateway.state import (
-    HOME_KEY,
-    GatewayState,
-    Tenure,
+from spanfall_core.gateway.reporting import report_period, unheard_after
+
+from spanfall_node.gateway.home_pace import (
+    LOOK_PERIOD,
+    MOST_OUTAGE_LOOKS,
+    OUTAGE_LOOK_PERIOD,
+    SMALL_HOST_SECONDS,
+    is_small,
+    look_period,
 )
+from spanfall_node.gateway.ports import StoredItem, Write
+from spanfall_node.gateway.quota_record import QuotaRecord
+from spanfall_node.gateway.state import GatewayState
 from spanfall_node.gateway.store_client import (
     ConditionFailedError,
     LeaseLostError,
     StoreClient,
     StoreError,
 )
+from spanfall_node.gateway.succession_messages import (
+    HomeRecord,
+)
+from spanfall_node.gateway.sync import old_proof
+from spanfall_node.gateway.tenure import HOME_KEY, Tenure
 
 logger = logging.getLogger(__name__)
 
@@ -39,33 +47,11 @@
 #: Seconds before the end of the lease at which its holder stops to act.
 LEASE_MARGIN = 0.5
 #: Seconds between two renewals.
-RENEW_PERIOD = 0.7
-#: Seconds between two looks at the record while there is no home.
-LOOK_PERIOD = 0.3
-#: The same while the store does not answer.
-OUTAGE_LOOK_PERIOD = 0.8
-#: Looks a second that a fleet without a home makes in all: one of many nodes
-#: finds a free record as fast as one of few, and the others then follow.
-MOST_LOOKS = 80
-#: Cores and Mbit/s below which a host is small: the home of a large fleet
-#: needs a fifth of a core and some Mbit/s.
-SMALL_CORES = 1.0
-SMALL_MEGABITS = 50.0
-#: Seconds for which a small host leaves a free record to others.
-SMALL_HOST_SECONDS = 0.8
-#: Longest time between two looks of one node.
-LONGEST_LOOK_PERIOD = 2.5
-
-
-def look_period(shortest: float, entries: int) -> float:
-    """Return the seconds between two looks of each of so many entries."""
-    return min(LONGEST_LOOK_PERIOD, max(shortest, entries / MOST_LOOKS))
-
-
-def is_small(host: Host) -> bool:
-    """Tell whether other hosts should rather be the home."""
-    cores = host.processor_part * host.processor_speed
-    return cores < SMALL_CORES or host.link_megabits < SMALL_MEGABITS
+RENEW_PERIOD = 0.5
+#: Seconds for one: a home that is cut off hands over while its lease lasts.
+RENEW_SECONDS = 0.6
+#: Seconds until the next after one that failed.
+RETRY_PERIOD = 0.1
 
 
 class HomeContent(msgspec.Struct, frozen=True):
@@ -101,7 +87,15 @@
                 self._lay_down('the lease has ended')
             except StoreError as exc:
                 logger.info('Could not look up the home: %r', exc)
-            await anyio.sleep(self._pause())
+            await self._wait(self._pause())
+
+    async def _wait(self, seconds: float) -> None:
+        """Wait for some seconds, or until there is a reason to look."""
+        state = self._state
+        with anyio.move_on_after(seconds):
+            await state.look_now.wait()
+        if state.look_now.is_set():
+            state.look_now = anyio.Event()
 
     async def resign(self) -> None:
         """Give the record up, so that another node takes over at once.
@@ -124,10 +118,11 @@
     def _pause(self) -> float:
         tenure = self._state.tenure
         if tenure is not None and not tenure.resigned:
-            return RENEW_PERIOD
+            return RETRY_PERIOD if tenure.is_cut else RENEW_PERIOD
+        entries = self._state.quotas.entries
         if self._store.health.failing:
-            return look_period(OUTAGE_LOOK_PERIOD, self._state.quotas.entries)
-        return look_period(LOOK_PERIOD, self._state.quotas.entries)
+            return look_period(OUTAGE_LOOK_PERIOD, entries, MOST_OUTAGE_LOOKS)
+        return look_period(LOOK_PERIOD, entries)
 
     async def _step(self) -> None:
         state = self._state
@@ -143,38 +138,77 @@
         if state.home_resigned or state.tenure is not None:
             return True
         now = state.timers.now()
-        if now - state.home_heard_at > LEASE_SECONDS:
+        entries = state.quotas.entries
+        silence = max(LEASE_SECONDS, unheard_after(report_period(entries)))
+        if now - state.home_heard_at > silence:
             return True
-        return state.freshness.age(now) > LEASE_SECONDS
+        age = max(LEASE_SECONDS, old_proof(entries))
+        return state.freshness.age(now) > age
 
     async def _renew(self, tenure: Tenure) -> None:
         sent_at = self._state.timers.now()
-        await self._store.renew(tenure.lease)
+        try:
+            await self._store.renew(tenure.lease, RENEW_SECONDS)
+        except StoreError:
+            tenure.is_cut = True
+            raise
+        tenure.is_cut = False
         tenure.valid_until = sent_at + self._lease_seconds - LEASE_MARGIN
 
     async def _look(self) -> None:
         item = await self._store.get(HOME_KEY)
-        state = self._state
         if item is None:
-            if state.draining_since is None and self._is_its_turn():
-                await self._try_to_hold(0)
+            await self._take_free_record()
+            return
+        await self._use_record(item)
+
+    async def _take_free_record(self) -> None:
+        state = self._state
+        if state.draining_since is not None:
+            return
+        is_told = state.vacant_epoch and state.vacant_epoch == self._epoch()
+        if is_told or self._is_its_turn():
+            await self._try_to_hold(0)
+
+    def _epoch(self) -> int:
+        """Return the epoch of the home that is known, or 0."""
+        return self._state.home.epoch if self._state.home else 0
+
+    async def _use_record(self, item: StoredItem) -> None:
+        state = self._state
+        content = self._read(item)
+        if content is None:
+            if self._has_waited(self._lease_seconds):
+                await self._try_to_hold(item.revision)
             return
         self._free_since = None
-        content = msgspec.json.decode(item.content, type=HomeContent)
-        if self._was_this_node(content) and state.draining_since is None:
+        is_vacant = item.revision == state.vacant_epoch
+        if is_vacant and state.draining_since is None:
+            await self._try_to_hold(item.revision)
+        elif self._was_this_node(content) and state.draining_since is None:
             await self._try_to_hold(item.revision)
         else:
             self._follow(item.revision, content)
 
+    def _read(self, item: StoredItem) -> HomeContent | None:
+        """Return the home that a record names, or None if it names none."""
+        try:
+            return msgspec.json.decode(item.content, type=HomeContent)
+        except (ValueError, RecursionError) as exc:
+            logger.warning('The record of the home cannot be read: %r', exc)
+            return None
+
     def _is_its_turn(self) -> bool:
         """Tell whether larger hosts have had time to become the home."""
+        seconds = SMALL_HOST_SECONDS if is_small(self._state.cfg.host) else 0
+        return self._has_waited(seconds)
+
+    def _has_waited(self, seconds: float) -> bool:
+        """Tell whether there has been no home for some seconds."""
         now = self._state.timers.now()
         if self._free_since is None:
             self._free_since = now
-        waited = now - self._free_since
-        return not is_small(self._state.cfg.host) or (
-            waited >= SMALL_HOST_SECONDS
-        )
+        return now - self._free_since >= seconds
 
     def _was_this_node(self, content: HomeContent) -> bool:
         """Tell whether an earlier run of this node holds the record.
@@ -211,24 +245,27 @@
             epoch = await self._store.transact(expected, writes)
         except ConditionFailedError:
             logger.info('Another node became the home first')
+            state.look_now.set()
             return
         state.shared_levels = shared_levels
-        state.fleet = FleetState(state.prompts.speeds)
+        began_at = state.timers.now()
+        state.fleet = FleetState(
+            state.prompts.speeds,
+            expected=state.quotas.entries,
+            expected_until=began_at + MEETING_SECONDS,
+        )
         state.grant_book = GrantBook()
         state.granted_prompts = PromptHistory(speeds=state.prompts.speeds)
         state.tenure = Tenure(
             epoch,
             lease,
             valid_until=sent_at + self._lease_seconds - LEASE_MARGIN,
-            began_at=state.timers.now(),
+            began_at=began_at,
             is_first=not before,
         )
         state.home_resigned = False
-        state.home = HomeRecord(
-            cfg.node,
-            cfg.listen.links,
-            state.incarnation,
-            epoch,
+        state.note_home(
+            HomeRecord(cfg.node, cfg.listen.links, state.incarnation, epoch),
         )
         logger.info('This node is the home now, epoch %s', epoch)
 
@@ -246,5 +283,4 @@
         if tenure is None or tenure.resigned:
             return
         logger.warning('This node is not the home any more: %s', reason)
-        tenure.resigned = True
-        tenure.valid_until = float('-inf')
+        tenure.resign()
--- a/packages/spanfall-node/src/spanfall_node/gateway/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/messages.py
@@ -10,31 +10,24 @@
 from spanfall_core.gateway.engine_model import ReadingSpeed
 from spanfall_core.gateway.fleet import EntryReport, FleetTotals
 from spanfall_core.gateway.grants import EntryLoad, Grant
+from spanfall_core.gateway.reporting import REPORT_PERIOD
 from spanfall_core.gateway.unit_reports import GivenUnits
 
+from spanfall_node.gateway.succession_messages import (
+    FarewellMessage,
+    ResignMessage,
+    StoreQuestion,
+    StoreReached,
+    SuccessorMessage,
+)
+
 #: Most bytes of one message.
 MESSAGE_BYTES = 4_194_304
-#: Seconds between two reports of an entry.
-REPORT_PERIOD = 0.25
-#: Reports a second that the home takes from all entries together: above
-#: 50 entries each reports more rarely. What runs is told besides, as it
-#: changes.
-MOST_REPORTS = 200
 #: Tables a second with sums over the entries, which are the largest part of
 #: a table: more would fill the link of a small host.
 MOST_TOTALS = 80
 
 
-class HomeRecord(msgspec.Struct, frozen=True):
-    """Name the home of the fleet as the store holds it."""
-
-    node: str
-    address: str
-    incarnation: str
-    #: Revision of the record: grows with each change of the home.
-    epoch: int = 0
-
-
 class ReportMessage(
     msgspec.Struct,
     frozen=True,
@@ -103,20 +96,11 @@
     units: float = 0
 
 
-class FarewellMessage(msgspec.Struct, frozen=True, tag='farewell'):
-    """Tell a home that another holds the record now.
-
-    A home that is cut off from the store could not learn it.
-    """
-
-    home: HomeRecord
-
-
 class ConfigurationPart(msgspec.Struct, frozen=True):
-    """Carry a configuration as the store holds it."""
+    """Carry a configuration, packed as it is passed on."""
 
     revision: int
-    source: bytes
+    packed: bytes
 
 
 class UpstreamsPart(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -145,6 +129,9 @@
     #: Seconds since the home began its last read of the upstreams.
     upstreams_age: float
     true_time: float
+    #: Entries of the fleet, and seconds until the next report of this one.
+    entries: int = 1
+    report_after: float = REPORT_PERIOD
     #: Sums over the other entries, for one that has to decide alone.
     totals: FleetTotals | None = None
     #: How fast the engines of each service read.
@@ -162,20 +149,38 @@
     return entries / MOST_TOTALS
 
 
-def report_period(entries: int) -> float:
-    """Return the seconds between two reports of each of so many entries."""
-    return max(REPORT_PERIOD, entries / MOST_REPORTS)
-
-
 def encode(message: msgspec.Struct) -> bytes:
     """Return the bytes of a message."""
     return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
 
 
+#: What bytes that no node has sent may raise.
+NOT_CBOR = (
+    cbor2.CBORDecodeError,
+    ArithmeticError,
+    LookupError,
+    MemoryError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
 FromEntry = (
-    ReportMessage | LoadMessage | AskMessage | UnitsRequest | FarewellMessage
+    ReportMessage
+    | LoadMessage
+    | AskMessage
+    | UnitsRequest
+    | FarewellMessage
+    | StoreReached
+)
+FromHome = (
+    TableMessage
+    | GrantMessage
+    | UnitsMessage
+    | StoreQuestion
+    | ResignMessage
+    | SuccessorMessage
 )
-FromHome = TableMessage | GrantMessage | UnitsMessage
 
 
 def decode_from_entry(received: bytes) -> FromEntry:
@@ -199,5 +204,5 @@
 def _plain(received: bytes) -> object:
     try:
         return cbor2.loads(received)
-    except cbor2.CBORDecodeError as exc:
-        raise ValueError(f'not CBOR: {exc}') from exc
+    except NOT_CBOR as exc:
+        raise ValueError(f'not CBOR: {exc!r}') from exc
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/passing_on.py
@@ -0,0 +1,71 @@
+"""Pass the configuration on to the entries without filling the home's link.
+
+A configuration of 1,400 routes has half a megabyte; sent as it is to 195
+entries it takes a link of 100 Mbit/s for eight seconds, in which the home's
+answers wait behind it and all entries lose the home.
+"""
+
+import zlib
+from dataclasses import dataclass
+
+from spanfall_node.gateway.messages import ConfigurationPart
+
+#: Level of compression: the fastest one makes a thirtieth of such a
+#: configuration in half a millisecond.
+LEVEL = 1
+#: Most bytes of a configuration that a message may hold, once unpacked.
+MOST_BYTES = 16_777_216
+#: Part of the home's link that configurations may take.
+LINK_PART = 0.25
+#: Seconds of that part that may be taken in advance. An entry that gets
+#: nothing reads the store itself, or gets it with its next table.
+AHEAD_SECONDS = 0.3
+BITS = 8
+MEGA = 1_000_000
+
+
+@dataclass(slots=True)
+class PassingOn:
+    """Hold the configuration as it is sent, and how busy the link is."""
+
+    link_megabits: float
+    _revision: int = 0
+    _packed: bytes = b''
+    #: When all that was sent so far has left, at the pace allowed.
+    _sent_until: float = float('-inf')
+
+    def part(
+        self,
+        revision: int,
+        source: bytes,
+        now: float,
+    ) -> ConfigurationPart | None:
+        """Return the configuration for one more entry, unless it is too soon.
+
+        ``source`` is the configuration as the store holds it.
+        """
+        if now + AHEAD_SECONDS < self._sent_until:
+            return None
+        if revision != self._revision:
+            self._packed = zlib.compress(source, LEVEL)
+            self._revision = revision
+        bytes_a_second = self.link_megabits * MEGA / BITS * LINK_PART
+        seconds = len(self._packed) / bytes_a_second
+        self._sent_until = max(now, self._sent_until) + seconds
+        return ConfigurationPart(revision, self._packed)
+
+
+def unpack(part: ConfigurationPart) -> bytes:
+    """Return the configuration as the store holds it.
+
+    Raises:
+        ValueError: this is none, or too large.
+    """
+    reader = zlib.decompressobj()
+    try:
+        source = reader.decompress(part.packed, MOST_BYTES)
+    except zlib.error as exc:
+        raise ValueError(f'not packed: {exc}') from exc
+    if not reader.eof:
+        raise ValueError('the configuration is cut off or too large')
+    return source
--- a/packages/spanfall-node/src/spanfall_node/gateway/ports.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/ports.py
@@ -8,11 +8,15 @@
 from dataclasses import dataclass, field
 
 from spanfall_core.gateway.configuration import ServedConfiguration
-from spanfall_core.gateway.directory import ListedUpstream
+from spanfall_core.gateway.directory import ListedUpstream, UnusableEntry
 
 Headers = list[tuple[bytes, bytes]]
 
 
+class InvalidRecordError(ValueError):
+    """Say why bytes that were read are not the record that was expected."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpCall:
     """Describe one call to a service of the platform."""
@@ -124,7 +128,8 @@
     store: StoreDialect
     cloud: CloudDialect
     readiness_path: str
-    #: Revision in the store and the item's content.
+    #: Revision in the store and the item's content; raises
+    #: InvalidRecordError.
     read_configuration: Callable[[int, bytes], ServedConfiguration]
     #: Key in the store and the item's content.
-    read_upstream: Callable[[str, bytes], ListedUpstream]
+    read_upstream: Callable[[str, bytes], ListedUpstream | UnusableEntry]
--- a/packages/spanfall-node/src/spanfall_node/gateway/quota_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/quota_record.py
@@ -17,8 +17,9 @@
 from spanfall_core.gateway.shared_levels import SharedLevels
 
 from spanfall_node.gateway.ports import Write
-from spanfall_node.gateway.state import HOME_KEY, GatewayState
+from spanfall_node.gateway.state import GatewayState
 from spanfall_node.gateway.store_client import StoreClient, StoreError
+from spanfall_node.gateway.tenure import HOME_KEY
 
 logger = logging.getLogger(__name__)
 
@@ -66,7 +67,12 @@
         if item is None:
             self._written = None
             return SharedLevels(tolerance)
-        record = msgspec.json.decode(item.content, type=SpendingRecord)
+        try:
+            record = msgspec.json.decode(item.content, type=SpendingRecord)
+        except (ValueError, RecursionError):
+            # The least that a new home takes as spent stands for it.
+            logger.exception('The record of spending cannot be read')
+            record = SpendingRecord({})
         self._written = _sums(record.spent)
         return SharedLevels(tolerance, FleetSpending(record.spent))
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/relay.py
@@ -140,7 +140,7 @@
 ) -> bool:
     """Note a failed send; tell whether the request is sent again."""
     work = exchange.work
-    exchange.tried.add(choice.upstream.upstream_id)
+    exchange.tried.add(choice.upstream.lifetime)
     step = next_step(
         failed.end,
         work.route,
@@ -150,7 +150,7 @@
     logger.info(
         'Request %s at %s ended %s: %s; next: %s',
         work.attempt_id,
-        choice.upstream.upstream_id,
+        choice.upstream.lifetime,
         failed.end,
         failed.reason,
         step,
@@ -164,7 +164,7 @@
 
 def _take_retry(state: GatewayState, exchange: Exchange) -> bool:
     serving = state.directory.serving(exchange.work.service)
-    if all(row.upstream_id in exchange.tried for row in serving):
+    if all(row.lifetime in exchange.tried for row in serving):
         return False
     now = state.timers.now()
     return state.retries.try_spend(exchange.work.service, now)
--- a/packages/spanfall-node/src/spanfall_node/gateway/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/state.py
@@ -3,6 +3,7 @@
 import logging
 from dataclasses import dataclass, field, replace
 
+import anyio
 from spanfall_api.gateway_settings import GatewaySettings
 from spanfall_core.gateway.balance import PromptHistory
 from spanfall_core.gateway.configuration import (
@@ -22,6 +23,7 @@
 from spanfall_core.gateway.limits import Limit, LimitsInForce
 from spanfall_core.gateway.loads import Loads
 from spanfall_core.gateway.quotas import Quotas
+from spanfall_core.gateway.reporting import silent_after
 from spanfall_core.gateway.retry_budget import RetryBudget, RetryLimits
 from spanfall_core.gateway.shared_levels import SharedLevels
 from spanfall_core.gateway.true_time import TrueTime
@@ -29,30 +31,15 @@
 from spanfall_core.gateway.usage import UsageCounts
 
 from spanfall_node.gateway.counters import Counters
-from spanfall_node.gateway.messages import HomeRecord
 from spanfall_node.gateway.ports import PlatformAdapter
+from spanfall_node.gateway.succession_messages import (
+    HomeRecord,
+)
+from spanfall_node.gateway.tenure import Tenure
 from spanfall_node.timers import Timers
 
 logger = logging.getLogger(__name__)
 
-#: Key of the record that names the home.
-HOME_KEY = 'spanfall/home'
-
-
-@dataclass(slots=True)
-class Tenure:
-    """Hold this node's own time as home."""
-
-    epoch: int
-    lease: int
-    #: Steady time until which the lease is certain to last.
-    valid_until: float
-    began_at: float
-    #: Whether no node of this fleet was ever the home before.
-    is_first: bool = False
-    #: Whether it gave up its record and only answers until there is another.
-    resigned: bool = False
-
 
 @dataclass(slots=True)
 class GatewayState:
@@ -82,7 +69,14 @@
     #: As the home: what runs everywhere.
     grant_book: GrantBook = field(default_factory=GrantBook)
     home: HomeRecord | None = None
+    #: Set, and replaced, as another node is the home or none is known.
+    home_changed: anyio.Event = field(default_factory=anyio.Event)
     tenure: Tenure | None = None
+    #: Epoch of a home that acts no more, as it said itself or as nothing
+    #: listens at its address: its record may be replaced at once.
+    vacant_epoch: int = 0
+    #: Set to look the home up at once.
+    look_now: anyio.Event = field(default_factory=anyio.Event)
     #: When the home last answered.
     home_heard_at: float = float('-inf')
     #: Work of reading that was sent to upstreams, by service, in tokens.
@@ -150,6 +144,11 @@
         self.prompts.speeds = speeds
         self.granted_prompts.speeds = speeds
 
+    def learn_size(self, entries: int) -> None:
+        """Share limits and retries with so many entries."""
+        self.quotas.entries = entries
+        self.retries.entries = entries
+
     def learn_own_load(self, now: float) -> None:
         """Count what runs here, as the home that also serves callers."""
         self.grant_book.learn(self.entry_key, self.own_load(0), now)
@@ -162,6 +161,7 @@
             report.spending,
             self.limits_at(now),
             now,
+            silent_after(self.fleet.period(now)),
         )
 
     def own_report(self) -> EntryReport:
@@ -211,14 +211,26 @@
         if known is not None and home.epoch <= known.epoch:
             return
         logger.info('The home is %s, epoch %s', home.node, home.epoch)
-        self.home = home
+        self.note_home(home)
         self.home_heard_at = now
         self.home_resigned = False
         self.tenure = None
 
+    def note_home(self, home: HomeRecord | None) -> None:
+        """Take a node as the home, or none, and wake who waits for that."""
+        self.home = home
+        self.home_changed.set()
+        self.home_changed = anyio.Event()
+
+    def note_vacant(self, epoch: int) -> None:
+        """Note that a home acts no more, and look for another at once."""
+        self.vacant_epoch = max(self.vacant_epoch, epoch)
+        self.home_resigned = True
+        self.look_now.set()
+
     def lose_home(self) -> None:
         """Go on alone: nobody tells what the other entries do."""
-        self.home = None
+        self.note_home(None)
         now = self.timers.now()
         self.quotas.go_alone(self.limits_at(now), now)
         self.loads.forget_others()
--- a/packages/spanfall-node/src/spanfall_node/gateway/store_client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store_client.py
@@ -5,7 +5,9 @@
 """
 
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TypeVar
 
 from spanfall_node.gateway.client import ConnectionPool, call_once
 from spanfall_node.gateway.errors import BrokenCallError, NotSentError
@@ -24,6 +26,8 @@
 #: fifty times as slowly on a bad day.
 CALL_SECONDS = 1.2
 
+Content = TypeVar('Content')
+
 
 class StoreError(Exception):
     """Say that a call to the store brought no result."""
@@ -77,7 +81,7 @@
         reply = await self._call(self._dialect.get(key), missing_ok=True)
         if reply.status == 404:
             return None
-        return self._dialect.read_item(reply.body)
+        return _read(self._dialect.read_item, reply)
 
     async def list_items(self, prefix: str) -> Listing:
         """Return all items below a prefix, page by page."""
@@ -106,21 +110,21 @@
             raise ConditionFailedError
         if reply.status == 404:
             raise LeaseLostError
-        return self._dialect.read_revision(reply.body)
+        return _read(self._dialect.read_revision, reply)
 
     async def grant(self, seconds: float) -> int:
         """Return a new lease."""
         reply = await self._call(self._dialect.grant(int(seconds * 1000)))
-        return self._dialect.read_lease(reply.body)
+        return _read(self._dialect.read_lease, reply)
 
-    async def renew(self, lease: int) -> None:
+    async def renew(self, lease: int, seconds: float = CALL_SECONDS) -> None:
         """Renew a lease.
 
         Raises:
             LeaseLostError: the lease has ended.
         """
         call = self._dialect.renew(lease)
-        reply = await self._call(call, missing_ok=True)
+        reply = await self._call(call, missing_ok=True, seconds=seconds)
         if reply.status == 404:
             raise LeaseLostError
 
@@ -130,19 +134,20 @@
 
     async def _page(self, prefix: str, after: str) -> Listing:
         reply = await self._call(self._dialect.list_items(prefix, after))
-        return self._dialect.read_listing(reply.body)
+        return _read(self._dialect.read_listing, reply)
 
     async def _call(
         self,
         call: HttpCall,
         *,
         missing_ok: bool = False,
+        seconds: float = CALL_SECONDS,
     ) -> HttpReply:
         now = self._state.timers.now
         counter = self._state.counters.store_calls
         address = self._state.cfg.store
         try:
-            reply = await call_once(self._pool, address, call, CALL_SECONDS)
+            reply = await call_once(self._pool, address, call, seconds)
         except NotSentError as exc:
             counter.labels('not-sent').inc()
             self.health.note(answered=False, now=now())
@@ -159,3 +164,15 @@
             raise StoreRefusedError(f'the store answered {reply.status}')
         self.health.note(answered=True, now=now())
         return reply
+
+
+def _read(reader: Callable[[bytes], Content], reply: HttpReply) -> Content:
+    """Read what the store answered.
+
+    Raises:
+        StoreUncertainError: nobody can read it, though it may have acted.
+    """
+    try:
+        return reader(reply.body)
+    except (ValueError, RecursionError) as exc:
+        raise StoreUncertainError(f'not an answer: {exc!r}') from exc
--- a/packages/spanfall-node/src/spanfall_node/gateway/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/sync.py
@@ -5,12 +5,13 @@
 """
 
 import logging
+from collections.abc import Collection
 
 import anyio
-import msgspec
-from spanfall_core.gateway.directory import ListedUpstream
+from spanfall_core.gateway.directory import ListedUpstream, UnusableEntry
+from spanfall_core.gateway.reporting import report_period
 
-from spanfall_node.gateway.messages import report_period
+from spanfall_node.gateway.ports import InvalidRecordError, StoredItem
 from spanfall_node.gateway.state import GatewayState
 from spanfall_node.gateway.store_client import StoreClient, StoreError
 
@@ -61,6 +62,8 @@
         """Use the tables and the store of the node."""
         self._state = state
         self._store = store
+        #: Revision of each entry that cannot be used, by upstream.
+        self._unusable: dict[str, int] = {}
 
     async def run(self) -> None:
         """Read the store as often as this node has to, until cancelled."""
@@ -81,6 +84,16 @@
             tasks.start_soon(self._guarded_configuration)
             tasks.start_soon(self._guarded_upstreams)
 
+    @property
+    def hears_store(self) -> bool:
+        """Tell whether the store answered the last call."""
+        return not self._store.health.failing
+
+    async def reaches_store(self) -> bool:
+        """Tell whether the store answers this node now."""
+        await self._guarded_configuration()
+        return self.hears_store
+
     def learn_configuration(
         self,
         revision: int,
@@ -110,10 +123,12 @@
         rows: list[ListedUpstream],
         proved_at: float,
         outage_ended: float = NO_OUTAGE,
+        unusable: Collection[str] = (),
     ) -> None:
         """Take over a listing of upstreams unless it is older.
 
-        ``proved_at`` is when the read of it began.
+        ``proved_at`` is when the read of it began, ``unusable`` names the
+        upstreams whose entries cannot be used.
         """
         now = self._state.timers.now()
         if revision >= self._state.directory.revision:
@@ -124,18 +139,19 @@
             rows,
             now,
             outage_ended,
+            unusable,
         )
         for row in changed:
             logger.info(
                 'Upstream %s of %s leaves or went, by listing %s',
-                row.upstream_id,
+                row.lifetime,
                 row.service,
                 revision,
             )
-        for upstream_id in before - self._state.directory.rows.keys():
-            self._state.prompts.prefixes.forget(upstream_id)
-            self._state.granted_prompts.prefixes.forget(upstream_id)
-            self._state.loads.forget(upstream_id)
+        for lifetime in before - self._state.directory.rows.keys():
+            self._state.prompts.prefixes.forget(lifetime)
+            self._state.granted_prompts.prefixes.forget(lifetime)
+            self._state.loads.forget(lifetime)
 
     def _period(self) -> float:
         return read_period(
@@ -157,7 +173,7 @@
             await self._read_configuration()
         except StoreError as exc:
             logger.info('Could not read the configuration: %r', exc)
-        except msgspec.MsgspecError:
+        except InvalidRecordError:
             logger.exception('The configuration in the store is not valid')
 
     async def _guarded_upstreams(self) -> None:
@@ -165,8 +181,6 @@
             await self._read_upstreams()
         except StoreError as exc:
             logger.info('Could not list the upstreams: %r', exc)
-        except msgspec.MsgspecError:
-            logger.exception('An upstream in the store is not valid')
 
     async def _read_configuration(self) -> None:
         state = self._state
@@ -182,13 +196,40 @@
         began_at = state.timers.now()
         prefix = state.platform.store.upstream_prefix
         listing = await self._store.list_items(prefix)
-        rows = [
-            state.platform.read_upstream(item.key, item.content)
-            for item in listing.items
-        ]
+        rows, unusable = self._sort_out(listing.items)
         self.learn_upstreams(
             listing.revision,
             rows,
             began_at,
             self._store.health.outage_ended,
+            unusable,
+        )
+
+    def _sort_out(
+        self,
+        items: tuple[StoredItem, ...],
+    ) -> tuple[list[ListedUpstream], set[str]]:
+        """Return the upstreams listed and whose entries cannot be used."""
+        rows: list[ListedUpstream] = []
+        unusable: dict[str, int] = {}
+        for item in items:
+            entry = self._state.platform.read_upstream(item.key, item.content)
+            if isinstance(entry, UnusableEntry):
+                unusable[entry.upstream_id] = item.revision
+                self._note_unusable(entry, item.revision)
+            else:
+                rows.append(entry)
+        self._unusable = unusable
+        return rows, set(unusable)
+
+    def _note_unusable(self, entry: UnusableEntry, revision: int) -> None:
+        """Log and count an entry once for each change of it."""
+        if self._unusable.get(entry.upstream_id) == revision:
+            return
+        self._state.counters.unusable_entries.inc()
+        logger.warning(
+            'The entry of upstream %s, revision %s, cannot be used: %s',
+            entry.upstream_id,
+            revision,
+            entry.reason,
         )
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tenure.py
@@ -0,0 +1,28 @@
+"""Hold a node's own time as home."""
+
+from dataclasses import dataclass
+
+#: Key of the record that names the home.
+HOME_KEY = 'spanfall/home'
+
+
+@dataclass(slots=True)
+class Tenure:
+    """Hold this node's own time as home."""
+
+    epoch: int
+    lease: int
+    #: Steady time until which the lease is certain to last.
+    valid_until: float
+    began_at: float
+    #: Whether no node of this fleet was ever the home before.
+    is_first: bool = False
+    #: Whether it gave up its record and only answers until there is another.
+    resigned: bool = False
+    #: Whether its last renewal failed.
+    is_cut: bool = False
+
+    def resign(self) -> None:
+        """Act no more from now on."""
+        self.resigned = True
+        self.valid_until = float('-inf')
--- a/packages/spanfall-node/src/spanfall_node/gateway/totals.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/totals.py
@@ -14,5 +14,3 @@
     state.loads.others_running = others.running
     state.loads.others_prefill = others.prefill
     state.loads.learn_failures(others.failed, now)
-    state.quotas.entries = max(1, others.entries)
-    state.retries.entries = max(1, others.entries)
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
@@ -13,7 +13,7 @@
     ServedWorkspace,
     ServiceShare,
 )
-from spanfall_core.gateway.directory import ListedUpstream
+from spanfall_core.gateway.directory import ListedUpstream, UnusableEntry
 from spanfall_node.gateway.ports import (
     CloudDialect,
     HeaderNames,
@@ -167,8 +167,11 @@
     return ServedService(row.name, 100, scaling=Scaling(0, row.most, 1))
 
 
-def _read_upstream(key: str, source: bytes) -> ListedUpstream:
-    return msgspec.json.decode(source, type=ListedUpstream)
+def _read_upstream(key: str, source: bytes) -> ListedUpstream | UnusableEntry:
+    try:
+        return msgspec.json.decode(source, type=ListedUpstream)
+    except ValueError as exc:
+        return UnusableEntry(key.removeprefix(UPSTREAM_PREFIX), str(exc))
 
 
 def _get(key: str) -> HttpCall:
--- /dev/null
+++ b/tests/test_gateway_lifetimes.py
@@ -0,0 +1,186 @@
+"""Follow upstreams that start again under their id, and entries that err."""
+
+from dataclasses import replace
+
+import msgspec
+from gateway_world import SERVICE, ask, in_world
+from hypothesis import given
+from hypothesis import strategies as st
+from spanfall_core.gateway.directory import Directory, ListedUpstream
+from spanfall_core.gateway.loads import Loads
+from spanfall_core.gateway.prefixes import PrefixIndex, PromptPart
+from spanfall_standins.gateway.dialect import UPSTREAM_PREFIX
+from spanfall_standins.gateway.upstream import whole
+from support import wait_until
+
+NO_OUTAGE = float('-inf')
+ROW = ListedUpstream('u-1', 'llm', '10.0.0.1:80', 'north', slots=8, born=1000)
+AGAIN = replace(ROW, born=2000)
+OTHER = replace(ROW, upstream_id='u-2', address='10.0.0.2:80')
+
+
+def directory(*listings):
+    """Return a directory after some listings."""
+    known = Directory()
+    for number, rows in enumerate(listings):
+        known.apply(number + 1, rows, number, NO_OUTAGE)
+    return known
+
+
+def serving(known):
+    """Return the lifetimes that may get work."""
+    return {row.lifetime for row in known.serving('llm')}
+
+
+def test_a_later_start_gets_work_at_once():
+    known = directory([ROW, OTHER], [OTHER], [AGAIN, OTHER])
+    assert serving(known) == {AGAIN.lifetime, OTHER.lifetime}
+
+
+def test_a_later_start_replaces_an_earlier_one():
+    known = directory([ROW], [AGAIN])
+    assert serving(known) == {AGAIN.lifetime}
+    assert known.changes_since(1).removed == (ROW.lifetime,)
+
+
+def test_a_lifetime_that_is_over_stays_over():
+    known = directory([ROW], [AGAIN], [ROW])
+    assert not serving(known)
+
+
+def test_a_start_without_its_time_gets_no_work():
+    known = directory([AGAIN], [replace(ROW, born=None)], [AGAIN])
+    assert serving(known) == {AGAIN.lifetime}
+
+
+def test_an_earlier_start_pauses_the_later_one():
+    known = directory([ROW], [AGAIN])
+    known.apply(3, [ROW, OTHER], 3, NO_OUTAGE)
+    assert serving(known) == {OTHER.lifetime}
+    known.apply(4, [AGAIN, OTHER], 4, NO_OUTAGE)
+    assert serving(known) == {AGAIN.lifetime, OTHER.lifetime}
+
+
+def test_an_unusable_entry_pauses_its_upstream():
+    known = directory([ROW, OTHER])
+    known.apply(2, [OTHER], 2, NO_OUTAGE, {'u-1'})
+    assert serving(known) == {OTHER.lifetime}
+    known.apply(3, [ROW, OTHER], 3, NO_OUTAGE)
+    assert serving(known) == {ROW.lifetime, OTHER.lifetime}
+
+
+def test_a_paused_upstream_that_goes_is_over():
+    known = directory([ROW])
+    known.apply(2, [], 2, NO_OUTAGE, {'u-1'})
+    known.apply(3, [], 3, NO_OUTAGE)
+    known.apply(4, [ROW], 4, NO_OUTAGE)
+    assert not serving(known)
+
+
+def test_what_lapsed_is_back_with_another_start():
+    known = directory([ROW, OTHER])
+    known.apply(2, [], 10, 9.5)
+    assert serving(known) == {ROW.lifetime, OTHER.lifetime}
+    known.apply(3, [AGAIN], 10.5, 9.5)
+    assert serving(known) == {AGAIN.lifetime, OTHER.lifetime}
+    known.apply(4, [AGAIN], 12, 9.5)
+    assert serving(known) == {AGAIN.lifetime}
+
+
+def test_entries_learn_which_upstreams_are_paused():
+    home = directory([ROW, OTHER])
+    entry = directory([ROW, OTHER])
+    home.apply(2, [OTHER], 2, NO_OUTAGE, {'u-1'})
+    rows = entry.with_change(home.changes_since(1))
+    entry.apply(2, rows, 2, NO_OUTAGE)
+    assert serving(entry) == {OTHER.lifetime}
+    assert entry.digest == home.digest
+
+
+def test_a_late_end_does_not_touch_the_next():
+    loads, prefixes = Loads(), PrefixIndex()
+    parts = (PromptPart('a', 100),)
+    loads.begin(ROW.lifetime, 50)
+    loads.fail(ROW.lifetime, 0)
+    prefixes.remember(ROW.lifetime, parts)
+    loads.begin(AGAIN.lifetime, 70)
+    loads.end(ROW.lifetime)
+    assert loads.running_at(AGAIN.lifetime) == 1
+    assert loads.prefill_at(AGAIN.lifetime) == 70
+    assert not loads.failures_at(AGAIN.lifetime, 0)
+    assert not prefixes.cached_tokens(AGAIN.lifetime, parts)
+
+
+STARTS = st.lists(
+    st.lists(
+        st.sampled_from([None, 'garbage', 1000, 2000, 3000]),
+        min_size=3,
+        max_size=3,
+    ),
+    min_size=1,
+    max_size=12,
+)
+
+
+@given(STARTS)
+def test_only_the_latest_start_ever_gets_work(listings):
+    """Any order of starts, garbage and gaps; entries follow by changes."""
+    home, entry = Directory(), Directory()
+    latest: dict[str, int] = {}
+    for number, starts in enumerate(listings):
+        rows = []
+        unusable = set()
+        for place, born in enumerate(starts):
+            upstream_id = f'u-{place}'
+            if born == 'garbage':
+                unusable.add(upstream_id)
+            elif born is not None:
+                row = replace(ROW, upstream_id=upstream_id, born=born)
+                rows.append(row)
+                latest[upstream_id] = max(born, latest.get(upstream_id, 0))
+        home.apply(number + 1, rows, number, NO_OUTAGE, unusable)
+        told = entry.with_change(home.changes_since(entry.revision))
+        entry.apply(home.revision, told, number, NO_OUTAGE)
+        listed = {row.lifetime for row in rows}
+        for row in home.serving('llm'):
+            assert row.lifetime in listed
+            assert row.born == latest[row.upstream_id]
+        assert entry.digest == home.digest
+
+
+def list_again(world, upstream_id, address, born):
+    """Let an upstream start again and write its entry."""
+    row = ListedUpstream(upstream_id, SERVICE, address, 'north', 4, born=born)
+    content = msgspec.json.encode(row).decode()
+    world.store.put(f'{UPSTREAM_PREFIX}{upstream_id}', content)
+
+
+@in_world
+async def test_an_entry_that_errs_hides_no_other(world):
+    """The home lists the others; the entry is counted once a change."""
+    upstream = await world.add_upstream(whole())
+    world.store.put(f'{UPSTREAM_PREFIX}u-x', '[]')
+    state = await world.add_unready_gateway()
+    await wait_until(lambda: upstream.lifetime in state.directory.rows)
+    listed = world.store.listings
+    await wait_until(lambda: world.store.listings > listed + 1)
+    answer = await ask(state, '/once/7')
+    registry = state.counters.registry
+    counted = registry.get_sample_value('spanfall_unusable_entries_total')
+    assert (answer.status, counted) == (200, 1)
+
+
+@in_world
+async def test_an_upstream_that_starts_again_is_used(world):
+    """It is listed, gone, and listed again under its id."""
+    upstream = await world.add_upstream(whole())
+    state = await world.add_gateway()
+    key = f'{UPSTREAM_PREFIX}{upstream.lifetime}'
+    address = next(iter(state.directory.rows.values())).address
+    world.store.remove(key)
+    await wait_until(lambda: not state.directory.rows)
+    list_again(world, upstream.lifetime, address, 2000)
+    await wait_until(lambda: bool(state.directory.serving(SERVICE)))
+    assert (await ask(state, '/once/7')).status == 200
+    seen = upstream.seen[-1].headers
+    assert seen['lifetime-wanted'] == upstream.lifetime
--- /dev/null
+++ b/tests/test_gateway_messages.py
@@ -0,0 +1,112 @@
+"""Read messages between nodes, or say that they are none."""
+
+import cbor2
+import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
+from spanfall_core.gateway.balance import Ask
+from spanfall_core.gateway.directory import ListedUpstream
+from spanfall_core.gateway.fleet import EntryReport, FleetTotals
+from spanfall_core.gateway.grants import EntryLoad, Grant
+from spanfall_core.gateway.lifetimes import name_lifetime
+from spanfall_core.gateway.prefixes import PromptPart
+from spanfall_core.gateway.unit_reports import GivenUnits
+from spanfall_node.gateway.messages import (
+    AskMessage,
+    GrantMessage,
+    GrantRequest,
+    LoadMessage,
+    ReportMessage,
+    TableMessage,
+    UnitsMessage,
+    UnitsRequest,
+    UpstreamsPart,
+    decode_from_entry,
+    decode_from_home,
+    encode,
+)
+
+LIFETIME = name_lifetime('u-1', 1000)
+ROW = ListedUpstream('u-1', 'llm', '10.0.0.1:80', 'north', 8, born=1000)
+LOAD = EntryLoad({LIFETIME: 2}, {LIFETIME: 900}, 7)
+ASK = Ask('r', 'north', (PromptPart('a', 100),), 100, frozenset((LIFETIME,)))
+FROM_ENTRY = [
+    ReportMessage(EntryReport('n', 'i', {LIFETIME: 2}), 3, 4, 5, seen=6),
+    LoadMessage('n/i', LOAD),
+    AskMessage('n/i', 3, GrantRequest('llm', ASK), LOAD),
+    UnitsRequest('n/i', 3, 'w', 500.0),
+]
+FROM_HOME = [
+    GrantMessage(3, Grant(3, LIFETIME, 100, 50)),
+    GrantMessage(4),
+    UnitsMessage(3, 'w', 500.0),
+    TableMessage(
+        epoch=3,
+        configuration_revision=5,
+        proof_age=0.5,
+        upstreams_age=0.25,
+        true_time=1.5,
+        totals=FleetTotals({LIFETIME: 2}),
+        given=GivenUnits({'w': 2.5}),
+        upstreams=UpstreamsPart(6, (ROW,), (LIFETIME,), is_change=True),
+    ),
+]
+READERS = [
+    (decode_from_entry, [encode(message) for message in FROM_ENTRY]),
+    (decode_from_home, [encode(message) for message in FROM_HOME]),
+]
+
+
+@pytest.mark.parametrize('message', FROM_ENTRY, ids=repr)
+def test_what_an_entry_sends_is_read(message):
+    assert decode_from_entry(encode(message)) == message
+
+
+@pytest.mark.parametrize('message', FROM_HOME, ids=repr)
+def test_what_the_home_sends_is_read(message):
+    assert decode_from_home(encode(message)) == message
+
+
+def read_or_refuse(reader, received):
+    """Read bytes; any other end than a message or ValueError is a fault."""
+    try:
+        return reader(received)
+    except ValueError:
+        return None
+
+
+@given(st.binary())
+@example(b'\x9b\xff\xff\xff\xff\xff\xff\xff\xff')
+@example(b'\xa1\xa0\x00')
+@example(b'\x81' * 100_000)
+@example(b'\xc1\xfb\x7f\xf0\x00\x00\x00\x00\x00\x00')
+@example(b'\xd8\x1d\x00')
+def test_bytes_that_are_no_message(received):
+    for reader, _ in READERS:
+        read_or_refuse(reader, received)
+
+
+@given(st.data())
+def test_messages_with_bytes_changed(data):
+    for reader, messages in READERS:
+        changed = bytearray(data.draw(st.sampled_from(messages)))
+        place = data.draw(st.integers(0, len(changed) - 1))
+        changed[place] = data.draw(st.integers(0, 255))
+        read_or_refuse(reader, bytes(changed))
+
+
+ANYTHING = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=5,
+)
+
+
+@given(st.data(), ANYTHING)
+def test_messages_with_a_field_dropped_or_retyped(data, content):
+    for reader, messages in READERS:
+        fields = cbor2.loads(data.draw(st.sampled_from(messages)))
+        name = data.draw(st.sampled_from(sorted(fields)))
+        read_or_refuse(reader, cbor2.dumps({**fields, name: content}))
+        fields.pop(name)
+        read_or_refuse(reader, cbor2.dumps(fields))
--- /dev/null
+++ b/tests/test_gateway_succession.py
@@ -0,0 +1,115 @@
+"""A home that is cut off or ends is followed before its lease has ended.
+
+The record of a home lasts for seconds after its last renewal. Meanwhile
+nobody may give units of limits, and entries hold a two hundredth of them.
+"""
+
+from contextlib import asynccontextmanager
+
+import anyio
+from gateway_world import in_world
+from spanfall_standins.gateway.server import answer_bytes, start_server
+from support import wait_until
+
+
+class Gate:
+    """Let calls through to the store, or turn them away."""
+
+    def __init__(self, store):
+        self.is_shut = False
+        self._store = store
+
+    async def answer(self, seen, stream):
+        if self.is_shut:
+            await stream.send(answer_bytes(503, b''))
+            return True
+        return await self._store.answer(seen, stream)
+
+
+async def add_gated(world, gate):
+    """Start a gateway whose way to the store can be shut."""
+    usual = world.store_address
+    world.store_address = await start_server(world.tasks, gate.answer)
+    state = await world.add_gateway()
+    world.store_address = usual
+    return state
+
+
+@asynccontextmanager
+async def ending_gateway(world):
+    """Start a gateway whose process can be ended without a word."""
+    usual = world.tasks
+    async with anyio.create_task_group() as tasks:
+        world.tasks = tasks
+        state = await world.add_gateway()
+        world.tasks = usual
+        yield state, tasks.cancel_scope
+
+
+def is_home(state):
+    return state.is_home(state.timers.now())
+
+
+@in_world
+async def test_a_home_without_the_store_hands_over(world):
+    gate = Gate(world.store)
+    home = await add_gated(world, gate)
+    await wait_until(lambda: is_home(home))
+    other = await world.add_gateway()
+    await wait_until(lambda: other.home_heard_at > 0)
+    lease = home.tenure.lease
+    gate.is_shut = True
+    await wait_until(lambda: is_home(other))
+    assert lease in world.store.leases
+    await wait_until(lambda: home.tenure is None)
+    assert home.home.incarnation == other.incarnation
+
+
+@in_world
+async def test_entries_without_the_store_follow(world):
+    """They hear from the home before which node is the next."""
+    gate = Gate(world.store)
+    home = await add_gated(world, gate)
+    await wait_until(lambda: is_home(home))
+    entry = await add_gated(world, gate)
+    other = await world.add_gateway()
+    await wait_until(lambda: other.home_heard_at > 0)
+    await wait_until(lambda: entry.home_heard_at > 0)
+    gate.is_shut = True
+    await wait_until(lambda: is_home(other))
+    epoch = other.tenure.epoch
+    await wait_until(lambda: entry.home and entry.home.epoch == epoch)
+    now = entry.timers.now
+    await wait_until(lambda: entry.freshness.may_serve_keys(now()))
+
+
+@in_world
+async def test_nobody_takes_over_without_the_store(world):
+    """While it is away for all, the home stays what it is."""
+    home = await world.add_gateway()
+    await wait_until(lambda: is_home(home))
+    other = await world.add_gateway()
+    await wait_until(lambda: other.home_heard_at > 0)
+    calls = other.counters.registry.get_sample_value
+    world.store.failing = 503
+    await wait_until(lambda: home.tenure.is_cut)
+    await wait_until(
+        lambda: calls('spanfall_store_calls_total', {'outcome': '503'}),
+    )
+    assert home.tenure is not None
+    assert not home.tenure.resigned
+
+
+@in_world
+async def test_a_home_whose_process_ended_is_followed(world):
+    """Nothing listens at its address: it acts no more."""
+    async with ending_gateway(world) as (home, scope):
+        await wait_until(lambda: is_home(home))
+        other = await world.add_gateway()
+        await wait_until(lambda: other.home_heard_at > 0)
+        lease = home.tenure.lease
+        epoch = home.tenure.epoch
+        scope.cancel()
+    await wait_until(lambda: is_home(other))
+    assert other.tenure.epoch > epoch
+    assert lease in world.store.leases
