--- a/tests/test_gateway_home.py
+++ b/tests/test_gateway_home.py
@@ -324,7 +324,7 @@
 
 
 @in_world
-async def test_entries_hear_that_there_is_no_configuration(world):
+async def test_entries_hear_that_none_is_configured(world):
     """Until the operator has written one, only the home asks for it."""
     world.store.remove(CONFIGURATION_KEY)
     home = await world.add_unready_gateway()
