Hand the home over to the strongest hosts, and only if renewals keep failing

Change: entries tell how well their hosts bear the home, and the strongest are asked; a home hands over when no renewal was answered for 0.85 s; others are told if the first do not act. Small hosts leave an ended home to larger ones. Tests: test_the_strongest_hosts_are_asked_first, test_others_are_told_if_the_first_do_not_act, test_one_lost_renewal_hands_nothing_over.

--- a/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
@@ -16,6 +16,11 @@
 
 from spanfall_node.gateway.followed_table import FollowedTable
 from spanfall_node.gateway.grants import Grants
+from spanfall_node.gateway.home_pace import (
+    SMALL_HOST_SECONDS,
+    is_small,
+    strength,
+)
 from spanfall_node.gateway.messages import (
     MESSAGE_BYTES,
     FromHome,
@@ -148,10 +153,11 @@
         """Note that the process of a home is over, as nothing listens there.
 
         All entries find this at the same moment: the first takes over, and
-        the others see its record.
+        the others see its record. Small hosts leave it to larger ones.
         """
         self._lose(f'its process has ended: {exc!r}')
-        await anyio.sleep(uniform(0, SPREAD_SECONDS))
+        least = SMALL_HOST_SECONDS if is_small(self._state.cfg.host) else 0
+        await anyio.sleep(uniform(least, least + SPREAD_SECONDS))
         if self._state.home is None:
             self._state.note_vacant(home.epoch)
 
@@ -280,6 +286,7 @@
             state.directory.told_revision,
             wants_totals=self._table.wants_totals(sent_at),
             seen=self._grants.load().seen,
+            strength=strength(state.cfg.host),
         )
         self._heard = anyio.Event()
         await link.send(encode(message))
--- a/packages/spanfall-node/src/spanfall_node/gateway/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home_links.py
@@ -72,7 +72,7 @@
                 if self._state.tenure is None:
                     await self._refer(link)
                     return
-                answer = self._answer(received)
+                answer = self._answer(received, link)
                 if answer is not None:
                     await link.send(answer)
         except (WebSocketException, OSError) as exc:
@@ -87,7 +87,11 @@
         if self._state.home is not None:
             await link.send(encode(SuccessorMessage(self._state.home)))
 
-    def _answer(self, received: bytes) -> bytes | None:
+    def _answer(
+        self,
+        received: bytes,
+        link: ServerConnection | None = None,
+    ) -> bytes | None:
         message = decode_from_entry(received)
         now = self._state.timers.now()
         if isinstance(message, FarewellMessage):
@@ -103,6 +107,7 @@
         if isinstance(message, LoadMessage):
             self._state.grant_book.learn(message.entry, message.load, now)
             return None
+        self._succession.note(link, message.strength)
         return encode(self._table(message, now))
 
     def _grant(self, message: AskMessage, now: float) -> GrantMessage:
--- a/packages/spanfall-node/src/spanfall_node/gateway/home_pace.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home_pace.py
@@ -30,6 +30,15 @@
     return min(LONGEST_LOOK_PERIOD, max(shortest, entries / most_looks))
 
 
+def strength(host: Host) -> float:
+    """Return how well a host can bear the home, in cores.
+
+    Behind a narrow link the processor waits.
+    """
+    cores = host.processor_part * host.processor_speed
+    return cores * min(1, host.link_megabits / SMALL_MEGABITS)
+
+
 def is_small(host: Host) -> bool:
     """Tell whether other hosts should rather be the home."""
     cores = host.processor_part * host.processor_speed
--- a/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
@@ -49,7 +49,10 @@
 #: Seconds between two renewals.
 RENEW_PERIOD = 0.5
 #: Seconds for one: a home that is cut off hands over while its lease lasts.
-RENEW_SECONDS = 0.6
+RENEW_SECONDS = 0.3
+#: Seconds since the last renewal after which failures mean that the home is
+#: cut off; a single answer that is lost does not.
+CUT_SECONDS = 0.85
 #: Seconds until the next after one that failed.
 RETRY_PERIOD = 0.1
 
@@ -118,7 +121,7 @@
     def _pause(self) -> float:
         tenure = self._state.tenure
         if tenure is not None and not tenure.resigned:
-            return RETRY_PERIOD if tenure.is_cut else RENEW_PERIOD
+            return RETRY_PERIOD if self._store.health.failing else RENEW_PERIOD
         entries = self._state.quotas.entries
         if self._store.health.failing:
             return look_period(OUTAGE_LOOK_PERIOD, entries, MOST_OUTAGE_LOOKS)
@@ -150,9 +153,11 @@
         try:
             await self._store.renew(tenure.lease, RENEW_SECONDS)
         except StoreError:
-            tenure.is_cut = True
+            now = self._state.timers.now()
+            tenure.is_cut = now - tenure.renewed_at > CUT_SECONDS
             raise
         tenure.is_cut = False
+        tenure.renewed_at = sent_at
         tenure.valid_until = sent_at + self._lease_seconds - LEASE_MARGIN
 
     async def _look(self) -> None:
@@ -260,6 +265,7 @@
             epoch,
             lease,
             valid_until=sent_at + self._lease_seconds - LEASE_MARGIN,
+            renewed_at=sent_at,
             began_at=began_at,
             is_first=not before,
         )
--- a/packages/spanfall-node/src/spanfall_node/gateway/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/messages.py
@@ -46,6 +46,8 @@
     wants_totals: bool = True
     #: Number of the last grant that the report's counts include.
     seen: int = 0
+    #: How well the entry's host could bear the home, in cores.
+    strength: float = 0
 
 
 class LoadMessage(msgspec.Struct, frozen=True, tag='load'):
--- a/packages/spanfall-node/src/spanfall_node/gateway/succession.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/succession.py
@@ -8,7 +8,7 @@
 """
 
 import logging
-from random import sample
+from heapq import nlargest
 
 import anyio
 import msgspec
@@ -32,8 +32,9 @@
 LOOK_PERIOD = 0.05
 #: Seconds between two rounds of questions while the store does not answer.
 ASK_PERIOD = 0.3
-#: Entries that are asked in a round, or told first: a few, so that they do
-#: not all call the store, and enough that one of them reaches it.
+#: Entries that are asked or told in a round, those first whose hosts bear the
+#: home best: a few, so that they do not all call the store, and enough that
+#: one of them reaches it.
 ASKED = 5
 
 
@@ -43,20 +44,27 @@
     def __init__(self, state: GatewayState) -> None:
         """Use the tables of the node."""
         self._state = state
-        self._links: set[ServerConnection] = set()
+        #: How well the host of each entry that listens could bear the home.
+        self._links: dict[ServerConnection, float] = {}
         self._has_links = anyio.Event()
+        #: Entries that were asked or told in this matter, and when last.
+        self._asked: set[ServerConnection] = set()
         self._asked_at = float('-inf')
-        #: Epoch whose end some entries were told.
-        self._told = 0
 
     def add(self, link: ServerConnection) -> None:
         """Note an entry that listens."""
-        self._links.add(link)
+        self._links[link] = 0
         self._has_links.set()
 
+    def note(self, link: ServerConnection | None, strength: float) -> None:
+        """Note how well the host of an entry that listens bears the home."""
+        if link is not None and link in self._links:
+            self._links[link] = strength
+
     def remove(self, link: ServerConnection) -> None:
         """Note that an entry's link has ended."""
-        self._links.discard(link)
+        self._links.pop(link, None)
+        self._asked.discard(link)
 
     async def run(self) -> None:
         """Tell entries what they have to know, until cancelled."""
@@ -75,17 +83,19 @@
         if not tenure.is_cut or tenure.resigned:
             return None
         logger.warning('This node hands the home over: the store is away')
-        self._told = epoch
         tenure.resign()
+        self._begin_round()
         return ResignMessage(epoch)
 
     async def _tell(self, tenure: Tenure | None) -> None:
         if tenure is None:
             await self._tell_successor()
         elif tenure.resigned:
-            await self._tell_vacant(tenure.epoch)
+            await self._tell_some(ResignMessage(tenure.epoch))
         elif tenure.is_cut:
-            await self._ask(tenure.epoch)
+            await self._tell_some(StoreQuestion(tenure.epoch))
+        else:
+            self._asked.clear()
 
     async def _tell_successor(self) -> None:
         home = self._state.home
@@ -94,19 +104,23 @@
             self._links.clear()
             await self._send(links, SuccessorMessage(home))
 
-    async def _tell_vacant(self, epoch: int) -> None:
-        if self._told != epoch:
-            self._told = epoch
-            await self._send(self._some(), ResignMessage(epoch))
-
-    async def _ask(self, epoch: int) -> None:
+    async def _tell_some(self, message: msgspec.Struct) -> None:
+        """Ask or tell the strongest entries that were not yet, in rounds."""
         now = self._state.timers.now()
-        if now - self._asked_at >= ASK_PERIOD:
-            self._asked_at = now
-            await self._send(self._some(), StoreQuestion(epoch))
-
-    def _some(self) -> list[ServerConnection]:
-        return sample(list(self._links), min(ASKED, len(self._links)))
+        if now - self._asked_at < ASK_PERIOD:
+            return
+        if self._asked.issuperset(self._links):
+            self._asked.clear()
+        others = self._links.keys() - self._asked
+        chosen = nlargest(ASKED, others, key=self._links.__getitem__)
+        self._asked.update(chosen)
+        self._asked_at = now
+        await self._send(chosen, message)
+
+    def _begin_round(self) -> None:
+        """Let whoever was told first act before others are told too."""
+        self._asked_at = self._state.timers.now()
+        self._asked.clear()
 
     async def _send(
         self,
--- a/packages/spanfall-node/src/spanfall_node/gateway/tenure.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tenure.py
@@ -14,12 +14,14 @@
     lease: int
     #: Steady time until which the lease is certain to last.
     valid_until: float
+    #: When the last renewal was sent that was answered.
+    renewed_at: float
     began_at: float
     #: Whether no node of this fleet was ever the home before.
     is_first: bool = False
     #: Whether it gave up its record and only answers until there is another.
     resigned: bool = False
-    #: Whether its last renewal failed.
+    #: Whether it cannot renew its lease.
     is_cut: bool = False
 
     def resign(self) -> None:
--- a/tests/test_gateway_succession.py
+++ b/tests/test_gateway_succession.py
@@ -8,6 +8,10 @@
 
 import anyio
 from gateway_world import in_world
+from spanfall_node.gateway.leadership import CUT_SECONDS
+from spanfall_node.gateway.messages import decode_from_home
+from spanfall_node.gateway.succession import ASK_PERIOD, ASKED, Succession
+from spanfall_node.gateway.succession_messages import ResignMessage
 from spanfall_standins.gateway.server import answer_bytes, start_server
 from support import wait_until
 
@@ -113,3 +117,62 @@
     await wait_until(lambda: is_home(other))
     assert other.tenure.epoch > epoch
     assert lease in world.store.leases
+
+
+class Entry:
+    """Keep what a home sends to one entry."""
+
+    def __init__(self):
+        self.got = []
+
+    async def send(self, encoded):
+        self.got.append(decode_from_home(encoded))
+
+
+@in_world
+async def test_the_strongest_hosts_are_asked_first(world):
+    """A home on a small host was late for seconds at 195 entries."""
+    home = await world.add_gateway()
+    await wait_until(lambda: is_home(home))
+    home.tenure.is_cut = True
+    entries = [Entry() for _ in range(3 * ASKED)]
+    succession = Succession(home)
+    for cores, entry in enumerate(entries):
+        succession.add(entry)
+        succession.note(entry, cores)
+    await succession._tell(home.tenure)
+    asked = [at for at, row in enumerate(entries) if row.got]
+    assert asked == list(range(2 * ASKED, 3 * ASKED))
+
+
+@in_world
+async def test_others_are_told_if_the_first_do_not_act(world):
+    """The first to be told may be cut off itself, or lose its answers."""
+    home = await world.add_gateway()
+    await wait_until(lambda: is_home(home))
+    home.tenure.is_cut = True
+    epoch = home.tenure.epoch
+    entries = [Entry() for _ in range(2 * ASKED)]
+    succession = Succession(home)
+    for entry in entries:
+        succession.add(entry)
+    assert succession.hand_over(epoch) == ResignMessage(epoch)
+    assert succession.hand_over(epoch) is None
+    for _ in range(3):
+        await anyio.sleep(ASK_PERIOD)
+        await succession._tell(home.tenure)
+    told = ResignMessage(epoch)
+    assert all(entry.got and entry.got[0] == told for entry in entries)
+
+
+@in_world
+async def test_one_lost_renewal_hands_nothing_over(world):
+    gate = Gate(world.store)
+    home = await add_gated(world, gate)
+    await wait_until(lambda: is_home(home))
+    renewed_at = home.tenure.renewed_at
+    gate.is_shut = True
+    await anyio.sleep(CUT_SECONDS / 2)
+    gate.is_shut = False
+    await wait_until(lambda: home.tenure.renewed_at > renewed_at)
+    assert not home.tenure.is_cut
