--- a/bench/gateway_tables.py
+++ b/bench/gateway_tables.py
@@ -3,8 +3,9 @@
 import time
 from itertools import count
 
-from spanfall_core.gateway.balance import Ask, PromptHistory, choose
+from spanfall_core.gateway.balance import PromptHistory, choose
 from spanfall_core.gateway.directory import ListedUpstream
+from spanfall_core.gateway.estimates import Ask
 from spanfall_core.gateway.fleet import EntryReport, FleetState
 from spanfall_core.gateway.grants import (
     EntryLoad,
--- a/packages/spanfall-core/src/spanfall_core/gateway/balance.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/balance.py
@@ -1,32 +1,30 @@
 """Choose the upstream with the least expected time to the first token.
 
-The estimate is a sum of plain terms in seconds; each has a named weight.
-Among many upstreams only those are asked that can win (``shortlist.py``).
+Among many upstreams only those are estimated that can win (``shortlist.py``).
 """
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
-from typing import Protocol
 
 from xxhash import xxh3_64_intdigest
 
 from spanfall_core.gateway.directory import ListedUpstream, place_on_ring
 from spanfall_core.gateway.engine_model import ReadingSpeed
+from spanfall_core.gateway.estimates import (
+    BEARABLE_STALL,
+    FAILURE_SECONDS,
+    FULL_BATCH_SECONDS,
+    QUEUE_SECONDS,
+    STALL_WEIGHT,
+    Ask,
+    KnownLoads,
+    estimate,
+)
 from spanfall_core.gateway.lifetimes import Lifetime
-from spanfall_core.gateway.prefixes import PrefixIndex, PromptPart
+from spanfall_core.gateway.prefixes import PrefixIndex
 from spanfall_core.gateway.shortlist import FULL_SEARCH, Shortlist
 from spanfall_core.gateway.sizes import PromptSizes
 
-#: Seconds that a full batch adds to the wait for a first token.
-FULL_BATCH_SECONDS = 0.25
-#: Seconds that a request waits for each full batch queued before it.
-QUEUE_SECONDS = 1.5
-#: Seconds that a plain call holds a slot, assumed until measured.
-CALL_SECONDS = 0.1
-#: Seconds that each recent failure of an upstream counts for.
-FAILURE_SECONDS = 0.5
-#: Seconds that another data centre counts for: its way and its price.
-FAR_SECONDS = 0.004
 #: Seconds within which upstreams count as equal and the hash decides.
 HASH_SECONDS = 0.01
 #: Number of different hashes.
@@ -38,41 +36,11 @@
 #: from where prompts of this length belong: what a stream loses that meets a
 #: long prompt, times how likely that is.
 SIZE_SECONDS = 0.35
-#: Seconds of reading without a token that streams bear; while a prompt is
-#: read, all streams of its upstream stand still.
-BEARABLE_STALL = 0.25
-#: Seconds that each second of a longer stall counts for, for each stream.
-STALL_WEIGHT = 1.0
 #: Seconds of reading of the long prompt that stands for all of them where
 #: upstreams are compared.
 LONG_READING = 0.5
 
 
-class KnownLoads(Protocol):
-    """Tell what a choice has to know of each upstream."""
-
-    def running_at(self, lifetime: Lifetime) -> int:
-        """Return the requests that run there, fleet wide."""
-
-    def prefill_at(self, lifetime: Lifetime) -> int:
-        """Return the prompt tokens that are still to be read there."""
-
-    def failures_at(self, lifetime: Lifetime, now: float) -> float:
-        """Return the recent failures there."""
-
-
-@dataclass(frozen=True, slots=True)
-class Ask:
-    """State what the choice for one request depends on."""
-
-    attempt_id: str
-    data_centre: str
-    parts: tuple[PromptPart, ...] = ()
-    prompt_tokens: int = 0
-    #: Upstreams that were tried already.
-    tried: frozenset[Lifetime] = frozenset()
-
-
 @dataclass(slots=True)
 class PromptHistory:
     """Hold which prompts were read where, and how long they were."""
@@ -263,31 +231,6 @@
     shortlist.find(weigh, now)
 
 
-def estimate(
-    row: ListedUpstream,
-    ask: Ask,
-    loads: KnownLoads,
-    prefill: int,
-    rate: float,
-    now: float,
-) -> float:
-    """Estimate what a request costs at one upstream, in seconds.
-
-    This is its time to the first token, and the time that the streams which
-    run there stand still for it. ``rate`` is in tokens read a second.
-    """
-    lifetime = row.lifetime
-    running = loads.running_at(lifetime)
-    reading = (loads.prefill_at(lifetime) + prefill) / rate
-    seconds = _batch_seconds(row, running, ask) + row.warm_up / 10 + reading
-    if reading > BEARABLE_STALL:
-        seconds += running * STALL_WEIGHT * (reading - BEARABLE_STALL)
-    seconds += loads.failures_at(lifetime, now) * FAILURE_SECONDS
-    if row.data_centre != ask.data_centre:
-        seconds += FAR_SECONDS
-    return seconds
-
-
 def _prefill(
     row: ListedUpstream,
     ask: Ask,
@@ -307,16 +250,6 @@
     return int(shared * EXPECTED_CACHED)
 
 
-def _batch_seconds(row: ListedUpstream, running: int, ask: Ask) -> float:
-    slots = max(1, row.slots)
-    if not ask.prompt_tokens:
-        return CALL_SECONDS * running / slots + CALL_SECONDS * (
-            max(0, running + 1 - slots) / slots
-        )
-    seconds = FULL_BATCH_SECONDS * running / slots
-    return seconds + QUEUE_SECONDS * max(0, running + 1 - slots) / slots
-
-
 def _seed(ask: Ask) -> int:
     """Return a number that is the same for the same shared prompt."""
     key = ask.attempt_id
--- a/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
@@ -7,7 +7,6 @@
 
 import logging
 from collections.abc import Awaitable, Callable
-from random import uniform
 
 import anyio
 import msgspec
@@ -16,11 +15,8 @@
 
 from spanfall_node.gateway.followed_table import FollowedTable
 from spanfall_node.gateway.grants import Grants
-from spanfall_node.gateway.home_pace import (
-    SMALL_HOST_SECONDS,
-    is_small,
-    strength,
-)
+from spanfall_node.gateway.home_pace import strength
+from spanfall_node.gateway.lost_home import LostHome
 from spanfall_node.gateway.messages import (
     MESSAGE_BYTES,
     FromHome,
@@ -35,7 +31,6 @@
 from spanfall_node.gateway.state import GatewayState
 from spanfall_node.gateway.succession_messages import (
     FarewellMessage,
-    HomeRecord,
     ResignMessage,
     StoreQuestion,
     StoreReached,
@@ -56,11 +51,6 @@
 #: Part of the period of reports after which one may go out early, since units
 #: of a workspace run out.
 SOONEST_PART = 0.25
-#: Seconds between two attempts to reach the last home without the store.
-LAST_HOME_PERIOD = 1.0
-#: Seconds over which entries that find the home's process ended look for a
-#: record of another.
-SPREAD_SECONDS = 0.2
 #: Early reports a second that the home takes from all entries together.
 MOST_EARLY = 400
 
@@ -86,9 +76,7 @@
         self._tables: list[TableMessage] = []
         self._heard = anyio.Event()
         self._table = FollowedTable(state, sync)
-        #: The last home that answered, and when it was last tried again.
-        self._last: HomeRecord | None = None
-        self._tried_at = float('-inf')
+        self._lost = LostHome(state, sync)
 
     async def run(self) -> None:
         """Keep a link to whichever node is the home, until cancelled."""
@@ -98,21 +86,10 @@
             elif self._state.tenure is not None:
                 self._count_alone()
             elif self._state.home is None:
-                self._try_last_home()
+                self._lost.try_again()
             with anyio.move_on_after(LINK_PERIOD):
                 await self._state.home_changed.wait()
 
-    def _try_last_home(self) -> None:
-        """Ask the last home for the next one, while the store is away.
-
-        It may be back, or know its successor; nobody else is known here.
-        """
-        now = self._state.timers.now()
-        is_due = now - self._tried_at >= LAST_HOME_PERIOD
-        if self._last is not None and is_due and not self._sync.hears_store:
-            self._tried_at = now
-            self._state.follow_home(self._last, now)
-
     def _should_link(self) -> bool:
         state = self._state
         if state.home is None or state.tenure is not None:
@@ -137,7 +114,8 @@
             with anyio.fail_after(ANSWER_SECONDS):
                 link = await self._connect(home.address)
         except ConnectionRefusedError as exc:
-            await self._note_ended(home, exc)
+            self._lose(f'its process has ended: {exc!r}')
+            await self._lost.note_ended(home)
             return
         except (OSError, TimeoutError, WebSocketException) as exc:
             self._lose(f'no link: {exc!r}')
@@ -149,18 +127,6 @@
             self._units.disconnect()
             link.transport.abort()
 
-    async def _note_ended(self, home: HomeRecord, exc: OSError) -> None:
-        """Note that the process of a home is over, as nothing listens there.
-
-        All entries find this at the same moment: the first takes over, and
-        the others see its record. Small hosts leave it to larger ones.
-        """
-        self._lose(f'its process has ended: {exc!r}')
-        least = SMALL_HOST_SECONDS if is_small(self._state.cfg.host) else 0
-        await anyio.sleep(uniform(least, least + SPREAD_SECONDS))
-        if self._state.home is None:
-            self._state.note_vacant(home.epoch)
-
     async def _connect(self, address: str) -> ClientConnection:
         return await connect(
             f'ws://{address}/',
@@ -206,8 +172,8 @@
 
         self._grants.connect(ask)
         self._units.connect(ask)
-        self._last = self._state.home
-        epoch = self._last.epoch
+        self._lost.last = self._state.home
+        epoch = self._state.home.epoch
         async with anyio.create_task_group() as tasks:
             while self._is_home_still(epoch):
                 message = decode_from_home(await link.recv())
--- a/packages/spanfall-node/src/spanfall_node/gateway/grants.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/grants.py
@@ -8,7 +8,8 @@
 import logging
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.balance import Ask, Choice, choose
+from spanfall_core.gateway.balance import Choice, choose
+from spanfall_core.gateway.estimates import Ask
 from spanfall_core.gateway.grants import EntryLoad, FleetLoads, Grant
 
 from spanfall_node.gateway.messages import AskMessage, GrantRequest
--- a/packages/spanfall-node/src/spanfall_node/gateway/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home_links.py
@@ -63,7 +63,15 @@
             compression=None,
             server_header=None,
         ):
-            await self._succession.run()
+            try:
+                await self._succession.run()
+            finally:
+                self._resign()
+
+    def _resign(self) -> None:
+        """Act no more once nobody can reach this node: others take over."""
+        if self._state.tenure is not None:
+            self._state.tenure.resign()
 
     async def _serve_link(self, link: ServerConnection) -> None:
         self._succession.add(link)
--- a/packages/spanfall-node/src/spanfall_node/gateway/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/messages.py
@@ -5,9 +5,9 @@
 
 import cbor2
 import msgspec
-from spanfall_core.gateway.balance import Ask
 from spanfall_core.gateway.directory import ListedUpstream
 from spanfall_core.gateway.engine_model import ReadingSpeed
+from spanfall_core.gateway.estimates import Ask
 from spanfall_core.gateway.fleet import EntryReport, FleetTotals
 from spanfall_core.gateway.grants import EntryLoad, Grant
 from spanfall_core.gateway.reporting import REPORT_PERIOD
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/new_state.py
@@ -0,0 +1,46 @@
+"""Build the tables of a node that starts."""
+
+from spanfall_api.gateway_settings import GatewaySettings
+from spanfall_core.gateway.freshness import Freshness
+from spanfall_core.gateway.quotas import Quotas
+from spanfall_core.gateway.retry_budget import RetryBudget, RetryLimits
+from spanfall_core.gateway.true_time import TrueTime
+from spanfall_core.gateway.usage import UsageCounts
+
+from spanfall_node.gateway.counters import Counters
+from spanfall_node.gateway.ports import PlatformAdapter
+from spanfall_node.gateway.state import GatewayState
+from spanfall_node.timers import Timers
+
+
+def build_state(
+    cfg: GatewaySettings,
+    platform: PlatformAdapter,
+    timers: Timers,
+    incarnation: str,
+) -> GatewayState:
+    """Build the empty tables of a node that has just started."""
+    state = GatewayState(
+        cfg=cfg,
+        platform=platform,
+        timers=timers,
+        incarnation=incarnation,
+        counters=Counters(),
+        freshness=Freshness(
+            cfg.bounds.revoke_seconds,
+            binds=cfg.bounds.revocation_binds,
+        ),
+        quotas=Quotas(entries=cfg.assumed_entries),
+        retries=RetryBudget(
+            RetryLimits(
+                cfg.bounds.retry_ratio,
+                cfg.bounds.retry_allowance,
+                cfg.bounds.retry_window_seconds,
+            ),
+            entries=cfg.assumed_entries,
+        ),
+        usage=UsageCounts(cfg.bounds.usage_window_seconds),
+        true_time=TrueTime(timers.epoch() - timers.now()),
+    )
+    state.counters.open_requests.set_function(lambda: state.open_requests)
+    return state
--- a/packages/spanfall-node/src/spanfall_node/gateway/program.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/program.py
@@ -22,11 +22,12 @@
 from spanfall_node.gateway.leadership import Leadership
 from spanfall_node.gateway.lifecycle import StatusPages, stop_on_signal
 from spanfall_node.gateway.logs import LineBudget, set_up_logging
+from spanfall_node.gateway.new_state import build_state
 from spanfall_node.gateway.ports import PlatformAdapter
 from spanfall_node.gateway.quota_record import QuotaRecord
 from spanfall_node.gateway.relay import UpstreamAccess
 from spanfall_node.gateway.settings_watch import SettingsWatch
-from spanfall_node.gateway.state import GatewayState, build_state
+from spanfall_node.gateway.state import GatewayState
 from spanfall_node.gateway.store_client import StoreClient
 from spanfall_node.gateway.sync import Sync
 from spanfall_node.gateway.unit_requests import UnitRequests
--- a/packages/spanfall-node/src/spanfall_node/gateway/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/relay.py
@@ -9,7 +9,8 @@
 from functools import partial
 
 import anyio
-from spanfall_core.gateway.balance import Ask, Choice
+from spanfall_core.gateway.balance import Choice
+from spanfall_core.gateway.estimates import Ask
 from spanfall_core.gateway.sends import (
     RETRY_REASONS,
     NextStep,
--- a/packages/spanfall-node/src/spanfall_node/gateway/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/state.py
@@ -24,7 +24,7 @@
 from spanfall_core.gateway.loads import Loads
 from spanfall_core.gateway.quotas import Quotas
 from spanfall_core.gateway.reporting import silent_after
-from spanfall_core.gateway.retry_budget import RetryBudget, RetryLimits
+from spanfall_core.gateway.retry_budget import RetryBudget
 from spanfall_core.gateway.shared_levels import SharedLevels
 from spanfall_core.gateway.true_time import TrueTime
 from spanfall_core.gateway.unit_reports import GivenUnits
@@ -276,36 +276,3 @@
             read_work=dict(self.read_work),
             reading={key: replace(row) for key, row in self.reading.items()},
         )
-
-
-def build_state(
-    cfg: GatewaySettings,
-    platform: PlatformAdapter,
-    timers: Timers,
-    incarnation: str,
-) -> GatewayState:
-    """Build the empty tables of a node that has just started."""
-    state = GatewayState(
-        cfg=cfg,
-        platform=platform,
-        timers=timers,
-        incarnation=incarnation,
-        counters=Counters(),
-        freshness=Freshness(
-            cfg.bounds.revoke_seconds,
-            binds=cfg.bounds.revocation_binds,
-        ),
-        quotas=Quotas(entries=cfg.assumed_entries),
-        retries=RetryBudget(
-            RetryLimits(
-                cfg.bounds.retry_ratio,
-                cfg.bounds.retry_allowance,
-                cfg.bounds.retry_window_seconds,
-            ),
-            entries=cfg.assumed_entries,
-        ),
-        usage=UsageCounts(cfg.bounds.usage_window_seconds),
-        true_time=TrueTime(timers.epoch() - timers.now()),
-    )
-    state.counters.open_requests.set_function(lambda: state.open_requests)
-    return state
--- a/tests/test_gateway_grants.py
+++ b/tests/test_gateway_grants.py
@@ -6,8 +6,9 @@
 from gateway_world import SERVICE, ask, in_world
 from hypothesis import given
 from hypothesis import strategies as st
-from spanfall_core.gateway.balance import Ask, PromptHistory, choose
+from spanfall_core.gateway.balance import PromptHistory, choose
 from spanfall_core.gateway.directory import ListedUpstream
+from spanfall_core.gateway.estimates import Ask
 from spanfall_core.gateway.grants import (
     EntryLoad,
     FleetLoads,
--- a/tests/test_gateway_messages.py
+++ b/tests/test_gateway_messages.py
@@ -4,8 +4,8 @@
 import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
-from spanfall_core.gateway.balance import Ask
 from spanfall_core.gateway.directory import ListedUpstream
+from spanfall_core.gateway.estimates import Ask
 from spanfall_core.gateway.fleet import EntryReport, FleetTotals
 from spanfall_core.gateway.grants import EntryLoad, Grant
 from spanfall_core.gateway.lifetimes import name_lifetime
--- a/tests/test_gateway_shortlist.py
+++ b/tests/test_gateway_shortlist.py
@@ -9,8 +9,9 @@
 from random import Random
 
 import pytest
-from spanfall_core.gateway.balance import Ask, PromptHistory, choose
+from spanfall_core.gateway.balance import PromptHistory, choose
 from spanfall_core.gateway.directory import Directory, ListedUpstream
+from spanfall_core.gateway.estimates import Ask
 from spanfall_core.gateway.loads import Loads
 from spanfall_core.gateway.prefixes import PromptPart
 from spanfall_core.gateway.shortlist import FULL_SEARCH
--- a/tests/test_gateway_sizes.py
+++ b/tests/test_gateway_sizes.py
@@ -2,8 +2,9 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from spanfall_core.gateway.balance import Ask, PromptHistory, choose
+from spanfall_core.gateway.balance import PromptHistory, choose
 from spanfall_core.gateway.directory import Directory, ListedUpstream
+from spanfall_core.gateway.estimates import Ask
 from spanfall_core.gateway.loads import Loads
 from spanfall_core.gateway.sizes import PromptSizes
 
