Order upstreams as soon as the operator's first configuration is there

Change: whether all have registered follows from when the list last grew. Test: test_what_was_there_is_replaced_at_once.

--- a/packages/spanfall-core/src/spanfall_core/gateway/demand.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/demand.py
@@ -78,15 +78,17 @@
         if self.loaded_since is None and needed >= LOADED:
             self.loaded_since = now
 
-    def find(self, there: int, now: float) -> None:
+    def find(self, there: int, grown_at: float, now: float) -> None:
         """Note how many upstreams are there before anything is ordered.
 
         No load seen is not no load: until it was seen for a while, what the
-        operator runs is the best guess of the need.
+        operator runs is the best guess of the need. ``grown_at`` is when the
+        last of them was listed, which may be long before the operator's
+        first configuration.
         """
         if there > self.found and not self.is_complete(now):
             self.found = there
-            self.found_at = now
+            self.found_at = min(grown_at, now)
 
     def is_complete(self, now: float) -> bool:
         """Tell whether all that the operator runs have registered."""
--- a/packages/spanfall-core/src/spanfall_core/gateway/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/directory.py
@@ -91,6 +91,8 @@
         #: The latest start that is known of each upstream.
         self._born: dict[str, int] = {}
         self._by_service: dict[str, list[ListedUpstream]] = {}
+        #: When another upstream of each service was last listed.
+        self._grown_at: dict[str, float] = {}
         #: Revision of the listing that changed each row or had it no more.
         self._changed: dict[Lifetime, int] = {}
         self._removed: dict[Lifetime, int] = {}
@@ -130,6 +132,8 @@
         for key, row in self.rows.items():
             if before.get(key) != row:
                 self._changed[key] = revision
+            if key not in before:
+                self._grown_at[row.service] = now
         self._index()
         return changed
 
@@ -206,6 +210,10 @@
         """
         return self._by_service.get(service, [])
 
+    def grown_at(self, service: str) -> float:
+        """Return when another upstream of a service was last listed."""
+        return self._grown_at.get(service, float('-inf'))
+
     def end(self, lifetime: Lifetime) -> None:
         """Note that a lifetime has proved to be over."""
         row = self.rows.pop(lifetime, None)
--- a/packages/spanfall-node/src/spanfall_node/gateway/capacity_duty.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/capacity_duty.py
@@ -98,7 +98,8 @@
         ]
         self._learn_demand(service, orders, now)
         present = count_present(rows)
-        orders.demand.find(present.total(), now)
+        grown_at = state.directory.grown_at(service.name)
+        orders.demand.find(present.total(), grown_at, now)
         settle = SETTLE_SECONDS
         if state.tenure.is_first:
             settle = FIRST_SETTLE_SECONDS
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -131,7 +131,7 @@
         present = count_present(listed)
         demand = self.orders.demand
         demand.learn(needed, self.now)
-        demand.find(present.total(), self.now)
+        demand.find(present.total(), self.now, self.now)
         if self.now < self.settles_at:
             return
         planned = plan_orders('llm', SCALING, self.orders, present, self.now)
--- a/tests/test_gateway_capacity.py
+++ b/tests/test_gateway_capacity.py
@@ -82,9 +82,9 @@
     orders = ServiceOrders()
     registered = (2, 6, 14, 18, 18)
     for now, count in enumerate(registered):
-        orders.demand.find(count, now)
+        orders.demand.find(count, now, now)
         assert not plan(orders, count_present(listed(0, 1)), now)
-    orders.demand.find(18, 5)
+    orders.demand.find(18, 5, 5)
     note_all(plan(orders, count_present(listed(0, 4)), 5), orders, 5)
     # Each place keeps one of the others, so it has room for four at first.
     planned = as_rows(plan(orders, count_present(listed(0, 1)), 9))
--- a/tests/test_gateway_order_patterns.py
+++ b/tests/test_gateway_order_patterns.py
@@ -5,11 +5,14 @@
 are what the present policy reaches plus a quarter.
 """
 
+from dataclasses import replace
 from math import sin, tau
 from random import Random
 
 import pytest
 from fleet_world import FleetWorld, count_kinds
+from spanfall_core.gateway.demand import Demand
+from spanfall_core.gateway.directory import Directory, ListedUpstream
 
 #: What the operator runs before the system starts, and the seconds until
 #: there is traffic, as of the deployments.
@@ -132,3 +135,26 @@
     world.run(16)
     assert world.late - late <= 0.5
     assert world.reversals == 0
+
+
+def test_what_was_there_is_replaced_at_once():
+    """The operator's first configuration comes seconds after upstreams.
+
+    Each second that 50 of them wait for their replacement costs as much as
+    280 reclaimable ones do.
+    """
+    directory = Directory()
+    rows = [
+        ListedUpstream(f'u-{at}', 'llm', '', f'z{at % 6}', slots=16)
+        for at in range(50)
+    ]
+    for second in range(5):
+        directory.apply(second + 1, rows, second, float('-inf'))
+    demand = Demand()
+    demand.find(50, directory.grown_at('llm'), 5)
+    assert demand.is_complete(5)
+    more = [*rows, replace(rows[0], upstream_id='u-50')]
+    directory.apply(9, more, 6, float('-inf'))
+    late = Demand()
+    late.find(51, directory.grown_at('llm'), 6)
+    assert not late.is_complete(6)
