Let all entries of a large fleet link to a new home at one moment

Cause: the links' listener kept 100 waiting connections; the opening packets of the others came again after more than a second. Test: test_hundreds_may_link_at_one_moment (fails with the backlog of before).

--- a/packages/spanfall-node/src/spanfall_node/gateway/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home_links.py
@@ -29,6 +29,7 @@
     encode,
 )
 from spanfall_node.gateway.passing_on import PassingOn
+from spanfall_node.gateway.sockets import BACKLOG
 from spanfall_node.gateway.state import GatewayState
 from spanfall_node.gateway.succession import Succession
 from spanfall_node.gateway.succession_messages import (
@@ -62,6 +63,7 @@
             max_size=MESSAGE_BYTES,
             compression=None,
             server_header=None,
+            backlog=BACKLOG,
         ):
             try:
                 await self._succession.run()
--- a/packages/spanfall-node/src/spanfall_node/gateway/program.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/program.py
@@ -27,6 +27,7 @@
 from spanfall_node.gateway.quota_record import QuotaRecord
 from spanfall_node.gateway.relay import UpstreamAccess
 from spanfall_node.gateway.settings_watch import SettingsWatch
+from spanfall_node.gateway.sockets import BACKLOG
 from spanfall_node.gateway.state import GatewayState
 from spanfall_node.gateway.store_client import StoreClient
 from spanfall_node.gateway.sync import Sync
@@ -39,8 +40,6 @@
 INCARNATION_BYTES = 6
 #: Seconds before a part that failed is started again.
 RESTART_SECONDS = 0.5
-#: Connections that may wait to be accepted.
-BACKLOG = 1024
 
 
 def load_adapter(module_name: str) -> PlatformAdapter:
--- a/packages/spanfall-node/src/spanfall_node/gateway/sockets.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/sockets.py
@@ -5,6 +5,10 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
+#: Connections that may wait to be accepted. All entries link to a new home at
+#: one moment: beyond the usual 100, the opening packets of the others were
+#: dropped and came again after more than a second.
+BACKLOG = 1024
 #: Bytes read from a socket at a time.
 READ_BYTES = 65536
 #: Milliseconds after which bytes that nobody acknowledges end a connection:
--- a/tests/test_gateway_succession.py
+++ b/tests/test_gateway_succession.py
@@ -4,6 +4,8 @@
 nobody may give units of limits, and entries hold a two hundredth of them.
 """
 
+import select
+import socket
 from contextlib import asynccontextmanager
 
 import anyio
@@ -176,3 +178,21 @@
     gate.is_shut = False
     await wait_until(lambda: home.tenure.renewed_at > renewed_at)
     assert not home.tenure.is_cut
+
+
+@in_world
+async def test_hundreds_may_link_at_one_moment(world):
+    """The home is busy while the entries of a large fleet find it."""
+    home = await world.add_gateway()
+    host, _, port = home.cfg.listen.links.rpartition(':')
+    links = []
+    for _ in range(300):
+        link = socket.socket()
+        link.setblocking(False)  # noqa: FBT003
+        link.connect_ex((host, int(port)))
+        links.append(link)
+    # Nothing was accepted yet: this task has not let the home run.
+    _, connected, _ = select.select([], links, [], 0.5)
+    for link in links:
+        link.close()
+    assert len(connected) == len(links)
