Tell entries what the fleet needs, so that the next home goes on with it

Change: tables tell each service's need; a new home starts from it. Tests: test_a_new_home_goes_on_with_the_need, test_entries_know_what_the_fleet_needs.

--- a/packages/spanfall-core/src/spanfall_core/gateway/demand.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/demand.py
@@ -111,6 +111,17 @@
         return max(self.peak, self.found)
 
 
+def take_over(peak: float, now: float) -> Demand:
+    """Return the demand as the home before told it, if it told any.
+
+    Else a new home learns the need anew over some seconds, in which it orders
+    half of what reclaimed upstreams leave to be replaced.
+    """
+    if peak < LOADED:
+        return Demand()
+    return Demand(peak, seen_at=now, loaded_since=now - LEARN_SECONDS)
+
+
 @dataclass(slots=True)
 class HeldMost:
     """Hold the largest of the counts of the last seconds.
--- a/packages/spanfall-node/src/spanfall_node/gateway/capacity_duty.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/capacity_duty.py
@@ -6,7 +6,11 @@
 import anyio
 from spanfall_core.gateway.capacity import plan_orders
 from spanfall_core.gateway.configuration import ServedService
-from spanfall_core.gateway.demand import OfferedLoad, needed_upstreams
+from spanfall_core.gateway.demand import (
+    OfferedLoad,
+    needed_upstreams,
+    take_over,
+)
 from spanfall_core.gateway.fleet import Counts
 from spanfall_core.gateway.orders import (
     Order,
@@ -90,13 +94,14 @@
         now: float,
     ) -> None:
         state = self._state
-        orders = self._orders.setdefault(service.name, ServiceOrders())
+        orders = self._orders_of(service.name, now)
         rows = [
             row
             for row in state.directory.rows.values()
             if row.service == service.name
         ]
         self._learn_demand(service, orders, now)
+        state.needs[service.name] = orders.demand.peak
         present = count_present(rows)
         grown_at = state.directory.grown_at(service.name)
         orders.demand.find(present.total(), grown_at, now)
@@ -116,6 +121,15 @@
         for order in planned:
             await self._send(order, orders)
 
+    def _orders_of(self, service: str, now: float) -> ServiceOrders:
+        """Return the orders of a service, at first as the last home left it."""
+        known = self._orders.get(service)
+        if known is None:
+            demand = take_over(self._state.needs.get(service, 0), now)
+            known = ServiceOrders(demand)
+            self._orders[service] = known
+        return known
+
     def _learn_demand(
         self,
         service: ServedService,
--- a/packages/spanfall-node/src/spanfall_node/gateway/followed_table.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/followed_table.py
@@ -38,6 +38,7 @@
         state.learn_size(table.entries)
         self.report_after = table.report_after
         state.learn_speeds(table.speeds)
+        state.needs = table.needs
         if table.configuration is not None:
             self._sync.learn_configuration(
                 table.configuration.revision,
--- a/packages/spanfall-node/src/spanfall_node/gateway/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home_links.py
@@ -162,6 +162,7 @@
             ),
             true_time=state.true_time.at(now),
             speeds=state.fleet.speeds(),
+            needs=state.needs,
             given=state.give_units(report.key, now),
             resigned=not state.is_home(now),
             configuration=self._configuration(message, revision),
--- a/packages/spanfall-node/src/spanfall_node/gateway/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/messages.py
@@ -140,6 +140,8 @@
     totals: FleetTotals | None = None
     #: How fast the engines of each service read.
     speeds: dict[str, ReadingSpeed] = {}
+    #: Upstreams that each service needs, for a home that follows this one.
+    needs: dict[str, float] = {}
     #: Units that this entry may spend; None: the sender may not give any.
     given: GivenUnits | None = None
     #: Whether the entry should look for another home.
--- a/packages/spanfall-node/src/spanfall_node/gateway/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/state.py
@@ -86,6 +86,8 @@
     read_work: Counts = field(default_factory=dict)
     #: What requests here showed of the speed of reading.
     reading: dict[str, ReadingSums] = field(default_factory=dict)
+    #: Upstreams that each service needs, as the home says.
+    needs: dict[str, float] = field(default_factory=dict)
     #: Whether the home says that another is to be looked for.
     home_resigned: bool = False
     draining_since: float | None = None
--- a/tests/test_gateway_home.py
+++ b/tests/test_gateway_home.py
@@ -336,3 +336,11 @@
     assert not entry.is_ready(now())
     revision = world.configure()
     await wait_until(lambda: entry.revision == revision)
+
+
+@in_world
+async def test_entries_know_what_the_fleet_needs(world):
+    """Any of them may be the next home."""
+    home, other = await two_gateways(world)
+    home.needs = {'llm': 12.5}
+    await wait_until(lambda: other.needs == {'llm': 12.5})
--- a/tests/test_gateway_order_patterns.py
+++ b/tests/test_gateway_order_patterns.py
@@ -11,7 +11,7 @@
 
 import pytest
 from fleet_world import FleetWorld, count_kinds
-from spanfall_core.gateway.demand import Demand
+from spanfall_core.gateway.demand import Demand, take_over
 from spanfall_core.gateway.directory import Directory, ListedUpstream
 
 #: What the operator runs before the system starts, and the seconds until
@@ -158,3 +158,26 @@
     late = Demand()
     late.find(51, directory.grown_at('llm'), 6)
     assert not late.is_complete(6)
+
+
+def test_a_new_home_goes_on_with_the_need():
+    """Three data centres were reclaimed while the home changed.
+
+    It learned the need anew: 24 of 48 engines at first, 55 six seconds later.
+    """
+    known = Demand()
+    for step in range(80):
+        known.learn(48, step / 4)
+    taken = take_over(known.peak, 20)
+    taken.learn(10, 20.25)
+    assert taken.expected(20.25) > 0.9 * known.peak
+    assert taken.is_known(20.25)
+    unknown = take_over(0, 20)
+    assert unknown.is_idle()
+
+
+def test_a_taken_over_need_fades_like_any_other():
+    known = take_over(48, 20)
+    for step in range(400):
+        known.learn(12, 20 + step / 4)
+    assert known.peak < 15
