Give no units after a home that only seems to have ended

Read in the change: a cut may refuse connections while the home behind it lives and renews, so whoever took its record gave units beside it; and a renewal under way during a handover brought the old home back.

--- a/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
@@ -193,7 +193,7 @@
                 self._tables.append(message)
                 self._heard.set()
             case ResignMessage():
-                self._state.note_vacant(message.epoch)
+                self._state.note_over(message.epoch, is_certain=True)
             case SuccessorMessage():
                 now = self._state.timers.now()
                 self._state.follow_home(message.home, now)
--- a/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
@@ -8,12 +8,16 @@
 import logging
 
 import anyio
-import msgspec
 from spanfall_core.gateway.balance import PromptHistory
 from spanfall_core.gateway.fleet import MEETING_SECONDS, FleetState
 from spanfall_core.gateway.grants import GrantBook
 from spanfall_core.gateway.reporting import report_period, unheard_after
 
+from spanfall_node.gateway.home_content import (
+    HomeContent,
+    read_home,
+    write_home,
+)
 from spanfall_node.gateway.home_pace import (
     LOOK_PERIOD,
     MOST_OUTAGE_LOOKS,
@@ -57,14 +61,6 @@
 RETRY_PERIOD = 0.1
 
 
-class HomeContent(msgspec.Struct, frozen=True):
-    """Hold the record of the home as it is stored."""
-
-    node: str
-    address: str
-    incarnation: str
-
-
 class Leadership:
     """Find the home, or become it when there is none."""
 
@@ -156,6 +152,9 @@
             now = self._state.timers.now()
             tenure.is_cut = now - tenure.renewed_at > CUT_SECONDS
             raise
+        if tenure.resigned:
+            # Handed over meanwhile: what was renewed is not held any more.
+            return
         tenure.is_cut = False
         tenure.renewed_at = sent_at
         tenure.valid_until = sent_at + self._lease_seconds - LEASE_MARGIN
@@ -181,27 +180,31 @@
 
     async def _use_record(self, item: StoredItem) -> None:
         state = self._state
-        content = self._read(item)
+        content = read_home(item.content)
         if content is None:
             if self._has_waited(self._lease_seconds):
-                await self._try_to_hold(item.revision)
+                await self._seize(item)
             return
         self._free_since = None
-        is_vacant = item.revision == state.vacant_epoch
-        if is_vacant and state.draining_since is None:
-            await self._try_to_hold(item.revision)
-        elif self._was_this_node(content) and state.draining_since is None:
+        is_free = item.revision == state.vacant_epoch
+        is_free = is_free or self._was_this_node(content)
+        may_hold = state.draining_since is None
+        if may_hold and is_free:
             await self._try_to_hold(item.revision)
+        elif may_hold and item.revision == state.refusing_epoch:
+            await self._seize(item)
         else:
             self._follow(item.revision, content)
 
-    def _read(self, item: StoredItem) -> HomeContent | None:
-        """Return the home that a record names, or None if it names none."""
-        try:
-            return msgspec.json.decode(item.content, type=HomeContent)
-        except (ValueError, RecursionError) as exc:
-            logger.warning('The record of the home cannot be read: %r', exc)
-            return None
+    async def _seize(self, item: StoredItem) -> None:
+        """Take over from a home that may live on, though none reaches it.
+
+        Its lease ends, so it acts no more after its next renewal or, if it
+        does not reach the store, as its lease would have ended. Until then
+        this node gives no units: two would give the same ones.
+        """
+        await self._store.revoke(item.lease)
+        await self._try_to_hold(0, self._lease_seconds - LEASE_MARGIN)
 
     def _is_its_turn(self) -> bool:
         """Tell whether larger hosts have had time to become the home."""
@@ -234,8 +237,11 @@
         )
         self._state.follow_home(home, self._state.timers.now())
 
-    async def _try_to_hold(self, known: int) -> None:
-        """Write this node's record over one of revision ``known``."""
+    async def _try_to_hold(self, known: int, gives_after: float = 0) -> None:
+        """Write this node's record over one of revision ``known``.
+
+        ``gives_after`` are the seconds after which it may give units.
+        """
         state = self._state
         cfg = state.cfg
         history = await self._store.get(HISTORY_KEY)
@@ -243,7 +249,7 @@
         shared_levels = await self._spending.read()
         sent_at = state.timers.now()
         lease = await self._store.grant(self._lease_seconds)
-        record = self._own_record()
+        record = write_home(cfg.node, cfg.listen.links, state.incarnation)
         writes = (Write(HOME_KEY, record, lease), Write(HISTORY_KEY, record))
         expected = {HOME_KEY: known, HISTORY_KEY: before}
         try:
@@ -267,6 +273,7 @@
             valid_until=sent_at + self._lease_seconds - LEASE_MARGIN,
             renewed_at=sent_at,
             began_at=began_at,
+            gives_at=began_at + gives_after,
             is_first=not before,
         )
         state.home_resigned = False
@@ -275,15 +282,6 @@
         )
         logger.info('This node is the home now, epoch %s', epoch)
 
-    def _own_record(self) -> bytes:
-        cfg = self._state.cfg
-        content = HomeContent(
-            cfg.node,
-            cfg.listen.links,
-            self._state.incarnation,
-        )
-        return msgspec.json.encode(content)
-
     def _lay_down(self, reason: str) -> None:
         tenure = self._state.tenure
         if tenure is None or tenure.resigned:
--- a/packages/spanfall-node/src/spanfall_node/gateway/lost_home.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/lost_home.py
@@ -38,7 +38,7 @@
             self._state.follow_home(self.last, now)
 
     async def note_ended(self, home: HomeRecord) -> None:
-        """Note that the process of a home is over, as nothing listens there.
+        """Note that nothing listens where a home was: its process is over.
 
         All entries find this at the same moment: the first takes over, and
         the others see its record. Small hosts leave it to larger ones.
@@ -46,4 +46,4 @@
         least = SMALL_HOST_SECONDS if is_small(self._state.cfg.host) else 0
         await anyio.sleep(uniform(least, least + SPREAD_SECONDS))
         if self._state.home is None:
-            self._state.note_vacant(home.epoch)
+            self._state.note_over(home.epoch, is_certain=False)
--- a/packages/spanfall-node/src/spanfall_node/gateway/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/state.py
@@ -75,9 +75,12 @@
     #: that has nothing to do need not look for it twenty times a second.
     load_changed: anyio.Event = field(default_factory=anyio.Event)
     tenure: Tenure | None = None
-    #: Epoch of a home that acts no more, as it said itself or as nothing
-    #: listens at its address: its record may be replaced at once.
+    #: Epoch of a home that said itself that it acts no more: its record may be
+    #: replaced at once.
     vacant_epoch: int = 0
+    #: Epoch of a home at whose address nothing listens. Its process has ended,
+    #: or it lives behind a cut that refuses connections.
+    refusing_epoch: int = 0
     #: Set to look the home up at once.
     look_now: anyio.Event = field(default_factory=anyio.Event)
     #: When the home last answered.
@@ -180,7 +183,7 @@
         Only the holder of the lease gives units, so no two homes give the
         same ones.
         """
-        if not self.is_home(now):
+        if self.tenure is None or not self.tenure.may_give(now):
             return None
         return self.shared_levels.give(entry, self.limits_at(now), now)
 
@@ -192,7 +195,7 @@
         now: float,
     ) -> float:
         """Return the units that an entry gets besides, 0 if there are none."""
-        if not self.is_home(now):
+        if self.tenure is None or not self.tenure.may_give(now):
             return 0
         limits = self.limits_at(now)
         return self.shared_levels.lend(entry, workspace, units, limits, now)
@@ -233,9 +236,15 @@
         self.load_changed.set()
         self.load_changed = anyio.Event()
 
-    def note_vacant(self, epoch: int) -> None:
-        """Note that a home acts no more, and look for another at once."""
-        self.vacant_epoch = max(self.vacant_epoch, epoch)
+    def note_over(self, epoch: int, *, is_certain: bool) -> None:
+        """Note that a home acts no more, and look for another at once.
+
+        It is certain if the home said so.
+        """
+        if is_certain:
+            self.vacant_epoch = max(self.vacant_epoch, epoch)
+        else:
+            self.refusing_epoch = max(self.refusing_epoch, epoch)
         self.home_resigned = True
         self.look_now.set()
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/tenure.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tenure.py
@@ -17,6 +17,9 @@
     #: When the last renewal was sent that was answered.
     renewed_at: float
     began_at: float
+    #: From when on it may give units of limits: the home before may have lived
+    #: on until then.
+    gives_at: float = float('-inf')
     #: Whether no node of this fleet was ever the home before.
     is_first: bool = False
     #: Whether it gave up its record and only answers until there is another.
@@ -24,6 +27,10 @@
     #: Whether it cannot renew its lease.
     is_cut: bool = False
 
+    def may_give(self, now: float) -> bool:
+        """Tell whether no other node can give units of the limits."""
+        return self.gives_at <= now < self.valid_until
+
     def resign(self) -> None:
         """Act no more from now on."""
         self.resigned = True
