Leave a home that ended to its own node, or to the end of its lease

Change: nobody takes a record since nothing listens. An unreadable record is still replaced, with the wait.

--- a/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
@@ -113,10 +113,6 @@
         try:
             with anyio.fail_after(ANSWER_SECONDS):
                 link = await self._connect(home.address)
-        except ConnectionRefusedError as exc:
-            self._lose(f'its process has ended: {exc!r}')
-            await self._lost.note_ended(home)
-            return
         except (OSError, TimeoutError, WebSocketException) as exc:
             self._lose(f'no link: {exc!r}')
             return
@@ -193,7 +189,7 @@
                 self._tables.append(message)
                 self._heard.set()
             case ResignMessage():
-                self._state.note_over(message.epoch, is_certain=True)
+                self._state.note_vacant(message.epoch)
             case SuccessorMessage():
                 now = self._state.timers.now()
                 self._state.follow_home(message.home, now)
--- a/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
@@ -191,20 +191,20 @@
         may_hold = state.draining_since is None
         if may_hold and is_free:
             await self._try_to_hold(item.revision)
-        elif may_hold and item.revision == state.refusing_epoch:
-            await self._seize(item)
         else:
             self._follow(item.revision, content)
 
     async def _seize(self, item: StoredItem) -> None:
-        """Take over from a home that may live on, though none reaches it.
+        """Take over from a home whose record nobody can read.
 
-        Its lease ends, so it acts no more after its next renewal or, if it
-        does not reach the store, as its lease would have ended. Until then
-        this node gives no units: two would give the same ones.
+        It may live on until its lease would have ended. Until then this node
+        gives no units: two would give the same ones.
         """
-        await self._store.revoke(item.lease)
-        await self._try_to_hold(0, self._lease_seconds - LEASE_MARGIN)
+        known = item.revision
+        if item.lease:
+            await self._store.revoke(item.lease)
+            known = 0
+        await self._try_to_hold(known, self._lease_seconds - LEASE_MARGIN)
 
     def _is_its_turn(self) -> bool:
         """Tell whether larger hosts have had time to become the home."""
--- a/packages/spanfall-node/src/spanfall_node/gateway/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/state.py
@@ -78,9 +78,6 @@
     #: Epoch of a home that said itself that it acts no more: its record may be
     #: replaced at once.
     vacant_epoch: int = 0
-    #: Epoch of a home at whose address nothing listens. Its process has ended,
-    #: or it lives behind a cut that refuses connections.
-    refusing_epoch: int = 0
     #: Set to look the home up at once.
     look_now: anyio.Event = field(default_factory=anyio.Event)
     #: When the home last answered.
@@ -236,15 +233,9 @@
         self.load_changed.set()
         self.load_changed = anyio.Event()
 
-    def note_over(self, epoch: int, *, is_certain: bool) -> None:
-        """Note that a home acts no more, and look for another at once.
-
-        It is certain if the home said so.
-        """
-        if is_certain:
-            self.vacant_epoch = max(self.vacant_epoch, epoch)
-        else:
-            self.refusing_epoch = max(self.refusing_epoch, epoch)
+    def note_vacant(self, epoch: int) -> None:
+        """Note that a home acts no more, and look for another at once."""
+        self.vacant_epoch = max(self.vacant_epoch, epoch)
         self.home_resigned = True
         self.look_now.set()
 
