Let the end of a link be one: it was taken for a failure of the node's part

Cause: a task group of its own around the reading of a link wrapped the end in another error; the entry went on half a second with a home that was no more. Change: looking for the store is a part of the link like the others.

--- a/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
@@ -75,6 +75,8 @@
         self._units = units
         self._tables: list[TableMessage] = []
         self._heard = anyio.Event()
+        #: Set when a home that is cut off asks for the store.
+        self._asked = anyio.Event()
         self._table = FollowedTable(state, sync)
         self._lost = LostHome(state, sync)
 
@@ -137,13 +139,20 @@
         self._state.loads.forget_others()
         self._table = FollowedTable(self._state, self._sync)
         self._tables = []
+        self._asked = anyio.Event()
         async with anyio.create_task_group() as tasks:
 
             async def run(part: Part) -> None:
                 await self._until_lost(part, link)
                 tasks.cancel_scope.cancel()
 
-            for part in (self._receive, self._report_often, self._tell_load):
+            parts = (
+                self._receive,
+                self._report_often,
+                self._tell_load,
+                self._look_for_store,
+            )
+            for part in parts:
                 tasks.start_soon(run, part)
 
     async def _until_lost(self, part: Part, link: ClientConnection) -> None:
@@ -170,14 +179,8 @@
         self._units.connect(ask)
         self._lost.last = self._state.home
         epoch = self._state.home.epoch
-        async with anyio.create_task_group() as tasks:
-            while self._is_home_still(epoch):
-                message = decode_from_home(await link.recv())
-                if isinstance(message, StoreQuestion):
-                    tasks.start_soon(self._reach_store, link, message.epoch)
-                else:
-                    self._learn(message)
-            tasks.cancel_scope.cancel()
+        while self._is_home_still(epoch):
+            self._learn(decode_from_home(await link.recv()))
 
     def _learn(self, message: FromHome) -> None:
         match message:
@@ -188,16 +191,22 @@
             case TableMessage():
                 self._tables.append(message)
                 self._heard.set()
+            case StoreQuestion():
+                self._asked.set()
             case ResignMessage():
                 self._state.note_vacant(message.epoch)
             case SuccessorMessage():
                 now = self._state.timers.now()
                 self._state.follow_home(message.home, now)
 
-    async def _reach_store(self, link: ClientConnection, epoch: int) -> None:
+    async def _look_for_store(self, link: ClientConnection) -> None:
         """Tell a home that is cut off whether this node reaches the store."""
-        if await self._sync.reaches_store():
-            await link.send(encode(StoreReached(epoch)))
+        epoch = self._state.home.epoch
+        while True:
+            await self._asked.wait()
+            if await self._sync.reaches_store():
+                await link.send(encode(StoreReached(epoch)))
+            self._asked = anyio.Event()
 
     async def _report_often(self, link: ClientConnection) -> None:
         epoch = self._state.home.epoch
