--- a/packages/spanfall-node/src/spanfall_node/gateway/lost_home.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/lost_home.py
@@ -27,4 +27,5 @@
         is_due = now - self._tried_at >= LAST_HOME_PERIOD
         if self.last is not None and is_due and not self._sync.hears_store:
             self._tried_at = now
-            self._state.follow_home(self.last, now)
+            # Nothing was heard of it yet: the look for another goes on.
+            self._state.follow_home(self.last, float('-inf'))
--- a/packages/spanfall-node/src/spanfall_node/gateway/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/sync.py
@@ -14,6 +14,7 @@
 from spanfall_node.gateway.ports import InvalidRecordError, StoredItem
 from spanfall_node.gateway.state import GatewayState
 from spanfall_node.gateway.store_client import StoreClient, StoreError
+from spanfall_node.gateway.succession_messages import HomeRecord
 
 logger = logging.getLogger(__name__)
 
@@ -80,14 +81,24 @@
             await anyio.sleep(self._period())
 
     async def _until_first_table(self) -> None:
-        """Wait until the home has told all, or cannot be reached."""
+        """Wait until the home has told all, or cannot be reached.
+
+        A node that is the home itself has nobody to wait for.
+        """
         state = self._state
-        while state.home is None and state.tenure is None:
+        while state.home is None:
             await state.home_changed.wait()
         home = state.home
-        while state.home is home and state.configuration is None:
+        while self._waits_for(home):
             await anyio.sleep(START_STEP)
 
+    def _waits_for(self, home: HomeRecord) -> bool:
+        """Tell whether a home that is another node is still to tell all."""
+        state = self._state
+        if state.tenure is not None or state.home is not home:
+            return False
+        return state.configuration is None
+
     async def read_all(self) -> None:
         """Read the configuration and the upstreams once."""
         if self._store.health.failing:
--- a/tests/test_gateway_home.py
+++ b/tests/test_gateway_home.py
@@ -23,6 +23,7 @@
 from spanfall_node.gateway.sync import (
     OLD_PROOF,
     READ_PERIOD,
+    START_SECONDS,
     old_proof,
     read_period,
 )
@@ -344,3 +345,13 @@
     home, other = await two_gateways(world)
     home.needs = {'llm': 12.5}
     await wait_until(lambda: other.needs == {'llm': 12.5})
+
+
+@in_world
+async def test_a_home_that_starts_waits_for_nobody(world):
+    """After a restart of all, every other node waits for its table."""
+    state = await world.add_unready_gateway()
+    await wait_until(lambda: state.tenure is not None)
+    began_at = state.tenure.began_at
+    await wait_until(lambda: state.configuration is not None)
+    assert state.freshness.proved_at - began_at < START_SECONDS / 2
