--- a/tests/quota_events.py
+++ b/tests/quota_events.py
@@ -29,6 +29,10 @@
     world.heal()
 
 
+def _hand_over(world, numbers):
+    world.hand_over(*numbers)
+
+
 def _lose_store(world, numbers):
     world.store_is_away = True
 
@@ -54,6 +58,7 @@
     'kill': _kill,
     'kill all': _kill_all,
     'heal': _heal,
+    'hand over': _hand_over,
     'lose the store': _lose_store,
     'raise': partial(_change_limit, part=2),
     'lower': partial(_change_limit, part=0.5),
--- a/tests/quota_nodes.py
+++ b/tests/quota_nodes.py
@@ -39,6 +39,8 @@
     cut: int | None = None
     frozen: int | None = None
     dead: int | None = None
+    #: Step until which it takes a home that handed over for the home.
+    hears_at: int = 0
     #: Epoch of the home that knows it.
     follows: int = 0
     table: Table | None = None
--- a/tests/quota_world.py
+++ b/tests/quota_world.py
@@ -39,6 +39,8 @@
 #: Steps between two looks at whether the record is due, of which a fleet under
 #: pressure uses each, as quota_record.LOOK_PERIOD.
 RECORD_STEPS = 5
+#: Most steps until an entry hears that the home has handed over.
+HEAR_STEPS = 20
 #: Most steps until a node in touch has a new configuration in force.
 APPLY_STEPS = 40
 
@@ -106,6 +108,24 @@
             if node is self.home:
                 self.home = None
 
+    def hand_over(self, *numbers):
+        """Let the home act no more, and one of some nodes follow it at once.
+
+        The others hear of it over the next second, and get no units from the
+        home before meanwhile.
+        """
+        able = [
+            self.nodes[number]
+            for number in numbers
+            if self.nodes[number].is_reached
+        ]
+        if self.home is None or not able or self.store_is_away:
+            return
+        self._become_home(able[0])
+        for node in self.nodes:
+            if node is not self.home:
+                node.hears_at = self.step + self._draw.randint(1, HEAR_STEPS)
+
     def change_limit(self, part):
         """Put another limit in force; nodes in touch learn it in time."""
         row = [self.now, self.limit]
@@ -189,6 +209,11 @@
     def _report(self, node):
         if not node.runs:
             return
+        if self.step < node.hears_at:
+            self._take_table(node)
+            if self.step % REPORT_STEPS == 0:
+                node.go_alone(self.now)
+            return
         # A cut home still hears itself; the others report to it no more.
         is_home = node is self.home
         if node.cut is not None and not is_home:
--- a/tests/test_gateway_limit_promise.py
+++ b/tests/test_gateway_limit_promise.py
@@ -115,6 +115,18 @@
     assert world.most_beyond <= 0
 
 
+def test_a_home_that_hands_over_under_pressure():
+    """Its units go on with their holders, and the next home hears of them."""
+
+    def hand_over(world):
+        world.hand_over(3)
+        world.run(1.5)
+        world.hand_over(5)
+
+    beyond = beyond_by_seed(2 * WINDOW, 0, 2, hand_over)
+    assert max(beyond) <= 0, beyond
+
+
 EVENTS = st.lists(
     st.tuples(
         st.sampled_from(sorted(quota_events.EVENTS)),
