--- a/packages/spanfall-cli/src/spanfall_cli/main.py
+++ b/packages/spanfall-cli/src/spanfall_cli/main.py
@@ -18,6 +18,7 @@
 
 from spanfall_cli.demo import run_demo, show_steps
 from spanfall_cli.generator import make_trace, plans
+from spanfall_cli.logs import logs_group
 from spanfall_cli.objects import COMMANDS
 from spanfall_cli.reference import write_reference
 from spanfall_cli.replay import Report, run_replay
@@ -41,6 +42,9 @@
     """Operate spanfall: settings, objects, fleet, traces and bench."""
 
 
+main.add_command(logs_group)
+
+
 @main.command()
 @output_option
 def demo(output: str) -> None:
