--- a/packages/spanfall-node/src/spanfall_node/gateway/needs_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/needs_record.py
@@ -2,8 +2,8 @@
 
 Entries hear it with each table; after all processes were killed only the store
 knows it. A home that learned the need anew took what callers could still send
-for all they wanted, sent a third of the upstreams away and missed them 4 s
-later: mai-gira's heaviest day was worth 0.19 instead of 0.27.
+for all they wanted: it sent a third of the upstreams away, and they were
+missing four seconds later.
 """
 
 import logging
--- a/packages/spanfall-node/src/spanfall_node/gateway/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/sync.py
@@ -37,7 +37,7 @@
 #: Seconds for which a node that starts leaves the store to the home: a link
 #: and a table take some hundredths, and 195 nodes that restart in turn made
 #: two calls each that told them the same. After a restart of all nobody tells
-#: anything so soon: with 0.15 s nine nodes lost 15 requests more of a second.
+#: anything so soon, and callers wait for as long.
 START_SECONDS = 0.06
 START_STEP = 0.01
 #: End of the last outage where there was none.
