Name in the log what a request that comes again has in common

Lines of ended sends and of answers named attempts only, so the hypotheses of the incident could not be told apart.

--- a/packages/spanfall-node/src/spanfall_node/gateway/admission.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/admission.py
@@ -7,6 +7,7 @@
     ServedConfiguration,
     ServedWorkspace,
 )
+from spanfall_core.gateway.identity import RequestIdentity, request_identity
 from spanfall_core.gateway.prefixes import PromptPart
 from spanfall_core.reasons import RefusalReason
 
@@ -31,6 +32,7 @@
     req: CallerRequest
     body: bytes
     attempt_id: str
+    identity: RequestIdentity
     route: Route
     service: str
     workspace: ServedWorkspace | None
@@ -69,6 +71,7 @@
         raise RefusedError(404, RefusalReason.UNKNOWN_SERVICE)
     names = state.platform.names
     workspace = _workspace(state, configuration, route, req, began_at)
+    identity = _identity(req, body, workspace)
     prompt, most_output = token_counts(req, names)
     units = _units(workspace, prompt + most_output)
     _take_quota(state, workspace, units, began_at)
@@ -77,6 +80,7 @@
         req=req,
         body=body,
         attempt_id=attempt_id,
+        identity=identity,
         route=route,
         service=route.service_for(attempt_id),
         workspace=workspace,
@@ -114,6 +118,15 @@
     )
 
 
+def _identity(
+    req: CallerRequest,
+    body: bytes,
+    workspace: ServedWorkspace | None,
+) -> RequestIdentity:
+    caller = workspace.name if workspace else ''
+    return request_identity(caller, req.host, req.method, req.target, body)
+
+
 def _is_number(text: str) -> bool:
     stripped = text.strip()
     return stripped.isdecimal() and len(stripped) <= NUMBER_DIGITS
--- a/packages/spanfall-node/src/spanfall_node/gateway/attempt.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/attempt.py
@@ -88,7 +88,7 @@
         'Request %s of %s: %s from %s, send %s, first part after %.3f s, '
         'longest pause %.3f s, all %.3f s, '
         '%s prompt tokens, %s running there, configuration %s, '
-        '%.0f units of %s',
+        '%.0f units of %s, identity %s',
         work.attempt_id,
         work.route.name,
         status,
@@ -102,6 +102,7 @@
         state.configuration.revision if state.configuration else None,
         work.units,
         work.workspace.name if work.workspace else None,
+        work.identity,
     )
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/relay.py
@@ -149,12 +149,13 @@
         partial(_take_retry, state, exchange),
     )
     logger.info(
-        'Request %s at %s ended %s: %s; next: %s',
+        'Request %s at %s ended %s: %s; next: %s; identity %s',
         work.attempt_id,
         choice.upstream.lifetime,
         failed.end,
         failed.reason,
         step,
+        work.identity,
     )
     if step is NextStep.SEND_AGAIN:
         state.counters.retries.labels(RETRY_REASONS[failed.end]).inc()
--- /dev/null
+++ b/tests/test_gateway_identity.py
@@ -0,0 +1,19 @@
+"""Name a request the same wherever it comes, and no other so."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from spanfall_core.gateway.identity import request_identity
+
+PARTS = st.tuples(
+    st.text(max_size=3),
+    st.text(max_size=3),
+    st.text(max_size=3),
+    st.text(max_size=3),
+    st.binary(max_size=3),
+)
+
+
+@given(PARTS, PARTS)
+def test_identities_are_equal_where_all_parts_are(first, second):
+    same = request_identity(*first) == request_identity(*second)
+    assert same == (first == second)
