Bring about a request that ends each upstream, in a test that fails

Twelve upstreams end where three may: the caller comes again at one of three entries under new attempt ids.

--- a/packages/spanfall-standins/src/spanfall_standins/gateway/server.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/server.py
@@ -22,8 +22,16 @@
 Answerer = Callable[[Seen, SocketStream], Awaitable[bool]]
 
 
-async def start_server(tasks: TaskGroup, answerer: Answerer) -> str:
-    """Start a server on a free loopback port and return its address."""
+async def start_server(
+    tasks: TaskGroup,
+    answerer: Answerer,
+    life: anyio.CancelScope | None = None,
+) -> str:
+    """Start a server on a free loopback port and return its address.
+
+    Once ``life`` is cancelled all its connections end, and nothing listens
+    there any more.
+    """
     multi = await anyio.create_tcp_listener(local_host='127.0.0.1')
     listener: SocketListener = multi.listeners[0]
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
@@ -31,7 +39,12 @@
     async def serve(stream: SocketStream) -> None:
         await _serve_connection(stream, answerer)
 
-    tasks.start_soon(listener.serve, serve)
+    async def live() -> None:
+        with life or anyio.CancelScope():
+            await listener.serve(serve)
+        await listener.aclose()
+
+    tasks.start_soon(live)
     return f'127.0.0.1:{port}'
 
 
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/upstream.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/upstream.py
@@ -26,6 +26,8 @@
     seen: list[Seen] = field(default_factory=list)
     #: Requests whose client closed before the answer was whole.
     left: list[Seen] = field(default_factory=list)
+    #: Cancelled as the upstream's process ends.
+    life: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
     async def answer(self, seen: Seen, stream: SocketStream) -> bool:
         """Answer one request."""
@@ -52,6 +54,25 @@
     return run
 
 
+def ends_under(deadly: bytes, otherwise: Behaviour) -> Behaviour:
+    """End the upstream's process as it begins to run a request."""
+
+    async def run(
+        upstream: StandInUpstream,
+        seen: Seen,
+        stream: SocketStream,
+    ) -> bool:
+        if seen.body != deadly:
+            return await otherwise(upstream, seen, stream)
+        head = answer_bytes(200, b'', {**upstream.signed(seen), **EVENT_STREAM})
+        await stream.send(head.replace(b'content-length: 0\r\n', b''))
+        upstream.life.cancel()
+        await anyio.sleep_forever()
+        return False
+
+    return run
+
+
 def refused(status: int = 503) -> Behaviour:
     """Say that the request was not run."""
 
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -109,7 +109,11 @@
         """Start an upstream and list it."""
         lifetime = f'u-{next(self._numbers)}'
         upstream = StandInUpstream(lifetime, behaviour)
-        address = await start_server(self.tasks, upstream.answer)
+        address = await start_server(
+            self.tasks,
+            upstream.answer,
+            upstream.life,
+        )
         row = ListedUpstream(lifetime, SERVICE, address, 'north', slots=4)
         encoded = msgspec.json.encode(row).decode()
         self.store.put(f'{UPSTREAM_PREFIX}{lifetime}', encoded)
--- /dev/null
+++ b/tests/test_gateway_crashes.py
@@ -0,0 +1,90 @@
+"""Let a request that ends upstreams end three of them and no more.
+
+Seen: two requests reached upstreams 6 and 10 times more after three upstreams
+had ended under them, 11 and 15 in all; the pool was empty five times in 80 s.
+How: each came again with the same caller, target and body, at any entry, under
+a new attempt id. Each attempt ended two upstreams, as its stream was sent to a
+second one at once; four upstreams in half a second.
+Cause: what a request had done was known per attempt and per entry, so nothing
+bound it over the fleet and over time.
+Proof: the identities in the log lines of the sends that broke.
+"""
+
+import anyio
+import pytest
+from gateway_world import ask, in_world
+from spanfall_standins.gateway.upstream import ends_under, events, whole
+
+DEADLY = b'deadly'
+#: Upstreams that may end before the request is known for it.
+KNOWN_AFTER = 3
+#: Pause between two attempts of the caller: less than a listing takes.
+PAUSE = 0.05
+
+
+def ended(world):
+    """Return the upstreams whose processes have ended."""
+    return [row for row in world.upstreams.values() if row.life.cancel_called]
+
+
+async def send_again_and_again(world, gateways, path, attempts):
+    """Send the request to one entry after the other."""
+    answers = []
+    for number in range(attempts):
+        state = gateways[number % len(gateways)]
+        answer = await ask(state, path, attempt=f'd{number}', body=DEADLY)
+        answers.append(answer)
+        await anyio.sleep(PAUSE)
+    return answers
+
+
+@pytest.mark.parametrize(
+    'path', ('/resume/1', '/stream/1', '/any/1', '/once/1')
+)
+def test_a_request_ends_three_upstreams(path):
+    @in_world
+    async def play(world):
+        for _ in range(12):
+            await world.add_upstream(ends_under(DEADLY, whole()))
+        gateways = [await world.add_gateway() for _ in range(3)]
+        answers = await send_again_and_again(world, gateways, path, 12)
+        assert len(ended(world)) == KNOWN_AFTER
+        assert {answer.status for answer in answers[-3:]} == {502}
+        assert all('retry-after' not in one.headers for one in answers[-3:])
+        other = await ask(gateways[0], path, attempt='o', body=b'other')
+        assert other.status == 200
+
+    play()
+
+
+@in_world
+async def test_those_that_ran_beside_it_are_served(world):
+    """What breaks with the upstream is not taken for the cause."""
+    behaviour = ends_under(DEADLY, events(1, 3))
+    for _ in range(8):
+        await world.add_upstream(behaviour)
+    gateways = [await world.add_gateway() for _ in range(2)]
+    statuses = []
+
+    async def other(number):
+        state = gateways[number % 2]
+        body = b'other %d' % number
+        while True:
+            answer = await ask(
+                state, '/resume/1', attempt=f'o{number}', body=body
+            )
+            if answer.complete and answer.status == 200:
+                statuses.append(answer.status)
+                return
+            await anyio.sleep(PAUSE)
+
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                send_again_and_again, world, gateways, '/resume/1', 10
+            )
+            for number in range(20):
+                tasks.start_soon(other, number)
+                await anyio.sleep(0.02)
+    assert len(statuses) == 20
+    assert len(ended(world)) == KNOWN_AFTER
