Count the time for which a host is suspended in every age

Cause: time.monotonic stands still meanwhile, so a home's lease, a proof of freshness, a deadline looked younger by that time, and scopes of the event loop went on. Change: one clock (CLOCK_BOOTTIME) for the timer service and for the event loop, of the gateway and of the product's own node.

--- a/packages/spanfall-node/src/spanfall_node/gateway/program.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/program.py
@@ -36,6 +36,7 @@
 from spanfall_node.gateway.store_client import StoreClient
 from spanfall_node.gateway.sync import Sync
 from spanfall_node.gateway.unit_requests import UnitRequests
+from spanfall_node.steady_clock import SteadyLoop, steady_seconds
 from spanfall_node.timers import Timers
 
 logger = logging.getLogger(__name__)
@@ -53,7 +54,7 @@
 
 def run_gateway(cfg: GatewaySettings, path: Path) -> None:
     """Run a gateway in the foreground until it is told to stop."""
-    timers = Timers(time.monotonic, time.time)
+    timers = Timers(steady_seconds, time.time)
     state = build_state(
         cfg,
         load_adapter(cfg.platform),
@@ -66,7 +67,8 @@
         state.counters.dropped_logs,
     )
     set_up_logging(budget, cfg.node)
-    anyio.run(_run, state, path)
+    options = {'loop_factory': SteadyLoop}
+    anyio.run(_run, state, path, backend_options=options)
 
 
 @dataclass(slots=True)
--- a/packages/spanfall-node/src/spanfall_node/main.py
+++ b/packages/spanfall-node/src/spanfall_node/main.py
@@ -10,6 +10,7 @@
 
 from spanfall_node.log import set_up_logging
 from spanfall_node.node import Node
+from spanfall_node.steady_clock import SteadyLoop
 
 EXIT_SETTINGS = 2
 
@@ -50,4 +51,5 @@
         click.echo(str(exc), err=True)
         sys.exit(EXIT_SETTINGS)
     set_up_logging(cfg.logging)
-    anyio.run(run_node, cfg)
+    options = {'loop_factory': SteadyLoop}
+    anyio.run(run_node, cfg, backend_options=options)
--- a/packages/spanfall-node/src/spanfall_node/node.py
+++ b/packages/spanfall-node/src/spanfall_node/node.py
@@ -32,6 +32,7 @@
 from spanfall_node.metrics import Metrics
 from spanfall_node.notices import Notices
 from spanfall_node.servers import AsgiApp, ServerLimits, serve_http
+from spanfall_node.steady_clock import steady_seconds
 from spanfall_node.timers import Timers
 
 logger = logging.getLogger(__name__)
@@ -64,7 +65,7 @@
         self,
         cfg: NodeSettings,
         store: KeyValue | None = None,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = steady_seconds,
         cloud: CloudPort | None = None,
     ) -> None:
         """Take the settings; platform ports may be given in memory."""
