--- a/packages/spanfall-core/src/spanfall_core/gateway/crashes.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/crashes.py
@@ -20,6 +20,9 @@
 #: Requests of which ends are remembered: some megabytes. Those with one end go
 #: first, the oldest before others: they are free anyway.
 MOST_REMEMBERED = 4096
+#: Seconds for which a verdict stands, so that a request is served again some
+#: time after its upstreams were mended: it costs three of them a day at most.
+VERDICT_SECONDS = 86_400.0
 #: Verdicts that are kept; the oldest go first. Each has cost three upstreams.
 MOST_VERDICTS = 512
 #: Upstreams remembered whose end a verdict explains: those that ran beside the
@@ -47,28 +50,37 @@
 
 
 Key = TypeVar('Key')
+Held = TypeVar('Held')
 
 
 @dataclass(slots=True)
 class CrashTable:
     """Hold under which requests upstreams ended."""
 
-    #: Requests that are not sent any more, oldest verdict first.
-    convicted: dict[RequestIdentity, None] = field(default_factory=dict)
+    #: Requests that are not sent until a time, oldest verdict first.
+    convicted: dict[RequestIdentity, float] = field(default_factory=dict)
     #: Upstreams that ended under each other request, oldest first.
     ends: dict[RequestIdentity, set[Lifetime]] = field(default_factory=dict)
     _explained: dict[Lifetime, None] = field(default_factory=dict)
 
-    def standing(self, identity: RequestIdentity) -> Standing:
+    def standing(self, identity: RequestIdentity, now: float) -> Standing:
         """Tell how a request may be sent."""
-        if identity in self.convicted:
-            return Standing.CONVICTED
+        until = self.convicted.get(identity)
+        if until is not None:
+            if now < until:
+                return Standing.CONVICTED
+            self.convicted.pop(identity)
         ends = len(self.ends.get(identity, ()))
         if not ends:
             return Standing.FREE
         return Standing.SUSPECT if ends >= SUSPECT_AFTER else Standing.WATCHED
 
-    def note_end(self, identity: RequestIdentity, lifetime: Lifetime) -> bool:
+    def note_end(
+        self,
+        identity: RequestIdentity,
+        lifetime: Lifetime,
+        now: float,
+    ) -> bool:
         """Note that an upstream ended under a request.
 
         Return whether it is convicted by that.
@@ -78,16 +90,16 @@
         ends = self.ends.pop(identity, set()) | {lifetime}
         self.ends[identity] = ends
         if len(ends) >= CONVICTED_AFTER:
-            self.convict(identity)
+            self.convict(identity, now + VERDICT_SECONDS)
             return True
         self._forget_one()
         return False
 
-    def convict(self, identity: RequestIdentity) -> None:
+    def convict(self, identity: RequestIdentity, until: float) -> None:
         """Send a request no more; clear those that only ran beside it."""
         explained = self.ends.pop(identity, set())
         self._explained.update(dict.fromkeys(explained))
-        self.convicted[identity] = None
+        self.convicted[identity] = until
         _keep_newest(self.convicted, MOST_VERDICTS)
         _keep_newest(self._explained, MOST_EXPLAINED)
         left = {other: ends - explained for other, ends in self.ends.items()}
@@ -104,7 +116,7 @@
         self.ends.pop(next(with_one, next(iter(self.ends))))
 
 
-def _keep_newest(rows: dict[Key, None], most: int) -> None:
+def _keep_newest(rows: dict[Key, Held], most: int) -> None:
     while len(rows) > most:
         rows.pop(next(iter(rows)))
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/admission.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/admission.py
@@ -73,7 +73,8 @@
     names = state.platform.names
     workspace = _workspace(state, configuration, route, req, began_at)
     identity = _identity(req, body, workspace)
-    if state.crashes.standing(identity) is Standing.CONVICTED:
+    standing = state.crashes.standing(identity, began_at)
+    if standing is Standing.CONVICTED:
         raise RefusedError(502, RefusalReason.ENDS_UPSTREAMS, detail=identity)
     prompt, most_output = token_counts(req, names)
     units = _units(workspace, prompt + most_output)
--- a/packages/spanfall-node/src/spanfall_node/gateway/crash_knowledge.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/crash_knowledge.py
@@ -7,7 +7,6 @@
 """
 
 import logging
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from itertools import islice
 
@@ -24,7 +23,7 @@
 from spanfall_node.gateway.crash_messages import (
     CrashReport,
     RunStage,
-    VerdictsMessage,
+    Verdicts,
     WatchedRun,
 )
 
@@ -44,9 +43,9 @@
     #: Set, and replaced, as there is another verdict.
     changed: anyio.Event = field(default_factory=anyio.Event)
 
-    def standing(self, identity: RequestIdentity) -> Standing:
+    def standing(self, identity: RequestIdentity, now: float) -> Standing:
         """Tell how a request may be sent, for all that is known here."""
-        return self.table.standing(identity)
+        return self.table.standing(identity, now)
 
     def note_end(
         self,
@@ -56,7 +55,7 @@
     ) -> None:
         """Note that an upstream ended under a request."""
         self.trials.end(identity, now)
-        if self.table.note_end(identity, lifetime):
+        if self.table.note_end(identity, lifetime, now):
             logger.warning(
                 'Request with identity %s ends upstreams, %s last; '
                 'it is not served any more',
@@ -76,30 +75,30 @@
 
     def learn_report(self, report: CrashReport, now: float) -> None:
         """Take over, as the home, what an entry knows."""
-        self.learn_verdicts(report.convicted)
+        self.learn_verdicts(report.convicted, now)
         for identity, lifetimes in report.ends.items():
             for lifetime in lifetimes:
                 self.note_end(identity, lifetime, now)
 
-    def learn_verdicts(self, identities: Iterable[RequestIdentity]) -> None:
+    def learn_verdicts(self, verdicts: Verdicts, now: float) -> None:
         """Take over verdicts that another node knows."""
-        new = [one for one in identities if one not in self.table.convicted]
+        new = verdicts.keys() - self.table.convicted.keys()
         for identity in new:
-            self.table.convict(identity)
+            self.table.convict(identity, now + verdicts[identity])
         if new:
             logger.info('Not served any more, as others found: %s', new)
             self._tell()
 
-    def report(self) -> CrashReport:
+    def report(self, now: float) -> CrashReport:
         """Return what is known here, for a new home."""
         newest = islice(reversed(self.table.ends.items()), MOST_REPORTED)
         ends = {key: tuple(rows) for key, rows in newest}
-        convicted = tuple(self.table.convicted)
-        return CrashReport(ends, convicted, is_first=True)
+        return CrashReport(ends, self.verdicts(now), is_first=True)
 
-    def verdicts(self) -> VerdictsMessage:
-        """Return all verdicts."""
-        return VerdictsMessage(tuple(self.table.convicted))
+    def verdicts(self, now: float) -> Verdicts:
+        """Return all verdicts that stand."""
+        rows = self.table.convicted.items()
+        return {key: until - now for key, until in rows if until > now}
 
     def _tell(self) -> None:
         self.changed.set()
--- a/packages/spanfall-node/src/spanfall_node/gateway/crash_messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/crash_messages.py
@@ -6,6 +6,9 @@
 from spanfall_core.gateway.identity import RequestIdentity
 from spanfall_core.gateway.lifetimes import Lifetime
 
+#: Seconds for which requests are still not to be sent.
+Verdicts = dict[RequestIdentity, float]
+
 
 class CrashReport(
     msgspec.Struct,
@@ -17,7 +20,7 @@
 
     #: Upstreams that ended, by the request that ran there.
     ends: dict[RequestIdentity, tuple[Lifetime, ...]] = {}
-    convicted: tuple[RequestIdentity, ...] = ()
+    convicted: Verdicts = {}
     #: Whether the entry is to hear all verdicts.
     is_first: bool = False
 
@@ -44,4 +47,4 @@
 class VerdictsMessage(msgspec.Struct, frozen=True, tag='verdicts'):
     """Tell an entry which requests are not sent any more."""
 
-    convicted: tuple[RequestIdentity, ...]
+    convicted: Verdicts
--- a/packages/spanfall-node/src/spanfall_node/gateway/crash_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/crash_record.py
@@ -11,6 +11,7 @@
 from spanfall_core.gateway.identity import RequestIdentity
 from spanfall_core.gateway.reporting import report_period, unheard_after
 
+from spanfall_node.gateway.crash_messages import Verdicts
 from spanfall_node.gateway.ports import Write
 from spanfall_node.gateway.state import GatewayState
 from spanfall_node.gateway.store_client import StoreClient, StoreError
@@ -29,9 +30,9 @@
 
 
 class CrashRecordContent(msgspec.Struct, frozen=True):
-    """Hold the requests, oldest verdict first."""
+    """Hold for how long each request was not to be sent as it was written."""
 
-    convicted: list[RequestIdentity]
+    convicted: Verdicts
 
 
 class CrashRecord:
@@ -64,7 +65,8 @@
             logger.exception('The record of crashes cannot be read')
             return
         self._written = frozenset(content.convicted)
-        self._state.crashes.learn_verdicts(content.convicted)
+        now = self._state.timers.now()
+        self._state.crashes.learn_verdicts(content.convicted, now)
 
     async def run(self) -> None:
         """Write it as the home, read it without one, until cancelled."""
@@ -80,22 +82,21 @@
 
     async def _keep(self, now: float) -> None:
         if self._state.is_home(now):
-            await self._write_if_old()
+            await self._write_if_old(now)
         elif self._is_alone(now) and now - self._read_at >= READ_PERIOD:
             await self.read()
 
-    async def _write_if_old(self) -> None:
-        convicted = self._state.crashes.table.convicted
-        if self._written == convicted.keys():
+    async def _write_if_old(self, now: float) -> None:
+        verdicts = self._state.crashes.verdicts(now)
+        if self._written == verdicts.keys():
             return
-        known = list(convicted)
-        content = msgspec.json.encode(CrashRecordContent(known))
+        content = msgspec.json.encode(CrashRecordContent(verdicts))
         epoch = self._state.tenure.epoch
         await self._store.transact(
             {HOME_KEY: epoch},
             (Write(CRASHES_KEY, content),),
         )
-        self._written = frozenset(known)
+        self._written = frozenset(verdicts)
 
     def _is_alone(self, now: float) -> bool:
         """Tell whether no home tells this node of verdicts."""
--- a/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
@@ -180,7 +180,7 @@
             except (OSError, WebSocketException) as exc:
                 logger.info('Could not ask the home: %r', exc)
 
-        await ask(self._state.crashes.report())
+        await ask(self._state.crashes.report(self._state.timers.now()))
         for asker in self._askers:
             asker.connect(ask)
         self._lost.last = self._state.home
@@ -189,6 +189,7 @@
             self._learn(decode_from_home(await link.recv()))
 
     def _learn(self, message: FromHome) -> None:
+        now = self._state.timers.now()
         match message:
             case GrantMessage():
                 self._grants.learn(message)
@@ -202,9 +203,8 @@
             case ResignMessage():
                 self._state.note_vacant(message.epoch)
             case VerdictsMessage():
-                self._state.crashes.learn_verdicts(message.convicted)
+                self._state.crashes.learn_verdicts(message.convicted, now)
             case SuccessorMessage():
-                now = self._state.timers.now()
                 self._state.follow_home(message.home, now)
 
     async def _look_for_store(self, link: ClientConnection) -> None:
--- a/packages/spanfall-node/src/spanfall_node/gateway/grants.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/grants.py
@@ -53,7 +53,7 @@
     """
     now = state.timers.now()
     state.learn_own_load(now)
-    standing = state.crashes.standing(request.ask.identity)
+    standing = state.crashes.standing(request.ask.identity, now)
     if standing is Standing.CONVICTED:
         return GrantMessage(number, standing=standing)
     candidates = state.directory.serving(request.service)
@@ -206,7 +206,7 @@
     ) -> Choice | Standing | None:
         """Choose from what is known here; only the home tries suspects."""
         state = self.state
-        standing = state.crashes.standing(ask.identity)
+        standing = state.crashes.standing(ask.identity, state.timers.now())
         if standing in HELD:
             return standing
         return choose(
--- a/packages/spanfall-node/src/spanfall_node/gateway/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home_links.py
@@ -14,7 +14,11 @@
 from websockets.asyncio.server import ServerConnection, serve
 from websockets.exceptions import WebSocketException
 
-from spanfall_node.gateway.crash_messages import CrashReport, WatchedRun
+from spanfall_node.gateway.crash_messages import (
+    CrashReport,
+    VerdictsMessage,
+    WatchedRun,
+)
 from spanfall_node.gateway.grants import decide
 from spanfall_node.gateway.messages import (
     MESSAGE_BYTES,
@@ -152,7 +156,9 @@
     ) -> bytes | None:
         crashes = self._state.crashes
         crashes.learn_report(report, now)
-        return encode(crashes.verdicts()) if report.is_first else None
+        if not report.is_first:
+            return None
+        return encode(VerdictsMessage(crashes.verdicts(now)))
 
     def _grant(self, message: AskMessage, now: float) -> GrantMessage:
         state = self._state
--- a/packages/spanfall-node/src/spanfall_node/gateway/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/relay.py
@@ -165,19 +165,17 @@
 ) -> Answered | Failed:
     """Send a request; find out whether its upstream ended under it."""
     identity = exchange.work.identity
+    known = state.crashes.standing(identity, state.timers.now())
+    is_watched = choice.is_watched or known is not Standing.FREE
     note_run = partial(access.crashes.note_run, identity)
-    if choice.is_watched:
+    if is_watched:
         exchange.tell_began = partial(note_run, RunStage.BEGAN)
     ended = await send(state, access.pool, exchange, choice)
-    if isinstance(ended, Answered):
-        if state.crashes.standing(identity) is not Standing.FREE or (
-            choice.is_watched
-        ):
-            await note_run(RunStage.WHOLE)
-    elif ended.end is SendEnd.BROKEN:
+    if isinstance(ended, Failed) and ended.end is SendEnd.BROKEN:
         await access.crashes.examine(identity, choice.upstream)
-    elif choice.is_watched:
-        await note_run(RunStage.OVER)
+    elif is_watched:
+        is_whole = isinstance(ended, Answered)
+        await note_run(RunStage.WHOLE if is_whole else RunStage.OVER)
     return ended
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/verdict_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/verdict_links.py
@@ -2,6 +2,7 @@
 
 from websockets.asyncio.server import ServerConnection
 
+from spanfall_node.gateway.crash_messages import VerdictsMessage
 from spanfall_node.gateway.link_sends import send_to_all
 from spanfall_node.gateway.state import GatewayState
 
@@ -29,4 +30,6 @@
             changed = crashes.changed
             await changed.wait()
             if self._state.tenure is not None:
-                await send_to_all(list(self._links), crashes.verdicts())
+                now = self._state.timers.now()
+                message = VerdictsMessage(crashes.verdicts(now))
+                await send_to_all(list(self._links), message)
--- a/tests/test_gateway_crash_spread.py
+++ b/tests/test_gateway_crash_spread.py
@@ -4,7 +4,7 @@
 
 import anyio
 from gateway_world import ask, in_world
-from spanfall_core.gateway.crashes import Standing
+from spanfall_core.gateway.crashes import VERDICT_SECONDS, Standing
 from spanfall_core.gateway.identity import request_identity
 from spanfall_node.gateway.crash_knowledge import CrashKnowledge
 from spanfall_node.gateway.crash_messages import RunStage, WatchedRun
@@ -36,7 +36,10 @@
 
 def is_known(state):
     """Tell whether a node sends the request no more."""
-    return state.crashes.standing(IDENTITY) is Standing.CONVICTED
+    return (
+        state.crashes.standing(IDENTITY, state.timers.now())
+        is Standing.CONVICTED
+    )
 
 
 @in_world
@@ -71,7 +74,7 @@
     await world.add_upstream(in_turn(raw(BROKEN), whole()))
     state = await world.add_gateway()
     await ask(state, PATH, body=DEADLY)
-    assert state.crashes.standing(IDENTITY) is Standing.FREE
+    assert state.crashes.standing(IDENTITY, state.timers.now()) is Standing.FREE
     answer = await ask(state, PATH, attempt='a2', body=DEADLY)
     assert answer.status == 200
 
@@ -81,8 +84,8 @@
     for number in range(3):
         entry = CrashKnowledge()
         entry.note_end(IDENTITY, f'u-{number}', 0)
-        home.learn_report(entry.report(), 0)
-    assert home.standing(IDENTITY) is Standing.CONVICTED
+        home.learn_report(entry.report(0), 0)
+    assert home.standing(IDENTITY, 0) is Standing.CONVICTED
 
 
 def test_the_home_lets_the_next_trial_begin():
@@ -91,3 +94,14 @@
     home.note_run(WatchedRun(IDENTITY, RunStage.BEGAN), 0.1)
     assert not home.trials.try_begin('s', 'other', 0.2)
     assert home.trials.try_begin('s', 'other', 0.4)
+
+
+def test_a_verdict_passed_on_ends_with_the_first():
+    first, second = CrashKnowledge(), CrashKnowledge()
+    for number in range(3):
+        first.note_end(IDENTITY, f'u-{number}', 0)
+    half = VERDICT_SECONDS / 2
+    second.learn_report(first.report(half), half)
+    assert second.standing(IDENTITY, half) is Standing.CONVICTED
+    assert second.standing(IDENTITY, VERDICT_SECONDS) is Standing.FREE
+    assert not second.verdicts(VERDICT_SECONDS)
--- a/tests/test_gateway_crash_table.py
+++ b/tests/test_gateway_crash_table.py
@@ -15,6 +15,7 @@
     MOST_REMEMBERED,
     MOST_VERDICTS,
     TRIAL_SECONDS,
+    VERDICT_SECONDS,
     CrashTable,
     Standing,
     Trials,
@@ -66,7 +67,7 @@
 
     def send(self, name):
         """Send a request as its standing allows."""
-        standing = self.table.standing(name)
+        standing = self.table.standing(name, self.now)
         if standing is Standing.CONVICTED:
             self.waiting.remove(name)
             return
@@ -86,7 +87,7 @@
         for name in broken:
             self.runs.pop(name)
             self.trials.end(name, self.now)
-            self.table.note_end(name, upstream)
+            self.table.note_end(name, upstream, self.now)
             self.waiting.append(name)
 
 
@@ -130,41 +131,41 @@
 def test_an_end_that_is_explained_counts_no_more():
     table = CrashTable()
     for number in range(CONVICTED_AFTER):
-        table.note_end('beside', f'u-{number}')
+        table.note_end('beside', f'u-{number}', 0)
         if number == 1:
             table.clear('beside')
-        table.note_end(CAUSE, f'u-{number}')
-    table.note_end('told late', 'u-2')
-    assert table.standing('beside') is Standing.FREE
-    assert table.standing('told late') is Standing.FREE
+        table.note_end(CAUSE, f'u-{number}', 0)
+    table.note_end('told late', 'u-2', 0)
+    assert table.standing('beside', 0) is Standing.FREE
+    assert table.standing('told late', 0) is Standing.FREE
 
 
 @pytest.mark.parametrize('ends', (1, 2))
 def test_a_whole_answer_clears(ends):
     table = CrashTable()
     for number in range(ends):
-        table.note_end('r', f'u-{number}')
-    assert table.standing('r') is not Standing.FREE
+        table.note_end('r', f'u-{number}', 0)
+    assert table.standing('r', 0) is not Standing.FREE
     table.clear('r')
-    assert table.standing('r') is Standing.FREE
+    assert table.standing('r', 0) is Standing.FREE
 
 
 def test_endless_requests_displace_no_suspect():
     table = CrashTable()
-    table.note_end('suspect', 'u-0')
-    table.note_end('suspect', 'u-1')
+    table.note_end('suspect', 'u-0', 0)
+    table.note_end('suspect', 'u-1', 0)
     for number in range(MOST_REMEMBERED + 10):
-        table.note_end(f'r-{number}', f'u-{number}')
+        table.note_end(f'r-{number}', f'u-{number}', 0)
     assert len(table.ends) <= MOST_REMEMBERED
-    assert table.standing('suspect') is Standing.SUSPECT
+    assert table.standing('suspect', 0) is Standing.SUSPECT
 
 
 def test_verdicts_are_bounded():
     table = CrashTable()
     for number in range(MOST_VERDICTS + 10):
-        table.convict(f'r-{number}')
+        table.convict(f'r-{number}', 1)
     assert len(table.convicted) == MOST_VERDICTS
-    assert table.standing(f'r-{MOST_VERDICTS}') is Standing.CONVICTED
+    assert table.standing(f'r-{MOST_VERDICTS}', 0) is Standing.CONVICTED
 
 
 def test_a_trial_that_nobody_ends_is_over_in_time():
@@ -173,3 +174,11 @@
     assert not trials.try_begin('s', 'b', TRIAL_SECONDS / 2)
     assert trials.try_begin('other', 'c', TRIAL_SECONDS / 2)
     assert trials.try_begin('s', 'b', TRIAL_SECONDS)
+
+
+def test_a_verdict_stands_for_its_time():
+    table = CrashTable()
+    for number in range(CONVICTED_AFTER):
+        table.note_end(CAUSE, f'u-{number}', 5)
+    assert table.standing(CAUSE, VERDICT_SECONDS) is Standing.CONVICTED
+    assert table.standing(CAUSE, VERDICT_SECONDS + 5) is Standing.FREE
--- a/tests/test_gateway_messages.py
+++ b/tests/test_gateway_messages.py
@@ -51,14 +51,14 @@
     LoadMessage('n/i', LOAD),
     AskMessage('n/i', 3, GrantRequest('llm', ASK), LOAD),
     UnitsRequest('n/i', 3, 'w', 500.0),
-    CrashReport({IDENTITY: (LIFETIME,)}, (IDENTITY,), is_first=True),
+    CrashReport({IDENTITY: (LIFETIME,)}, {IDENTITY: 9.5}, is_first=True),
     WatchedRun(IDENTITY, RunStage.WHOLE),
 ]
 FROM_HOME = [
     GrantMessage(3, Grant(3, LIFETIME, 100, 50)),
     GrantMessage(4),
     GrantMessage(5, standing=Standing.CONVICTED),
-    VerdictsMessage((IDENTITY,)),
+    VerdictsMessage({IDENTITY: 9.5}),
     UnitsMessage(3, 'w', 500.0),
     TableMessage(
         epoch=3,
