Call a request that is not served quarantined, and tell of each one

The words were those of a court; the field says quarantine. A quarantine that began while entries were told of another one was not told until the next: the event to wait for is taken before the sends. Found by reading; the record and new links told it all the same.

--- a/packages/spanfall-core/src/spanfall_core/gateway/crashes.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/crashes.py
@@ -16,17 +16,18 @@
 #: ran on each upstream that is reclaimed would have to wait for each other.
 SUSPECT_AFTER = 2
 #: Ends after which it is not served any more.
-CONVICTED_AFTER = 3
-#: Requests of which ends are remembered: 1.5 MB, measured. Those with one end go
-#: first, the oldest before others: they are free anyway.
+QUARANTINED_AFTER = 3
+#: Requests of which ends are remembered: 1.5 MB, measured. Those with one end
+#: go first, the oldest before others: they are free anyway.
 MOST_REMEMBERED = 4096
-#: Seconds for which a verdict stands, so that a request is served again some
+#: Seconds for which a request is quarantined, so that it is served again some
 #: time after its upstreams were mended: it costs three of them a day at most.
-VERDICT_SECONDS = 86_400.0
-#: Verdicts that are kept; the oldest go first. Each has cost three upstreams.
-MOST_VERDICTS = 512
-#: Upstreams remembered whose end a verdict explains: those that ran beside the
-#: request may be told of later.
+QUARANTINE_SECONDS = 86_400.0
+#: Quarantined requests that are kept; the oldest go first. Each has cost three
+#: upstreams.
+MOST_QUARANTINED = 512
+#: Upstreams remembered whose end a quarantine explains: those that ran beside
+#: the request may be told of later.
 MOST_EXPLAINED = 1024
 #: Seconds after which a trial whose end nobody told is taken to be over.
 TRIAL_SECONDS = 1.5
@@ -46,7 +47,7 @@
     #: It is sent alone, when no other such request is.
     SUSPECT = 'suspect'
     #: It is not sent any more.
-    CONVICTED = 'convicted'
+    QUARANTINED = 'quarantined'
 
 
 Key = TypeVar('Key')
@@ -57,19 +58,19 @@
 class CrashTable:
     """Hold under which requests upstreams ended."""
 
-    #: Requests that are not sent until a time, oldest verdict first.
-    convicted: dict[RequestIdentity, float] = field(default_factory=dict)
+    #: Requests that are not sent until a time, the oldest first.
+    quarantined: dict[RequestIdentity, float] = field(default_factory=dict)
     #: Upstreams that ended under each other request, oldest first.
     ends: dict[RequestIdentity, set[Lifetime]] = field(default_factory=dict)
     _explained: dict[Lifetime, None] = field(default_factory=dict)
 
     def standing(self, identity: RequestIdentity, now: float) -> Standing:
         """Tell how a request may be sent."""
-        until = self.convicted.get(identity)
+        until = self.quarantined.get(identity)
         if until is not None:
             if now < until:
-                return Standing.CONVICTED
-            self.convicted.pop(identity)
+                return Standing.QUARANTINED
+            self.quarantined.pop(identity)
         ends = len(self.ends.get(identity, ()))
         if not ends:
             return Standing.FREE
@@ -83,24 +84,24 @@
     ) -> bool:
         """Note that an upstream ended under a request.
 
-        Return whether it is convicted by that.
+        Return whether it is quarantined by that.
         """
-        if identity in self.convicted or lifetime in self._explained:
+        if identity in self.quarantined or lifetime in self._explained:
             return False
         ends = self.ends.pop(identity, set()) | {lifetime}
         self.ends[identity] = ends
-        if len(ends) >= CONVICTED_AFTER:
-            self.convict(identity, now + VERDICT_SECONDS)
+        if len(ends) >= QUARANTINED_AFTER:
+            self.quarantine(identity, now + QUARANTINE_SECONDS)
             return True
         self._forget_one()
         return False
 
-    def convict(self, identity: RequestIdentity, until: float) -> None:
+    def quarantine(self, identity: RequestIdentity, until: float) -> None:
         """Send a request no more; clear those that only ran beside it."""
         explained = self.ends.pop(identity, set())
         self._explained.update(dict.fromkeys(explained))
-        self.convicted[identity] = until
-        _keep_newest(self.convicted, MOST_VERDICTS)
+        self.quarantined[identity] = until
+        _keep_newest(self.quarantined, MOST_QUARANTINED)
         _keep_newest(self._explained, MOST_EXPLAINED)
         left = {other: ends - explained for other, ends in self.ends.items()}
         self.ends = {other: ends for other, ends in left.items() if ends}
--- a/packages/spanfall-node/src/spanfall_node/gateway/admission.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/admission.py
@@ -78,7 +78,7 @@
     workspace = _workspace(state, configuration, route, req, began_at)
     identity = _identity(req, body, workspace)
     standing = state.crashes.standing(identity, began_at)
-    if standing is Standing.CONVICTED:
+    if standing is Standing.QUARANTINED:
         raise EndsUpstreamsError(identity)
     prompt, most_output = token_counts(req, names)
     units = _units(workspace, prompt + most_output)
--- a/packages/spanfall-node/src/spanfall_node/gateway/crash_knowledge.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/crash_knowledge.py
@@ -1,9 +1,9 @@
 """Hold what a node knows of requests that end upstreams.
 
-Each entry keeps what it saw itself and the verdicts that it heard, and tells
-both to each new home, so that no loss of a home loses them. The home holds the
-sum, tries suspects and tells each verdict at once; its record in the store is
-for a restart of all nodes.
+Each entry keeps what it saw itself and what it heard to be quarantined, and
+tells both to each new home, so that no loss of a home loses them. The home
+holds the sum, tries suspects and tells of each quarantine at once; its record
+in the store is for a restart of all nodes.
 """
 
 import logging
@@ -22,8 +22,8 @@
 
 from spanfall_node.gateway.crash_messages import (
     CrashReport,
+    Quarantined,
     RunStage,
-    Verdicts,
     WatchedRun,
 )
 
@@ -37,11 +37,11 @@
 
 @dataclass(slots=True)
 class CrashKnowledge:
-    """Hold the ends of upstreams, the verdicts and, at the home, the trials."""
+    """Hold ends of upstreams, what is quarantined and, as home, the trials."""
 
     table: CrashTable = field(default_factory=CrashTable)
     trials: Trials = field(default_factory=Trials)
-    #: Set, and replaced, as there is another verdict.
+    #: Set, and replaced, as another request is quarantined.
     changed: anyio.Event = field(default_factory=anyio.Event)
 
     def standing(self, identity: RequestIdentity, now: float) -> Standing:
@@ -76,16 +76,16 @@
 
     def learn_report(self, report: CrashReport, now: float) -> None:
         """Take over, as the home, what an entry knows."""
-        self.learn_verdicts(report.convicted, now)
+        self.learn_quarantined(report.quarantined, now)
         for identity, lifetimes in report.ends.items():
             for lifetime in lifetimes:
                 self.note_end(identity, lifetime, now)
 
-    def learn_verdicts(self, verdicts: Verdicts, now: float) -> None:
-        """Take over verdicts that another node knows."""
-        new = verdicts.keys() - self.table.convicted.keys()
+    def learn_quarantined(self, others: Quarantined, now: float) -> None:
+        """Take over what another node quarantined."""
+        new = others.keys() - self.table.quarantined.keys()
         for identity in new:
-            self.table.convict(identity, now + verdicts[identity])
+            self.table.quarantine(identity, now + others[identity])
             logger.info(
                 'Identity %s is not served any more, as others found',
                 identity,
@@ -97,11 +97,11 @@
         """Return what is known here, for a new home."""
         newest = islice(reversed(self.table.ends.items()), MOST_REPORTED)
         ends = {key: tuple(rows) for key, rows in newest}
-        return CrashReport(ends, self.verdicts(now), is_first=True)
+        return CrashReport(ends, self.quarantined(now), is_first=True)
 
-    def verdicts(self, now: float) -> Verdicts:
-        """Return all verdicts that stand."""
-        rows = self.table.convicted.items()
+    def quarantined(self, now: float) -> Quarantined:
+        """Return the quarantined requests and the seconds left."""
+        rows = self.table.quarantined.items()
         return {key: until - now for key, until in rows if until > now}
 
     def _tell(self) -> None:
--- a/packages/spanfall-node/src/spanfall_node/gateway/crash_messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/crash_messages.py
@@ -7,7 +7,7 @@
 from spanfall_core.gateway.lifetimes import Lifetime
 
 #: Seconds for which requests are still not to be sent.
-Verdicts = dict[RequestIdentity, float]
+Quarantined = dict[RequestIdentity, float]
 
 
 class CrashReport(
@@ -20,8 +20,8 @@
 
     #: Upstreams that ended, by the request that ran there.
     ends: dict[RequestIdentity, tuple[Lifetime, ...]] = {}
-    convicted: Verdicts = {}
-    #: Whether the entry is to hear all verdicts.
+    quarantined: Quarantined = {}
+    #: Whether the entry is to hear of all quarantined requests.
     is_first: bool = False
 
 
@@ -44,7 +44,7 @@
     stage: RunStage
 
 
-class VerdictsMessage(msgspec.Struct, frozen=True, tag='verdicts'):
+class QuarantineMessage(msgspec.Struct, frozen=True, tag='quarantine'):
     """Tell an entry which requests are not sent any more."""
 
-    convicted: Verdicts
+    quarantined: Quarantined
--- a/packages/spanfall-node/src/spanfall_node/gateway/crash_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/crash_record.py
@@ -1,6 +1,6 @@
 """Keep in the store which requests are not served any more.
 
-It is written with each verdict, for a restart of all nodes and for entries
+It is written with each quarantine, for a restart of all nodes and for entries
 that reach the store and not the home.
 """
 
@@ -11,7 +11,7 @@
 from spanfall_core.gateway.identity import RequestIdentity
 from spanfall_core.gateway.reporting import report_period, unheard_after
 
-from spanfall_node.gateway.crash_messages import Verdicts
+from spanfall_node.gateway.crash_messages import Quarantined
 from spanfall_node.gateway.ports import Write
 from spanfall_node.gateway.state import GatewayState
 from spanfall_node.gateway.store_client import StoreClient, StoreError
@@ -32,7 +32,7 @@
 class CrashRecordContent(msgspec.Struct, frozen=True):
     """Hold for how long each request was not to be sent as it was written."""
 
-    convicted: Verdicts
+    quarantined: Quarantined
 
 
 class CrashRecord:
@@ -64,9 +64,9 @@
         except (ValueError, RecursionError):
             logger.exception('The record of crashes cannot be read')
             return
-        self._written = frozenset(content.convicted)
+        self._written = frozenset(content.quarantined)
         now = self._state.timers.now()
-        self._state.crashes.learn_verdicts(content.convicted, now)
+        self._state.crashes.learn_quarantined(content.quarantined, now)
 
     async def run(self) -> None:
         """Write it as the home, read it without one, until cancelled."""
@@ -87,19 +87,19 @@
             await self.read()
 
     async def _write_if_old(self, now: float) -> None:
-        verdicts = self._state.crashes.verdicts(now)
-        if self._written == verdicts.keys():
+        quarantined = self._state.crashes.quarantined(now)
+        if self._written == quarantined.keys():
             return
-        content = msgspec.json.encode(CrashRecordContent(verdicts))
+        content = msgspec.json.encode(CrashRecordContent(quarantined))
         epoch = self._state.tenure.epoch
         await self._store.transact(
             {HOME_KEY: epoch},
             (Write(CRASHES_KEY, content),),
         )
-        self._written = frozenset(verdicts)
+        self._written = frozenset(quarantined)
 
     def _is_alone(self, now: float) -> bool:
-        """Tell whether no home tells this node of verdicts."""
+        """Tell whether no home tells this node of quarantines."""
         state = self._state
         if state.tenure is not None:
             return False
--- a/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
@@ -13,7 +13,7 @@
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import WebSocketException
 
-from spanfall_node.gateway.crash_messages import VerdictsMessage
+from spanfall_node.gateway.crash_messages import QuarantineMessage
 from spanfall_node.gateway.crash_watch import CrashWatch
 from spanfall_node.gateway.followed_table import FollowedTable
 from spanfall_node.gateway.grants import Grants
@@ -202,8 +202,8 @@
                 self._asked.set()
             case ResignMessage():
                 self._state.note_vacant(message.epoch)
-            case VerdictsMessage():
-                self._state.crashes.learn_verdicts(message.convicted, now)
+            case QuarantineMessage():
+                self._state.crashes.learn_quarantined(message.quarantined, now)
             case SuccessorMessage():
                 self._state.follow_home(message.home, now)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/grants.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/grants.py
@@ -32,7 +32,7 @@
 ALONE_SECONDS = 0.5
 
 #: Standings of requests that are not sent without the home's grant.
-HELD = frozenset((Standing.SUSPECT, Standing.CONVICTED))
+HELD = frozenset((Standing.SUSPECT, Standing.QUARANTINED))
 
 #: Outcomes of a choice, as counted.
 AS_HOME = 'as-home'
@@ -54,7 +54,7 @@
     now = state.timers.now()
     state.learn_own_load(now)
     standing = state.crashes.standing(request.ask.identity, now)
-    if standing is Standing.CONVICTED:
+    if standing is Standing.QUARANTINED:
         return GrantMessage(number, standing=standing)
     candidates = state.directory.serving(request.service)
     if standing is Standing.SUSPECT:
--- a/packages/spanfall-node/src/spanfall_node/gateway/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home_links.py
@@ -16,7 +16,7 @@
 
 from spanfall_node.gateway.crash_messages import (
     CrashReport,
-    VerdictsMessage,
+    QuarantineMessage,
     WatchedRun,
 )
 from spanfall_node.gateway.grants import decide
@@ -36,6 +36,7 @@
     encode,
 )
 from spanfall_node.gateway.passing_on import PassingOn
+from spanfall_node.gateway.quarantine_links import QuarantineLinks
 from spanfall_node.gateway.sockets import BACKLOG
 from spanfall_node.gateway.state import GatewayState
 from spanfall_node.gateway.succession import Succession
@@ -44,7 +45,6 @@
     StoreReached,
     SuccessorMessage,
 )
-from spanfall_node.gateway.verdict_links import VerdictLinks
 
 logger = logging.getLogger(__name__)
 
@@ -59,7 +59,7 @@
         """Use the tables of the node."""
         self._state = state
         self._succession = Succession(state)
-        self._verdicts = VerdictLinks(state)
+        self._quarantine = QuarantineLinks(state)
         self._passing_on = PassingOn(state.cfg.host.link_megabits)
 
     async def run(self) -> None:
@@ -76,7 +76,7 @@
         ):
             try:
                 async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(self._verdicts.run)
+                    tasks.start_soon(self._quarantine.run)
                     await self._succession.run()
             finally:
                 self._resign()
@@ -88,7 +88,7 @@
 
     async def _serve_link(self, link: ServerConnection) -> None:
         self._succession.add(link)
-        self._verdicts.add(link)
+        self._quarantine.add(link)
         try:
             async for received in link:
                 if self._state.tenure is None:
@@ -103,7 +103,7 @@
             logger.exception('An entry sent no message; check its version')
         finally:
             self._succession.remove(link)
-            self._verdicts.remove(link)
+            self._quarantine.remove(link)
 
     async def _refer(self, link: ServerConnection) -> None:
         """Name the home to an entry that takes this node for it."""
@@ -158,7 +158,7 @@
         crashes.learn_report(report, now)
         if not report.is_first:
             return None
-        return encode(VerdictsMessage(crashes.verdicts(now)))
+        return encode(QuarantineMessage(crashes.quarantined(now)))
 
     def _grant(self, message: AskMessage, now: float) -> GrantMessage:
         state = self._state
--- a/packages/spanfall-node/src/spanfall_node/gateway/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/messages.py
@@ -16,7 +16,7 @@
 
 from spanfall_node.gateway.crash_messages import (
     CrashReport,
-    VerdictsMessage,
+    QuarantineMessage,
     WatchedRun,
 )
 from spanfall_node.gateway.succession_messages import (
@@ -203,7 +203,7 @@
     | StoreQuestion
     | ResignMessage
     | SuccessorMessage
-    | VerdictsMessage
+    | QuarantineMessage
 )
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/verdict_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/quarantine_links.py
@@ -1,14 +1,14 @@
-"""Tell all entries of a verdict at once, while this node is the home."""
+"""Tell all entries of a quarantine at once, while this node is the home."""
 
 from websockets.asyncio.server import ServerConnection
 
-from spanfall_node.gateway.crash_messages import VerdictsMessage
+from spanfall_node.gateway.crash_messages import QuarantineMessage
 from spanfall_node.gateway.link_sends import send_to_all
 from spanfall_node.gateway.state import GatewayState
 
 
-class VerdictLinks:
-    """Hold the links of entries that hear verdicts."""
+class QuarantineLinks:
+    """Hold the links of entries that hear of quarantines."""
 
     def __init__(self, state: GatewayState) -> None:
         """Use the tables of the node."""
@@ -24,12 +24,14 @@
         self._links.discard(link)
 
     async def run(self) -> None:
-        """Tell each verdict as it is found, until cancelled."""
+        """Tell of each quarantine as it begins, until cancelled."""
         crashes = self._state.crashes
+        changed = crashes.changed
         while True:
-            changed = crashes.changed
             await changed.wait()
+            # Before the sends, during which another one may begin.
+            changed = crashes.changed
             if self._state.tenure is not None:
                 now = self._state.timers.now()
-                message = VerdictsMessage(crashes.verdicts(now))
+                message = QuarantineMessage(crashes.quarantined(now))
                 await send_to_all(list(self._links), message)
--- a/packages/spanfall-node/src/spanfall_node/gateway/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/relay.py
@@ -152,7 +152,7 @@
     if exchange.started:
         await _cut(state, exchange, RefusalReason.ENDS_UPSTREAMS)
         return
-    if standing is Standing.CONVICTED:
+    if standing is Standing.QUARANTINED:
         raise EndsUpstreamsError(exchange.work.identity)
     if exchange.sends.may_have_run:
         raise _final_refusal(NextStep.ANSWER_UNKNOWN)
--- a/tests/test_gateway_crash_spread.py
+++ b/tests/test_gateway_crash_spread.py
@@ -4,7 +4,7 @@
 
 import anyio
 from gateway_world import ask, in_world
-from spanfall_core.gateway.crashes import VERDICT_SECONDS, Standing
+from spanfall_core.gateway.crashes import QUARANTINE_SECONDS, Standing
 from spanfall_core.gateway.identity import request_identity
 from spanfall_node.gateway.crash_knowledge import CrashKnowledge
 from spanfall_node.gateway.crash_messages import RunStage, WatchedRun
@@ -24,7 +24,7 @@
 BROKEN = b'HTTP/1.1 200 OK\r\nattempt: {id}\r\nsigned: s\r\ncontent-length: 9'
 
 
-async def convict(world, state):
+async def quarantine(world, state):
     """Let three upstreams end under the request."""
     for _ in range(4):
         await world.add_upstream(ends_under(DEADLY, whole()))
@@ -38,22 +38,22 @@
     """Tell whether a node sends the request no more."""
     return (
         state.crashes.standing(IDENTITY, state.timers.now())
-        is Standing.CONVICTED
+        is Standing.QUARANTINED
     )
 
 
 @in_world
-async def test_all_entries_hear_a_verdict_at_once(world):
+async def test_all_entries_hear_a_quarantine_at_once(world):
     gateways = [await world.add_gateway() for _ in range(3)]
-    await convict(world, gateways[0])
+    await quarantine(world, gateways[0])
     with anyio.fail_after(0.2):
         await wait_until(lambda: all(map(is_known, gateways)))
 
 
 @in_world
-async def test_a_verdict_outlives_a_restart_of_all(world):
+async def test_a_quarantine_outlives_a_restart_of_all(world):
     before = await world.add_gateway()
-    await convict(world, before)
+    await quarantine(world, before)
     await wait_until(lambda: CRASHES_KEY in world.store.items)
     before.tenure.resign()
     after = await world.add_unready_gateway()
@@ -65,7 +65,7 @@
     home = await world.add_gateway()
     with patch.object(EntryLink, '_connect', side_effect=OSError('cut')):
         alone = await world.add_gateway()
-        await convict(world, home)
+        await quarantine(world, home)
         await wait_until(lambda: is_known(alone))
 
 
@@ -85,7 +85,7 @@
         entry = CrashKnowledge()
         entry.note_end(IDENTITY, f'u-{number}', 0)
         home.learn_report(entry.report(0), 0)
-    assert home.standing(IDENTITY, 0) is Standing.CONVICTED
+    assert home.standing(IDENTITY, 0) is Standing.QUARANTINED
 
 
 def test_the_home_lets_the_next_trial_begin():
@@ -96,12 +96,12 @@
     assert home.trials.try_begin('s', 'other', 0.4)
 
 
-def test_a_verdict_passed_on_ends_with_the_first():
+def test_a_quarantine_passed_on_ends_in_time():
     first, second = CrashKnowledge(), CrashKnowledge()
     for number in range(3):
         first.note_end(IDENTITY, f'u-{number}', 0)
-    half = VERDICT_SECONDS / 2
+    half = QUARANTINE_SECONDS / 2
     second.learn_report(first.report(half), half)
-    assert second.standing(IDENTITY, half) is Standing.CONVICTED
-    assert second.standing(IDENTITY, VERDICT_SECONDS) is Standing.FREE
-    assert not second.verdicts(VERDICT_SECONDS)
+    assert second.standing(IDENTITY, half) is Standing.QUARANTINED
+    assert second.standing(IDENTITY, QUARANTINE_SECONDS) is Standing.FREE
+    assert not second.quarantined(QUARANTINE_SECONDS)
--- a/tests/test_gateway_crash_table.py
+++ b/tests/test_gateway_crash_table.py
@@ -11,11 +11,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from spanfall_core.gateway.crashes import (
-    CONVICTED_AFTER,
+    MOST_QUARANTINED,
     MOST_REMEMBERED,
-    MOST_VERDICTS,
+    QUARANTINE_SECONDS,
+    QUARANTINED_AFTER,
     TRIAL_SECONDS,
-    VERDICT_SECONDS,
     CrashTable,
     Standing,
     Trials,
@@ -68,7 +68,7 @@
     def send(self, name):
         """Send a request as its standing allows."""
         standing = self.table.standing(name, self.now)
-        if standing is Standing.CONVICTED:
+        if standing is Standing.QUARANTINED:
             self.waiting.remove(name)
             return
         if standing is Standing.SUSPECT:
@@ -110,27 +110,27 @@
 @settings(max_examples=150, deadline=None)
 def test_the_cause_is_found_and_nobody_else(seed, cause_at):
     fleet = play(seed, {*cause_at, 60}, set())
-    assert list(fleet.table.convicted) == [CAUSE]
-    assert fleet.ended_by_cause == CONVICTED_AFTER
+    assert list(fleet.table.quarantined) == [CAUSE]
+    assert fleet.ended_by_cause == QUARANTINED_AFTER
     assert not fleet.waiting
     assert not fleet.runs
 
 
 @given(st.integers(0, 2**32), st.integers(0, 20))
 @settings(max_examples=150, deadline=None)
-def test_reclaimed_upstreams_convict_nobody(seed, first):
+def test_reclaimed_upstreams_quarantine_none(seed, first):
     """Most of the pool goes, again and again, as its hosts are reclaimed."""
     gap = 4 * RUN_STEPS
     waves = set(range(first, 200, gap))
     fleet = play(seed, set(), waves)
-    assert not fleet.table.convicted
+    assert not fleet.table.quarantined
     assert not fleet.waiting
     assert not fleet.runs
 
 
 def test_an_end_that_is_explained_counts_no_more():
     table = CrashTable()
-    for number in range(CONVICTED_AFTER):
+    for number in range(QUARANTINED_AFTER):
         table.note_end('beside', f'u-{number}', 0)
         if number == 1:
             table.clear('beside')
@@ -160,12 +160,12 @@
     assert table.standing('suspect', 0) is Standing.SUSPECT
 
 
-def test_verdicts_are_bounded():
+def test_quarantines_are_bounded():
     table = CrashTable()
-    for number in range(MOST_VERDICTS + 10):
-        table.convict(f'r-{number}', 1)
-    assert len(table.convicted) == MOST_VERDICTS
-    assert table.standing(f'r-{MOST_VERDICTS}', 0) is Standing.CONVICTED
+    for number in range(MOST_QUARANTINED + 10):
+        table.quarantine(f'r-{number}', 1)
+    assert len(table.quarantined) == MOST_QUARANTINED
+    assert table.standing(f'r-{MOST_QUARANTINED}', 0) is Standing.QUARANTINED
 
 
 def test_a_trial_that_nobody_ends_is_over_in_time():
@@ -176,9 +176,9 @@
     assert trials.try_begin('s', 'b', TRIAL_SECONDS)
 
 
-def test_a_verdict_stands_for_its_time():
+def test_a_quarantine_stands_for_its_time():
     table = CrashTable()
-    for number in range(CONVICTED_AFTER):
+    for number in range(QUARANTINED_AFTER):
         table.note_end(CAUSE, f'u-{number}', 5)
-    assert table.standing(CAUSE, VERDICT_SECONDS) is Standing.CONVICTED
-    assert table.standing(CAUSE, VERDICT_SECONDS + 5) is Standing.FREE
+    assert table.standing(CAUSE, QUARANTINE_SECONDS) is Standing.QUARANTINED
+    assert table.standing(CAUSE, QUARANTINE_SECONDS + 5) is Standing.FREE
--- a/tests/test_gateway_messages.py
+++ b/tests/test_gateway_messages.py
@@ -15,8 +15,8 @@
 from spanfall_core.gateway.unit_reports import GivenUnits
 from spanfall_node.gateway.crash_messages import (
     CrashReport,
+    QuarantineMessage,
     RunStage,
-    VerdictsMessage,
     WatchedRun,
 )
 from spanfall_node.gateway.messages import (
@@ -57,8 +57,8 @@
 FROM_HOME = [
     GrantMessage(3, Grant(3, LIFETIME, 100, 50)),
     GrantMessage(4),
-    GrantMessage(5, standing=Standing.CONVICTED),
-    VerdictsMessage({IDENTITY: 9.5}),
+    GrantMessage(5, standing=Standing.QUARANTINED),
+    QuarantineMessage({IDENTITY: 9.5}),
     UnitsMessage(3, 'w', 500.0),
     TableMessage(
         epoch=3,
--- a/tests/test_log_story.py
+++ b/tests/test_log_story.py
@@ -51,7 +51,7 @@
     line(1, 'n-2', 'relay', 'Request r4 at i-5 ended not-sent: y; next: again'),
 ]
 
-#: A request that comes again, and the verdict on it at another node.
+#: A request that comes again, and the quarantine of it at another node.
 AGAIN = [
     line(
         2,
@@ -116,7 +116,7 @@
 
 
 def test_a_refusal_of_what_ends_upstreams(tmp_path):
-    """The verdict shows with its request, and all attempts by its identity."""
+    """The quarantine shows with its request, and all attempts by its identity."""
     third = tmp_path / 'third.log'
     third.write_text('\n'.join(AGAIN))
     rows = explain(tmp_path, 'r5', str(third)).output.splitlines()
