--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -28,6 +28,7 @@
     PlainShare,
 )
 from spanfall_standins.gateway.server import (
+    AfterEnd,
     Seen,
     answer_bytes,
     start_server,
@@ -108,7 +109,11 @@
         encoded = msgspec.json.encode(self.configuration).decode()
         return self.store.put(CONFIGURATION_KEY, encoded)
 
-    async def add_upstream(self, behaviour: Behaviour) -> StandInUpstream:
+    async def add_upstream(
+        self,
+        behaviour: Behaviour,
+        after_end: AfterEnd = AfterEnd.REFUSES,
+    ) -> StandInUpstream:
         """Start an upstream and list it."""
         lifetime = f'u-{next(self._numbers)}'
         upstream = StandInUpstream(lifetime, behaviour)
@@ -116,6 +121,7 @@
             self.tasks,
             upstream.answer,
             upstream.life,
+            after_end,
         )
         row = ListedUpstream(lifetime, SERVICE, address, 'north', slots=4)
         encoded = msgspec.json.encode(row).decode()
@@ -123,6 +129,10 @@
         self.upstreams[lifetime] = upstream
         return upstream
 
+    def let_lapse(self, upstream: StandInUpstream) -> None:
+        """Remove the entry of an upstream that writes no more."""
+        self.store.remove(f'{UPSTREAM_PREFIX}{upstream.lifetime}')
+
     async def add_gateway(self, **bounds: float) -> GatewayState:
         """Start a gateway and wait until it is ready."""
         state = await self.add_unready_gateway(**bounds)
--- /dev/null
+++ b/tests/test_gateway_slow_signs.py
@@ -0,0 +1,79 @@
+"""Let a request that ends upstreams end no more where the ends show late.
+
+Seen: an address that still took connections and closed them, as a supervisor
+holds the port; a request that came again each 0.3 s ended 28 of 28 upstreams.
+Cause: an end was known by one sign only, that the address refuses at once.
+Proof: with suspicion ahead of certainty the same course ends three.
+"""
+
+import anyio
+import pytest
+from gateway_world import ask, in_world
+from spanfall_core.gateway.crashes import Standing
+from spanfall_core.gateway.identity import request_identity
+from spanfall_standins.gateway.server import AfterEnd
+from spanfall_standins.gateway.upstream import ends_under, whole
+from support import wait_until
+
+DEADLY = b'deadly'
+KNOWN_AFTER = 3
+#: Seconds between two attempts of the caller.
+PAUSE = 0.1
+ATTEMPTS = 10
+#: Seconds after which a caller leaves a stream that says nothing.
+PATIENCE = 1.5
+
+
+def ended(world):
+    """Return the upstreams whose processes have ended."""
+    return [row for row in world.upstreams.values() if row.life.cancel_called]
+
+
+def standing(state, path):
+    """Return how a node may send the request."""
+    identity = request_identity('', 'depot.example', 'POST', path, DEADLY)
+    return state.crashes.standing(identity, state.timers.now())
+
+
+async def send_again_and_again(gateways, path, attempts=ATTEMPTS):
+    """Send the request to one entry after the other; leave when it hangs."""
+    answers = []
+    for number in range(attempts):
+        state = gateways[number % len(gateways)]
+        with anyio.move_on_after(PATIENCE):
+            answer = await ask(state, path, attempt=f'd{number}', body=DEADLY)
+            answers.append(answer)
+        await anyio.sleep(PAUSE)
+    return answers
+
+
+@pytest.mark.parametrize('path', ('/resume/1', '/any/1', '/once/1'))
+@pytest.mark.parametrize('after_end', (AfterEnd.CLOSES, AfterEnd.SILENT))
+def test_slow_signs_end_three_upstreams(path, after_end):
+    @in_world
+    async def play(world):
+        for _ in range(9):
+            await world.add_upstream(ends_under(DEADLY, whole()), after_end)
+        gateways = [await world.add_gateway() for _ in range(2)]
+        await send_again_and_again(gateways, path)
+        assert len(ended(world)) == KNOWN_AFTER
+        assert all(
+            standing(state, path) is not Standing.QUARANTINED
+            for state in gateways
+        )
+        for upstream in ended(world):
+            world.let_lapse(upstream)
+        await wait_until(
+            lambda: all(
+                standing(state, path) is Standing.QUARANTINED
+                for state in gateways
+            )
+        )
+        later = await world.add_gateway()
+        answers = await send_again_and_again([later], path, 2)
+        assert {answer.status for answer in answers} == {502}
+        assert len(ended(world)) == KNOWN_AFTER
+        other = await ask(later, path, attempt='o', body=b'other')
+        assert other.status == 200
+
+    play()
