--- a/packages/spanfall-api/src/spanfall_api/gateway_settings.py
+++ b/packages/spanfall-api/src/spanfall_api/gateway_settings.py
@@ -74,6 +74,8 @@
     store: str
     #: Shortest lease that the store grants.
     least_lease_seconds: float = 0
+    #: Seconds after which each upstream writes its entry in the store again.
+    upstream_heartbeat_seconds: Positive = 1.2
     #: Address of the cloud API, host:port; empty: this fleet has no duties.
     cloud: str = ''
     #: Whether this fleet reports usage and orders upstreams.
--- a/packages/spanfall-core/src/spanfall_core/gateway/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/directory.py
@@ -6,6 +6,7 @@
 the one that it belongs to, until the upstream writes it again.
 """
 
+from collections import Counter
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, replace
 
@@ -91,6 +92,8 @@
         #: The latest start that is known of each upstream.
         self._born: dict[str, int] = {}
         self._by_service: dict[str, list[ListedUpstream]] = {}
+        #: Lifetimes that are listed at each address.
+        self._at_address: Counter[str] = Counter()
         #: When another upstream of each service was last listed.
         self._grown_at: dict[str, float] = {}
         #: Revision of the listing that changed each row or had it no more.
@@ -210,6 +213,10 @@
         """
         return self._by_service.get(service, [])
 
+    def is_replaced(self, row: ListedUpstream) -> bool:
+        """Tell whether another lifetime has the address of a listed one."""
+        return self._at_address[row.address] > 1
+
     def grown_at(self, service: str) -> float:
         """Return when another upstream of a service was last listed."""
         return self._grown_at.get(service, float('-inf'))
@@ -257,6 +264,8 @@
             if row.is_serving:
                 by_service.setdefault(row.service, []).append(row)
         self._by_service = by_service
+        listed = self.rows.values()
+        self._at_address = Counter(known.address for known in listed)
         self.digest = _digest(self.rows.values())
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/client.py
@@ -53,7 +53,7 @@
         return next((text for key, text in self.headers if key == name), b'')
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Connection:
     """Hold one connection to a server."""
 
@@ -197,6 +197,15 @@
             except SOCKET_ERRORS:
                 return
 
+    async def ends_within(self, seconds: float) -> bool:
+        """Tell whether the server closes a connection that it just took."""
+        with anyio.move_on_after(seconds):
+            try:
+                return not await self.stream.receive(READ_BYTES)
+            except SOCKET_ERRORS:
+                return True
+        return False
+
     def start_next(self) -> None:
         """Get ready for another request."""
         self.protocol.start_next_cycle()
@@ -307,6 +316,13 @@
         """Use the task group for the watchers of idle connections."""
         self._tasks = tasks
         self._idle: dict[str, list[IdleConnection]] = {}
+        self._in_use: dict[str, set[Connection]] = {}
+
+    def open_connections(self, key: str) -> set[Connection]:
+        """Return the connections to a server's lifetime that are open."""
+        idle = {row.conn for row in self._idle.get(key, ())}
+        known = idle | self._in_use.get(key, set())
+        return {conn for conn in known if not conn.is_closed}
 
     async def take(self, key: str, address: str, timeout: float) -> Connection:
         """Return an idle connection of a server's lifetime or a new one.
@@ -320,11 +336,19 @@
             await row.stop_watching()
             if not row.conn.is_closed:
                 row.conn.start_next()
-                return row.conn
-        return await connect(address, timeout)
+                return self._used(key, row.conn)
+        return self._used(key, await connect(address, timeout))
+
+    def _used(self, key: str, conn: Connection) -> Connection:
+        self._in_use.setdefault(key, set()).add(conn)
+        return conn
 
     async def give_back(self, key: str, conn: Connection) -> None:
         """Keep a connection for another request, or close it."""
+        in_use = self._in_use.get(key, set())
+        in_use.discard(conn)
+        if not in_use:
+            self._in_use.pop(key, None)
         if not conn.reusable or conn.is_closed:
             await conn.close()
             return
@@ -371,5 +395,6 @@
     except BaseException:
         await conn.close()
         raise
-    await pool.give_back(address, conn)
+    finally:
+        await pool.give_back(address, conn)
     return HttpReply(head.status, head.headers, body)
--- a/packages/spanfall-node/src/spanfall_node/gateway/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/counters.py
@@ -77,6 +77,11 @@
             'Entries of the list of upstreams that name none to use',
             registry=self.registry,
         )
+        self.unexamined = Counter(
+            'spanfall_unexamined_requests',
+            'Requests without an answer whose upstream was not examined',
+            registry=self.registry,
+        )
         self.dropped_logs = Counter(
             'spanfall_dropped_log_lines',
             'Log lines left out, because there were too many',
--- a/packages/spanfall-node/src/spanfall_node/gateway/crash_knowledge.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/crash_knowledge.py
@@ -11,12 +11,14 @@
 from itertools import islice
 
 import anyio
+from spanfall_core.gateway.crash_signs import settle
 from spanfall_core.gateway.crashes import (
     SETTLED_SECONDS,
     CrashTable,
     Standing,
     Trials,
 )
+from spanfall_core.gateway.directory import Directory
 from spanfall_core.gateway.identity import RequestIdentity
 from spanfall_core.gateway.lifetimes import Lifetime
 
@@ -43,6 +45,8 @@
     trials: Trials = field(default_factory=Trials)
     #: Set, and replaced, as another request is quarantined.
     changed: anyio.Event = field(default_factory=anyio.Event)
+    #: Set while it is open whether some upstreams have ended.
+    doubted: anyio.Event = field(default_factory=anyio.Event)
 
     def standing(self, identity: RequestIdentity, now: float) -> Standing:
         """Tell how a request may be sent, for all that is known here."""
@@ -57,13 +61,37 @@
         """Note that an upstream ended under a request."""
         self.trials.end(identity, now)
         if self.table.note_end(identity, lifetime, now):
-            logger.warning(
-                'Upstreams end under identity %s, %s last: '
-                'it is not served any more',
-                identity,
-                lifetime,
-            )
-            self._tell()
+            self._tell_quarantined(identity, lifetime)
+
+    def note_doubt(
+        self,
+        identity: RequestIdentity,
+        lifetime: Lifetime,
+        now: float,
+        *,
+        is_strong: bool,
+    ) -> None:
+        """Note that an upstream may have ended under a request."""
+        self.trials.end(identity, now)
+        self.table.note_doubt(identity, lifetime, now, is_strong=is_strong)
+        if self.table.doubts:
+            self.doubted.set()
+
+    def settle(
+        self,
+        directory: Directory,
+        heartbeat: float,
+        now: float,
+    ) -> None:
+        """Learn from the platform's list which doubted upstreams ended."""
+        settled = settle(self.table.doubts, directory, heartbeat, now)
+        for lifetime in settled.living:
+            self.table.absolve(lifetime)
+        for ended in settled.ended:
+            for identity in self.table.confirm(ended, now):
+                self._tell_quarantined(identity, ended)
+        if not self.table.doubts:
+            self.doubted = anyio.Event()
 
     def note_run(self, run: WatchedRun, now: float) -> None:
         """Note how far a watched run has come."""
@@ -80,6 +108,9 @@
         for identity, lifetimes in report.ends.items():
             for lifetime in lifetimes:
                 self.note_end(identity, lifetime, now)
+        for doubtful, rows in report.doubts.items():
+            for doubted, is_strong in rows.items():
+                self.note_doubt(doubtful, doubted, now, is_strong=is_strong)
 
     def learn_quarantined(self, others: Quarantined, now: float) -> None:
         """Take over what another node quarantined."""
@@ -95,15 +126,40 @@
 
     def report(self, now: float) -> CrashReport:
         """Return what is known here, for a new home."""
-        newest = islice(reversed(self.table.ends.items()), MOST_REPORTED)
-        ends = {key: tuple(rows) for key, rows in newest}
-        return CrashReport(ends, self.quarantined(now), is_first=True)
+        newest = dict(islice(reversed(self.table.ends.items()), MOST_REPORTED))
+        doubts = self.table.doubts
+        ends = {
+            key: tuple(rows - doubts.keys()) for key, rows in newest.items()
+        }
+        open_ends = {
+            key: {one: doubts[one].is_strong for one in rows & doubts.keys()}
+            for key, rows in newest.items()
+        }
+        return CrashReport(
+            ends,
+            self.quarantined(now),
+            is_first=True,
+            doubts=open_ends,
+        )
 
     def quarantined(self, now: float) -> Quarantined:
         """Return the quarantined requests and the seconds left."""
         rows = self.table.quarantined.items()
         return {key: until - now for key, until in rows if until > now}
 
+    def _tell_quarantined(
+        self,
+        identity: RequestIdentity,
+        lifetime: Lifetime,
+    ) -> None:
+        logger.warning(
+            'Upstreams end under identity %s, %s last: '
+            'it is not served any more',
+            identity,
+            lifetime,
+        )
+        self._tell()
+
     def _tell(self) -> None:
         self.changed.set()
         self.changed = anyio.Event()
--- a/packages/spanfall-node/src/spanfall_node/gateway/crash_messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/crash_messages.py
@@ -23,6 +23,8 @@
     quarantined: Quarantined = {}
     #: Whether the entry is to hear of all quarantined requests.
     is_first: bool = False
+    #: Those that may have ended, and whether nobody answers there.
+    doubts: dict[RequestIdentity, dict[Lifetime, bool]] = {}
 
 
 @unique
--- a/packages/spanfall-node/src/spanfall_node/gateway/grants.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/grants.py
@@ -32,7 +32,11 @@
 ALONE_SECONDS = 0.5
 
 #: Standings of requests that are not sent without the home's grant.
-HELD = frozenset((Standing.SUSPECT, Standing.QUARANTINED))
+WITHHELD = frozenset(
+    (Standing.SUSPECT, Standing.HELD, Standing.QUARANTINED),
+)
+#: Of these, those that the home does not grant either.
+NOT_SENT = frozenset((Standing.HELD, Standing.QUARANTINED))
 
 #: Outcomes of a choice, as counted.
 AS_HOME = 'as-home'
@@ -48,13 +52,13 @@
 ) -> GrantMessage:
     """Choose an upstream for an entry's request, as the home.
 
-    A request that ends upstreams gets none, and one that is suspect of it only
-    where no other such request is tried.
+    A request that ends upstreams, or may have ended as many, gets none, and one
+    that is suspect of it only where no other such request is tried.
     """
     now = state.timers.now()
     state.learn_own_load(now)
     standing = state.crashes.standing(request.ask.identity, now)
-    if standing is Standing.QUARANTINED:
+    if standing in NOT_SENT:
         return GrantMessage(number, standing=standing)
     candidates = state.directory.serving(request.service)
     if standing is Standing.SUSPECT:
@@ -191,7 +195,7 @@
         """Return the granted choice unless this node knows better."""
         grant = answer.grant
         if grant is None:
-            is_held = answer.standing in HELD
+            is_held = answer.standing in WITHHELD
             return answer.standing if is_held else None
         row = self.state.directory.rows.get(grant.lifetime)
         if row is None or not row.is_serving:
@@ -207,7 +211,7 @@
         """Choose from what is known here; only the home tries suspects."""
         state = self.state
         standing = state.crashes.standing(ask.identity, state.timers.now())
-        if standing in HELD:
+        if standing in WITHHELD:
             return standing
         return choose(
             state.directory.serving(service),
--- a/packages/spanfall-node/src/spanfall_node/gateway/program.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/program.py
@@ -102,7 +102,7 @@
     sync = Sync(state, store)
     grants = Grants(state)
     units = UnitRequests(state)
-    watch = CrashWatch(state)
+    watch = CrashWatch(state, pool)
     callers = Callers(state, UpstreamAccess(pool, grants, watch), units)
     records = HomeRecords(
         QuotaRecord(state, store),
@@ -120,6 +120,8 @@
         records.spending.run,
         records.needs.run,
         records.crashes.run,
+        watch.examine_unanswered,
+        watch.settle_doubts,
         EntryLink(state, sync, grants, units, watch).run,
     ]
     if state.cfg.reports_usage:
--- a/packages/spanfall-node/src/spanfall_node/gateway/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/relay.py
@@ -51,6 +51,9 @@
 TRIAL_WAIT_SECONDS = 1.5
 TRIAL_STEP = 0.05
 TRIAL_RETRY_SECONDS = 0.5
+#: Seconds after which one that is held may come back: until then the platform's
+#: list can hardly tell whether its upstreams have ended.
+HELD_RETRY_SECONDS = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,7 +159,10 @@
         raise EndsUpstreamsError(exchange.work.identity)
     if exchange.sends.may_have_run:
         raise _final_refusal(NextStep.ANSWER_UNKNOWN)
-    raise RefusedError(503, RefusalReason.TRIED_LATER, TRIAL_RETRY_SECONDS)
+    seconds = TRIAL_RETRY_SECONDS
+    if standing is Standing.HELD:
+        seconds = HELD_RETRY_SECONDS
+    raise RefusedError(503, RefusalReason.TRIED_LATER, seconds)
 
 
 async def _send_watched(
@@ -172,7 +178,7 @@
     note_run = partial(access.crashes.note_run, identity)
     if is_watched:
         exchange.tell_began = partial(note_run, RunStage.BEGAN)
-    ended = await send(state, access.pool, exchange, choice)
+    ended = await _send_or_note(state, access, exchange, choice)
     if isinstance(ended, Failed) and ended.end is SendEnd.BROKEN:
         await access.crashes.examine(identity, choice.upstream)
     elif is_watched:
@@ -181,6 +187,27 @@
     return ended
 
 
+async def _send_or_note(
+    state: GatewayState,
+    access: UpstreamAccess,
+    exchange: Exchange,
+    choice: Choice,
+) -> Answered | Failed:
+    """Send a request; note its upstream if the caller's time is over first."""
+    ended: Answered | Failed | None = None
+    began_at = state.timers.now()
+    try:
+        ended = await send(state, access.pool, exchange, choice)
+    finally:
+        if ended is None:
+            access.crashes.note_unanswered(
+                exchange.work.identity,
+                choice.upstream,
+                max(began_at, exchange.pace.last_at),
+            )
+    return ended
+
+
 def _ask(state: GatewayState, exchange: Exchange) -> Ask:
     work = exchange.work
     return Ask(
--- a/tests/test_gateway_crash_spread.py
+++ b/tests/test_gateway_crash_spread.py
@@ -88,6 +88,16 @@
     assert home.standing(IDENTITY, 0) is Standing.QUARANTINED
 
 
+def test_a_new_home_learns_what_is_open():
+    home = CrashKnowledge()
+    for number in range(3):
+        entry = CrashKnowledge()
+        entry.note_doubt(IDENTITY, f'u-{number}', 0, is_strong=True)
+        home.learn_report(entry.report(0), 0)
+    assert home.standing(IDENTITY, 0) is Standing.HELD
+    assert home.doubted.is_set()
+
+
 def test_the_home_lets_the_next_trial_begin():
     home = CrashKnowledge()
     assert home.trials.try_begin('s', IDENTITY, 0)
--- a/tests/test_gateway_messages.py
+++ b/tests/test_gateway_messages.py
@@ -52,6 +52,7 @@
     AskMessage('n/i', 3, GrantRequest('llm', ASK), LOAD),
     UnitsRequest('n/i', 3, 'w', 500.0),
     CrashReport({IDENTITY: (LIFETIME,)}, {IDENTITY: 9.5}, is_first=True),
+    CrashReport(doubts={IDENTITY: {LIFETIME: True}}),
     WatchedRun(IDENTITY, RunStage.WHOLE),
 ]
 FROM_HOME = [
