--- a/bench/gateway_tables.py
+++ b/bench/gateway_tables.py
@@ -3,22 +3,22 @@
 import time
 from itertools import count
 
-from spanfall_core.gateway.balance import PromptHistory, choose
-from spanfall_core.gateway.directory import ListedUpstream
-from spanfall_core.gateway.estimates import Ask
-from spanfall_core.gateway.fleet import EntryReport, FleetState
-from spanfall_core.gateway.grants import (
+from spanfall_core.gateway.known.directory import ListedUpstream
+from spanfall_core.gateway.known.fleet import EntryReport, FleetState
+from spanfall_core.gateway.known.limits import Limit
+from spanfall_core.gateway.known.loads import Loads
+from spanfall_core.gateway.known.prefixes import PromptPart
+from spanfall_core.gateway.known.unit_reports import EntrySpending
+from spanfall_core.gateway.limits.shared_levels import SharedLevels
+from spanfall_core.gateway.routing.balance import PromptHistory, choose
+from spanfall_core.gateway.routing.estimates import Ask
+from spanfall_core.gateway.routing.grants import (
     EntryLoad,
     FleetLoads,
     Grant,
     GrantBook,
 )
-from spanfall_core.gateway.limits import Limit
-from spanfall_core.gateway.loads import Loads
-from spanfall_core.gateway.prefixes import PromptPart
-from spanfall_core.gateway.shared_levels import SharedLevels
-from spanfall_core.gateway.unit_reports import EntrySpending
-from spanfall_node.gateway.messages import (
+from spanfall_node.gateway.links.messages import (
     AskMessage,
     GrantMessage,
     GrantRequest,
--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/gateway/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which requests are held back because upstreams end under them."""
--- a/packages/spanfall-core/src/spanfall_core/gateway/crash_signs.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/crashes/crash_signs.py
@@ -8,9 +8,9 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from spanfall_core.gateway.crashes import Doubt
-from spanfall_core.gateway.directory import Directory
-from spanfall_core.gateway.lifetimes import Lifetime
+from spanfall_core.gateway.crashes.crashes import Doubt
+from spanfall_core.gateway.known.directory import Directory
+from spanfall_core.gateway.known.lifetimes import Lifetime
 
 #: Heartbeats without which the platform removes an entry.
 MISSED_HEARTBEATS = 3
--- a/packages/spanfall-core/src/spanfall_core/gateway/crashes.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/crashes/crashes.py
@@ -13,8 +13,8 @@
 from enum import StrEnum, unique
 from typing import TypeVar
 
-from spanfall_core.gateway.identity import RequestIdentity
-from spanfall_core.gateway.lifetimes import Lifetime
+from spanfall_core.gateway.known.identity import RequestIdentity
+from spanfall_core.gateway.known.lifetimes import Lifetime
 
 #: Ends of upstreams after which a request is tried alone. After one, all that
 #: ran on each upstream that is reclaimed would have to wait for each other.
--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what the fleet shows: upstreams, configuration, loads, speeds, spending."""
--- a/packages/spanfall-core/src/spanfall_core/gateway/configuration.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/configuration.py
@@ -11,7 +11,7 @@
 
 from xxhash import xxh3_64_intdigest
 
-from spanfall_core.gateway.limits import Limit
+from spanfall_core.gateway.known.limits import Limit
 
 
 @unique
--- a/packages/spanfall-core/src/spanfall_core/gateway/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
@@ -12,7 +12,7 @@
 
 from xxhash import xxh3_64_intdigest
 
-from spanfall_core.gateway.lifetimes import (
+from spanfall_core.gateway.known.lifetimes import (
     Lifetime,
     is_earlier,
     name_lifetime,
--- a/packages/spanfall-core/src/spanfall_core/gateway/fleet.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/fleet.py
@@ -4,16 +4,16 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.counting import add_counts, less
-from spanfall_core.gateway.engine_model import (
+from spanfall_core.gateway.known.counting import add_counts, less
+from spanfall_core.gateway.known.engine_model import (
     ReadingModel,
     ReadingSpeed,
     ReadingSums,
 )
-from spanfall_core.gateway.lifetimes import ByLifetime, Lifetime
-from spanfall_core.gateway.reporting import report_period, unheard_after
-from spanfall_core.gateway.unit_reports import EntrySpending
-from spanfall_core.gateway.usage import FleetUsage, WindowCounts
+from spanfall_core.gateway.known.lifetimes import ByLifetime, Lifetime
+from spanfall_core.gateway.known.reporting import report_period, unheard_after
+from spanfall_core.gateway.known.unit_reports import EntrySpending
+from spanfall_core.gateway.known.usage import FleetUsage, WindowCounts
 
 #: Seconds between two looks for entries that are heard no more.
 LOOK_SECONDS = 0.05
--- a/packages/spanfall-core/src/spanfall_core/gateway/loads.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/loads.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.lifetimes import Lifetime
+from spanfall_core.gateway.known.lifetimes import Lifetime
 
 #: Seconds in which the weight of a failure halves.
 FAILURE_HALF_LIFE = 3.0
--- a/packages/spanfall-core/src/spanfall_core/gateway/prefixes.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/prefixes.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.lifetimes import Lifetime
+from spanfall_core.gateway.known.lifetimes import Lifetime
 
 #: Parts remembered for each upstream, newest kept.
 REMEMBERED_PARTS = 400
--- a/packages/spanfall-core/src/spanfall_core/gateway/unit_reports.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/unit_reports.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.spending import ByAge, Units
+from spanfall_core.gateway.known.spending import ByAge, Units
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/gateway/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Decide who may spend which units of a limit."""
--- a/packages/spanfall-core/src/spanfall_core/gateway/entry_account.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/limits/entry_account.py
@@ -2,14 +2,14 @@
 
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.limits import Limit, Limits
-from spanfall_core.gateway.spending import (
+from spanfall_core.gateway.known.limits import Limit, Limits
+from spanfall_core.gateway.known.spending import (
     SLOT_SECONDS,
     Pieces,
     Spending,
     Units,
 )
-from spanfall_core.gateway.unit_reports import EntrySpending
+from spanfall_core.gateway.known.unit_reports import EntrySpending
 
 #: Seconds by which units that came back may be younger than their age says:
 #: ages are whole seconds of slots. Taken as older, they never cancel more
--- a/packages/spanfall-core/src/spanfall_core/gateway/fleet_spending.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/limits/fleet_spending.py
@@ -3,8 +3,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.limits import Limit, Limits
-from spanfall_core.gateway.spending import (
+from spanfall_core.gateway.known.limits import Limit, Limits
+from spanfall_core.gateway.known.spending import (
     ByAge,
     Pieces,
     Spending,
--- a/packages/spanfall-core/src/spanfall_core/gateway/quotas.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/limits/quotas.py
@@ -14,9 +14,9 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
-from spanfall_core.gateway.limits import Limit, Limits
-from spanfall_core.gateway.spending import ByAge, Spending, Units
-from spanfall_core.gateway.unit_reports import EntrySpending, GivenUnits
+from spanfall_core.gateway.known.limits import Limit, Limits
+from spanfall_core.gateway.known.spending import ByAge, Spending, Units
+from spanfall_core.gateway.known.unit_reports import EntrySpending, GivenUnits
 
 #: Part of its share of a limit that an entry may spend at its start, before
 #: it finds the home: enough for the first requests of each workspace.
--- a/packages/spanfall-core/src/spanfall_core/gateway/shared_levels.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/limits/shared_levels.py
@@ -9,14 +9,14 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.entry_account import EntryAccount
-from spanfall_core.gateway.fleet import FORGET_SECONDS
-from spanfall_core.gateway.fleet_spending import FleetSpending
-from spanfall_core.gateway.limits import Limit, Limits, Tolerance
-from spanfall_core.gateway.reporting import SILENT_SECONDS
-from spanfall_core.gateway.spending import ByAge, Spending, Units
-from spanfall_core.gateway.taken_over import TakenOver
-from spanfall_core.gateway.unit_reports import EntrySpending, GivenUnits
+from spanfall_core.gateway.known.fleet import FORGET_SECONDS
+from spanfall_core.gateway.known.limits import Limit, Limits, Tolerance
+from spanfall_core.gateway.known.reporting import SILENT_SECONDS
+from spanfall_core.gateway.known.spending import ByAge, Spending, Units
+from spanfall_core.gateway.known.unit_reports import EntrySpending, GivenUnits
+from spanfall_core.gateway.limits.entry_account import EntryAccount
+from spanfall_core.gateway.limits.fleet_spending import FleetSpending
+from spanfall_core.gateway.limits.taken_over import TakenOver
 
 #: Part of what the platform tolerates beyond a limit that covers what silent
 #: entries hold, and what any entry may spend beyond its units once it is alone.
--- a/packages/spanfall-core/src/spanfall_core/gateway/taken_over.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/limits/taken_over.py
@@ -7,10 +7,10 @@
 
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.fleet import FORGET_SECONDS
-from spanfall_core.gateway.limits import Limit
-from spanfall_core.gateway.spending import Units
-from spanfall_core.gateway.unit_reports import EntrySpending
+from spanfall_core.gateway.known.fleet import FORGET_SECONDS
+from spanfall_core.gateway.known.limits import Limit
+from spanfall_core.gateway.known.spending import Units
+from spanfall_core.gateway.known.unit_reports import EntrySpending
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Decide how many upstreams are ordered, and where."""
--- a/packages/spanfall-core/src/spanfall_core/gateway/capacity.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/capacity.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass
 from math import ceil
 
-from spanfall_core.gateway.configuration import Scaling
-from spanfall_core.gateway.orders import (
+from spanfall_core.gateway.known.configuration import Scaling
+from spanfall_core.gateway.orders.orders import (
     REPEAT_SECONDS,
     Order,
     Present,
--- a/packages/spanfall-core/src/spanfall_core/gateway/demand.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/demand.py
@@ -6,8 +6,8 @@
 
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.configuration import EngineLimits
-from spanfall_core.gateway.engine_model import ReadingSpeed
+from spanfall_core.gateway.known.configuration import EngineLimits
+from spanfall_core.gateway.known.engine_model import ReadingSpeed
 
 #: Part of an engine's slots that run with tokens in time.
 GOOD_BATCH = 0.7
--- a/packages/spanfall-core/src/spanfall_core/gateway/orders.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/orders.py
@@ -4,9 +4,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.configuration import Scaling
-from spanfall_core.gateway.demand import Demand, HeldMost
-from spanfall_core.gateway.directory import ListedUpstream
+from spanfall_core.gateway.known.configuration import Scaling
+from spanfall_core.gateway.known.directory import ListedUpstream
+from spanfall_core.gateway.orders.demand import Demand, HeldMost
 
 #: Seconds after a refusal before a data centre is asked again.
 REFUSED_SECONDS = 3.0
--- a/packages/spanfall-core/src/spanfall_core/gateway/balance.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
@@ -8,9 +8,11 @@
 
 from xxhash import xxh3_64_intdigest
 
-from spanfall_core.gateway.directory import ListedUpstream, place_on_ring
-from spanfall_core.gateway.engine_model import ReadingSpeed
-from spanfall_core.gateway.estimates import (
+from spanfall_core.gateway.known.directory import ListedUpstream, place_on_ring
+from spanfall_core.gateway.known.engine_model import ReadingSpeed
+from spanfall_core.gateway.known.lifetimes import Lifetime
+from spanfall_core.gateway.known.prefixes import PrefixIndex
+from spanfall_core.gateway.routing.estimates import (
     BEARABLE_STALL,
     FAILURE_SECONDS,
     FULL_BATCH_SECONDS,
@@ -20,10 +22,8 @@
     KnownLoads,
     estimate,
 )
-from spanfall_core.gateway.lifetimes import Lifetime
-from spanfall_core.gateway.prefixes import PrefixIndex
-from spanfall_core.gateway.shortlist import FULL_SEARCH, Shortlist
-from spanfall_core.gateway.sizes import PromptSizes
+from spanfall_core.gateway.routing.shortlist import FULL_SEARCH, Shortlist
+from spanfall_core.gateway.routing.sizes import PromptSizes
 
 #: Seconds within which upstreams count as equal and the hash decides.
 HASH_SECONDS = 0.01
--- a/packages/spanfall-core/src/spanfall_core/gateway/estimates.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/estimates.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from spanfall_core.gateway.directory import ListedUpstream
-from spanfall_core.gateway.identity import RequestIdentity
-from spanfall_core.gateway.lifetimes import Lifetime
-from spanfall_core.gateway.prefixes import PromptPart
+from spanfall_core.gateway.known.directory import ListedUpstream
+from spanfall_core.gateway.known.identity import RequestIdentity
+from spanfall_core.gateway.known.lifetimes import Lifetime
+from spanfall_core.gateway.known.prefixes import PromptPart
 
 #: Seconds that a full batch adds to the wait for a first token.
 FULL_BATCH_SECONDS = 0.25
--- a/packages/spanfall-core/src/spanfall_core/gateway/grants.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/grants.py
@@ -8,10 +8,10 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.counting import add_counts
-from spanfall_core.gateway.lifetimes import ByLifetime, Lifetime
-from spanfall_core.gateway.loads import Loads
-from spanfall_core.gateway.reporting import UNHEARD_SECONDS
+from spanfall_core.gateway.known.counting import add_counts
+from spanfall_core.gateway.known.lifetimes import ByLifetime, Lifetime
+from spanfall_core.gateway.known.loads import Loads
+from spanfall_core.gateway.known.reporting import UNHEARD_SECONDS
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/spanfall-core/src/spanfall_core/gateway/retry_budget.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/retry_budget.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.spending import Spending
+from spanfall_core.gateway.known.spending import Spending
 
 #: Part of what the platform allows that is used, for what entries that died
 #: in the same window had spent.
--- a/packages/spanfall-core/src/spanfall_core/gateway/sends.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/sends.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from enum import StrEnum, unique
 
-from spanfall_core.gateway.configuration import Route, RouteKind
+from spanfall_core.gateway.known.configuration import Route, RouteKind
 from spanfall_core.reasons import RetryReason
 
 
--- a/packages/spanfall-core/src/spanfall_core/gateway/shortlist.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/shortlist.py
@@ -14,7 +14,7 @@
 from itertools import chain, islice
 from typing import Generic, TypeVar
 
-from spanfall_core.gateway.lifetimes import Lifetime
+from spanfall_core.gateway.known.lifetimes import Lifetime
 
 Row = TypeVar('Row')
 
--- a/packages/spanfall-core/src/spanfall_core/gateway/sizes.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/sizes.py
@@ -10,7 +10,7 @@
 from itertools import repeat
 from math import log2
 
-from spanfall_core.gateway.engine_model import reading_work
+from spanfall_core.gateway.known.engine_model import reading_work
 
 #: Buckets for each doubling of the length.
 BUCKETS_PER_DOUBLING = 2
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Serve the connections of callers."""
--- a/packages/spanfall-node/src/spanfall_node/gateway/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
@@ -6,21 +6,21 @@
 from anyio.abc import SocketStream
 from spanfall_core.reasons import RefusalReason
 
-from spanfall_node.gateway.admission import Work, admit
-from spanfall_node.gateway.caller_connection import (
+from spanfall_node.gateway.limits.unit_requests import UnitRequests
+from spanfall_node.gateway.net.errors import BadRequestError, CallerGoneError
+from spanfall_node.gateway.requests.admission import Work, admit
+from spanfall_node.gateway.requests.caller_connection import (
     CallerConnection,
     CallerRequest,
 )
-from spanfall_node.gateway.errors import BadRequestError, CallerGoneError
-from spanfall_node.gateway.refusals import (
+from spanfall_node.gateway.requests.refusals import (
     RefusedError,
     UnitsMissingError,
     refusal_body,
     refusal_headers,
 )
-from spanfall_node.gateway.relay import UpstreamAccess, serve
-from spanfall_node.gateway.state import GatewayState
-from spanfall_node.gateway.unit_requests import UnitRequests
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.relay import UpstreamAccess, serve
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Do what one node does for the fleet: report usage, order upstreams."""
--- a/packages/spanfall-node/src/spanfall_node/gateway/capacity_duty.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/capacity_duty.py
@@ -4,15 +4,15 @@
 from dataclasses import dataclass, field
 
 import anyio
-from spanfall_core.gateway.capacity import plan_orders
-from spanfall_core.gateway.configuration import ServedService
-from spanfall_core.gateway.demand import (
+from spanfall_core.gateway.known.configuration import ServedService
+from spanfall_core.gateway.known.fleet import Counts
+from spanfall_core.gateway.orders.capacity import plan_orders
+from spanfall_core.gateway.orders.demand import (
     OfferedLoad,
     needed_upstreams,
     take_over,
 )
-from spanfall_core.gateway.fleet import Counts
-from spanfall_core.gateway.orders import (
+from spanfall_core.gateway.orders.orders import (
     Order,
     ServiceOrders,
     count_present,
@@ -20,8 +20,8 @@
     note_refused,
 )
 
-from spanfall_node.gateway.duties import Cloud
-from spanfall_node.gateway.state import GatewayState
+from spanfall_node.gateway.duties.duties import Cloud
+from spanfall_node.gateway.tables.state import GatewayState
 
 logger = logging.getLogger(__name__)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/duties.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/duties.py
@@ -4,14 +4,14 @@
 
 import anyio
 import msgspec
-from spanfall_core.gateway.usage import WindowCounts
-
-from spanfall_node.gateway.client import ConnectionPool, call_once
-from spanfall_node.gateway.errors import CallError
-from spanfall_node.gateway.ports import HttpCall, Write
-from spanfall_node.gateway.state import GatewayState
-from spanfall_node.gateway.store_client import StoreClient, StoreError
-from spanfall_node.gateway.tenure import HOME_KEY
+from spanfall_core.gateway.known.usage import WindowCounts
+
+from spanfall_node.gateway.net.client import ConnectionPool, call_once
+from spanfall_node.gateway.net.errors import CallError
+from spanfall_node.gateway.net.ports import HttpCall, Write
+from spanfall_node.gateway.store.store_client import StoreClient, StoreError
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.tables.tenure import HOME_KEY
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/__init__.py
@@ -0,0 +1,1 @@
+"""Be the home of the fleet, follow it, or take over."""
--- a/packages/spanfall-node/src/spanfall_node/gateway/entry_link.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/entry_link.py
@@ -13,13 +13,13 @@
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import WebSocketException
 
-from spanfall_node.gateway.crash_messages import QuarantineMessage
-from spanfall_node.gateway.crash_watch import CrashWatch
-from spanfall_node.gateway.followed_table import FollowedTable
-from spanfall_node.gateway.grants import Grants
-from spanfall_node.gateway.home_pace import strength
-from spanfall_node.gateway.lost_home import LostHome
-from spanfall_node.gateway.messages import (
+from spanfall_node.gateway.home.followed_table import FollowedTable
+from spanfall_node.gateway.home.home_pace import strength
+from spanfall_node.gateway.home.lost_home import LostHome
+from spanfall_node.gateway.home.totals import apply_totals
+from spanfall_node.gateway.limits.unit_requests import UnitRequests
+from spanfall_node.gateway.links.crash_messages import QuarantineMessage
+from spanfall_node.gateway.links.messages import (
     MESSAGE_BYTES,
     FromHome,
     GrantMessage,
@@ -30,17 +30,17 @@
     decode_from_home,
     encode,
 )
-from spanfall_node.gateway.state import GatewayState
-from spanfall_node.gateway.succession_messages import (
+from spanfall_node.gateway.links.succession_messages import (
     FarewellMessage,
     ResignMessage,
     StoreQuestion,
     StoreReached,
     SuccessorMessage,
 )
-from spanfall_node.gateway.sync import Sync
-from spanfall_node.gateway.totals import apply_totals
-from spanfall_node.gateway.unit_requests import UnitRequests
+from spanfall_node.gateway.store.sync import Sync
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.crash_watch import CrashWatch
+from spanfall_node.gateway.upstreams.grants import Grants
 
 logger = logging.getLogger(__name__)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/followed_table.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
@@ -2,18 +2,18 @@
 
 import logging
 
-from spanfall_core.gateway.directory import DirectoryChange
-from spanfall_core.gateway.reporting import REPORT_PERIOD
+from spanfall_core.gateway.known.directory import DirectoryChange
+from spanfall_core.gateway.known.reporting import REPORT_PERIOD
 
-from spanfall_node.gateway.messages import (
+from spanfall_node.gateway.home.totals import apply_totals
+from spanfall_node.gateway.links.messages import (
     TableMessage,
     UpstreamsPart,
     totals_period,
 )
-from spanfall_node.gateway.passing_on import unpack
-from spanfall_node.gateway.state import GatewayState
-from spanfall_node.gateway.sync import Sync
-from spanfall_node.gateway.totals import apply_totals
+from spanfall_node.gateway.links.passing_on import unpack
+from spanfall_node.gateway.store.sync import Sync
+from spanfall_node.gateway.tables.state import GatewayState
 
 logger = logging.getLogger(__name__)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
@@ -9,18 +9,19 @@
 import logging
 
 import anyio
-from spanfall_core.gateway.grants import EntryLoad
-from spanfall_core.gateway.reporting import unheard_after
+from spanfall_core.gateway.known.reporting import unheard_after
+from spanfall_core.gateway.routing.grants import EntryLoad
 from websockets.asyncio.server import ServerConnection, serve
 from websockets.exceptions import WebSocketException
 
-from spanfall_node.gateway.crash_messages import (
+from spanfall_node.gateway.home.quarantine_links import QuarantineLinks
+from spanfall_node.gateway.home.succession import Succession
+from spanfall_node.gateway.links.crash_messages import (
     CrashReport,
     QuarantineMessage,
     WatchedRun,
 )
-from spanfall_node.gateway.grants import decide
-from spanfall_node.gateway.messages import (
+from spanfall_node.gateway.links.messages import (
     MESSAGE_BYTES,
     AskMessage,
     ConfigurationPart,
@@ -35,16 +36,15 @@
     decode_from_entry,
     encode,
 )
-from spanfall_node.gateway.passing_on import PassingOn
-from spanfall_node.gateway.quarantine_links import QuarantineLinks
-from spanfall_node.gateway.sockets import BACKLOG
-from spanfall_node.gateway.state import GatewayState
-from spanfall_node.gateway.succession import Succession
-from spanfall_node.gateway.succession_messages import (
+from spanfall_node.gateway.links.passing_on import PassingOn
+from spanfall_node.gateway.links.succession_messages import (
     FarewellMessage,
     StoreReached,
     SuccessorMessage,
 )
+from spanfall_node.gateway.net.sockets import BACKLOG
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.grants import decide
 
 logger = logging.getLogger(__name__)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
@@ -8,17 +8,17 @@
 import logging
 
 import anyio
-from spanfall_core.gateway.balance import PromptHistory
-from spanfall_core.gateway.fleet import MEETING_SECONDS, FleetState
-from spanfall_core.gateway.grants import GrantBook
-from spanfall_core.gateway.reporting import report_period, unheard_after
+from spanfall_core.gateway.known.fleet import MEETING_SECONDS, FleetState
+from spanfall_core.gateway.known.reporting import report_period, unheard_after
+from spanfall_core.gateway.routing.balance import PromptHistory
+from spanfall_core.gateway.routing.grants import GrantBook
 
-from spanfall_node.gateway.home_content import (
+from spanfall_node.gateway.home.home_content import (
     HomeContent,
     read_home,
     write_home,
 )
-from spanfall_node.gateway.home_pace import (
+from spanfall_node.gateway.home.home_pace import (
     LOOK_PERIOD,
     MOST_OUTAGE_LOOKS,
     OUTAGE_LOOK_PERIOD,
@@ -26,20 +26,20 @@
     is_small,
     look_period,
 )
-from spanfall_node.gateway.home_records import HomeRecords
-from spanfall_node.gateway.ports import StoredItem, Write
-from spanfall_node.gateway.state import GatewayState
-from spanfall_node.gateway.store_client import (
+from spanfall_node.gateway.links.succession_messages import (
+    HomeRecord,
+)
+from spanfall_node.gateway.net.ports import StoredItem, Write
+from spanfall_node.gateway.store.home_records import HomeRecords
+from spanfall_node.gateway.store.store_client import (
     ConditionFailedError,
     LeaseLostError,
     StoreClient,
     StoreError,
 )
-from spanfall_node.gateway.succession_messages import (
-    HomeRecord,
-)
-from spanfall_node.gateway.sync import old_proof
-from spanfall_node.gateway.tenure import HOME_KEY, Tenure
+from spanfall_node.gateway.store.sync import old_proof
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.tables.tenure import HOME_KEY, Tenure
 
 logger = logging.getLogger(__name__)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/lost_home.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/lost_home.py
@@ -1,8 +1,8 @@
 """Find the next home after the last one was lost."""
 
-from spanfall_node.gateway.state import GatewayState
-from spanfall_node.gateway.succession_messages import HomeRecord
-from spanfall_node.gateway.sync import Sync
+from spanfall_node.gateway.links.succession_messages import HomeRecord
+from spanfall_node.gateway.store.sync import Sync
+from spanfall_node.gateway.tables.state import GatewayState
 
 #: Seconds between two attempts to reach the last home without the store.
 LAST_HOME_PERIOD = 1.0
--- a/packages/spanfall-node/src/spanfall_node/gateway/quarantine_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/quarantine_links.py
@@ -2,9 +2,9 @@
 
 from websockets.asyncio.server import ServerConnection
 
-from spanfall_node.gateway.crash_messages import QuarantineMessage
-from spanfall_node.gateway.link_sends import send_to_all
-from spanfall_node.gateway.state import GatewayState
+from spanfall_node.gateway.links.crash_messages import QuarantineMessage
+from spanfall_node.gateway.links.link_sends import send_to_all
+from spanfall_node.gateway.tables.state import GatewayState
 
 
 class QuarantineLinks:
--- a/packages/spanfall-node/src/spanfall_node/gateway/succession.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/succession.py
@@ -14,14 +14,14 @@
 import msgspec
 from websockets.asyncio.server import ServerConnection
 
-from spanfall_node.gateway.link_sends import send_to_all
-from spanfall_node.gateway.state import GatewayState
-from spanfall_node.gateway.succession_messages import (
+from spanfall_node.gateway.links.link_sends import send_to_all
+from spanfall_node.gateway.links.succession_messages import (
     ResignMessage,
     StoreQuestion,
     SuccessorMessage,
 )
-from spanfall_node.gateway.tenure import Tenure
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.tables.tenure import Tenure
 
 logger = logging.getLogger(__name__)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/totals.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/totals.py
@@ -1,8 +1,8 @@
 """Follow the sums over the other entries, for what is decided alone."""
 
-from spanfall_core.gateway.fleet import FleetTotals
+from spanfall_core.gateway.known.fleet import FleetTotals
 
-from spanfall_node.gateway.state import GatewayState
+from spanfall_node.gateway.tables.state import GatewayState
 
 
 def apply_totals(
--- a/packages/spanfall-node/src/spanfall_node/gateway/lifecycle.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/lifecycle.py
@@ -6,17 +6,17 @@
 import anyio
 from anyio.abc import SocketStream
 from prometheus_client import generate_latest
-from spanfall_core.gateway.configuration import CallerLimits
+from spanfall_core.gateway.known.configuration import CallerLimits
 
-from spanfall_node.gateway.caller_connection import (
+from spanfall_node.gateway.callers.callers import Callers
+from spanfall_node.gateway.home.leadership import Leadership
+from spanfall_node.gateway.net.errors import BadRequestError, CallerGoneError
+from spanfall_node.gateway.net.ports import Headers
+from spanfall_node.gateway.requests.caller_connection import (
     CallerConnection,
     CallerRequest,
 )
-from spanfall_node.gateway.callers import Callers
-from spanfall_node.gateway.errors import BadRequestError, CallerGoneError
-from spanfall_node.gateway.leadership import Leadership
-from spanfall_node.gateway.ports import Headers
-from spanfall_node.gateway.state import GatewayState
+from spanfall_node.gateway.tables.state import GatewayState
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Get what requests need of the limits of workspaces."""
--- a/packages/spanfall-node/src/spanfall_node/gateway/unit_requests.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/limits/unit_requests.py
@@ -7,9 +7,9 @@
 
 from dataclasses import dataclass, field
 
-from spanfall_node.gateway.messages import UnitsMessage, UnitsRequest
-from spanfall_node.gateway.questions import Questions, Send
-from spanfall_node.gateway.state import GatewayState
+from spanfall_node.gateway.links.messages import UnitsMessage, UnitsRequest
+from spanfall_node.gateway.links.questions import Questions, Send
+from spanfall_node.gateway.tables.state import GatewayState
 
 #: Seconds for the home's answer: half of what a request waits at most to be
 #: admitted, and several ways between regions.
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/__init__.py
@@ -0,0 +1,1 @@
+"""Define what nodes send each other, and how questions are matched."""
--- a/packages/spanfall-node/src/spanfall_node/gateway/crash_messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/crash_messages.py
@@ -3,8 +3,8 @@
 from enum import StrEnum, unique
 
 import msgspec
-from spanfall_core.gateway.identity import RequestIdentity
-from spanfall_core.gateway.lifetimes import Lifetime
+from spanfall_core.gateway.known.identity import RequestIdentity
+from spanfall_core.gateway.known.lifetimes import Lifetime
 
 #: Seconds for which requests are still not to be sent.
 Quarantined = dict[RequestIdentity, float]
--- a/packages/spanfall-node/src/spanfall_node/gateway/link_sends.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/link_sends.py
@@ -8,7 +8,7 @@
 from websockets.asyncio.server import ServerConnection
 from websockets.exceptions import WebSocketException
 
-from spanfall_node.gateway.messages import encode
+from spanfall_node.gateway.links.messages import encode
 
 logger = logging.getLogger(__name__)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
@@ -5,21 +5,21 @@
 
 import cbor2
 import msgspec
-from spanfall_core.gateway.crashes import Standing
-from spanfall_core.gateway.directory import ListedUpstream
-from spanfall_core.gateway.engine_model import ReadingSpeed
-from spanfall_core.gateway.estimates import Ask
-from spanfall_core.gateway.fleet import EntryReport, FleetTotals
-from spanfall_core.gateway.grants import EntryLoad, Grant
-from spanfall_core.gateway.reporting import REPORT_PERIOD
-from spanfall_core.gateway.unit_reports import GivenUnits
-
-from spanfall_node.gateway.crash_messages import (
+from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.known.directory import ListedUpstream
+from spanfall_core.gateway.known.engine_model import ReadingSpeed
+from spanfall_core.gateway.known.fleet import EntryReport, FleetTotals
+from spanfall_core.gateway.known.reporting import REPORT_PERIOD
+from spanfall_core.gateway.known.unit_reports import GivenUnits
+from spanfall_core.gateway.routing.estimates import Ask
+from spanfall_core.gateway.routing.grants import EntryLoad, Grant
+
+from spanfall_node.gateway.links.crash_messages import (
     CrashReport,
     QuarantineMessage,
     WatchedRun,
 )
-from spanfall_node.gateway.succession_messages import (
+from spanfall_node.gateway.links.succession_messages import (
     FarewellMessage,
     ResignMessage,
     StoreQuestion,
--- a/packages/spanfall-node/src/spanfall_node/gateway/passing_on.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/passing_on.py
@@ -8,7 +8,7 @@
 import zlib
 from dataclasses import dataclass
 
-from spanfall_node.gateway.messages import ConfigurationPart
+from spanfall_node.gateway.links.messages import ConfigurationPart
 
 #: Level of compression: the fastest one makes a thirtieth of such a
 #: configuration in half a millisecond.
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/__init__.py
@@ -0,0 +1,1 @@
+"""Speak to other processes: sockets, HTTP calls, what the platform is to give."""
--- a/packages/spanfall-node/src/spanfall_node/gateway/client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
@@ -14,13 +14,13 @@
 import h11
 from anyio.abc import ByteStream, TaskGroup
 
-from spanfall_node.gateway.errors import (
+from spanfall_node.gateway.net.errors import (
     BrokenCallError,
     NobodyListensError,
     NotSentError,
 )
-from spanfall_node.gateway.ports import Headers, HttpCall, HttpReply
-from spanfall_node.gateway.sockets import (
+from spanfall_node.gateway.net.ports import Headers, HttpCall, HttpReply
+from spanfall_node.gateway.net.sockets import (
     READ_BYTES,
     SOCKET_ERRORS,
     end_when_unreachable,
--- a/packages/spanfall-node/src/spanfall_node/gateway/ports.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/ports.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.configuration import ServedConfiguration
-from spanfall_core.gateway.directory import ListedUpstream, UnusableEntry
+from spanfall_core.gateway.known.configuration import ServedConfiguration
+from spanfall_core.gateway.known.directory import ListedUpstream, UnusableEntry
 
 Headers = list[tuple[bytes, bytes]]
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/program.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/program.py
@@ -12,30 +12,30 @@
 from anyio.abc import TaskGroup
 from spanfall_api.gateway_settings import GatewaySettings
 
-from spanfall_node.gateway.callers import Callers
-from spanfall_node.gateway.capacity_duty import CapacityDuty
-from spanfall_node.gateway.client import ConnectionPool
-from spanfall_node.gateway.crash_record import CrashRecord
-from spanfall_node.gateway.crash_watch import CrashWatch
-from spanfall_node.gateway.duties import Cloud, UsageDuty
-from spanfall_node.gateway.entry_link import EntryLink
-from spanfall_node.gateway.grants import Grants
-from spanfall_node.gateway.home_links import HomeLinks
-from spanfall_node.gateway.home_records import HomeRecords
-from spanfall_node.gateway.leadership import Leadership
+from spanfall_node.gateway.callers.callers import Callers
+from spanfall_node.gateway.duties.capacity_duty import CapacityDuty
+from spanfall_node.gateway.duties.duties import Cloud, UsageDuty
+from spanfall_node.gateway.home.entry_link import EntryLink
+from spanfall_node.gateway.home.home_links import HomeLinks
+from spanfall_node.gateway.home.leadership import Leadership
 from spanfall_node.gateway.lifecycle import StatusPages, stop_on_signal
-from spanfall_node.gateway.logs import LineBudget, set_up_logging
-from spanfall_node.gateway.needs_record import NeedsRecord
-from spanfall_node.gateway.new_state import build_state
-from spanfall_node.gateway.ports import PlatformAdapter
-from spanfall_node.gateway.quota_record import QuotaRecord
-from spanfall_node.gateway.relay import UpstreamAccess
+from spanfall_node.gateway.limits.unit_requests import UnitRequests
+from spanfall_node.gateway.net.client import ConnectionPool
+from spanfall_node.gateway.net.logs import LineBudget, set_up_logging
+from spanfall_node.gateway.net.ports import PlatformAdapter
+from spanfall_node.gateway.net.sockets import BACKLOG
 from spanfall_node.gateway.settings_watch import SettingsWatch
-from spanfall_node.gateway.sockets import BACKLOG
-from spanfall_node.gateway.state import GatewayState
-from spanfall_node.gateway.store_client import StoreClient
-from spanfall_node.gateway.sync import Sync
-from spanfall_node.gateway.unit_requests import UnitRequests
+from spanfall_node.gateway.store.crash_record import CrashRecord
+from spanfall_node.gateway.store.home_records import HomeRecords
+from spanfall_node.gateway.store.needs_record import NeedsRecord
+from spanfall_node.gateway.store.quota_record import QuotaRecord
+from spanfall_node.gateway.store.store_client import StoreClient
+from spanfall_node.gateway.store.sync import Sync
+from spanfall_node.gateway.tables.new_state import build_state
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.crash_watch import CrashWatch
+from spanfall_node.gateway.upstreams.grants import Grants
+from spanfall_node.gateway.upstreams.relay import UpstreamAccess
 from spanfall_node.steady_clock import SteadyLoop, steady_seconds
 from spanfall_node.timers import Timers
 
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Read and admit what callers send; no upstream is known here."""
--- a/packages/spanfall-node/src/spanfall_node/gateway/admission.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/requests/admission.py
@@ -2,24 +2,27 @@
 
 from dataclasses import dataclass
 
-from spanfall_core.gateway.configuration import (
+from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.known.configuration import (
     Route,
     ServedConfiguration,
     ServedWorkspace,
 )
-from spanfall_core.gateway.crashes import Standing
-from spanfall_core.gateway.identity import RequestIdentity, request_identity
-from spanfall_core.gateway.prefixes import PromptPart
+from spanfall_core.gateway.known.identity import (
+    RequestIdentity,
+    request_identity,
+)
+from spanfall_core.gateway.known.prefixes import PromptPart
 from spanfall_core.reasons import RefusalReason
 
-from spanfall_node.gateway.caller_connection import CallerRequest
-from spanfall_node.gateway.ports import HeaderNames
-from spanfall_node.gateway.refusals import (
+from spanfall_node.gateway.net.ports import HeaderNames
+from spanfall_node.gateway.requests.caller_connection import CallerRequest
+from spanfall_node.gateway.requests.refusals import (
     EndsUpstreamsError,
     RefusedError,
     UnitsMissingError,
 )
-from spanfall_node.gateway.state import GatewayState
+from spanfall_node.gateway.tables.state import GatewayState
 
 #: Seconds after which a caller may ask a node that has no configuration.
 NOT_READY_RETRY = 0.5
--- a/packages/spanfall-node/src/spanfall_node/gateway/caller_connection.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/requests/caller_connection.py
@@ -10,11 +10,11 @@
 import anyio
 import h11
 from anyio.abc import ByteStream
-from spanfall_core.gateway.configuration import CallerLimits
+from spanfall_core.gateway.known.configuration import CallerLimits
 
-from spanfall_node.gateway.errors import BadRequestError, CallerGoneError
-from spanfall_node.gateway.ports import Headers
-from spanfall_node.gateway.sockets import READ_BYTES, SOCKET_ERRORS
+from spanfall_node.gateway.net.errors import BadRequestError, CallerGoneError
+from spanfall_node.gateway.net.ports import Headers
+from spanfall_node.gateway.net.sockets import READ_BYTES, SOCKET_ERRORS
 
 #: Bytes that a caller may send ahead of the answer to its last request.
 AHEAD_BYTES = 65536
--- a/packages/spanfall-node/src/spanfall_node/gateway/refusals.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/requests/refusals.py
@@ -4,10 +4,10 @@
 from http import HTTPStatus
 
 import msgspec
-from spanfall_core.gateway.identity import RequestIdentity
+from spanfall_core.gateway.known.identity import RequestIdentity
 from spanfall_core.reasons import RefusalReason
 
-from spanfall_node.gateway.ports import Headers
+from spanfall_node.gateway.net.ports import Headers
 
 #: Statuses that promise that the request has not run and never will.
 PROMISES = frozenset((408, 421, 429, 503))
--- a/packages/spanfall-node/src/spanfall_node/gateway/settings_watch.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/settings_watch.py
@@ -10,7 +10,7 @@
     read_settings,
 )
 
-from spanfall_node.gateway.state import GatewayState
+from spanfall_node.gateway.tables.state import GatewayState
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/__init__.py
@@ -0,0 +1,1 @@
+"""Read and write the platform's store: calls, lists, records of the home."""
--- a/packages/spanfall-node/src/spanfall_node/gateway/crash_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/crash_record.py
@@ -8,14 +8,14 @@
 
 import anyio
 import msgspec
-from spanfall_core.gateway.identity import RequestIdentity
-from spanfall_core.gateway.reporting import report_period, unheard_after
-
-from spanfall_node.gateway.crash_messages import Quarantined
-from spanfall_node.gateway.ports import Write
-from spanfall_node.gateway.state import GatewayState
-from spanfall_node.gateway.store_client import StoreClient, StoreError
-from spanfall_node.gateway.tenure import HOME_KEY
+from spanfall_core.gateway.known.identity import RequestIdentity
+from spanfall_core.gateway.known.reporting import report_period, unheard_after
+
+from spanfall_node.gateway.links.crash_messages import Quarantined
+from spanfall_node.gateway.net.ports import Write
+from spanfall_node.gateway.store.store_client import StoreClient, StoreError
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.tables.tenure import HOME_KEY
 
 logger = logging.getLogger(__name__)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/home_records.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/home_records.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from spanfall_node.gateway.crash_record import CrashRecord
-from spanfall_node.gateway.needs_record import NeedsRecord
-from spanfall_node.gateway.quota_record import QuotaRecord
+from spanfall_node.gateway.store.crash_record import CrashRecord
+from spanfall_node.gateway.store.needs_record import NeedsRecord
+from spanfall_node.gateway.store.quota_record import QuotaRecord
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/spanfall-node/src/spanfall_node/gateway/needs_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/needs_record.py
@@ -11,10 +11,10 @@
 import anyio
 import msgspec
 
-from spanfall_node.gateway.ports import Write
-from spanfall_node.gateway.state import GatewayState
-from spanfall_node.gateway.store_client import StoreClient, StoreError
-from spanfall_node.gateway.tenure import HOME_KEY
+from spanfall_node.gateway.net.ports import Write
+from spanfall_node.gateway.store.store_client import StoreClient, StoreError
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.tables.tenure import HOME_KEY
 
 logger = logging.getLogger(__name__)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/quota_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/quota_record.py
@@ -9,17 +9,17 @@
 
 import anyio
 import msgspec
-from spanfall_core.gateway.fleet_spending import (
+from spanfall_core.gateway.known.limits import Tolerance
+from spanfall_core.gateway.limits.fleet_spending import (
     RECORDED_PART,
     FleetSpending,
 )
-from spanfall_core.gateway.limits import Tolerance
-from spanfall_core.gateway.shared_levels import SharedLevels
+from spanfall_core.gateway.limits.shared_levels import SharedLevels
 
-from spanfall_node.gateway.ports import Write
-from spanfall_node.gateway.state import GatewayState
-from spanfall_node.gateway.store_client import StoreClient, StoreError
-from spanfall_node.gateway.tenure import HOME_KEY
+from spanfall_node.gateway.net.ports import Write
+from spanfall_node.gateway.store.store_client import StoreClient, StoreError
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.tables.tenure import HOME_KEY
 
 logger = logging.getLogger(__name__)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/store_client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/store_client.py
@@ -9,16 +9,16 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-from spanfall_node.gateway.client import ConnectionPool, call_once
-from spanfall_node.gateway.errors import BrokenCallError, NotSentError
-from spanfall_node.gateway.ports import (
+from spanfall_node.gateway.net.client import ConnectionPool, call_once
+from spanfall_node.gateway.net.errors import BrokenCallError, NotSentError
+from spanfall_node.gateway.net.ports import (
     HttpCall,
     HttpReply,
     Listing,
     StoredItem,
     Write,
 )
-from spanfall_node.gateway.state import GatewayState
+from spanfall_node.gateway.tables.state import GatewayState
 
 logger = logging.getLogger(__name__)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
@@ -8,13 +8,13 @@
 from collections.abc import Collection
 
 import anyio
-from spanfall_core.gateway.directory import ListedUpstream, UnusableEntry
-from spanfall_core.gateway.reporting import report_period
+from spanfall_core.gateway.known.directory import ListedUpstream, UnusableEntry
+from spanfall_core.gateway.known.reporting import report_period
 
-from spanfall_node.gateway.ports import InvalidRecordError, StoredItem
-from spanfall_node.gateway.state import GatewayState
-from spanfall_node.gateway.store_client import StoreClient, StoreError
-from spanfall_node.gateway.succession_messages import HomeRecord
+from spanfall_node.gateway.links.succession_messages import HomeRecord
+from spanfall_node.gateway.net.ports import InvalidRecordError, StoredItem
+from spanfall_node.gateway.store.store_client import StoreClient, StoreError
+from spanfall_node.gateway.tables.state import GatewayState
 
 logger = logging.getLogger(__name__)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/crash_knowledge.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/crash_knowledge.py
@@ -11,18 +11,18 @@
 from itertools import islice
 
 import anyio
-from spanfall_core.gateway.crash_signs import settle
-from spanfall_core.gateway.crashes import (
+from spanfall_core.gateway.crashes.crash_signs import settle
+from spanfall_core.gateway.crashes.crashes import (
     SETTLED_SECONDS,
     CrashTable,
     Standing,
     Trials,
 )
-from spanfall_core.gateway.directory import Directory
-from spanfall_core.gateway.identity import RequestIdentity
-from spanfall_core.gateway.lifetimes import Lifetime
+from spanfall_core.gateway.known.directory import Directory
+from spanfall_core.gateway.known.identity import RequestIdentity
+from spanfall_core.gateway.known.lifetimes import Lifetime
 
-from spanfall_node.gateway.crash_messages import (
+from spanfall_node.gateway.links.crash_messages import (
     CrashReport,
     Quarantined,
     RunStage,
--- a/packages/spanfall-node/src/spanfall_node/gateway/new_state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/new_state.py
@@ -1,15 +1,15 @@
 """Build the tables of a node that starts."""
 
 from spanfall_api.gateway_settings import GatewaySettings
-from spanfall_core.gateway.freshness import Freshness
-from spanfall_core.gateway.quotas import Quotas
-from spanfall_core.gateway.retry_budget import RetryBudget, RetryLimits
-from spanfall_core.gateway.true_time import TrueTime
-from spanfall_core.gateway.usage import UsageCounts
+from spanfall_core.gateway.known.freshness import Freshness
+from spanfall_core.gateway.known.true_time import TrueTime
+from spanfall_core.gateway.known.usage import UsageCounts
+from spanfall_core.gateway.limits.quotas import Quotas
+from spanfall_core.gateway.routing.retry_budget import RetryBudget, RetryLimits
 
-from spanfall_node.gateway.counters import Counters
-from spanfall_node.gateway.ports import PlatformAdapter
-from spanfall_node.gateway.state import GatewayState
+from spanfall_node.gateway.net.ports import PlatformAdapter
+from spanfall_node.gateway.tables.counters import Counters
+from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.timers import Timers
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
@@ -5,38 +5,38 @@
 
 import anyio
 from spanfall_api.gateway_settings import GatewaySettings
-from spanfall_core.gateway.balance import PromptHistory
-from spanfall_core.gateway.configuration import (
+from spanfall_core.gateway.known.configuration import (
     CallerLimits,
     ServedConfiguration,
 )
-from spanfall_core.gateway.directory import Directory
-from spanfall_core.gateway.engine_model import (
+from spanfall_core.gateway.known.directory import Directory
+from spanfall_core.gateway.known.engine_model import (
     ReadingSpeed,
     ReadingSums,
     bounded_seconds,
     reading_work,
 )
-from spanfall_core.gateway.fleet import Counts, EntryReport, FleetState
-from spanfall_core.gateway.freshness import Freshness
-from spanfall_core.gateway.grants import EntryLoad, GrantBook
-from spanfall_core.gateway.limits import Limit, LimitsInForce
-from spanfall_core.gateway.loads import Loads
-from spanfall_core.gateway.quotas import Quotas
-from spanfall_core.gateway.reporting import silent_after
-from spanfall_core.gateway.retry_budget import RetryBudget
-from spanfall_core.gateway.shared_levels import SharedLevels
-from spanfall_core.gateway.true_time import TrueTime
-from spanfall_core.gateway.unit_reports import GivenUnits
-from spanfall_core.gateway.usage import UsageCounts
-
-from spanfall_node.gateway.counters import Counters
-from spanfall_node.gateway.crash_knowledge import CrashKnowledge
-from spanfall_node.gateway.ports import PlatformAdapter
-from spanfall_node.gateway.succession_messages import (
+from spanfall_core.gateway.known.fleet import Counts, EntryReport, FleetState
+from spanfall_core.gateway.known.freshness import Freshness
+from spanfall_core.gateway.known.limits import Limit, LimitsInForce
+from spanfall_core.gateway.known.loads import Loads
+from spanfall_core.gateway.known.reporting import silent_after
+from spanfall_core.gateway.known.true_time import TrueTime
+from spanfall_core.gateway.known.unit_reports import GivenUnits
+from spanfall_core.gateway.known.usage import UsageCounts
+from spanfall_core.gateway.limits.quotas import Quotas
+from spanfall_core.gateway.limits.shared_levels import SharedLevels
+from spanfall_core.gateway.routing.balance import PromptHistory
+from spanfall_core.gateway.routing.grants import EntryLoad, GrantBook
+from spanfall_core.gateway.routing.retry_budget import RetryBudget
+
+from spanfall_node.gateway.links.succession_messages import (
     HomeRecord,
 )
-from spanfall_node.gateway.tenure import Tenure
+from spanfall_node.gateway.net.ports import PlatformAdapter
+from spanfall_node.gateway.tables.counters import Counters
+from spanfall_node.gateway.tables.crash_knowledge import CrashKnowledge
+from spanfall_node.gateway.tables.tenure import Tenure
 from spanfall_node.timers import Timers
 
 logger = logging.getLogger(__name__)
--- a/packages/spanfall-node/src/spanfall_node/gateway/attempt.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
@@ -4,16 +4,16 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.configuration import RouteKind
-from spanfall_core.gateway.lifetimes import Lifetime
-from spanfall_core.gateway.sends import SendEnd, SendState
-
-from spanfall_node.gateway.admission import Work
-from spanfall_node.gateway.caller_connection import CallerConnection
-from spanfall_node.gateway.client import AnswerHead
-from spanfall_node.gateway.event_parts import EventSplitter
-from spanfall_node.gateway.forwarded import answer_headers
-from spanfall_node.gateway.state import GatewayState
+from spanfall_core.gateway.known.configuration import RouteKind
+from spanfall_core.gateway.known.lifetimes import Lifetime
+from spanfall_core.gateway.routing.sends import SendEnd, SendState
+
+from spanfall_node.gateway.net.client import AnswerHead
+from spanfall_node.gateway.requests.admission import Work
+from spanfall_node.gateway.requests.caller_connection import CallerConnection
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.event_parts import EventSplitter
+from spanfall_node.gateway.upstreams.forwarded import answer_headers
 
 logger = logging.getLogger(__name__)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/crash_watch.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/crash_watch.py
@@ -10,20 +10,20 @@
 from dataclasses import dataclass, field
 
 import anyio
-from spanfall_core.gateway.crashes import Sign
-from spanfall_core.gateway.directory import ListedUpstream
-from spanfall_core.gateway.identity import RequestIdentity
-from spanfall_core.gateway.lifetimes import Lifetime
+from spanfall_core.gateway.crashes.crashes import Sign
+from spanfall_core.gateway.known.directory import ListedUpstream
+from spanfall_core.gateway.known.identity import RequestIdentity
+from spanfall_core.gateway.known.lifetimes import Lifetime
 
-from spanfall_node.gateway.client import ConnectionPool, connect
-from spanfall_node.gateway.crash_messages import (
+from spanfall_node.gateway.links.crash_messages import (
     CrashReport,
     RunStage,
     WatchedRun,
 )
-from spanfall_node.gateway.errors import NobodyListensError, NotSentError
-from spanfall_node.gateway.questions import Send
-from spanfall_node.gateway.state import GatewayState
+from spanfall_node.gateway.links.questions import Send
+from spanfall_node.gateway.net.client import ConnectionPool, connect
+from spanfall_node.gateway.net.errors import NobodyListensError, NotSentError
+from spanfall_node.gateway.tables.state import GatewayState
 
 #: Seconds for the answer of a host that ended a connection a moment ago.
 PROBE_SECONDS = 0.1
--- a/packages/spanfall-node/src/spanfall_node/gateway/forwarded.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/forwarded.py
@@ -1,8 +1,8 @@
 """Build what goes to an upstream and what goes back to the caller."""
 
-from spanfall_node.gateway.admission import Work
-from spanfall_node.gateway.client import AnswerHead
-from spanfall_node.gateway.ports import HeaderNames, Headers, HttpCall
+from spanfall_node.gateway.net.client import AnswerHead
+from spanfall_node.gateway.net.ports import HeaderNames, Headers, HttpCall
+from spanfall_node.gateway.requests.admission import Work
 
 #: Headers that concern one connection only (RFC 9110, section 7.6.1).
 HOP_HEADERS = frozenset(
--- a/packages/spanfall-node/src/spanfall_node/gateway/grants.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
@@ -9,19 +9,19 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.balance import Choice, choose
-from spanfall_core.gateway.crashes import Standing
-from spanfall_core.gateway.directory import ListedUpstream
-from spanfall_core.gateway.estimates import Ask
-from spanfall_core.gateway.grants import EntryLoad, FleetLoads, Grant
+from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.known.directory import ListedUpstream
+from spanfall_core.gateway.routing.balance import Choice, choose
+from spanfall_core.gateway.routing.estimates import Ask
+from spanfall_core.gateway.routing.grants import EntryLoad, FleetLoads, Grant
 
-from spanfall_node.gateway.messages import (
+from spanfall_node.gateway.links.messages import (
     AskMessage,
     GrantMessage,
     GrantRequest,
 )
-from spanfall_node.gateway.questions import Questions, Send
-from spanfall_node.gateway.state import GatewayState
+from spanfall_node.gateway.links.questions import Questions, Send
+from spanfall_node.gateway.tables.state import GatewayState
 
 logger = logging.getLogger(__name__)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -9,10 +9,10 @@
 from functools import partial
 
 import anyio
-from spanfall_core.gateway.balance import Choice
-from spanfall_core.gateway.crashes import Standing
-from spanfall_core.gateway.estimates import Ask
-from spanfall_core.gateway.sends import (
+from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.routing.balance import Choice
+from spanfall_core.gateway.routing.estimates import Ask
+from spanfall_core.gateway.routing.sends import (
     RETRY_REASONS,
     NextStep,
     SendEnd,
@@ -20,25 +20,25 @@
 )
 from spanfall_core.reasons import RefusalReason
 
-from spanfall_node.gateway.admission import Work
-from spanfall_node.gateway.attempt import (
+from spanfall_node.gateway.links.crash_messages import RunStage
+from spanfall_node.gateway.net.client import ConnectionPool
+from spanfall_node.gateway.requests.admission import Work
+from spanfall_node.gateway.requests.caller_connection import CallerConnection
+from spanfall_node.gateway.requests.refusals import (
+    EndsUpstreamsError,
+    RefusedError,
+)
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.attempt import (
     Answered,
     Exchange,
     Failed,
     count_run,
     relay_whole,
 )
-from spanfall_node.gateway.caller_connection import CallerConnection
-from spanfall_node.gateway.client import ConnectionPool
-from spanfall_node.gateway.crash_messages import RunStage
-from spanfall_node.gateway.crash_watch import CrashWatch
-from spanfall_node.gateway.grants import Grants
-from spanfall_node.gateway.refusals import (
-    EndsUpstreamsError,
-    RefusedError,
-)
-from spanfall_node.gateway.sending import send
-from spanfall_node.gateway.state import GatewayState
+from spanfall_node.gateway.upstreams.crash_watch import CrashWatch
+from spanfall_node.gateway.upstreams.grants import Grants
+from spanfall_node.gateway.upstreams.sending import send
 
 logger = logging.getLogger(__name__)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/sending.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
@@ -4,37 +4,37 @@
 from dataclasses import dataclass
 
 import anyio
-from spanfall_core.gateway.balance import Choice
-from spanfall_core.gateway.sends import SendEnd
+from spanfall_core.gateway.routing.balance import Choice
+from spanfall_core.gateway.routing.sends import SendEnd
 
-from spanfall_node.gateway.attempt import (
-    Answered,
-    Exchange,
-    Failed,
-    count_run,
-    log_answered,
-    note_answer,
-    relay_whole,
-)
-from spanfall_node.gateway.client import (
+from spanfall_node.gateway.net.client import (
     AnswerHead,
     Connection,
     ConnectionPool,
 )
-from spanfall_node.gateway.errors import (
+from spanfall_node.gateway.net.errors import (
     BrokenCallError,
     CallerGoneError,
     CallError,
     NotSentError,
 )
-from spanfall_node.gateway.event_parts import EventTooLargeError
-from spanfall_node.gateway.forwarded import (
+from spanfall_node.gateway.requests.refusals import PROMISES
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.attempt import (
+    Answered,
+    Exchange,
+    Failed,
+    count_run,
+    log_answered,
+    note_answer,
+    relay_whole,
+)
+from spanfall_node.gateway.upstreams.event_parts import EventTooLargeError
+from spanfall_node.gateway.upstreams.forwarded import (
     answer_headers,
     is_event_stream,
     upstream_call,
 )
-from spanfall_node.gateway.refusals import PROMISES
-from spanfall_node.gateway.state import GatewayState
 
 logger = logging.getLogger(__name__)
 
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
@@ -3,7 +3,7 @@
 from urllib.parse import urlencode
 
 import msgspec
-from spanfall_core.gateway.configuration import (
+from spanfall_core.gateway.known.configuration import (
     CallerLimits,
     Route,
     RouteKind,
@@ -13,8 +13,8 @@
     ServedWorkspace,
     ServiceShare,
 )
-from spanfall_core.gateway.directory import ListedUpstream, UnusableEntry
-from spanfall_node.gateway.ports import (
+from spanfall_core.gateway.known.directory import ListedUpstream, UnusableEntry
+from spanfall_node.gateway.net.ports import (
     CloudDialect,
     HeaderNames,
     HttpCall,
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -11,18 +11,18 @@
 from dataclasses import dataclass, field
 from itertools import count
 
-from spanfall_core.gateway.capacity import plan_orders
-from spanfall_core.gateway.configuration import EngineLimits, Scaling
-from spanfall_core.gateway.demand import OfferedLoad, needed_upstreams
-from spanfall_core.gateway.directory import ListedUpstream
-from spanfall_core.gateway.engine_model import ReadingSpeed
-from spanfall_core.gateway.orders import (
+from spanfall_core.gateway.known.configuration import EngineLimits, Scaling
+from spanfall_core.gateway.known.directory import ListedUpstream
+from spanfall_core.gateway.known.engine_model import ReadingSpeed
+from spanfall_core.gateway.orders.capacity import plan_orders
+from spanfall_core.gateway.orders.demand import OfferedLoad, needed_upstreams
+from spanfall_core.gateway.orders.orders import (
     ServiceOrders,
     count_present,
     note_accepted,
     note_refused,
 )
-from spanfall_node.gateway.capacity_duty import SETTLE_SECONDS
+from spanfall_node.gateway.duties.capacity_duty import SETTLE_SECONDS
 
 PLACES = {'north': 1.0, 'south': 0.8, 'east': 1.25, 'west': 0.9}
 #: Bounds and prices as of a deployment with four data centres.
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -12,11 +12,11 @@
 import msgspec
 from anyio.abc import SocketStream, TaskGroup
 from spanfall_api.gateway_settings import Bounds, GatewaySettings, Host, Listen
-from spanfall_core.gateway.configuration import RouteKind
-from spanfall_core.gateway.directory import ListedUpstream
-from spanfall_node.gateway.new_state import build_state
+from spanfall_core.gateway.known.configuration import RouteKind
+from spanfall_core.gateway.known.directory import ListedUpstream
 from spanfall_node.gateway.program import start_gateway
-from spanfall_node.gateway.state import GatewayState
+from spanfall_node.gateway.tables.new_state import build_state
+from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.timers import Timers
 from spanfall_standins.gateway.dialect import (
     ADAPTER,
--- a/tests/quota_nodes.py
+++ b/tests/quota_nodes.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass, field
 
 from quota_traffic import Fate
-from spanfall_core.gateway.limits import Limit, LimitsInForce
-from spanfall_core.gateway.quotas import Quotas
-from spanfall_core.gateway.unit_reports import EntrySpending, GivenUnits
+from spanfall_core.gateway.known.limits import Limit, LimitsInForce
+from spanfall_core.gateway.known.unit_reports import EntrySpending, GivenUnits
+from spanfall_core.gateway.limits.quotas import Quotas
 
 #: Units a second and at once, as of a large workspace of the deployments.
 #: The window is the one in which the platform counts.
--- a/tests/quota_world.py
+++ b/tests/quota_world.py
@@ -7,10 +7,10 @@
 from quota_nodes import LIMIT, WINDOW, Node, Table
 from quota_requests import STEP, RequestWorld
 from quota_traffic import REQUEST
-from spanfall_core.gateway.fleet_spending import FleetSpending
-from spanfall_core.gateway.limits import Limit, LimitsInForce, Tolerance
-from spanfall_core.gateway.quotas import Quotas
-from spanfall_core.gateway.shared_levels import SharedLevels
+from spanfall_core.gateway.known.limits import Limit, LimitsInForce, Tolerance
+from spanfall_core.gateway.limits.fleet_spending import FleetSpending
+from spanfall_core.gateway.limits.quotas import Quotas
+from spanfall_core.gateway.limits.shared_levels import SharedLevels
 
 __all__ = (
     'LIMIT',
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -5,9 +5,9 @@
 
 import pytest
 from spanfall_core.reasons import RefusalReason
-from spanfall_node.gateway import callers as module
-from spanfall_node.gateway.callers import MOST_ADMIT_SECONDS, Callers
-from spanfall_node.gateway.refusals import RefusedError
+from spanfall_node.gateway.callers import callers as module
+from spanfall_node.gateway.callers.callers import MOST_ADMIT_SECONDS, Callers
+from spanfall_node.gateway.requests.refusals import RefusedError
 from support import run_async
 
 WORK = object()
--- a/tests/test_gateway_capacity.py
+++ b/tests/test_gateway_capacity.py
@@ -5,9 +5,11 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from spanfall_core.gateway.capacity import plan_orders
-from spanfall_core.gateway.configuration import EngineLimits, Scaling
-from spanfall_core.gateway.demand import (
+from spanfall_core.gateway.known.configuration import EngineLimits, Scaling
+from spanfall_core.gateway.known.directory import ListedUpstream
+from spanfall_core.gateway.known.engine_model import ReadingSpeed
+from spanfall_core.gateway.orders.capacity import plan_orders
+from spanfall_core.gateway.orders.demand import (
     GOOD_BATCH,
     GOOD_READING,
     LEARN_SECONDS,
@@ -17,9 +19,7 @@
     OfferedLoad,
     needed_upstreams,
 )
-from spanfall_core.gateway.directory import ListedUpstream
-from spanfall_core.gateway.engine_model import ReadingSpeed
-from spanfall_core.gateway.orders import (
+from spanfall_core.gateway.orders.orders import (
     Present,
     ServiceOrders,
     count_present,
--- a/tests/test_gateway_client.py
+++ b/tests/test_gateway_client.py
@@ -5,9 +5,9 @@
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
-from spanfall_node.gateway.client import Connection, connect
-from spanfall_node.gateway.ports import HttpCall
-from spanfall_node.gateway.sockets import UNACKNOWLEDGED_MS
+from spanfall_node.gateway.net.client import Connection, connect
+from spanfall_node.gateway.net.ports import HttpCall
+from spanfall_node.gateway.net.sockets import UNACKNOWLEDGED_MS
 from support import run_async
 
 #: More than the sockets of both ends hold.
--- a/tests/test_gateway_crash_signs.py
+++ b/tests/test_gateway_crash_signs.py
@@ -9,14 +9,14 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from spanfall_core.gateway.crash_signs import (
+from spanfall_core.gateway.crashes.crash_signs import (
     LONGEST_DOUBT,
     Settled,
     listed_seconds,
     settle,
 )
-from spanfall_core.gateway.crashes import CrashTable, Doubt, Standing
-from spanfall_core.gateway.directory import Directory, ListedUpstream
+from spanfall_core.gateway.crashes.crashes import CrashTable, Doubt, Standing
+from spanfall_core.gateway.known.directory import Directory, ListedUpstream
 
 HEARTBEAT = 1.2
 NO_OUTAGE = float('-inf')
--- a/tests/test_gateway_crash_spread.py
+++ b/tests/test_gateway_crash_spread.py
@@ -4,12 +4,12 @@
 
 import anyio
 from gateway_world import ask, in_world
-from spanfall_core.gateway.crashes import QUARANTINE_SECONDS, Standing
-from spanfall_core.gateway.identity import request_identity
-from spanfall_node.gateway.crash_knowledge import CrashKnowledge
-from spanfall_node.gateway.crash_messages import RunStage, WatchedRun
-from spanfall_node.gateway.crash_record import CRASHES_KEY
-from spanfall_node.gateway.entry_link import EntryLink
+from spanfall_core.gateway.crashes.crashes import QUARANTINE_SECONDS, Standing
+from spanfall_core.gateway.known.identity import request_identity
+from spanfall_node.gateway.home.entry_link import EntryLink
+from spanfall_node.gateway.links.crash_messages import RunStage, WatchedRun
+from spanfall_node.gateway.store.crash_record import CRASHES_KEY
+from spanfall_node.gateway.tables.crash_knowledge import CrashKnowledge
 from spanfall_standins.gateway.upstream import (
     ends_under,
     in_turn,
--- a/tests/test_gateway_crash_table.py
+++ b/tests/test_gateway_crash_table.py
@@ -10,7 +10,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from spanfall_core.gateway.crashes import (
+from spanfall_core.gateway.crashes.crashes import (
     MOST_QUARANTINED,
     MOST_REMEMBERED,
     QUARANTINE_SECONDS,
--- a/tests/test_gateway_directory.py
+++ b/tests/test_gateway_directory.py
@@ -4,7 +4,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from spanfall_core.gateway.directory import Directory, ListedUpstream
+from spanfall_core.gateway.known.directory import Directory, ListedUpstream
 
 NO_OUTAGE = float('-inf')
 ROWS = [
--- a/tests/test_gateway_engine_model.py
+++ b/tests/test_gateway_engine_model.py
@@ -6,7 +6,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from spanfall_core.gateway.engine_model import (
+from spanfall_core.gateway.known.engine_model import (
     LEAST_RATE,
     MOST_RATE,
     ReadingModel,
--- a/tests/test_gateway_grants.py
+++ b/tests/test_gateway_grants.py
@@ -6,19 +6,19 @@
 from gateway_world import SERVICE, ask, in_world
 from hypothesis import given
 from hypothesis import strategies as st
-from spanfall_core.gateway.balance import PromptHistory, choose
-from spanfall_core.gateway.directory import ListedUpstream
-from spanfall_core.gateway.estimates import Ask
-from spanfall_core.gateway.grants import (
+from spanfall_core.gateway.known.directory import ListedUpstream
+from spanfall_core.gateway.known.loads import Loads
+from spanfall_core.gateway.known.reporting import UNHEARD_SECONDS
+from spanfall_core.gateway.routing.balance import PromptHistory, choose
+from spanfall_core.gateway.routing.estimates import Ask
+from spanfall_core.gateway.routing.grants import (
     EntryLoad,
     FleetLoads,
     Grant,
     GrantBook,
 )
-from spanfall_core.gateway.loads import Loads
-from spanfall_core.gateway.reporting import UNHEARD_SECONDS
-from spanfall_node.gateway.grants import ALONE_SECONDS, Grants
-from spanfall_node.gateway.messages import GrantMessage
+from spanfall_node.gateway.links.messages import GrantMessage
+from spanfall_node.gateway.upstreams.grants import ALONE_SECONDS, Grants
 from spanfall_standins.gateway.upstream import whole
 from support import wait_until
 from test_gateway_home import two_gateways
--- a/tests/test_gateway_home.py
+++ b/tests/test_gateway_home.py
@@ -5,30 +5,30 @@
 import anyio
 from gateway_world import ask, in_world
 from spanfall_api.gateway_settings import Host
-from spanfall_core.gateway.reporting import report_period
-from spanfall_node.gateway.home_links import HomeLinks
-from spanfall_node.gateway.home_pace import (
+from spanfall_core.gateway.known.reporting import report_period
+from spanfall_node.gateway.home.home_links import HomeLinks
+from spanfall_node.gateway.home.home_pace import (
     MOST_OUTAGE_LOOKS,
     is_small,
     look_period,
 )
-from spanfall_node.gateway.leadership import Leadership
-from spanfall_node.gateway.messages import (
+from spanfall_node.gateway.home.leadership import Leadership
+from spanfall_node.gateway.links.messages import (
     encode,
 )
-from spanfall_node.gateway.needs_record import NEEDS_KEY
-from spanfall_node.gateway.succession_messages import (
+from spanfall_node.gateway.links.succession_messages import (
     FarewellMessage,
     HomeRecord,
 )
-from spanfall_node.gateway.sync import (
+from spanfall_node.gateway.store.needs_record import NEEDS_KEY
+from spanfall_node.gateway.store.sync import (
     OLD_PROOF,
     READ_PERIOD,
     START_SECONDS,
     old_proof,
     read_period,
 )
-from spanfall_node.gateway.tenure import HOME_KEY
+from spanfall_node.gateway.tables.tenure import HOME_KEY
 from spanfall_standins.gateway.dialect import (
     CONFIGURATION_KEY,
     UPSTREAM_PREFIX,
--- a/tests/test_gateway_identity.py
+++ b/tests/test_gateway_identity.py
@@ -2,7 +2,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from spanfall_core.gateway.identity import request_identity
+from spanfall_core.gateway.known.identity import request_identity
 
 PARTS = st.tuples(
     st.text(max_size=3),
--- a/tests/test_gateway_lifetimes.py
+++ b/tests/test_gateway_lifetimes.py
@@ -6,9 +6,9 @@
 from gateway_world import SERVICE, ask, in_world
 from hypothesis import given
 from hypothesis import strategies as st
-from spanfall_core.gateway.directory import Directory, ListedUpstream
-from spanfall_core.gateway.loads import Loads
-from spanfall_core.gateway.prefixes import PrefixIndex, PromptPart
+from spanfall_core.gateway.known.directory import Directory, ListedUpstream
+from spanfall_core.gateway.known.loads import Loads
+from spanfall_core.gateway.known.prefixes import PrefixIndex, PromptPart
 from spanfall_standins.gateway.dialect import UPSTREAM_PREFIX
 from spanfall_standins.gateway.upstream import whole
 from support import wait_until
--- a/tests/test_gateway_messages.py
+++ b/tests/test_gateway_messages.py
@@ -4,22 +4,22 @@
 import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
-from spanfall_core.gateway.crashes import Standing
-from spanfall_core.gateway.directory import ListedUpstream
-from spanfall_core.gateway.estimates import Ask
-from spanfall_core.gateway.fleet import EntryReport, FleetTotals
-from spanfall_core.gateway.grants import EntryLoad, Grant
-from spanfall_core.gateway.identity import request_identity
-from spanfall_core.gateway.lifetimes import name_lifetime
-from spanfall_core.gateway.prefixes import PromptPart
-from spanfall_core.gateway.unit_reports import GivenUnits
-from spanfall_node.gateway.crash_messages import (
+from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.known.directory import ListedUpstream
+from spanfall_core.gateway.known.fleet import EntryReport, FleetTotals
+from spanfall_core.gateway.known.identity import request_identity
+from spanfall_core.gateway.known.lifetimes import name_lifetime
+from spanfall_core.gateway.known.prefixes import PromptPart
+from spanfall_core.gateway.known.unit_reports import GivenUnits
+from spanfall_core.gateway.routing.estimates import Ask
+from spanfall_core.gateway.routing.grants import EntryLoad, Grant
+from spanfall_node.gateway.links.crash_messages import (
     CrashReport,
     QuarantineMessage,
     RunStage,
     WatchedRun,
 )
-from spanfall_node.gateway.messages import (
+from spanfall_node.gateway.links.messages import (
     AskMessage,
     GrantMessage,
     GrantRequest,
--- a/tests/test_gateway_passing_on.py
+++ b/tests/test_gateway_passing_on.py
@@ -9,9 +9,9 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from spanfall_core.gateway.reporting import report_period
-from spanfall_node.gateway.messages import ConfigurationPart
-from spanfall_node.gateway.passing_on import (
+from spanfall_core.gateway.known.reporting import report_period
+from spanfall_node.gateway.links.messages import ConfigurationPart
+from spanfall_node.gateway.links.passing_on import (
     AHEAD_SECONDS,
     LINK_PART,
     MOST_BYTES,
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -12,12 +12,15 @@
     TOLERANCE,
     WINDOW,
 )
-from spanfall_core.gateway.fleet_spending import FleetSpending
-from spanfall_core.gateway.limits import LimitsInForce
-from spanfall_core.gateway.quotas import DENIED_SECONDS, Quotas
-from spanfall_core.gateway.reporting import SILENT_SECONDS
-from spanfall_core.gateway.shared_levels import LOOK_SECONDS, SharedLevels
-from spanfall_core.gateway.unit_reports import EntrySpending, GivenUnits
+from spanfall_core.gateway.known.limits import LimitsInForce
+from spanfall_core.gateway.known.reporting import SILENT_SECONDS
+from spanfall_core.gateway.known.unit_reports import EntrySpending, GivenUnits
+from spanfall_core.gateway.limits.fleet_spending import FleetSpending
+from spanfall_core.gateway.limits.quotas import DENIED_SECONDS, Quotas
+from spanfall_core.gateway.limits.shared_levels import (
+    LOOK_SECONDS,
+    SharedLevels,
+)
 
 ENTRIES = 9
 #: Seconds after which nothing is assumed about the time before the start.
--- a/tests/test_gateway_reporting.py
+++ b/tests/test_gateway_reporting.py
@@ -9,22 +9,22 @@
 from random import Random
 
 import pytest
-from spanfall_core.gateway.fleet import (
+from spanfall_core.gateway.known.fleet import (
     MEETING_SECONDS,
     EntryReport,
     FleetState,
 )
-from spanfall_core.gateway.grants import EntryLoad, GrantBook
-from spanfall_core.gateway.limits import Limit, Tolerance
-from spanfall_core.gateway.reporting import (
+from spanfall_core.gateway.known.limits import Limit, Tolerance
+from spanfall_core.gateway.known.reporting import (
     MOST_REPORTS,
     report_period,
     silent_after,
     unheard_after,
 )
-from spanfall_core.gateway.shared_levels import SharedLevels
-from spanfall_core.gateway.unit_reports import EntrySpending
-from spanfall_node.gateway.sync import old_proof
+from spanfall_core.gateway.known.unit_reports import EntrySpending
+from spanfall_core.gateway.limits.shared_levels import SharedLevels
+from spanfall_core.gateway.routing.grants import EntryLoad, GrantBook
+from spanfall_node.gateway.store.sync import old_proof
 
 SIZES = (8, 50, 77, 195, 231, 400, 600)
 LIMITS = {'w': Limit(100_000, 100_000, 8)}
--- a/tests/test_gateway_retry_budget.py
+++ b/tests/test_gateway_retry_budget.py
@@ -3,8 +3,8 @@
 from itertools import product
 
 import pytest
-from spanfall_core.gateway.retry_budget import RetryBudget, RetryLimits
-from spanfall_core.gateway.spending import SLOT_SECONDS
+from spanfall_core.gateway.known.spending import SLOT_SECONDS
+from spanfall_core.gateway.routing.retry_budget import RetryBudget, RetryLimits
 
 #: As of the deployments: a fifth of the requests, and 54 in any 10 s.
 LIMITS = RetryLimits(ratio=0.2, allowance=54, window=10)
--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -5,8 +5,12 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from spanfall_core.gateway.configuration import Route, RouteKind, ServiceShare
-from spanfall_core.gateway.sends import (
+from spanfall_core.gateway.known.configuration import (
+    Route,
+    RouteKind,
+    ServiceShare,
+)
+from spanfall_core.gateway.routing.sends import (
     MOST_SENDS,
     NOT_RUN_ENDS,
     NextStep,
--- a/tests/test_gateway_shortlist.py
+++ b/tests/test_gateway_shortlist.py
@@ -9,12 +9,12 @@
 from random import Random
 
 import pytest
-from spanfall_core.gateway.balance import PromptHistory, choose
-from spanfall_core.gateway.directory import Directory, ListedUpstream
-from spanfall_core.gateway.estimates import Ask
-from spanfall_core.gateway.loads import Loads
-from spanfall_core.gateway.prefixes import PromptPart
-from spanfall_core.gateway.shortlist import FULL_SEARCH
+from spanfall_core.gateway.known.directory import Directory, ListedUpstream
+from spanfall_core.gateway.known.loads import Loads
+from spanfall_core.gateway.known.prefixes import PromptPart
+from spanfall_core.gateway.routing.balance import PromptHistory, choose
+from spanfall_core.gateway.routing.estimates import Ask
+from spanfall_core.gateway.routing.shortlist import FULL_SEARCH
 
 #: Part of the expected time that the short search may lose.
 MOST_LOST = 0.02
@@ -23,7 +23,7 @@
 RATE = 5
 WARM_UP = 500
 #: Where the limit stands that decides between both ways.
-SEARCH_LIMIT = 'spanfall_core.gateway.balance.FULL_SEARCH'
+SEARCH_LIMIT = 'spanfall_core.gateway.routing.balance.FULL_SEARCH'
 
 
 def listed(count):
--- a/tests/test_gateway_sizes.py
+++ b/tests/test_gateway_sizes.py
@@ -2,11 +2,11 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from spanfall_core.gateway.balance import PromptHistory, choose
-from spanfall_core.gateway.directory import Directory, ListedUpstream
-from spanfall_core.gateway.estimates import Ask
-from spanfall_core.gateway.loads import Loads
-from spanfall_core.gateway.sizes import PromptSizes
+from spanfall_core.gateway.known.directory import Directory, ListedUpstream
+from spanfall_core.gateway.known.loads import Loads
+from spanfall_core.gateway.routing.balance import PromptHistory, choose
+from spanfall_core.gateway.routing.estimates import Ask
+from spanfall_core.gateway.routing.sizes import PromptSizes
 
 SHORT = 800
 LONG = 40_000
--- a/tests/test_gateway_slow_signs.py
+++ b/tests/test_gateway_slow_signs.py
@@ -9,8 +9,8 @@
 import anyio
 import pytest
 from gateway_world import ask, in_world
-from spanfall_core.gateway.crashes import Standing
-from spanfall_core.gateway.identity import request_identity
+from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.known.identity import request_identity
 from spanfall_standins.gateway.server import AfterEnd
 from spanfall_standins.gateway.upstream import ends_under, whole
 from support import wait_until
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -1,7 +1,7 @@
 """Relay streams event by event: no gap, no repeat, visible cuts."""
 
 from gateway_world import ask, in_world
-from spanfall_node.gateway.event_parts import EventSplitter
+from spanfall_node.gateway.upstreams.event_parts import EventSplitter
 from spanfall_standins.gateway.upstream import events, resumable
 
 
--- a/tests/test_gateway_succession.py
+++ b/tests/test_gateway_succession.py
@@ -10,13 +10,13 @@
 
 import anyio
 from gateway_world import in_world
-from spanfall_node.gateway.leadership import CUT_SECONDS, Leadership
-from spanfall_node.gateway.messages import decode_from_home
-from spanfall_node.gateway.new_state import build_state
+from spanfall_node.gateway.home.leadership import CUT_SECONDS, Leadership
+from spanfall_node.gateway.home.succession import ASK_PERIOD, ASKED, Succession
+from spanfall_node.gateway.links.messages import decode_from_home
+from spanfall_node.gateway.links.succession_messages import ResignMessage
 from spanfall_node.gateway.program import start_gateway
-from spanfall_node.gateway.succession import ASK_PERIOD, ASKED, Succession
-from spanfall_node.gateway.succession_messages import ResignMessage
-from spanfall_node.gateway.tenure import HOME_KEY
+from spanfall_node.gateway.tables.new_state import build_state
+from spanfall_node.gateway.tables.tenure import HOME_KEY
 from spanfall_standins.gateway.dialect import PlainWorkspace
 from spanfall_standins.gateway.server import answer_bytes, start_server
 from support import wait_until
--- a/tests/test_gateway_unit_requests.py
+++ b/tests/test_gateway_unit_requests.py
@@ -7,14 +7,20 @@
 import msgspec
 import pytest
 from gateway_world import ask, in_world
-from spanfall_core.gateway.limits import Limit
-from spanfall_core.gateway.quotas import Quotas
-from spanfall_core.gateway.spending import SLOT_SECONDS
-from spanfall_core.gateway.unit_reports import EntrySpending, GivenUnits
-from spanfall_node.gateway.counters import Counters
-from spanfall_node.gateway.messages import UnitsMessage
-from spanfall_node.gateway.quota_record import SPENDING_KEY, SpendingRecord
-from spanfall_node.gateway.unit_requests import UNITS_SECONDS, UnitRequests
+from spanfall_core.gateway.known.limits import Limit
+from spanfall_core.gateway.known.spending import SLOT_SECONDS
+from spanfall_core.gateway.known.unit_reports import EntrySpending, GivenUnits
+from spanfall_core.gateway.limits.quotas import Quotas
+from spanfall_node.gateway.limits.unit_requests import (
+    UNITS_SECONDS,
+    UnitRequests,
+)
+from spanfall_node.gateway.links.messages import UnitsMessage
+from spanfall_node.gateway.store.quota_record import (
+    SPENDING_KEY,
+    SpendingRecord,
+)
+from spanfall_node.gateway.tables.counters import Counters
 from spanfall_standins.gateway.dialect import PlainWorkspace
 from spanfall_standins.gateway.upstream import refused, whole
 from support import run_async, wait_until
