--- a/packages/spanfall-core/src/spanfall_core/gateway/limits/shared_levels.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/limits/shared_levels.py
@@ -16,6 +16,8 @@
 from spanfall_core.gateway.known.unit_reports import EntrySpending, GivenUnits
 from spanfall_core.gateway.limits.entry_account import EntryAccount
 from spanfall_core.gateway.limits.fleet_spending import FleetSpending
+from spanfall_core.gateway.limits.given_ahead import GivenAhead
+from spanfall_core.gateway.limits.limit_use import LimitUse
 from spanfall_core.gateway.limits.taken_over import TakenOver
 
 #: Part of what the platform tolerates beyond a limit that covers what silent
@@ -25,6 +27,11 @@
 #: larger than what is left, so that large requests get their turn as small
 #: ones do. What remains is for the first units of restarted entries.
 BORROWED_PART = 0.35
+#: Part of a limit that entries may hold together; it counts as spent once all
+#: nodes are killed. In the model 0.25 refuses 0.002 of the usual requests
+#: around a home that is cut off for 5 s, 0.15 does 0.022; 77 entries 0.02 and
+#: 0.059. Above, a workspace that spends little would need a record.
+HELD_PART = 0.25
 #: Seconds between two looks for entries that fell silent.
 LOOK_SECONDS = 0.1
 #: Entries from which on a home that hears none of the others takes itself for
@@ -32,37 +39,6 @@
 SEVERAL_ENTRIES = 4
 
 
-@dataclass(slots=True)
-class LimitUse:
-    """State where the units of one limit are."""
-
-    total: float
-    spent: float
-    #: What entries that are heard may hold, and may spend beyond it alone.
-    held: float
-    beyond: float
-    #: What those may still spend that are not heard.
-    hidden: float
-    #: What the tolerance covers of the last two.
-    covered: float
-
-    @property
-    def pool(self) -> float:
-        """Return the units that nobody spent or may hold."""
-        uncovered = max(0, self.hidden + self.beyond - self.covered)
-        return self.total - self.spent - self.held - uncovered
-
-    @property
-    def level(self) -> float:
-        """Return what is left, in the pool or held by entries heard."""
-        return self.total - self.spent - self.hidden
-
-    def free_cover(self, live: int) -> float:
-        """Return what one more entry may spend beyond what it holds, alone."""
-        free = self.covered - self.hidden
-        return max(0, min(free / live, free - self.beyond))
-
-
 def _sums() -> defaultdict[str, float]:
     return defaultdict(float)
 
@@ -73,6 +49,7 @@
 
     tolerance: Tolerance = field(default_factory=Tolerance)
     spending: FleetSpending = field(default_factory=FleetSpending)
+    ahead: GivenAhead = field(default_factory=GivenAhead)
     _entries: dict[str, EntryAccount] = field(default_factory=dict)
     #: Sums over the entries that are heard, and the others.
     _held: defaultdict[str, float] = field(default_factory=_sums)
@@ -117,9 +94,9 @@
     ) -> GivenUnits | None:
         """Return what an entry may spend until it is given more.
 
-        It is an equal part of what the pool and the entry hold: half of what
-        is left stays in the pool, for entries that ask for more. None: this
-        home may be cut off, so it gives nothing.
+        It is an equal part of what the pool and the entry hold, and of what
+        entries may hold together. None: this home may be cut off, so it gives
+        nothing.
         """
         live = self._live(limits, now)
         if not live:
@@ -129,7 +106,7 @@
         levels: Units = {}
         for workspace, limit in limits.items():
             use = self.use(workspace, limit, now)
-            part = max(0, use.pool) / (live + 1)
+            part = self._part(account, workspace, use, live)
             account.hold(workspace, part, use.free_cover(live))
             levels[workspace] = use.level
         self._count_held(account, 1)
@@ -139,6 +116,22 @@
             levels,
         )
 
+    def _part(
+        self,
+        account: EntryAccount,
+        workspace: str,
+        use: LimitUse,
+        live: int,
+    ) -> float:
+        """Return the units that an entry is to hold; note what is new."""
+        part = max(0, use.pool) / (live + 1)
+        part = min(part, use.limit.total * HELD_PART / live)
+        known = account.held.get(workspace, 0)
+        free = self.ahead.free(workspace, use.limit, use.outstanding + known)
+        part = min(part, known + free)
+        self.ahead.given[workspace] += max(0, part - known)
+        return part
+
     def lend(
         self,
         entry: str,
@@ -157,11 +150,17 @@
         live = self._live(limits, now)
         if limit is None or account is None or not live:
             return 0
-        pool = self.use(workspace, limit, now).pool
+        use = self.use(workspace, limit, now)
         borrowed = self.tolerance.beyond(limit) * BORROWED_PART
-        if pool <= 0 or pool - units < -borrowed:
+        if use.pool <= 0 or use.pool + borrowed < units:
+            return 0
+        free = self.ahead.free(workspace, limit, use.outstanding)
+        if free < units:
+            self.ahead.want(workspace, units)
             return 0
-        lent = units + max(0, pool - units) / (live + 1)
+        rest = min(use.pool, limit.total * HELD_PART, free) - units
+        lent = units + max(0, rest) / (live + 1)
+        self.ahead.given[workspace] += lent
         account.lend(workspace, lent)
         if entry not in self._silent:
             self._held[workspace] += lent
@@ -170,7 +169,7 @@
     def use(self, workspace: str, limit: Limit, now: float) -> LimitUse:
         """Return where the units of one limit are."""
         return LimitUse(
-            limit.total,
+            limit,
             self.spending.recent(workspace, limit, now),
             self._held[workspace],
             self._beyond[workspace],
@@ -179,8 +178,17 @@
         )
 
     def pressed(self, limits: Limits, now: float) -> dict[str, ByAge]:
-        """Return the spending, by age, of workspaces that use much."""
-        return self.spending.pressed(limits, now)
+        """Return what is to be recorded of workspaces that use much."""
+        uses = {
+            workspace: self.use(workspace, limit, now)
+            for workspace, limit in limits.items()
+        }
+        out = {name: use.outstanding - use.spent for name, use in uses.items()}
+        ahead = {
+            name: self.ahead.ahead(name, limit)
+            for name, limit in limits.items()
+        }
+        return self.spending.pressed(limits, out, ahead, now)
 
     def _meet(
         self,
--- a/tests/quota_requests.py
+++ b/tests/quota_requests.py
@@ -11,6 +11,19 @@
 from quota_traffic import Fate, equal_sizes, run_at_once
 
 STEP = 0.05
+#: Seconds for which a request waits for units that it lacks, as
+#: callers.MOST_ADMIT_SECONDS.
+ADMIT_SECONDS = 0.12
+
+
+@dataclass(slots=True)
+class Asking:
+    """Hold a request that lacks units and asks again."""
+
+    node: Node
+    key: str
+    size: float
+    sent_at: float
 
 
 @dataclass(slots=True)
@@ -29,6 +42,7 @@
     _due: dict[str, float] = field(default_factory=dict)
     _next: dict[str, float] = field(default_factory=dict)
     _waiting: list[Waiting] = field(default_factory=list)
+    _asking: list[Asking] = field(default_factory=list)
     _order: count = field(default_factory=count)
 
     @property
@@ -50,17 +64,30 @@
                 break
             due -= size
             del self._next[name]
-            if try_spend(node, size):
-                self.admitted += 1
-                self._begin(node, size)
-            else:
-                self.refused += 1
+            self._ask(Asking(node, node.key, size, self.now), try_spend)
         self._due[name] = due
 
-    def _begin(self, node, size):
+    def ask_again(self, try_spend):
+        """Let those ask once more that lacked units a moment ago."""
+        asking = self._asking
+        self._asking = []
+        for waiting in asking:
+            if waiting.node.key == waiting.key and waiting.node.runs:
+                self._ask(waiting, try_spend)
+
+    def _ask(self, asking, try_spend):
+        if try_spend(asking.node, asking.size):
+            self.admitted += 1
+            self._begin(asking.node, asking.size, asking.sent_at)
+        elif self.now - asking.sent_at < ADMIT_SECONDS:
+            self._asking.append(asking)
+        else:
+            self.refused += 1
+
+    def _begin(self, node, size, sent_at):
         fate = self.fates()
         due = self.step + fate.steps
-        waiting = Waiting(due, next(self._order), node, fate, self.now, size)
+        waiting = Waiting(due, next(self._order), node, fate, sent_at, size)
         heappush(self._waiting, waiting)
         self.end_waits()
 
--- a/tests/quota_world.py
+++ b/tests/quota_world.py
@@ -9,6 +9,7 @@
 from quota_traffic import REQUEST
 from spanfall_core.gateway.known.limits import Limit, LimitsInForce, Tolerance
 from spanfall_core.gateway.limits.fleet_spending import FleetSpending
+from spanfall_core.gateway.limits.given_ahead import GivenAhead
 from spanfall_core.gateway.limits.quotas import Quotas
 from spanfall_core.gateway.limits.shared_levels import SharedLevels
 
@@ -52,11 +53,17 @@
     limit: Limit = LIMIT
     #: Most steps that a table is under way.
     transit: int = 0
+    #: Steps until the store holds what the home records, and the home knows it:
+    #: some when hosts and the store are busy.
+    record_steps: int = 0
+    _writing: list = field(default_factory=list)
     seed: int = 0
     epoch: int = 0
     home: Node | None = None
     levels: SharedLevels | None = None
     store_is_away: bool = False
+    #: Whether the store does what it is told and its answers are lost.
+    loses_answers: bool = False
     record: dict = field(default_factory=dict)
     without_home: int = 0
     without_store: int = 0
@@ -89,6 +96,7 @@
 
     def heal(self):
         self.store_is_away = False
+        self.loses_answers = False
         for node in self.nodes:
             node.cut = None
             if node.frozen is not None and node.frozen >= LINK_STEPS:
@@ -141,8 +149,10 @@
         for _ in range(round(seconds / STEP)):
             self.step += 1
             self._pass_time()
+            self._land_records()
             self._lead()
             self.end_waits()
+            self.ask_again(self._try_spend)
             for serving in self.nodes:
                 if serving.runs:
                     self.serve(serving, self._try_spend)
@@ -185,10 +195,34 @@
         self.home = None
 
     def _record(self):
-        is_due = self.step % RECORD_STEPS == 0
-        if is_due and self.home.is_reached and not self.store_is_away:
-            limits = self.home.limits_at(self.now)
-            self.record = self.levels.pressed(limits, self.now)
+        ahead = self.levels.ahead
+        if self.store_is_away:
+            ahead.note_failed(self.now)
+            return
+        if self._writing or not self.home.is_reached:
+            return
+        limits = self.home.limits_at(self.now)
+        if self.step % RECORD_STEPS == 0 or ahead.is_due(limits):
+            spent = self.levels.pressed(limits, self.now)
+            vouched = ahead.vouch({name: limits[name] for name in spent})
+            due = self.step + self.record_steps
+            self._writing.append((due, self.epoch, spent, vouched))
+            self._land_records()
+
+    def _land_records(self):
+        """Let the store take what was sent to it, also of a home that died."""
+        if not self._writing or self._writing[0][0] > self.step:
+            return
+        _, epoch, spent, vouched = self._writing.pop()
+        if self.store_is_away or epoch != self.epoch:
+            return
+        self.record = spent
+        if self.home is None:
+            return
+        if self.loses_answers:
+            self.levels.ahead.note_failed(self.now)
+        else:
+            self.levels.ahead.note_recorded(vouched, self.now)
 
     def _find_home(self):
         self.without_home += 1
@@ -204,7 +238,11 @@
         self.epoch += 1
         self.home = node
         self.without_store = 0
-        self.levels = SharedLevels(TOLERANCE, FleetSpending(self.record))
+        self.levels = SharedLevels(
+            TOLERANCE,
+            FleetSpending(self.record),
+            GivenAhead(keeps_records=True),
+        )
 
     def _report(self, node):
         if not node.runs:
--- a/tests/test_gateway_limit_promise.py
+++ b/tests/test_gateway_limit_promise.py
@@ -16,7 +16,7 @@
 import quota_events
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from quota_nodes import WINDOW
+from quota_nodes import LIMIT, WINDOW
 from quota_traffic import (
     LARGEST,
     Fate,
@@ -115,6 +115,49 @@
     assert world.most_beyond <= 0
 
 
+@pytest.mark.parametrize('entries', [8, 10, 77])
+@pytest.mark.parametrize('late', [0, 8, 16])
+def test_two_restarts_of_all_with_late_records(entries, late):
+    """Seen twice: 1 and 2 in 100 more than is tolerated ran in a window.
+
+    Course: the store is back, a workspace presses, all nodes are killed, and
+    four seconds later again. Cause: the record told what the home had heard to
+    be spent, up to 0.9 s late on busy hosts; what was given out and spent
+    since was known to nobody. Proof: where such a record did not bind what the
+    home gives out, 1 of 80 courses passed the limit with records 0.4 s late,
+    17 with 0.8 s.
+    """
+    seeds = 12 if entries < 77 else 2
+    worlds = (two_restarts(seed, entries, late) for seed in range(seeds))
+    assert max(world.most_beyond for world in worlds) <= 0
+
+
+def two_restarts(seed, entries, late, **fields):
+    """Play the course with moments drawn from a seed."""
+    draw = Random(seed)
+    world = QuotaWorld(
+        entries=entries,
+        demand=LIMIT.rate / 1.8,
+        sizes=mixed_sizes(seed),
+        transit=2,
+        seed=seed,
+        record_steps=late,
+        **fields,
+    )
+    world.run(WINDOW + draw.uniform(0, 3))
+    world.store_is_away = True
+    world.run(draw.uniform(3, 4.5))
+    world.store_is_away = False
+    world.run(draw.uniform(0, 1.5))
+    world.demand = LIMIT.rate / 1.8 * draw.uniform(4, 7.5)
+    world.run(draw.uniform(0.2, 2))
+    world.kill(*range(entries))
+    world.run(draw.uniform(3.2, 4.8))
+    world.kill(*range(entries))
+    world.run(10)
+    return world
+
+
 def test_a_home_that_hands_over_under_pressure():
     """Its units go on with their holders, and the next home hears of them."""
 
