--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
@@ -38,6 +38,9 @@
 #: Of these, those that the home does not grant either.
 NOT_SENT = frozenset((Standing.HELD, Standing.QUARANTINED))
 
+#: Recent failures from which on an upstream is taken to fail.
+FAILING = 1.0
+
 #: Outcomes of a choice, as counted.
 AS_HOME = 'as-home'
 GRANTED = 'granted'
@@ -62,30 +65,36 @@
         return GrantMessage(number, standing=standing)
     candidates = state.directory.serving(request.service)
     if standing is Standing.SUSPECT:
-        candidates = _trial_upstream(state, candidates, request, now)
-        if not candidates:
+        trials = state.crashes.trials
+        identity = request.ask.identity
+        if not trials.try_begin(request.service, identity, now):
             return GrantMessage(number, standing=standing)
+    if standing is not Standing.FREE:
+        candidates = _where_least_breaks(state, candidates, request, now)
     grant = _choose_as_home(state, entry, number, request, candidates)
     return GrantMessage(number, grant, standing)
 
 
-def _trial_upstream(
+def _where_least_breaks(
     state: GatewayState,
     candidates: Sequence[ListedUpstream],
     request: GrantRequest,
     now: float,
 ) -> Sequence[ListedUpstream]:
-    """Begin the trial of a suspect where least would break with it.
+    """Return the upstream whose end would cost least, if one is left.
 
-    Return that upstream, or none while there is no place for a trial.
+    Those that failed lately come last: few run there, and the request would
+    learn nothing there.
     """
-    ask = request.ask
-    untried = [row for row in candidates if row.lifetime not in ask.tried]
-    trials = state.crashes.trials
-    if not untried or not trials.try_begin(request.service, ask.identity, now):
-        return ()
+    tried = request.ask.tried
     running = state.grant_book.running
-    return (min(untried, key=lambda row: running[row.lifetime]),)
+
+    def cost(row: ListedUpstream) -> tuple[bool, int]:
+        failures = state.loads.failures_at(row.lifetime, now)
+        return failures >= FAILING, running[row.lifetime]
+
+    untried = [row for row in candidates if row.lifetime not in tried]
+    return sorted(untried, key=cost)[:1]
 
 
 def _choose_as_home(
