--- a/packages/spanfall-node/src/spanfall_node/gateway/duties/duties.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/duties.py
@@ -6,8 +6,8 @@
 import msgspec
 from spanfall_core.gateway.known.usage import WindowCounts
 
-from spanfall_node.gateway.net.client import ConnectionPool, call_once
 from spanfall_node.gateway.net.errors import CallError
+from spanfall_node.gateway.net.pool import ConnectionPool, call_once
 from spanfall_node.gateway.net.ports import HttpCall, Write
 from spanfall_node.gateway.store.store_client import StoreClient, StoreError
 from spanfall_node.gateway.tables.state import GatewayState
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
@@ -12,14 +12,14 @@
 
 import anyio
 import h11
-from anyio.abc import ByteStream, TaskGroup
+from anyio.abc import ByteStream
 
 from spanfall_node.gateway.net.errors import (
     BrokenCallError,
     NobodyListensError,
     NotSentError,
 )
-from spanfall_node.gateway.net.ports import Headers, HttpCall, HttpReply
+from spanfall_node.gateway.net.ports import Headers, HttpCall
 from spanfall_node.gateway.net.sockets import (
     READ_BYTES,
     SOCKET_ERRORS,
@@ -293,108 +293,3 @@
         raise NotSentError(f'no connection: {type(exc).__name__}') from exc
     end_when_unreachable(stream)
     return Connection(stream, address)
-
-
-@dataclass(slots=True)
-class IdleConnection:
-    """Hold an idle connection and the task that watches it."""
-
-    conn: Connection
-    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
-    watched: anyio.Event = field(default_factory=anyio.Event)
-
-    async def stop_watching(self) -> None:
-        """End the watching task and wait until it has let go."""
-        self.scope.cancel()
-        await self.watched.wait()
-
-
-class ConnectionPool:
-    """Keep idle connections to servers, each watched by a task."""
-
-    def __init__(self, tasks: TaskGroup) -> None:
-        """Use the task group for the watchers of idle connections."""
-        self._tasks = tasks
-        self._idle: dict[str, list[IdleConnection]] = {}
-        self._in_use: dict[str, set[Connection]] = {}
-
-    def open_connections(self, key: str) -> set[Connection]:
-        """Return the connections to a server's lifetime that are open."""
-        idle = {row.conn for row in self._idle.get(key, ())}
-        known = idle | self._in_use.get(key, set())
-        return {conn for conn in known if not conn.is_closed}
-
-    async def take(self, key: str, address: str, timeout: float) -> Connection:
-        """Return an idle connection of a server's lifetime or a new one.
-
-        Raises:
-            NotSentError: nobody accepted in time.
-        """
-        idle = self._idle.get(key, [])
-        while idle:
-            row = idle.pop()
-            await row.stop_watching()
-            if not row.conn.is_closed:
-                row.conn.start_next()
-                return self._used(key, row.conn)
-        return self._used(key, await connect(address, timeout))
-
-    def _used(self, key: str, conn: Connection) -> Connection:
-        self._in_use.setdefault(key, set()).add(conn)
-        return conn
-
-    async def give_back(self, key: str, conn: Connection) -> None:
-        """Keep a connection for another request, or close it."""
-        in_use = self._in_use.get(key, set())
-        in_use.discard(conn)
-        if not in_use:
-            self._in_use.pop(key, None)
-        if not conn.reusable or conn.is_closed:
-            await conn.close()
-            return
-        row = IdleConnection(conn)
-        self._idle.setdefault(key, []).append(row)
-        self._tasks.start_soon(self._watch, key, row)
-
-    async def _watch(self, key: str, row: IdleConnection) -> None:
-        try:
-            with row.scope:
-                await row.conn.watch_idle()
-        finally:
-            row.watched.set()
-        if row.scope.cancelled_caught:
-            return
-        rows = self._idle.get(key, [])
-        if row in rows:
-            rows.remove(row)
-        await row.conn.close()
-
-
-async def call_once(
-    pool: ConnectionPool,
-    address: str,
-    call: HttpCall,
-    timeout: float,
-    most: int = 8_000_000,
-) -> HttpReply:
-    """Make one call and return its whole answer.
-
-    Raises:
-        NotSentError: the call had no effect.
-        BrokenCallError: the call may have had an effect.
-    """
-    conn = await pool.take(address, address, timeout)
-    try:
-        with anyio.fail_after(timeout):
-            await conn.send(call, address)
-            head = await conn.read_head(lambda _: True)
-            body = await conn.read_body(most)
-    except TimeoutError as exc:
-        await conn.close()
-        raise BrokenCallError('no answer in time') from exc
-    except BaseException:
-        await conn.close()
-        raise
-    finally:
-        await pool.give_back(address, conn)
-    return HttpReply(head.status, head.headers, body)
--- a/packages/spanfall-node/src/spanfall_node/gateway/program.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/program.py
@@ -20,8 +20,8 @@
 from spanfall_node.gateway.home.leadership import Leadership
 from spanfall_node.gateway.lifecycle import StatusPages, stop_on_signal
 from spanfall_node.gateway.limits.unit_requests import UnitRequests
-from spanfall_node.gateway.net.client import ConnectionPool
 from spanfall_node.gateway.net.logs import LineBudget, set_up_logging
+from spanfall_node.gateway.net.pool import ConnectionPool
 from spanfall_node.gateway.net.ports import PlatformAdapter
 from spanfall_node.gateway.net.sockets import BACKLOG
 from spanfall_node.gateway.settings_watch import SettingsWatch
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/store_client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/store_client.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-from spanfall_node.gateway.net.client import ConnectionPool, call_once
 from spanfall_node.gateway.net.errors import BrokenCallError, NotSentError
+from spanfall_node.gateway.net.pool import ConnectionPool, call_once
 from spanfall_node.gateway.net.ports import (
     HttpCall,
     HttpReply,
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/crash_watch.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/crash_watch.py
@@ -21,8 +21,9 @@
     WatchedRun,
 )
 from spanfall_node.gateway.links.questions import Send
-from spanfall_node.gateway.net.client import ConnectionPool, connect
+from spanfall_node.gateway.net.client import connect
 from spanfall_node.gateway.net.errors import NobodyListensError, NotSentError
+from spanfall_node.gateway.net.pool import ConnectionPool
 from spanfall_node.gateway.tables.state import GatewayState
 
 #: Seconds for the answer of a host that ended a connection a moment ago.
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -21,7 +21,7 @@
 from spanfall_core.reasons import RefusalReason
 
 from spanfall_node.gateway.links.crash_messages import RunStage
-from spanfall_node.gateway.net.client import ConnectionPool
+from spanfall_node.gateway.net.pool import ConnectionPool
 from spanfall_node.gateway.requests.admission import Work
 from spanfall_node.gateway.requests.caller_connection import CallerConnection
 from spanfall_node.gateway.requests.refusals import (
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
@@ -7,17 +7,14 @@
 from spanfall_core.gateway.routing.balance import Choice
 from spanfall_core.gateway.routing.sends import SendEnd
 
-from spanfall_node.gateway.net.client import (
-    AnswerHead,
-    Connection,
-    ConnectionPool,
-)
+from spanfall_node.gateway.net.client import AnswerHead, Connection
 from spanfall_node.gateway.net.errors import (
     BrokenCallError,
     CallerGoneError,
     CallError,
     NotSentError,
 )
+from spanfall_node.gateway.net.pool import ConnectionPool
 from spanfall_node.gateway.requests.refusals import PROMISES
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.attempt import (
--- a/tests/quota_events.py
+++ b/tests/quota_events.py
@@ -38,11 +38,11 @@
 
 
 def _lose_answers(world, numbers):
-    world.loses_answers = True
+    world.store.loses_answers = True
 
 
 def _be_slow(world, numbers):
-    world.record_steps = 4 * len(numbers)
+    world.store.steps = 4 * len(numbers)
 
 
 def _change_limit(world, numbers, part):
--- a/tests/quota_world.py
+++ b/tests/quota_world.py
@@ -6,6 +6,7 @@
 from limit_checker import most_beyond
 from quota_nodes import LIMIT, WINDOW, Node, Table
 from quota_requests import STEP, RequestWorld
+from quota_store import RecordStore, Sent
 from quota_traffic import REQUEST
 from spanfall_core.gateway.known.limits import Limit, LimitsInForce, Tolerance
 from spanfall_core.gateway.limits.fleet_spending import FleetSpending
@@ -53,18 +54,12 @@
     limit: Limit = LIMIT
     #: Most steps that a table is under way.
     transit: int = 0
-    #: Steps until the store holds what the home records, and the home knows it:
-    #: some when hosts and the store are busy.
-    record_steps: int = 0
-    _writing: list = field(default_factory=list)
     seed: int = 0
     epoch: int = 0
     home: Node | None = None
     levels: SharedLevels | None = None
     store_is_away: bool = False
-    #: Whether the store does what it is told and its answers are lost.
-    loses_answers: bool = False
-    record: dict = field(default_factory=dict)
+    store: RecordStore = field(default_factory=RecordStore)
     without_home: int = 0
     without_store: int = 0
     nodes: list[Node] = field(default_factory=list)
@@ -96,7 +91,7 @@
 
     def heal(self):
         self.store_is_away = False
-        self.loses_answers = False
+        self.store.loses_answers = False
         for node in self.nodes:
             node.cut = None
             if node.frozen is not None and node.frozen >= LINK_STEPS:
@@ -199,30 +194,27 @@
         if self.store_is_away:
             ahead.note_failed(self.now)
             return
-        if self._writing or not self.home.is_reached:
+        if self.store.is_busy or not self.home.is_reached:
             return
         limits = self.home.limits_at(self.now)
         if self.step % RECORD_STEPS == 0 or ahead.is_due(limits):
             spent = self.levels.pressed(limits, self.now)
             vouched = ahead.vouch({name: limits[name] for name in spent})
-            due = self.step + self.record_steps
-            self._writing.append((due, self.epoch, spent, vouched))
+            self.store.send(Sent(self.step, self.epoch, spent, vouched))
             self._land_records()
 
     def _land_records(self):
         """Let the store take what was sent to it, also of a home that died."""
-        if not self._writing or self._writing[0][0] > self.step:
+        sent = self.store.take(self.step)
+        if sent is None or self.store_is_away or sent.epoch != self.epoch:
             return
-        _, epoch, spent, vouched = self._writing.pop()
-        if self.store_is_away or epoch != self.epoch:
-            return
-        self.record = spent
+        self.store.record = sent.spent
         if self.home is None:
             return
-        if self.loses_answers:
+        if self.store.loses_answers:
             self.levels.ahead.note_failed(self.now)
         else:
-            self.levels.ahead.note_recorded(vouched, self.now)
+            self.levels.ahead.note_recorded(sent.vouched, self.now)
 
     def _find_home(self):
         self.without_home += 1
@@ -240,7 +232,7 @@
         self.without_store = 0
         self.levels = SharedLevels(
             TOLERANCE,
-            FleetSpending(self.record),
+            FleetSpending(self.store.record),
             GivenAhead(keeps_records=True),
         )
 
--- a/tests/test_gateway_limit_promise.py
+++ b/tests/test_gateway_limit_promise.py
@@ -132,7 +132,7 @@
     assert max(world.most_beyond for world in worlds) <= 0
 
 
-def two_restarts(seed, entries, late, **fields):
+def two_restarts(seed, entries, late):
     """Play the course with moments drawn from a seed."""
     draw = Random(seed)
     world = QuotaWorld(
@@ -141,9 +141,8 @@
         sizes=mixed_sizes(seed),
         transit=2,
         seed=seed,
-        record_steps=late,
-        **fields,
     )
+    world.store.steps = late
     world.run(WINDOW + draw.uniform(0, 3))
     world.store_is_away = True
     world.run(draw.uniform(3, 4.5))
