--- a/tests/quota_nodes.py
+++ b/tests/quota_nodes.py
@@ -75,6 +75,34 @@
             if self.dead >= RESTART_STEPS:
                 self.dead = None
 
+    def die(self, quotas):
+        """Begin another life, which knows nothing of this one."""
+        self.dead = 0
+        self.frozen = None
+        self.lives += 1
+        self.follows = 0
+        self.table = None
+        self.quotas = quotas
+        self.limits = LimitsInForce()
+
+    def heal(self, link_steps, now):
+        """Be reached again; a long freeze has cost it the link."""
+        self.cut = None
+        if self.frozen is not None and self.frozen >= link_steps:
+            self.go_alone(now)
+        self.frozen = None
+
+    def take_table(self, entries, now):
+        """Take over the table that has arrived."""
+        table = self.table
+        self.table = None
+        limits = self.limits_at(now)
+        if table.given is None:
+            self.quotas.go_alone(limits, now)
+            return
+        self.quotas.entries = entries
+        self.quotas.learn_given(table.given, table.reported, limits, now)
+
     def go_alone(self, now):
         """Find that no home is heard."""
         self.table = None
--- a/tests/quota_world.py
+++ b/tests/quota_world.py
@@ -8,7 +8,7 @@
 from quota_requests import STEP, RequestWorld
 from quota_store import RecordStore, Sent
 from quota_traffic import REQUEST
-from spanfall_core.gateway.known.limits import Limit, LimitsInForce, Tolerance
+from spanfall_core.gateway.known.limits import Limit, Tolerance
 from spanfall_core.gateway.limits.fleet_spending import FleetSpending
 from spanfall_core.gateway.limits.given_ahead import GivenAhead
 from spanfall_core.gateway.limits.quotas import Quotas
@@ -93,21 +93,12 @@
         self.store_is_away = False
         self.store.loses_answers = False
         for node in self.nodes:
-            node.cut = None
-            if node.frozen is not None and node.frozen >= LINK_STEPS:
-                node.go_alone(self.now)
-            node.frozen = None
+            node.heal(LINK_STEPS, self.now)
 
     def kill(self, *numbers):
         for number in numbers:
             node = self.nodes[number]
-            node.dead = 0
-            node.frozen = None
-            node.lives += 1
-            node.follows = 0
-            node.table = None
-            node.quotas = Quotas(entries=self.entries)
-            node.limits = LimitsInForce()
+            node.die(Quotas(entries=self.entries))
             if node is self.home:
                 self.home = None
 
@@ -274,20 +265,8 @@
         self._take_table(node)
 
     def _take_table(self, node):
-        table = node.table
-        if table is None or self.step < table.due:
-            return
-        node.table = None
-        if table.given is None:
-            node.quotas.go_alone(node.limits_at(self.now), self.now)
-            return
-        node.quotas.entries = self.entries
-        node.quotas.learn_given(
-            table.given,
-            table.reported,
-            node.limits_at(self.now),
-            self.now,
-        )
+        if node.table is not None and self.step >= node.table.due:
+            node.take_table(self.entries, self.now)
 
     def _try_spend(self, node, size):
         """Spend what is held; ask the home for what is missing."""
