--- a/packages/spanfall-core/src/spanfall_core/gateway/limits/fleet_spending.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/limits/fleet_spending.py
@@ -11,15 +11,12 @@
     Units,
     sum_ages,
 )
-from spanfall_core.gateway.limits.given_ahead import (
-    AHEAD_PART,
-    ASSUMED_PART,
-)
+from spanfall_core.gateway.limits.given_ahead import ASSUMED_PART
 
 #: Part of a limit from which on what is spent or given out is recorded: so
 #: much less than what a new home takes as spent without a record that it is
 #: there before nothing more may be given out.
-RECORDED_PART = ASSUMED_PART - AHEAD_PART
+RECORDED_PART = ASSUMED_PART * 0.75
 
 
 @dataclass(slots=True)
--- a/packages/spanfall-core/src/spanfall_core/gateway/limits/given_ahead.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/limits/given_ahead.py
@@ -13,9 +13,12 @@
 from spanfall_core.gateway.known.limits import Limit, Limits
 from spanfall_core.gateway.known.spending import Units
 
-#: Part of a limit that may be given out before the next record: at seven times
-#: the usual traffic it lasts for 0.25 s, ten times as long as a write takes.
-AHEAD_PART = 0.1
+#: Part of what is left of a limit that may be given out before the next record:
+#: at seven times the usual traffic it lasts for 0.25 s, ten times as long as a
+#: write takes. It counts as spent once all nodes are killed.
+AHEAD_PART = 0.12
+#: Units below which what may be given out is nothing.
+LEAST_AHEAD = 1.0
 #: Part of it after which the next record is due.
 DUE_PART = 0.4
 #: Part of a limit that a new home takes as spent at least, for a whole window,
@@ -92,19 +95,25 @@
             for name, limit in limits.items()
         )
 
-    def ahead(self, workspace: str, limit: Limit) -> float:
+    def ahead(
+        self,
+        workspace: str,
+        limit: Limit,
+        outstanding: float,
+    ) -> float:
         """Return what may be given out once the record that is made is in."""
         if not self.keeps_records:
             return 0
         most = limit.total * MOST_PART
-        return max(limit.total * AHEAD_PART, min(self._wanted[workspace], most))
+        left = max(0, limit.total - outstanding)
+        return max(left * AHEAD_PART, min(self._wanted[workspace], most))
 
-    def vouch(self, limits: Limits) -> Vouched:
-        """Return what a record of some workspaces that is made now says."""
-        vouched = Vouched(
-            {name: self.given[name] for name in limits},
-            {name: self.ahead(name, limit) for name, limit in limits.items()},
-        )
+    def vouch(self, ahead: Units) -> Vouched:
+        """Return what a record that is made now says.
+
+        ``ahead`` holds for each of its workspaces what may be given out.
+        """
+        vouched = Vouched({name: self.given[name] for name in ahead}, ahead)
         self._wanted.clear()
         return vouched
 
@@ -124,4 +133,4 @@
         if until is None:
             return self.given[workspace] / (limit.total * AHEAD_PART)
         left = until - self.given[workspace]
-        return 1 - left / self._vouched.ahead[workspace]
+        return 1 - left / max(self._vouched.ahead[workspace], LEAST_AHEAD)
--- a/packages/spanfall-core/src/spanfall_core/gateway/limits/shared_levels.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/limits/shared_levels.py
@@ -16,7 +16,7 @@
 from spanfall_core.gateway.known.unit_reports import EntrySpending, GivenUnits
 from spanfall_core.gateway.limits.entry_account import EntryAccount
 from spanfall_core.gateway.limits.fleet_spending import FleetSpending
-from spanfall_core.gateway.limits.given_ahead import GivenAhead
+from spanfall_core.gateway.limits.given_ahead import GivenAhead, Vouched
 from spanfall_core.gateway.limits.limit_use import LimitUse
 from spanfall_core.gateway.limits.taken_over import TakenOver
 
@@ -27,11 +27,14 @@
 #: larger than what is left, so that large requests get their turn as small
 #: ones do. What remains is for the first units of restarted entries.
 BORROWED_PART = 0.35
-#: Part of a limit that entries may hold together; it counts as spent once all
-#: nodes are killed. In the model 0.25 refuses 0.002 of the usual requests
-#: around a home that is cut off for 5 s, 0.15 does 0.022; 77 entries 0.02 and
-#: 0.059. Above, a workspace that spends little would need a record.
-HELD_PART = 0.25
+#: Part of what is left of a limit that entries may hold together without a
+#: request that needs it; it counts as spent once all nodes are killed. In the
+#: model 0.25 refuses 0.08 of the requests around a home that is cut off for 5 s
+#: at three quarters of a large limit, this 0.03; 0.7 no less.
+HELD_PART = 0.5
+#: Part of a limit that they may hold so at the most: above, a workspace that
+#: spends next to nothing would need a record.
+MOST_HELD_PART = 0.25
 #: Seconds between two looks for entries that fell silent.
 LOOK_SECONDS = 0.1
 #: Entries from which on a home that hears none of the others takes itself for
@@ -43,6 +46,14 @@
     return defaultdict(float)
 
 
+@dataclass(frozen=True, slots=True)
+class ToRecord:
+    """Hold what goes into the store, and what it lets the home give out."""
+
+    spent: dict[str, ByAge]
+    vouched: Vouched
+
+
 @dataclass(slots=True)
 class SharedLevels:
     """Hold at the home what entries spent and hold."""
@@ -125,7 +136,9 @@
     ) -> float:
         """Return the units that an entry is to hold; note what is new."""
         part = max(0, use.pool) / (live + 1)
-        part = min(part, use.limit.total * HELD_PART / live)
+        left = max(0, use.limit.total - use.outstanding)
+        most = min(left * HELD_PART, use.limit.total * MOST_HELD_PART)
+        part = min(part, most / live)
         known = account.held.get(workspace, 0)
         free = self.ahead.free(workspace, use.limit, use.outstanding + known)
         part = min(part, known + free)
@@ -158,7 +171,7 @@
         if free < units:
             self.ahead.want(workspace, units)
             return 0
-        rest = min(use.pool, limit.total * HELD_PART, free) - units
+        rest = min(use.pool * HELD_PART, use.pool - units, free - units)
         lent = units + max(0, rest) / (live + 1)
         self.ahead.given[workspace] += lent
         account.lend(workspace, lent)
@@ -177,7 +190,7 @@
             self.tolerance.beyond(limit) * COVERED_PART,
         )
 
-    def pressed(self, limits: Limits, now: float) -> dict[str, ByAge]:
+    def to_record(self, limits: Limits, now: float) -> ToRecord:
         """Return what is to be recorded of workspaces that use much."""
         uses = {
             workspace: self.use(workspace, limit, now)
@@ -185,10 +198,14 @@
         }
         out = {name: use.outstanding - use.spent for name, use in uses.items()}
         ahead = {
-            name: self.ahead.ahead(name, limit)
-            for name, limit in limits.items()
+            name: self.ahead.ahead(name, use.limit, use.outstanding)
+            for name, use in uses.items()
         }
-        return self.spending.pressed(limits, out, ahead, now)
+        spent = self.spending.pressed(limits, out, ahead, now)
+        return ToRecord(
+            spent,
+            self.ahead.vouch({name: ahead[name] for name in spent}),
+        )
 
     def _meet(
         self,
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/quota_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/quota_record.py
@@ -10,10 +10,13 @@
 
 import anyio
 import msgspec
-from spanfall_core.gateway.known.limits import Limits, Tolerance
+from spanfall_core.gateway.known.limits import Tolerance
 from spanfall_core.gateway.limits.fleet_spending import FleetSpending
 from spanfall_core.gateway.limits.given_ahead import GivenAhead
-from spanfall_core.gateway.limits.shared_levels import SharedLevels
+from spanfall_core.gateway.limits.shared_levels import (
+    SharedLevels,
+    ToRecord,
+)
 
 from spanfall_node.gateway.net.ports import Write
 from spanfall_node.gateway.store.store_client import StoreClient, StoreError
@@ -100,19 +103,13 @@
             period = 0 if self._is_answered else LOOK_PERIOD
         if now - self._written_at < period:
             return
-        pressed = state.pressed(now)
-        if pressed or self._holds_some:
-            await self._write(pressed, limits, now)
-
-    async def _write(
-        self,
-        pressed: dict[str, list[float]],
-        limits: Limits,
-        now: float,
-    ) -> None:
+        made = state.shared_levels.to_record(limits, now)
+        if made.spent or self._holds_some:
+            await self._write(made, now)
+
+    async def _write(self, made: ToRecord, now: float) -> None:
         ahead = self._state.shared_levels.ahead
-        vouched = ahead.vouch({name: limits[name] for name in pressed})
-        content = msgspec.json.encode(SpendingRecord(pressed))
+        content = msgspec.json.encode(SpendingRecord(made.spent))
         expected = {HOME_KEY: self._state.tenure.epoch}
         self._written_at = now
         try:
@@ -126,5 +123,5 @@
             ahead.note_failed(self._state.timers.now())
             return
         self._is_answered = True
-        self._holds_some = bool(pressed)
-        ahead.note_recorded(vouched, self._state.timers.now())
+        self._holds_some = bool(made.spent)
+        ahead.note_recorded(made.vouched, self._state.timers.now())
--- a/tests/quota_store.py
+++ b/tests/quota_store.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.limits.given_ahead import Vouched
+from spanfall_core.gateway.limits.shared_levels import ToRecord
 
 
 @dataclass(frozen=True, slots=True)
@@ -11,8 +11,7 @@
 
     step: int
     epoch: int
-    spent: dict
-    vouched: Vouched
+    made: ToRecord
 
 
 @dataclass(slots=True)
--- a/tests/quota_world.py
+++ b/tests/quota_world.py
@@ -189,9 +189,8 @@
             return
         limits = self.home.limits_at(self.now)
         if self.step % RECORD_STEPS == 0 or ahead.is_due(limits):
-            spent = self.levels.pressed(limits, self.now)
-            vouched = ahead.vouch({name: limits[name] for name in spent})
-            self.store.send(Sent(self.step, self.epoch, spent, vouched))
+            made = self.levels.to_record(limits, self.now)
+            self.store.send(Sent(self.step, self.epoch, made))
             self._land_records()
 
     def _land_records(self):
@@ -199,13 +198,13 @@
         sent = self.store.take(self.step)
         if sent is None or self.store_is_away or sent.epoch != self.epoch:
             return
-        self.store.record = sent.spent
+        self.store.record = sent.made.spent
         if self.home is None:
             return
         if self.store.loses_answers:
             self.levels.ahead.note_failed(self.now)
         else:
-            self.levels.ahead.note_recorded(sent.vouched, self.now)
+            self.levels.ahead.note_recorded(sent.made.vouched, self.now)
 
     def _find_home(self):
         self.without_home += 1
