--- a/packages/spanfall-core/src/spanfall_core/gateway/known/spending.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/spending.py
@@ -56,6 +56,12 @@
         self.recent(window, now)
         return floor(at / SLOT_SECONDS) >= self._first
 
+    def rate(self, seconds: float, now: float) -> float:
+        """Return the units a second of the last ``seconds``."""
+        first = floor((now - seconds) / SLOT_SECONDS)
+        late = (units for slot, units in self._slots.items() if slot > first)
+        return sum(late) / seconds
+
     def by_age(self, now: float) -> ByAge:
         """Return the units by their age, none older than it is."""
         ages: dict[int, float] = {}
--- a/packages/spanfall-core/src/spanfall_core/gateway/limits/fleet_spending.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/limits/fleet_spending.py
@@ -8,15 +8,24 @@
     ByAge,
     Pieces,
     Spending,
-    Units,
     sum_ages,
 )
-from spanfall_core.gateway.limits.given_ahead import ASSUMED_PART
 
-#: Part of a limit from which on what is spent or given out is recorded: so
-#: much less than what a new home takes as spent without a record that it is
-#: there before nothing more may be given out.
-RECORDED_PART = ASSUMED_PART * 0.75
+#: Part of a limit of which a workspace's spending is recorded in the store:
+#: less than the usual load, so that this is known after a restart of all.
+RECORDED_PART = 0.25
+#: Part of a limit that a new home takes as spent at least, for a whole window,
+#: where no entry tells: the record may be old, as the store may have been away.
+#: In the model of 8 nodes 0.5 refuses 0.037 of the usual requests after a
+#: restart of all, this 0.012; 0.35 passes a limit in 1 of 60 courses.
+ASSUMED_PART = 0.42
+#: Seconds for which the record takes spending to go on at the rate that was
+#: seen last: what was heard is a report old, the record itself a look and a
+#: write, and both are later on busy hosts.
+UNHEARD_SECONDS = 0.6
+#: Seconds over which that rate is measured, the fastest of them counts: a short
+#: time sees pressure begin, a long one holds while reports are late.
+RATE_SECONDS = (0.3, 1.0)
 
 
 @dataclass(slots=True)
@@ -79,42 +88,21 @@
         before = self._before_of(workspace, limit, now)
         return spent + before.larger(limit, now).spent
 
-    def pressed(
-        self,
-        limits: Limits,
-        out: Units,
-        ahead: Units,
-        now: float,
-    ) -> dict[str, ByAge]:
-        """Return the spending, by age, of workspaces that use much.
-
-        ``out`` are the units that may still be spent: they count as spent now,
-        and so does ``ahead``, what may be given out until the next record.
-        """
+    def pressed(self, limits: Limits, now: float) -> dict[str, ByAge]:
+        """Return the spending, by age, of workspaces that use much."""
         return {
-            workspace: sum_ages(
-                [
-                    [out[workspace] + ahead[workspace]],
-                    self._by_age(workspace, limit, now),
-                ],
-            )
+            workspace: self._by_age(workspace, limit, now)
             for workspace, limit in limits.items()
-            if self._is_pressed(workspace, limit, out[workspace], now)
+            if self._is_pressed(workspace, limit, now)
         }
 
-    def _is_pressed(
-        self,
-        workspace: str,
-        limit: Limit,
-        out: float,
-        now: float,
-    ) -> bool:
-        """Tell whether what is known to be spent or out is worth a record."""
-        known = self._known(workspace, limit, now) + out
+    def _is_pressed(self, workspace: str, limit: Limit, now: float) -> bool:
+        """Tell whether what is known to be spent is worth a record."""
+        spent = self._known(workspace, limit, now)
         if self.is_assumed:
             before = self._before_of(workspace, limit, now)
-            known += before.recorded.recent(limit.window, now)
-        return known > limit.total * RECORDED_PART
+            spent += before.recorded.recent(limit.window, now)
+        return spent > limit.total * RECORDED_PART
 
     def _known(self, workspace: str, limit: Limit, now: float) -> float:
         spent = self._of(workspace).recent(limit.window, now)
@@ -125,11 +113,19 @@
 
     def _by_age(self, workspace: str, limit: Limit, now: float) -> ByAge:
         rows = [self._of(workspace).by_age(now)]
+        rows.append([self._unheard(workspace, limit, now)])
         if self.is_assumed:
             before = self._before_of(workspace, limit, now)
             rows.append(before.larger(limit, now).by_age(now))
         return sum_ages(rows)
 
+    def _unheard(self, workspace: str, limit: Limit, now: float) -> float:
+        """Return what is spent until a home without this record follows."""
+        spent = self._of(workspace)
+        rate = max(spent.rate(seconds, now) for seconds in RATE_SECONDS)
+        left = limit.total - self.recent(workspace, limit, now)
+        return max(0, min(rate * UNHEARD_SECONDS, left))
+
     def _of(self, workspace: str) -> Spending:
         return self._spent.setdefault(workspace, Spending())
 
--- a/packages/spanfall-core/src/spanfall_core/gateway/limits/shared_levels.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/limits/shared_levels.py
@@ -16,8 +16,6 @@
 from spanfall_core.gateway.known.unit_reports import EntrySpending, GivenUnits
 from spanfall_core.gateway.limits.entry_account import EntryAccount
 from spanfall_core.gateway.limits.fleet_spending import FleetSpending
-from spanfall_core.gateway.limits.given_ahead import GivenAhead, Vouched
-from spanfall_core.gateway.limits.limit_use import LimitUse
 from spanfall_core.gateway.limits.taken_over import TakenOver
 
 #: Part of what the platform tolerates beyond a limit that covers what silent
@@ -27,14 +25,6 @@
 #: larger than what is left, so that large requests get their turn as small
 #: ones do. What remains is for the first units of restarted entries.
 BORROWED_PART = 0.35
-#: Part of what is left of a limit that entries may hold together without a
-#: request that needs it; it counts as spent once all nodes are killed. In the
-#: model 0.25 refuses 0.08 of the requests around a home that is cut off for 5 s
-#: at three quarters of a large limit, this 0.03; 0.7 no less.
-HELD_PART = 0.5
-#: Part of a limit that they may hold so at the most: above, a workspace that
-#: spends next to nothing would need a record.
-MOST_HELD_PART = 0.25
 #: Seconds between two looks for entries that fell silent.
 LOOK_SECONDS = 0.1
 #: Entries from which on a home that hears none of the others takes itself for
@@ -42,16 +32,39 @@
 SEVERAL_ENTRIES = 4
 
 
-def _sums() -> defaultdict[str, float]:
-    return defaultdict(float)
+@dataclass(slots=True)
+class LimitUse:
+    """State where the units of one limit are."""
+
+    total: float
+    spent: float
+    #: What entries that are heard may hold, and may spend beyond it alone.
+    held: float
+    beyond: float
+    #: What those may still spend that are not heard.
+    hidden: float
+    #: What the tolerance covers of the last two.
+    covered: float
 
+    @property
+    def pool(self) -> float:
+        """Return the units that nobody spent or may hold."""
+        uncovered = max(0, self.hidden + self.beyond - self.covered)
+        return self.total - self.spent - self.held - uncovered
 
-@dataclass(frozen=True, slots=True)
-class ToRecord:
-    """Hold what goes into the store, and what it lets the home give out."""
+    @property
+    def level(self) -> float:
+        """Return what is left, in the pool or held by entries heard."""
+        return self.total - self.spent - self.hidden
 
-    spent: dict[str, ByAge]
-    vouched: Vouched
+    def free_cover(self, live: int) -> float:
+        """Return what one more entry may spend beyond what it holds, alone."""
+        free = self.covered - self.hidden
+        return max(0, min(free / live, free - self.beyond))
+
+
+def _sums() -> defaultdict[str, float]:
+    return defaultdict(float)
 
 
 @dataclass(slots=True)
@@ -60,7 +73,6 @@
 
     tolerance: Tolerance = field(default_factory=Tolerance)
     spending: FleetSpending = field(default_factory=FleetSpending)
-    ahead: GivenAhead = field(default_factory=GivenAhead)
     _entries: dict[str, EntryAccount] = field(default_factory=dict)
     #: Sums over the entries that are heard, and the others.
     _held: defaultdict[str, float] = field(default_factory=_sums)
@@ -105,9 +117,9 @@
     ) -> GivenUnits | None:
         """Return what an entry may spend until it is given more.
 
-        It is an equal part of what the pool and the entry hold, and of what
-        entries may hold together. None: this home may be cut off, so it gives
-        nothing.
+        It is an equal part of what the pool and the entry hold: half of what
+        is left stays in the pool, for entries that ask for more. None: this
+        home may be cut off, so it gives nothing.
         """
         live = self._live(limits, now)
         if not live:
@@ -117,7 +129,7 @@
         levels: Units = {}
         for workspace, limit in limits.items():
             use = self.use(workspace, limit, now)
-            part = self._part(account, workspace, use, live)
+            part = max(0, use.pool) / (live + 1)
             account.hold(workspace, part, use.free_cover(live))
             levels[workspace] = use.level
         self._count_held(account, 1)
@@ -127,24 +139,6 @@
             levels,
         )
 
-    def _part(
-        self,
-        account: EntryAccount,
-        workspace: str,
-        use: LimitUse,
-        live: int,
-    ) -> float:
-        """Return the units that an entry is to hold; note what is new."""
-        part = max(0, use.pool) / (live + 1)
-        left = max(0, use.limit.total - use.outstanding)
-        most = min(left * HELD_PART, use.limit.total * MOST_HELD_PART)
-        part = min(part, most / live)
-        known = account.held.get(workspace, 0)
-        free = self.ahead.free(workspace, use.limit, use.outstanding + known)
-        part = min(part, known + free)
-        self.ahead.given[workspace] += max(0, part - known)
-        return part
-
     def lend(
         self,
         entry: str,
@@ -163,17 +157,11 @@
         live = self._live(limits, now)
         if limit is None or account is None or not live:
             return 0
-        use = self.use(workspace, limit, now)
+        pool = self.use(workspace, limit, now).pool
         borrowed = self.tolerance.beyond(limit) * BORROWED_PART
-        if use.pool <= 0 or use.pool + borrowed < units:
-            return 0
-        free = self.ahead.free(workspace, limit, use.outstanding)
-        if free < units:
-            self.ahead.want(workspace, units)
+        if pool <= 0 or pool - units < -borrowed:
             return 0
-        rest = min(use.pool * HELD_PART, use.pool - units, free - units)
-        lent = units + max(0, rest) / (live + 1)
-        self.ahead.given[workspace] += lent
+        lent = units + max(0, pool - units) / (live + 1)
         account.lend(workspace, lent)
         if entry not in self._silent:
             self._held[workspace] += lent
@@ -182,7 +170,7 @@
     def use(self, workspace: str, limit: Limit, now: float) -> LimitUse:
         """Return where the units of one limit are."""
         return LimitUse(
-            limit,
+            limit.total,
             self.spending.recent(workspace, limit, now),
             self._held[workspace],
             self._beyond[workspace],
@@ -190,22 +178,9 @@
             self.tolerance.beyond(limit) * COVERED_PART,
         )
 
-    def to_record(self, limits: Limits, now: float) -> ToRecord:
-        """Return what is to be recorded of workspaces that use much."""
-        uses = {
-            workspace: self.use(workspace, limit, now)
-            for workspace, limit in limits.items()
-        }
-        out = {name: use.outstanding - use.spent for name, use in uses.items()}
-        ahead = {
-            name: self.ahead.ahead(name, use.limit, use.outstanding)
-            for name, use in uses.items()
-        }
-        spent = self.spending.pressed(limits, out, ahead, now)
-        return ToRecord(
-            spent,
-            self.ahead.vouch({name: ahead[name] for name in spent}),
-        )
+    def pressed(self, limits: Limits, now: float) -> dict[str, ByAge]:
+        """Return the spending, by age, of workspaces that use much."""
+        return self.spending.pressed(limits, now)
 
     def _meet(
         self,
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/quota_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/quota_record.py
@@ -2,8 +2,7 @@
 
 When all nodes are killed at once nobody else knows it. The record is written
 while a workspace uses a quarter of its limit, a call a second at the usual
-load, sooner where much is given out, and once more, empty, when none does any
-longer.
+load, and once more, empty, when none does any longer.
 """
 
 import logging
@@ -11,12 +10,11 @@
 import anyio
 import msgspec
 from spanfall_core.gateway.known.limits import Tolerance
-from spanfall_core.gateway.limits.fleet_spending import FleetSpending
-from spanfall_core.gateway.limits.given_ahead import GivenAhead
-from spanfall_core.gateway.limits.shared_levels import (
-    SharedLevels,
-    ToRecord,
+from spanfall_core.gateway.limits.fleet_spending import (
+    RECORDED_PART,
+    FleetSpending,
 )
+from spanfall_core.gateway.limits.shared_levels import SharedLevels
 
 from spanfall_node.gateway.net.ports import Write
 from spanfall_node.gateway.store.store_client import StoreClient, StoreError
@@ -27,12 +25,13 @@
 
 #: Key of the record.
 SPENDING_KEY = 'spanfall/spending'
-#: Seconds between two records, and between two looks at whether so much was
-#: given out since the last one that it is written sooner. The home looks often:
-#: it gives out no more than a tenth of a limit beyond the record.
+#: Seconds between two records, and between two looks at whether a workspace
+#: spent so much since the last one that it is written sooner: what is spent
+#: after the last record is what may run twice once all nodes are killed.
 RECORD_PERIOD = 1.0
 LOOK_PERIOD = 0.25
-HOME_LOOK_PERIOD = 0.03
+#: Part of a limit that is so much: half of the part that platforms tolerate.
+SOON_PART = 0.05
 
 
 class SpendingRecord(msgspec.Struct, frozen=True):
@@ -52,10 +51,8 @@
         """Use the tables of the node and the store."""
         self._state = state
         self._store = store
-        #: Whether the record in the store holds anything.
-        self._holds_some = False
-        #: Whether the store took the last one; else it is tried less often.
-        self._is_answered = True
+        #: What the record in the store holds; None: there is none.
+        self._written: dict[str, float] | None = None
         self._written_at = float('-inf')
 
     async def read(self) -> SharedLevels:
@@ -68,60 +65,58 @@
         bounds = self._state.cfg.bounds
         tolerance = Tolerance(bounds.quota_overage, bounds.quota_allowance)
         if item is None:
-            self._holds_some = False
-            return SharedLevels(tolerance, ahead=GivenAhead(keeps_records=True))
+            self._written = None
+            return SharedLevels(tolerance)
         try:
             record = msgspec.json.decode(item.content, type=SpendingRecord)
         except (ValueError, RecursionError):
             # The least that a new home takes as spent stands for it.
             logger.exception('The record of spending cannot be read')
             record = SpendingRecord({})
-        self._holds_some = bool(record.spent)
-        self._written_at = float('-inf')
-        return SharedLevels(
-            tolerance,
-            FleetSpending(record.spent),
-            GivenAhead(keeps_records=True),
-        )
+        self._written = _sums(record.spent)
+        return SharedLevels(tolerance, FleetSpending(record.spent))
 
     async def run(self) -> None:
         """Write the record while it is needed, until cancelled."""
-        is_home = False
         while True:
-            await anyio.sleep(HOME_LOOK_PERIOD if is_home else LOOK_PERIOD)
+            await anyio.sleep(LOOK_PERIOD)
             now = self._state.timers.now()
-            is_home = self._state.is_home(now)
-            if is_home:
+            if self._state.is_home(now):
                 await self._write_if_due(now)
 
     async def _write_if_due(self, now: float) -> None:
-        state = self._state
-        limits = state.limits_at(now)
-        is_due = state.shared_levels.ahead.is_due(limits)
-        period = RECORD_PERIOD
-        if is_due or not self._is_answered:
-            period = 0 if self._is_answered else LOOK_PERIOD
-        if now - self._written_at < period:
+        pressed = self._state.pressed(now)
+        if not pressed and not self._written:
             return
-        made = state.shared_levels.to_record(limits, now)
-        if made.spent or self._holds_some:
-            await self._write(made, now)
+        is_old = now - self._written_at >= RECORD_PERIOD
+        if is_old or self._is_soon(_sums(pressed), now):
+            await self._write(pressed, now)
+
+    def _is_soon(self, sums: dict[str, float], now: float) -> bool:
+        """Tell whether a workspace spent much since the last record."""
+        limits = self._state.limits_at(now)
+        written = self._written or {}
+        known = {
+            workspace: written.get(workspace, limit.total * RECORDED_PART)
+            for workspace, limit in limits.items()
+        }
+        return any(
+            units - known[workspace] > limits[workspace].total * SOON_PART
+            for workspace, units in sums.items()
+        )
 
-    async def _write(self, made: ToRecord, now: float) -> None:
-        ahead = self._state.shared_levels.ahead
-        content = msgspec.json.encode(SpendingRecord(made.spent))
+    async def _write(self, pressed: dict[str, list[float]], now: float) -> None:
+        record = SpendingRecord(pressed)
+        write = Write(SPENDING_KEY, msgspec.json.encode(record))
         expected = {HOME_KEY: self._state.tenure.epoch}
         self._written_at = now
         try:
-            await self._store.transact(
-                expected,
-                (Write(SPENDING_KEY, content),),
-            )
+            await self._store.transact(expected, (write,))
         except StoreError as exc:
             logger.info('Could not record the spending: %r', exc)
-            self._is_answered = False
-            ahead.note_failed(self._state.timers.now())
             return
-        self._is_answered = True
-        self._holds_some = bool(made.spent)
-        ahead.note_recorded(made.vouched, self._state.timers.now())
+        self._written = _sums(pressed)
+
+
+def _sums(spent: dict[str, list[float]]) -> dict[str, float]:
+    return {workspace: sum(by_age) for workspace, by_age in spent.items()}
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
@@ -248,6 +248,10 @@
         self.quotas.go_alone(self.limits_at(now), now)
         self.loads.forget_others()
 
+    def pressed(self, now: float) -> dict[str, list[float]]:
+        """Return what workspaces spent that use much of their limits."""
+        return self.shared_levels.pressed(self.limits_at(now), now)
+
     def limits_at(self, now: float) -> dict[str, Limit]:
         """Return the limits of workspaces that bind now."""
         if self.configuration is None:
