--- a/packages/spanfall-core/src/spanfall_core/gateway/crashes/crashes.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/crashes/crashes.py
@@ -142,16 +142,19 @@
         now: float,
         *,
         is_strong: bool,
-    ) -> None:
-        """Note that an upstream may have ended under a request."""
+    ) -> bool:
+        """Note that an upstream may have ended under a request.
+
+        Return whether it is quarantined by that, as the end is certain here.
+        """
         if lifetime in self._ended:
-            self.note_end(identity, lifetime, now)
-            return
+            return self.note_end(identity, lifetime, now)
         if identity in self.quarantined or lifetime in self._explained:
-            return
+            return False
         self._add(identity, lifetime)
         known = self.doubts.get(lifetime, Doubt(now, is_strong))
         self.doubts[lifetime] = Doubt(known.since, known.is_strong or is_strong)
+        return False
 
     def confirm(
         self,
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/crash_knowledge.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/crash_knowledge.py
@@ -73,8 +73,10 @@
     ) -> None:
         """Note that an upstream may have ended under a request."""
         self.trials.end(identity, now)
-        self.table.note_doubt(identity, lifetime, now, is_strong=is_strong)
-        if self.table.doubts:
+        table = self.table
+        if table.note_doubt(identity, lifetime, now, is_strong=is_strong):
+            self._tell_quarantined(identity, lifetime)
+        if table.doubts:
             self.doubted.set()
 
     def settle(
--- a/tests/test_gateway_crash_spread.py
+++ b/tests/test_gateway_crash_spread.py
@@ -98,6 +98,19 @@
     assert home.doubted.is_set()
 
 
+def test_a_doubt_of_what_has_ended_is_told():
+    """The home knows of all three ends; an entry only doubts the last."""
+    home = CrashKnowledge()
+    for number in range(3):
+        home.note_end('other', f'u-{number}', 0)
+        home.table.clear('other')
+    told = home.changed
+    for doubted in range(3):
+        home.note_doubt(IDENTITY, f'u-{doubted}', 0, is_strong=True)
+    assert home.standing(IDENTITY, 0) is Standing.QUARANTINED
+    assert told.is_set()
+
+
 def test_the_home_lets_the_next_trial_begin():
     home = CrashKnowledge()
     assert home.trials.try_begin('s', IDENTITY, 0)
