--- a/bench/checkouts.py
+++ b/bench/checkouts.py
@@ -89,27 +89,36 @@
 
 
 def gather_journal(trees: Iterable[Path], repository: Path) -> int:
-    """Copy the entries that plays left in checkouts; return how many."""
-    known = repository / JOURNAL
-    found = [
-        path
+    """Copy the entries that plays left in checkouts; return how many.
+
+    An entry is written as a play begins, and again as it ends.
+    """
+    new = [
+        (tree / name, repository / name)
         for tree in trees
+        for name in _left_in(tree)
+        if not _is_same(tree / name, repository / name)
+    ]
+    for entry, place in new:
+        place.parent.mkdir(parents=True, exist_ok=True)
+        copyfile(entry, place)
+    return len(new)
+
+
+def _left_in(tree: Path) -> list[str]:
+    """Return the entries of a checkout that its revision does not hold."""
+    listed = run_git(tree, 'ls-tree', '-r', '--name-only', 'HEAD', JOURNAL)
+    known = set(listed.splitlines())
+    found = [
+        path.relative_to(tree).as_posix()
         for path in (tree / JOURNAL).rglob('*')
         if path.is_file()
     ]
-    new = 0
-    for path in found:
-        place = known / path.relative_to(path.parents[_depth(path)])
-        if not place.exists():
-            place.parent.mkdir(parents=True, exist_ok=True)
-            copyfile(path, place)
-            new += 1
-    return new
-
-
-def _depth(path: Path) -> int:
-    names = [parent.name for parent in path.parents]
-    return names.index(JOURNAL)
+    return [name for name in found if name not in known]
+
+
+def _is_same(entry: Path, place: Path) -> bool:
+    return place.exists() and place.read_bytes() == entry.read_bytes()
 
 
 def run_git(folder: Path, *words: str) -> str:
--- a/tests/test_compare.py
+++ b/tests/test_compare.py
@@ -131,6 +131,8 @@
     assert gather_journal([tree], repository) == 1
     assert (repository / 'journal' / 'kinds' / 'one.json').exists()
     assert not gather_journal([tree], repository)
+    entry.write_text('{"ended": true}')
+    assert gather_journal([tree], repository) == 1
     with pytest.raises(WayError):
         lay_out(repository, tmp_path / 'other', Way('no', 'no-such'))
 
