Write down what upstreams say of themselves in their answers

The adapter reads the three in one place, for any answer on the connection, also one that is dropped; a node keeps what is new, logs it and counts it (spanfall_upstream_statements). No decision rests on it yet, so what is sent where is as before. Tests of the adapter pass; relay and stream tests too.

--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/statements.py
@@ -0,0 +1,207 @@
+"""Keep what upstreams say of themselves in their answers.
+
+An upstream may name a limit over all entries, which stands until it names
+another one or none, and may say that it leaves, which holds for its lifetime.
+Nodes tell each other by age; of two words on one limit the later one counts.
+"""
+
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import StrEnum, unique
+
+from spanfall_core.gateway.known.lifetimes import Lifetime
+
+#: Lifetimes of which a word is kept; those that spoke longest ago go first.
+REMEMBERED = 16_384
+#: Digits of a decimal number that is read; more state no rate and no time.
+DIGITS = 9
+
+_DECIMAL = re.compile(rb'(\d{1,%d})(\.\d{0,%d})?' % (DIGITS, DIGITS))
+
+
+@dataclass(frozen=True, slots=True)
+class Statement:
+    """Hold what one answer says of its upstream."""
+
+    #: Requests a second that it takes from all entries together.
+    rate: float | None = None
+    #: Whether it named a limit that cannot be read, which says nothing.
+    is_rate_unread: bool = False
+    leaves: bool = False
+    #: Seconds for which it wants nothing from the entry that it answered.
+    pause: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class KnownWord:
+    """State what is known of one upstream, as nodes tell it each other."""
+
+    #: None: it names no limit.
+    rate: float | None = None
+    #: Seconds since that was heard; None: never.
+    rate_age: float | None = None
+    leaves: bool = False
+
+
+@unique
+class News(StrEnum):
+    """Name what an answer tells that was not known."""
+
+    LIMIT = 'limit'
+    NO_LIMIT = 'no-limit'
+    UNREAD_LIMIT = 'unread-limit'
+    LEAVES = 'leaves'
+    PAUSE = 'pause'
+
+
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """Hold the last word of an upstream on its limit."""
+
+    rate: float | None
+    heard_at: float
+
+
+Words = dict[Lifetime, KnownWord]
+
+
+@dataclass(slots=True)
+class Statements:
+    """Hold what upstreams said, and in which order this node learned it."""
+
+    #: Grows with each change, so that others can ask what is new.
+    version: int = 0
+    #: Requests a second of those that name a limit now.
+    rates: dict[Lifetime, float] = field(default_factory=dict)
+    _limits: dict[Lifetime, NamedLimit] = field(default_factory=dict)
+    _leaving: set[Lifetime] = field(default_factory=set)
+    #: Version of the last change of each, oldest first.
+    _changed: dict[Lifetime, int] = field(default_factory=dict)
+
+    def hear(
+        self,
+        lifetime: Lifetime,
+        said: Statement,
+        sent_at: float,
+        now: float,
+        *,
+        is_signed: bool,
+    ) -> list[News]:
+        """Take what an answer says that arrives now; return what is new.
+
+        ``sent_at`` is when its request was sent. An answer without a limit
+        takes it back if the upstream ran a request that was sent after the
+        limit was known here.
+        """
+        news: list[News] = []
+        if said.leaves and self._learn_leaving(lifetime):
+            news.append(News.LEAVES)
+        if said.is_rate_unread:
+            return [*news, News.UNREAD_LIMIT]
+        if said.rate is not None:
+            if self._learn_rate(lifetime, NamedLimit(said.rate, now)):
+                news.append(News.LIMIT)
+        elif is_signed and self._is_taken_back(lifetime, sent_at):
+            self._learn_rate(lifetime, NamedLimit(None, now))
+            news.append(News.NO_LIMIT)
+        return news
+
+    def learn(self, words: Words, now: float) -> list[Lifetime]:
+        """Take what another node knows; return what had not been known."""
+        return [
+            lifetime
+            for lifetime, word in words.items()
+            if self._learn_word(lifetime, word, now)
+        ]
+
+    def leaves(self, lifetime: Lifetime) -> bool:
+        """Tell whether an upstream said that it leaves."""
+        return lifetime in self._leaving
+
+    def words(self, lifetimes: Iterable[Lifetime], now: float) -> Words:
+        """Return what is known of some upstreams."""
+        return {one: self._word(one, now) for one in lifetimes}
+
+    def words_since(self, version: int, now: float) -> Words:
+        """Return what has changed since a version of this table."""
+        if version == self.version:
+            return {}
+        changed = (
+            lifetime
+            for lifetime, since in self._changed.items()
+            if since > version
+        )
+        return self.words(changed, now)
+
+    def forget(self, lifetime: Lifetime) -> None:
+        """Drop what a lifetime said that is over for good."""
+        self.rates.pop(lifetime, None)
+        self._limits.pop(lifetime, None)
+        self._leaving.discard(lifetime)
+        self._changed.pop(lifetime, None)
+
+    def _is_taken_back(self, lifetime: Lifetime, sent_at: float) -> bool:
+        known = self._limits.get(lifetime)
+        if known is None or known.rate is None:
+            return False
+        return sent_at >= known.heard_at
+
+    def _learn_word(
+        self,
+        lifetime: Lifetime,
+        word: KnownWord,
+        now: float,
+    ) -> bool:
+        is_new = word.leaves and self._learn_leaving(lifetime)
+        if word.rate_age is None:
+            return is_new
+        limit = NamedLimit(word.rate, now - word.rate_age)
+        return self._learn_rate(lifetime, limit) or is_new
+
+    def _learn_leaving(self, lifetime: Lifetime) -> bool:
+        if lifetime in self._leaving:
+            return False
+        self._leaving.add(lifetime)
+        self._note_changed(lifetime)
+        return True
+
+    def _learn_rate(self, lifetime: Lifetime, limit: NamedLimit) -> bool:
+        """Take a later word on a limit; tell whether it says another rate."""
+        known = self._limits.get(lifetime)
+        if known is not None and limit.heard_at <= known.heard_at:
+            return False
+        if known is None and limit.rate is None:
+            return False
+        is_new = known is None or known.rate != limit.rate
+        if not is_new:
+            # Only the first word of a rate counts as its time, so that words
+            # that nodes have of each other agree.
+            return False
+        self._limits[lifetime] = limit
+        if limit.rate is None:
+            self.rates.pop(lifetime, None)
+        else:
+            self.rates[lifetime] = limit.rate
+        self._note_changed(lifetime)
+        return True
+
+    def _note_changed(self, lifetime: Lifetime) -> None:
+        self.version += 1
+        self._changed.pop(lifetime, None)
+        self._changed[lifetime] = self.version
+        if len(self._changed) > REMEMBERED:
+            self.forget(next(iter(self._changed)))
+
+    def _word(self, lifetime: Lifetime, now: float) -> KnownWord:
+        limit = self._limits.get(lifetime)
+        leaves = lifetime in self._leaving
+        if limit is None:
+            return KnownWord(leaves=leaves)
+        return KnownWord(limit.rate, now - limit.heard_at, leaves)
+
+
+def read_decimal(text: bytes) -> float | None:
+    """Read a decimal number that is not negative; None: it is none."""
+    found = _DECIMAL.fullmatch(text.strip())
+    return None if found is None else float(found.group())
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/ports.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/ports.py
@@ -9,6 +9,7 @@
 
 from spanfall_core.gateway.known.configuration import ServedConfiguration
 from spanfall_core.gateway.known.directory import ListedUpstream, UnusableEntry
+from spanfall_core.gateway.known.statements import Statement
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -133,3 +134,5 @@
     read_configuration: Callable[[int, bytes], ServedConfiguration]
     #: Key in the store and the item's content.
     read_upstream: Callable[[str, bytes], ListedUpstream | UnusableEntry]
+    #: Status and headers of an upstream's answer.
+    read_statement: Callable[[int, Headers], Statement]
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
@@ -1,6 +1,7 @@
 """Count what a gateway does, with a counter for each reason."""
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from spanfall_core.gateway.known.statements import News
 from spanfall_core.reasons import RefusalReason, RetryReason
 
 from spanfall_node.metric_kinds import labelled_counter, reason_counter
@@ -57,6 +58,12 @@
             'Upstreams chosen for requests, by who chose',
             'outcome',
         )
+        self.statements = reason_counter(
+            self.registry,
+            'spanfall_upstream_statements',
+            'What upstreams newly said of themselves in answers, by kind',
+            News,
+        )
         self.cuts = self._labelled(
             'spanfall_cut_answers',
             'Answers that ended early, by reason',
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
@@ -21,6 +21,7 @@
 from spanfall_core.gateway.known.limits import Limit, LimitsInForce
 from spanfall_core.gateway.known.loads import Loads
 from spanfall_core.gateway.known.reporting import silent_after
+from spanfall_core.gateway.known.statements import Statements
 from spanfall_core.gateway.known.true_time import TrueTime
 from spanfall_core.gateway.known.unit_reports import GivenUnits
 from spanfall_core.gateway.known.usage import UsageCounts
@@ -60,6 +61,8 @@
     #: The configuration as the store holds it, to be passed on.
     configuration_source: bytes = b''
     directory: Directory = field(default_factory=Directory)
+    #: What upstreams say of themselves in their answers.
+    statements: Statements = field(default_factory=Statements)
     loads: Loads = field(default_factory=Loads)
     #: What this node has sent itself, and what it granted as the home.
     prompts: PromptHistory = field(default_factory=PromptHistory)
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/hearing.py
@@ -0,0 +1,50 @@
+"""Take what an upstream says of itself in any answer, however that ends."""
+
+import logging
+
+from spanfall_core.gateway.known.lifetimes import Lifetime
+from spanfall_core.gateway.known.statements import News
+
+from spanfall_node.gateway.net.client import AnswerHead
+from spanfall_node.gateway.tables.state import GatewayState
+
+logger = logging.getLogger(__name__)
+
+#: The status with which another lifetime answers at the address: what it says
+#: of itself is not said of the one that was asked.
+OTHER_LIFETIME = 421
+
+
+def hear(
+    state: GatewayState,
+    lifetime: Lifetime,
+    head: AnswerHead,
+    sent_at: float,
+) -> list[News]:
+    """Take what the head of an answer says; return what is new.
+
+    ``sent_at`` is when the request was sent over that connection.
+    """
+    if head.status == OTHER_LIFETIME:
+        return []
+    said = state.platform.read_statement(head.status, head.headers)
+    news = state.statements.hear(
+        lifetime,
+        said,
+        sent_at,
+        state.timers.now(),
+        is_signed=bool(head.header(state.platform.names.signature)),
+    )
+    if said.pause:
+        news.append(News.PAUSE)
+    for one in news:
+        state.counters.statements.labels(one.value).inc()
+    if news:
+        logger.info(
+            'Upstream %s says: %s; %s requests a second, pause %s s',
+            lifetime,
+            ', '.join(news),
+            said.rate,
+            said.pause,
+        )
+    return news
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
@@ -32,6 +32,7 @@
     is_event_stream,
     upstream_call,
 )
+from spanfall_node.gateway.upstreams.hearing import hear
 
 logger = logging.getLogger(__name__)
 
@@ -153,8 +154,12 @@
         work.deadline - state.timers.now(),
     )
     wanted = work.attempt_id.encode('latin-1')
+    lifetime = choice.upstream.lifetime
+    sent_at = state.timers.now()
 
     def is_ours(head: AnswerHead) -> bool:
+        # One that is dropped was given by the same upstream.
+        hear(state, lifetime, head, sent_at)
         answered = head.header(names.attempt_id)
         if answered:
             return answered == wanted
@@ -165,12 +170,7 @@
     if is_event_stream(head) and head.status == 200:
         ended = await _relay_stream(state, exchange, head, conn, pending)
         if isinstance(ended, Answered):
-            log_answered(
-                state,
-                exchange,
-                choice.upstream.lifetime,
-                head.status,
-            )
+            log_answered(state, exchange, lifetime, head.status)
         return ended
     body = await conn.read_body(WHOLE_ANSWER_BYTES)
     failed = _classified(state, choice, head, body)
@@ -178,7 +178,7 @@
         return failed
     count_run(state, work)
     await relay_whole(state, exchange, head, body)
-    log_answered(state, exchange, choice.upstream.lifetime, head.status)
+    log_answered(state, exchange, lifetime, head.status)
     return Answered()
 
 
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
@@ -14,9 +14,11 @@
     ServiceShare,
 )
 from spanfall_core.gateway.known.directory import ListedUpstream, UnusableEntry
+from spanfall_core.gateway.known.statements import Statement, read_decimal
 from spanfall_node.gateway.net.ports import (
     CloudDialect,
     HeaderNames,
+    Headers,
     HttpCall,
     Listing,
     PlatformAdapter,
@@ -174,6 +176,17 @@
         return UnusableEntry(key.removeprefix(UPSTREAM_PREFIX), str(exc))
 
 
+def _read_statement(status: int, headers: Headers) -> Statement:
+    known = dict(headers)
+    rate = read_decimal(known.get(b'takes-a-second', b''))
+    return Statement(
+        rate=rate,
+        is_rate_unread=b'takes-a-second' in known and rate is None,
+        leaves=b'leaves' in known,
+        pause=read_decimal(known.get(b'pause', b'')) or 0,
+    )
+
+
 def _get(key: str) -> HttpCall:
     return HttpCall('GET', '/item?{0}'.format(urlencode({'key': key})))
 
@@ -259,4 +272,5 @@
     readiness_path='/ready',
     read_configuration=_read_configuration,
     read_upstream=_read_upstream,
+    read_statement=_read_statement,
 )
