--- a/packages/spanfall-standins/src/spanfall_standins/gateway/upstream.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/upstream.py
@@ -26,6 +26,8 @@
     seen: list[Seen] = field(default_factory=list)
     #: Requests whose client closed before the answer was whole.
     left: list[Seen] = field(default_factory=list)
+    #: What it says of itself in all its answers, as headers.
+    says: dict[str, str] = field(default_factory=dict)
     #: Cancelled as the upstream's process ends.
     life: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
@@ -37,7 +39,8 @@
     def signed(self, seen: Seen) -> dict[str, str]:
         """Return the headers that mark an answer as this upstream's."""
         attempt = seen.headers.get('attempt', '')
-        return {'attempt': attempt, 'signed': f'{self.lifetime}.{attempt}'}
+        mark = f'{self.lifetime}.{attempt}'
+        return {'attempt': attempt, 'signed': mark, **self.says}
 
 
 def whole(status: int = 200, body: bytes = b'done') -> Behaviour:
@@ -81,7 +84,8 @@
         seen: Seen,
         stream: SocketStream,
     ) -> bool:
-        await stream.send(answer_bytes(status, b'', {'not-run': '1'}))
+        headers = {'not-run': '1', **upstream.says}
+        await stream.send(answer_bytes(status, b'', headers))
         return True
 
     return run
