Send to an upstream that names a limit only what the home permits

What callers saw: an upstream in need got three to four times the requests that it said it takes, so those that waited there were late or turned away. Cause: no node read the limit, and nothing bound what all entries send to one upstream over time; loads bound only what runs at a moment. Change: entries tell the home at once what upstreams say, and all they know on a new link; the home tells all with its tables. A grant for an upstream that names a limit is a permit, given only by the holder of the lease, at the named rate. Without a home such an upstream gets nothing. A request that finds room nowhere waits where its turn comes within a quarter of its target, else it is refused at once, with its turn as the time to come back. Why it holds: nothing is held in advance, so what arrives is what one node gave: 4 N + 2 + N / 2 in 4 s, and what is up to 1.5 s late, against 6 N + 5. A home that begins has no permits, so it need not know what the one before gave. An entry that knows of a limit takes no grant that is no permit.

--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Iterable, Sequence
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 
 from xxhash import xxh3_64_intdigest
@@ -39,6 +40,10 @@
 #: Seconds of reading of the long prompt that stands for all of them where
 #: upstreams are compared.
 LONG_READING = 0.5
+#: Seconds that an upstream which may get nothing counts for among many.
+WITHHELD_SECONDS = 1e6
+#: No upstream, where all may get the request.
+NONE_WITHHELD: AbstractSet[Lifetime] = frozenset()
 
 
 @dataclass(slots=True)
@@ -105,14 +110,15 @@
     place: float
     #: Tokens of prompts that an upstream reads in a second.
     rate: float
+    #: Upstreams that may get nothing now.
+    withheld: AbstractSet[Lifetime] = NONE_WITHHELD
 
     def best(self, numbers: Iterable[int], preferred: int) -> Choice | None:
         """Return the best of some candidates that were not tried yet."""
-        tried = self.ask.tried
         best: tuple[float, int, int] | None = None
         for number in numbers:
             row = self.candidates[number]
-            if tried and row.lifetime in tried:
+            if not self.may_get(row.lifetime):
                 continue
             prefill = _prefill(row, self.ask, self.prompts, number == preferred)
             seconds = self._seconds(row, number, prefill)
@@ -124,6 +130,10 @@
         ahead = self.loads.prefill_at(chosen.lifetime)
         return Choice(chosen, best[0], best[2], ahead)
 
+    def may_get(self, lifetime: Lifetime) -> bool:
+        """Tell whether the request may go to an upstream."""
+        return lifetime not in self.ask.tried and lifetime not in self.withheld
+
     def hash_part(self, number: int) -> float:
         """Return a part from 0 to 1 for a candidate."""
         lifetime = self.candidates[number].lifetime
@@ -157,11 +167,12 @@
     loads: KnownLoads,
     prompts: PromptHistory,
     now: float,
+    withheld: AbstractSet[Lifetime] = NONE_WITHHELD,
 ) -> Choice | None:
     """Return the best upstream that was not tried yet, if any.
 
     ``candidates`` come in an order that all nodes share: the row in which
-    prompts are placed by their length.
+    prompts are placed by their length. Those ``withheld`` may get nothing.
     """
     place = prompts.sizes.place(ask.prompt_tokens)
     rate = prompts.speed(candidates[0].service).rate if candidates else 1
@@ -174,6 +185,7 @@
         _seed(ask),
         place,
         rate,
+        withheld,
     )
     if len(candidates) > FULL_SEARCH:
         found = _choose_of_many(search)
@@ -228,6 +240,8 @@
             short += QUEUE_SECONDS * (running + 1 - row.slots) / row.slots
         if row.warm_up:
             short += row.warm_up / 10
+        if lifetime in search.withheld:
+            short += WITHHELD_SECONDS
         return short, short + running * STALL_WEIGHT * (reading + long_stall)
 
     shortlist.find(weigh, now)
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/grants.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/grants.py
@@ -35,6 +35,15 @@
     #: that wait there.
     prefill: int
     ahead: int = 0
+    #: Whether the upstream names a limit, and this counts against it.
+    is_permit: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ComeBack:
+    """Say that no upstream takes a request now, and when one does."""
+
+    seconds: float
 
 
 @dataclass(slots=True)
--- a/packages/spanfall-core/src/spanfall_core/reasons.py
+++ b/packages/spanfall-core/src/spanfall_core/reasons.py
@@ -23,6 +23,8 @@
     QUEUE_FULL = 'queue-full'
     DEADLINE = 'deadline'
     NO_UPSTREAM = 'no-upstream'
+    #: All that could serve name limits, which are used up for the moment.
+    UPSTREAMS_LIMITED = 'upstreams-limited'
     NO_HOME = 'no-home'
     NODE_DRAINING = 'node-draining'
     NODE_NOT_READY = 'node-not-ready'
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/entry_link.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/entry_link.py
@@ -7,6 +7,7 @@
 
 import logging
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import anyio
 import msgspec
@@ -16,6 +17,7 @@
 from spanfall_node.gateway.home.followed_table import FollowedTable
 from spanfall_node.gateway.home.home_pace import strength
 from spanfall_node.gateway.home.lost_home import LostHome
+from spanfall_node.gateway.home.telling_words import tell_words
 from spanfall_node.gateway.home.totals import apply_totals
 from spanfall_node.gateway.limits.unit_requests import UnitRequests
 from spanfall_node.gateway.links.crash_messages import QuarantineMessage
@@ -156,6 +158,7 @@
                 self._report_often,
                 self._tell_load,
                 self._look_for_store,
+                partial(tell_words, self._state),
             )
             for part in parts:
                 tasks.start_soon(run, part)
@@ -266,6 +269,7 @@
             wants_totals=self._table.wants_totals(sent_at),
             seen=self._grants.load().seen,
             strength=strength(state.cfg.host),
+            words_version=self._table.words_version,
         )
         self._heard = anyio.Event()
         await link.send(encode(message))
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
@@ -28,6 +28,8 @@
         self._totals_at = float('-inf')
         #: Seconds until the next report, as the home said.
         self.report_after = REPORT_PERIOD
+        #: Version of the home's words of upstreams that is known.
+        self.words_version = 0
 
     def apply(self, table: TableMessage, sent_at: float) -> None:
         """Take over a table that answers a report sent at a time."""
@@ -54,6 +56,9 @@
             self._learn_upstreams(table.upstreams, listed_at)
         if state.true_time.correct(table.true_time, now):
             logger.warning('Followed the time of day of the home')
+        if table.words is not None:
+            state.words.learn(table.words.words, now)
+            self.words_version = table.words.version
         if table.totals is not None:
             self._totals_at = now
             apply_totals(state, table.totals, now)
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
@@ -42,9 +42,10 @@
     StoreReached,
     SuccessorMessage,
 )
+from spanfall_node.gateway.links.word_messages import WordsPart, WordsReport
 from spanfall_node.gateway.net.sockets import BACKLOG
 from spanfall_node.gateway.tables.state import GatewayState
-from spanfall_node.gateway.upstreams.grants import decide
+from spanfall_node.gateway.upstreams.granting import decide
 
 logger = logging.getLogger(__name__)
 
@@ -125,6 +126,8 @@
                 book.learn(message.entry, message.load, now)
             case WatchedRun():
                 self._state.crashes.note_run(message, now)
+            case WordsReport():
+                self._state.words.learn(message.words, now)
             case _:
                 return self._reply(message, link, now)
         return None
@@ -206,8 +209,18 @@
             resigned=not state.is_home(now),
             configuration=self._configuration(message, revision),
             upstreams=self._upstreams(message),
+            words=self._words(message, now),
         )
 
+    def _words(
+        self,
+        message: ReportMessage,
+        now: float,
+    ) -> WordsPart | None:
+        table = self._state.words.table
+        words = table.words_since(message.words_version, now)
+        return WordsPart(table.version, words) if words else None
+
     def _configuration(
         self,
         message: ReportMessage,
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
@@ -269,6 +269,7 @@
         )
         state.grant_book = GrantBook()
         state.granted_prompts = PromptHistory(speeds=state.prompts.speeds)
+        state.words.begin_tenure(began_at + gives_after)
         state.tenure = Tenure(
             epoch,
             lease,
--- a/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
@@ -26,6 +26,7 @@
     StoreReached,
     SuccessorMessage,
 )
+from spanfall_node.gateway.links.word_messages import WordsPart, WordsReport
 
 #: Most bytes of one message.
 MESSAGE_BYTES = 4_194_304
@@ -54,6 +55,8 @@
     seen: int = 0
     #: How well the entry's host could bear the home, in cores.
     strength: float = 0
+    #: Version of the home's words of upstreams that it knows.
+    words_version: int = 0
 
 
 class LoadMessage(msgspec.Struct, frozen=True, tag='load'):
@@ -93,6 +96,9 @@
     number: int
     grant: Grant | None = None
     standing: Standing = Standing.FREE
+    #: Seconds after which an upstream has room that has none now by its own
+    #: limit; 0: none names one.
+    wait: float = 0
 
 
 class UnitsRequest(msgspec.Struct, frozen=True, tag='units-request'):
@@ -163,6 +169,7 @@
     resigned: bool = False
     configuration: ConfigurationPart | None = None
     upstreams: UpstreamsPart | None = None
+    words: WordsPart | None = None
 
 
 def totals_period(entries: int) -> float:
@@ -195,6 +202,7 @@
     | StoreReached
     | CrashReport
     | WatchedRun
+    | WordsReport
 )
 FromHome = (
     TableMessage
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
@@ -180,6 +180,7 @@
             self._state.prompts.prefixes.forget(lifetime)
             self._state.granted_prompts.prefixes.forget(lifetime)
             self._state.loads.forget(lifetime)
+            self._state.words.forget(lifetime, now)
 
     def _period(self) -> float:
         return read_period(
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
@@ -21,7 +21,6 @@
 from spanfall_core.gateway.known.limits import Limit, LimitsInForce
 from spanfall_core.gateway.known.loads import Loads
 from spanfall_core.gateway.known.reporting import silent_after
-from spanfall_core.gateway.known.statements import Statements
 from spanfall_core.gateway.known.true_time import TrueTime
 from spanfall_core.gateway.known.unit_reports import GivenUnits
 from spanfall_core.gateway.known.usage import UsageCounts
@@ -37,7 +36,8 @@
 from spanfall_node.gateway.net.ports import PlatformAdapter
 from spanfall_node.gateway.tables.counters import Counters
 from spanfall_node.gateway.tables.crash_knowledge import CrashKnowledge
-from spanfall_node.gateway.tables.tenure import Tenure
+from spanfall_node.gateway.tables.tenure import Tenure, is_giver
+from spanfall_node.gateway.tables.upstream_words import UpstreamWords
 from spanfall_node.timers import Timers
 
 logger = logging.getLogger(__name__)
@@ -62,7 +62,7 @@
     configuration_source: bytes = b''
     directory: Directory = field(default_factory=Directory)
     #: What upstreams say of themselves in their answers.
-    statements: Statements = field(default_factory=Statements)
+    words: UpstreamWords = field(default_factory=UpstreamWords)
     loads: Loads = field(default_factory=Loads)
     #: What this node has sent itself, and what it granted as the home.
     prompts: PromptHistory = field(default_factory=PromptHistory)
@@ -185,7 +185,7 @@
         Only the holder of the lease gives units, so no two homes give the
         same ones.
         """
-        if self.tenure is None or not self.tenure.may_give(now):
+        if not is_giver(self.tenure, now):
             return None
         return self.shared_levels.give(entry, self.limits_at(now), now)
 
@@ -197,7 +197,7 @@
         now: float,
     ) -> float:
         """Return the units that an entry gets besides, 0 if there are none."""
-        if self.tenure is None or not self.tenure.may_give(now):
+        if not is_giver(self.tenure, now):
             return 0
         limits = self.limits_at(now)
         return self.shared_levels.lend(entry, workspace, units, limits, now)
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/tenure.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/tenure.py
@@ -35,3 +35,8 @@
         """Act no more from now on."""
         self.resigned = True
         self.valid_until = float('-inf')
+
+
+def is_giver(tenure: Tenure | None, now: float) -> bool:
+    """Tell whether a node alone may give what all share."""
+    return tenure is not None and tenure.may_give(now)
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/upstream_words.py
@@ -0,0 +1,87 @@
+"""Hold what a node knows of what upstreams say of themselves.
+
+Each entry tells the home at once what it heard in an answer, and all it knows
+to each new home; the home tells all others with their tables.
+"""
+
+import logging
+from dataclasses import dataclass, field
+
+import anyio
+from spanfall_core.gateway.known.lifetimes import Lifetime
+from spanfall_core.gateway.known.statements import (
+    News,
+    Statement,
+    Statements,
+    Words,
+)
+from spanfall_core.gateway.limits.permits import Permits
+
+logger = logging.getLogger(__name__)
+
+#: What the other nodes are to know.
+TOLD = frozenset((News.LIMIT, News.NO_LIMIT, News.LEAVES))
+
+
+@dataclass(slots=True)
+class UpstreamWords:
+    """Hold the words of upstreams and, as the home, the permits."""
+
+    table: Statements = field(default_factory=Statements)
+    permits: Permits = field(default_factory=Permits)
+    #: Upstreams of which this node heard something that the home may not know.
+    untold: dict[Lifetime, None] = field(default_factory=dict)
+    #: Set, and replaced, as there is another one.
+    heard: anyio.Event = field(default_factory=anyio.Event)
+
+    def hear(
+        self,
+        lifetime: Lifetime,
+        said: Statement,
+        sent_at: float,
+        now: float,
+        *,
+        is_signed: bool,
+    ) -> list[News]:
+        """Take what an answer says that arrives now; return what is new."""
+        news = self.table.hear(
+            lifetime,
+            said,
+            sent_at,
+            now,
+            is_signed=is_signed,
+        )
+        if TOLD.intersection(news):
+            self._follow(lifetime, now)
+            self.untold[lifetime] = None
+            self.heard.set()
+            self.heard = anyio.Event()
+        return news
+
+    def learn(self, words: Words, now: float) -> None:
+        """Take what another node knows."""
+        for lifetime in self.table.learn(words, now):
+            logger.info(
+                'Another node says of %s: %s', lifetime, words[lifetime]
+            )
+            self._follow(lifetime, now)
+
+    def take_untold(self, now: float) -> Words:
+        """Return what the home may not know, once."""
+        untold = self.untold
+        self.untold = {}
+        return self.table.words(untold, now)
+
+    def begin_tenure(self, now: float) -> None:
+        """Give permits as a home that begins: there are none yet."""
+        self.permits = Permits()
+        for lifetime, rate in self.table.rates.items():
+            self.permits.follow(lifetime, rate, now)
+
+    def forget(self, lifetime: Lifetime, now: float) -> None:
+        """Drop what an upstream said that is over for good."""
+        self.table.forget(lifetime)
+        self.permits.follow(lifetime, None, now)
+
+    def _follow(self, lifetime: Lifetime, now: float) -> None:
+        self.permits.follow(lifetime, self.table.rates.get(lifetime), now)
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/choosing.py
@@ -0,0 +1,58 @@
+"""Choose an upstream for a request, now or after a wait that pays."""
+
+import anyio
+from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.routing.estimates import Ask
+from spanfall_core.gateway.routing.grants import ComeBack
+
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.attempt import Exchange
+from spanfall_node.gateway.upstreams.grants import Grants, Outcome
+
+#: Seconds that a suspect waits for its trial while another one is tried: as
+#: long as a trial whose upstream says nothing. Then it may come back.
+TRIAL_WAIT_SECONDS = 1.5
+TRIAL_STEP = 0.05
+#: Part of a route's target that a request waits for its turn at an upstream
+#: with a limit: a refusal later than that helps its caller no more.
+TURN_WAIT_PART = 0.25
+
+
+async def choose_or_wait(
+    state: GatewayState,
+    grants: Grants,
+    exchange: Exchange,
+) -> Outcome:
+    """Choose an upstream; wait where that serves the caller better.
+
+    A suspect waits a while for its trial, and a request that an upstream's own
+    limit keeps back waits where its turn comes within a part of its target.
+    """
+    work = exchange.work
+    began_at = state.timers.now()
+    turn_until = work.began_at + work.route.target * TURN_WAIT_PART
+    while True:
+        ask = _ask(state, exchange)
+        choice = await grants.choose(work.service, ask)
+        now = state.timers.now()
+        if choice is Standing.SUSPECT:
+            seconds, until = TRIAL_STEP, began_at + TRIAL_WAIT_SECONDS
+        elif isinstance(choice, ComeBack):
+            seconds, until = choice.seconds, turn_until
+        else:
+            return choice
+        if now + seconds > until:
+            return choice
+        await anyio.sleep(seconds)
+
+
+def _ask(state: GatewayState, exchange: Exchange) -> Ask:
+    work = exchange.work
+    return Ask(
+        work.attempt_id,
+        state.cfg.data_centre,
+        work.parts,
+        work.prompt_tokens,
+        frozenset(exchange.tried),
+        work.identity,
+    )
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/hearing.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/hearing.py
@@ -28,7 +28,7 @@
     if head.status == OTHER_LIFETIME:
         return []
     said = state.platform.read_statement(head.status, head.headers)
-    news = state.statements.hear(
+    news = state.words.hear(
         lifetime,
         said,
         sent_at,
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -11,7 +11,7 @@
 import anyio
 from spanfall_core.gateway.crashes.crashes import Standing
 from spanfall_core.gateway.routing.balance import Choice
-from spanfall_core.gateway.routing.estimates import Ask
+from spanfall_core.gateway.routing.grants import ComeBack
 from spanfall_core.gateway.routing.sends import (
     RETRY_REASONS,
     NextStep,
@@ -36,6 +36,7 @@
     count_run,
     relay_whole,
 )
+from spanfall_node.gateway.upstreams.choosing import choose_or_wait
 from spanfall_node.gateway.upstreams.crash_watch import CrashWatch
 from spanfall_node.gateway.upstreams.grants import Grants
 from spanfall_node.gateway.upstreams.sending import send
@@ -46,10 +47,7 @@
 RETRY_SECONDS = 0.2
 #: Seconds kept for the answer at the end of a request's time.
 ANSWER_SECONDS = 0.02
-#: Seconds that a suspect waits for its trial while another one is tried: as
-#: long as a trial whose upstream says nothing. Then it may come back.
-TRIAL_WAIT_SECONDS = 1.5
-TRIAL_STEP = 0.05
+#: Seconds after which a suspect that waited for its trial may come back.
 TRIAL_RETRY_SECONDS = 0.5
 #: Seconds after which one that is held may come back: until then the platform's
 #: list can hardly tell whether its upstreams have ended.
@@ -114,9 +112,9 @@
     exchange: Exchange,
 ) -> None:
     while True:
-        choice = await _choose(state, access, exchange)
-        if choice is None:
-            await _end_with_nothing_left(state, exchange)
+        choice = await choose_or_wait(state, access.grants, exchange)
+        if choice is None or isinstance(choice, ComeBack):
+            await _end_with_nothing_left(state, exchange, choice)
             return
         if isinstance(choice, Standing):
             await _end_held(state, exchange, choice)
@@ -128,22 +126,6 @@
             return
 
 
-async def _choose(
-    state: GatewayState,
-    access: UpstreamAccess,
-    exchange: Exchange,
-) -> Choice | Standing | None:
-    """Choose an upstream; a suspect waits a while for its trial."""
-    until = state.timers.now() + TRIAL_WAIT_SECONDS
-    while True:
-        ask = _ask(state, exchange)
-        choice = await access.grants.choose(exchange.work.service, ask)
-        is_late = state.timers.now() >= until
-        if choice is not Standing.SUSPECT or is_late:
-            return choice
-        await anyio.sleep(TRIAL_STEP)
-
-
 async def _end_held(
     state: GatewayState,
     exchange: Exchange,
@@ -208,28 +190,23 @@
     return ended
 
 
-def _ask(state: GatewayState, exchange: Exchange) -> Ask:
-    work = exchange.work
-    return Ask(
-        work.attempt_id,
-        state.cfg.data_centre,
-        work.parts,
-        work.prompt_tokens,
-        frozenset(exchange.tried),
-        work.identity,
-    )
-
-
 async def _end_with_nothing_left(
     state: GatewayState,
     exchange: Exchange,
+    turn: ComeBack | None,
 ) -> None:
     if exchange.started:
         await _cut(state, exchange, 'no upstream is left')
-    elif exchange.sends.proven_not_run:
+    elif exchange.sends.may_have_run:
+        raise _final_refusal(NextStep.ANSWER_UNKNOWN)
+    elif turn is None:
         raise _final_refusal(NextStep.ANSWER_NOT_RUN)
     else:
-        raise _final_refusal(NextStep.ANSWER_UNKNOWN)
+        raise RefusedError(
+            503,
+            RefusalReason.UPSTREAMS_LIMITED,
+            turn.seconds,
+        )
 
 
 async def _goes_on(
--- a/tests/test_gateway_named_limit.py
+++ b/tests/test_gateway_named_limit.py
@@ -22,6 +22,8 @@
     most_in_a_span,
 )
 from spanfall_standins.gateway.upstream import whole
+from support import wait_until
+from test_gateway_succession import ending_gateway, is_home
 
 #: Seconds after the limit was named from which on it binds.
 CONTACT = 3.0
@@ -40,6 +42,7 @@
         self.arrivals = []
         self.passed_on = {}
         self.statuses = []
+        self.came_back_in = []
 
     def watch(self, upstream):
         """Note each request that reaches an upstream, by its entry."""
@@ -67,6 +70,8 @@
     async def _ask(self, state, entry, attempt):
         answer = await ask(state, '/any/1', attempt=attempt)
         self.statuses.append(answer.status)
+        if answer.status == 503:
+            self.came_back_in.append(float(answer.headers['retry-after']))
         if 'takes-a-second' in answer.headers:
             self.passed_on.setdefault(entry, anyio.current_time())
 
@@ -74,28 +79,29 @@
         return arrived_from_told(self.arrivals, self.passed_on)
 
 
-async def play_limit(world, rate, limited, others):
-    """Name a limit at some upstreams; return what was seen of the first."""
-    named = [await world.add_upstream(whole()) for _ in range(limited)]
-    for _ in range(others):
-        await world.add_upstream(whole())
-    gateways = [await world.add_gateway() for _ in range(ENTRIES)]
+def name_limit(upstreams, rate):
+    """Let upstreams name a limit; return when, and who observes the first."""
     observer = Observer()
-    observer.watch(named[0])
-    named_at = anyio.current_time()
-    for upstream in named:
+    observer.watch(upstreams[0])
+    for upstream in upstreams:
         upstream.says = {'takes-a-second': str(rate)}
+    return observer, anyio.current_time()
+
+
+async def call_all(observer, gateways, seconds):
     async with anyio.create_task_group() as tasks:
         for state in gateways:
-            tasks.start_soon(observer.call, state, PLAYED)
-    return observer, named_at
+            tasks.start_soon(observer.call, state, seconds)
 
 
 @pytest.mark.parametrize('rate', (1, 4.2))
 def test_an_upstream_gets_the_limit_that_it_names(rate):
     @in_world
     async def play(world):
-        observer, named_at = await play_limit(world, rate, 1, 3)
+        upstreams = [await world.add_upstream(whole()) for _ in range(4)]
+        gateways = [await world.add_gateway() for _ in range(ENTRIES)]
+        observer, named_at = name_limit(upstreams[:1], rate)
+        await call_all(observer, gateways, PLAYED)
         binds_from = named_at + CONTACT
         times = observer.reached()
         assert len(observer.passed_on) > 1
@@ -106,3 +112,50 @@
         assert set(observer.statuses) == {200}
 
     play()
+
+
+@in_world
+async def test_who_finds_no_room_is_told_when_there_is(world):
+    """All that serve are limited, and the home ends in the midst of it."""
+    rate = 3
+    upstreams = [await world.add_upstream(whole()) for _ in range(2)]
+    async with ending_gateway(world) as (home, life):
+        await wait_until(lambda: is_home(home))
+        gateways = [await world.add_gateway() for _ in range(ENTRIES)]
+        observer, named_at = name_limit(upstreams, rate)
+        await call_all(observer, gateways, CONTACT)
+        before = len(observer.arrivals)
+        life.cancel()
+    assert before >= USED * rate * CONTACT
+    await wait_until(lambda: any(is_home(state) for state in gateways))
+    await call_all(observer, gateways, SPAN)
+    binds_from = named_at + CONTACT
+    assert most_in_a_span(observer.reached(), binds_from) <= allowed(rate)
+    assert len(observer.arrivals) - before >= USED * rate * SPAN
+    assert set(observer.statuses) == {200, 503}
+    assert all(0 < seconds <= SPAN + 1 for seconds in observer.came_back_in)
+
+
+@in_world
+async def test_a_limit_that_is_taken_back_binds_no_more(world):
+    upstream = await world.add_upstream(whole())
+    gateways = [await world.add_gateway() for _ in range(2)]
+    upstream.says = {'takes-a-second': '0.5'}
+    lifetime = upstream.lifetime
+    await ask(gateways[0], '/any/1', attempt='a')
+    await wait_until(
+        lambda: all(lifetime in one.words.table.rates for one in gateways),
+    )
+    refused = await ask(gateways[1], '/any/1', attempt='b')
+    assert refused.status == 503
+    upstream.says = {}
+    statuses = []
+    while 200 not in statuses:
+        answer = await ask(gateways[1], '/any/1', attempt='c')
+        statuses.append(answer.status)
+        await anyio.sleep(PAUSE)
+    await wait_until(
+        lambda: not any(one.words.table.rates for one in gateways),
+    )
+    answer = await ask(gateways[0], '/any/1', attempt='d')
+    assert answer.status == 200
--- /dev/null
+++ b/tests/test_gateway_permits.py
@@ -0,0 +1,110 @@
+"""Permits: what all entries send stays inside what an upstream names."""
+
+from itertools import accumulate
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from named_limit_checker import SPAN, allowed, most_in_a_span
+from spanfall_core.gateway.known.directory import ListedUpstream
+from spanfall_core.gateway.limits.permits import (
+    BURST,
+    LEAST_RATE,
+    LONGEST_WAIT,
+    Permits,
+)
+
+UPSTREAM = 'u-1'
+#: Longest time from a grant until its request arrives: that of a connection.
+LATE = 0.4
+RATES = st.sampled_from((0, 0.05, 0.3, 1, 4.2, 20, 300))
+PAUSES = st.lists(st.floats(0.001, 3), min_size=1, max_size=60)
+
+
+def given_permits(permits, times):
+    """Return when a caller that asks at some times gets a permit."""
+    sent = []
+    for now in times:
+        if UPSTREAM not in permits.withheld(now):
+            assert permits.take(UPSTREAM, now)
+            sent.append(now)
+    return sent
+
+
+def often(seconds, begin=0, step=0.01):
+    return [begin + number * step for number in range(int(seconds / step))]
+
+
+def new_home(rate, now):
+    permits = Permits()
+    permits.follow(UPSTREAM, rate, now)
+    return permits
+
+
+@given(RATES, PAUSES, st.lists(st.floats(0, LATE), min_size=1, max_size=9))
+def test_homes_in_turn_pass_no_limit(rate, tenures, delays):
+    """Each begins with no permit and knows nothing of the one before."""
+    arrivals = []
+    ends = list(accumulate(tenures, initial=0))
+    for begin, end in zip(ends, ends[1:], strict=False):
+        times = often(end - begin, begin, step=0.05)
+        sent = given_permits(new_home(rate, begin), times)
+        arrivals.extend(
+            at + delays[number % len(delays)] for number, at in enumerate(sent)
+        )
+    assert most_in_a_span(sorted(arrivals), 0) <= allowed(rate)
+
+
+@pytest.mark.parametrize('rate', (0.3, 1, 4.2, 20))
+def test_callers_get_what_an_upstream_takes(rate):
+    seconds = 60
+    sent = given_permits(new_home(rate, 0), often(seconds))
+    assert len(sent) == pytest.approx(rate * seconds, abs=BURST)
+
+
+def test_one_that_takes_none_is_asked_rarely():
+    """Only its next answer can tell that it takes requests again."""
+    sent = given_permits(new_home(0, 0), often(100))
+    assert len(sent) == pytest.approx(100 * LEAST_RATE, abs=1)
+
+
+@given(st.lists(RATES, min_size=2, max_size=20), st.floats(0.1, 2))
+def test_a_limit_that_changes_binds_as_it_is(rates, each):
+    """Named anew each second, and below one in four seconds."""
+    permits = Permits()
+    sent = []
+    for number, rate in enumerate(rates):
+        begin = number * each
+        permits.follow(UPSTREAM, rate, begin)
+        sent.extend(given_permits(permits, often(each, begin, step=0.05)))
+        first = begin - SPAN
+        named = [
+            known
+            for at, known in enumerate(rates[: number + 1])
+            if (at + 1) * each > first
+        ]
+        recent = [at for at in sent if at > first]
+        assert len(recent) <= allowed(max(named))
+
+
+def test_without_a_limit_no_permit_is_needed():
+    permits = new_home(0, 0)
+    assert permits.withheld(0) == {UPSTREAM}
+    permits.follow(UPSTREAM, None, 1)
+    assert not permits.withheld(1)
+    assert not permits.take(UPSTREAM, 1)
+
+
+def test_callers_come_back_one_after_the_other():
+    permits = Permits()
+    rows = [
+        ListedUpstream(f'u-{number}', 'llm', '', 'north', slots=4)
+        for number in range(2)
+    ]
+    for row in rows:
+        permits.follow(row.lifetime, 2, 0)
+    waits = [permits.wait('llm', rows, 1) for _ in range(3)]
+    assert waits == pytest.approx([0.25, 0.5, 0.75])
+    most = max(permits.wait('llm', rows, 1) for _ in range(100))
+    assert most == LONGEST_WAIT
+    assert permits.wait('other', [], 1) == 0
