Order for an upstream with a limit what it does not take

Cause: orders counted an upstream that takes one request a second as a whole one, so a service whose upstreams are in need got none besides. Change: the need grows by the part of each limited upstream that its limit takes away, by the requests that asked the home, refused or not.

--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/demand.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/demand.py
@@ -4,6 +4,7 @@
 fewer streams behind a jam look like none.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from spanfall_core.gateway.known.configuration import EngineLimits
@@ -53,6 +54,23 @@
     return decoding + load.work_rate / (speed.rate * GOOD_READING)
 
 
+def lost_to_limits(
+    limits: Iterable[float],
+    needed: float,
+    requests_rate: float,
+) -> float:
+    """Return the upstreams that the limits of some of them cost.
+
+    One that names a limit does the work of as much of an upstream as it takes
+    of what the load gives to each. ``requests_rate`` are the requests a second
+    that ``needed`` upstreams are to serve.
+    """
+    if not (needed and requests_rate):
+        return 0
+    each = requests_rate / needed
+    return sum(1 - min(1, limit / each) for limit in limits)
+
+
 @dataclass(slots=True)
 class Demand:
     """Hold the need for upstreams of one service, as a fading peak."""
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/grants.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/grants.py
@@ -63,6 +63,8 @@
 
     running: Counter[Lifetime] = field(default_factory=Counter)
     prefill: Counter[Lifetime] = field(default_factory=Counter)
+    #: Requests that asked for the first time, by service, granted or not.
+    asked: Counter[str] = field(default_factory=Counter)
     _entries: dict[str, EntryGrants] = field(default_factory=dict)
 
     def learn(self, entry: str, load: EntryLoad, now: float) -> None:
--- a/packages/spanfall-node/src/spanfall_node/gateway/duties/capacity_duty.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/capacity_duty.py
@@ -9,6 +9,7 @@
 from spanfall_core.gateway.orders.capacity import plan_orders
 from spanfall_core.gateway.orders.demand import (
     OfferedLoad,
+    lost_to_limits,
     needed_upstreams,
     take_over,
 )
@@ -31,13 +32,13 @@
 SETTLE_SECONDS = 3.0
 #: The same for the first home of a fleet, which takes nothing over.
 FIRST_SETTLE_SECONDS = 0.5
-#: Seconds over which the rate of reading is averaged.
+#: Seconds over which rates are averaged.
 RATE_SECONDS = 2.0
 
 
 @dataclass(slots=True)
-class WorkRate:
-    """Measure the work of reading a second of each service, in tokens."""
+class Rate:
+    """Measure by how much a second a count of each service grows."""
 
     counted: Counts = field(default_factory=dict)
     rates: dict[str, float] = field(default_factory=dict)
@@ -65,7 +66,8 @@
         self._cloud = cloud
         self._epoch = 0
         self._orders: dict[str, ServiceOrders] = {}
-        self._rate = WorkRate()
+        self._reading = Rate()
+        self._asked = Rate()
 
     async def run(self) -> None:
         """Plan and order until cancelled."""
@@ -79,11 +81,13 @@
         if self._epoch != state.tenure.epoch:
             self._epoch = state.tenure.epoch
             self._orders = {}
-            self._rate = WorkRate()
+            self._reading = Rate()
+            self._asked = Rate()
         if state.configuration is None:
             return
         now = state.timers.now()
-        self._rate.learn(state.fleet.read_work(), now)
+        self._reading.learn(state.fleet.read_work(), now)
+        self._asked.learn(dict(state.grant_book.asked), now)
         for service in state.configuration.services.values():
             if service.scaling is not None and service.engine is not None:
                 await self._serve_service(service, now)
@@ -144,10 +148,16 @@
             if row.service == service.name
         ]
         mine = sum(running.get(lifetime, 0) for lifetime in there)
-        load = OfferedLoad(mine, self._rate.rates.get(service.name, 0))
+        load = OfferedLoad(mine, self._reading.rates.get(service.name, 0))
         speed = state.prompts.speed(service.name)
         needed = needed_upstreams(service.engine, load, speed, len(there))
-        orders.demand.learn(needed, now)
+        limits = state.words.table.rates
+        lost = lost_to_limits(
+            (limits[lifetime] for lifetime in there if lifetime in limits),
+            needed,
+            self._asked.rates.get(service.name, 0),
+        )
+        orders.demand.learn(needed + lost, now)
 
     async def _send(self, order: Order, orders: ServiceOrders) -> None:
         state = self._state
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
@@ -42,6 +42,8 @@
     standing = state.crashes.standing(request.ask.identity, now)
     if standing in NOT_SENT:
         return GrantMessage(number, standing=standing)
+    if not request.ask.tried:
+        state.grant_book.asked[request.service] += 1
     serving = state.directory.serving(request.service)
     withheld = _withheld(state, now)
     candidates = serving
--- /dev/null
+++ b/tests/test_gateway_limited_orders.py
@@ -0,0 +1,41 @@
+"""Orders count an upstream that names a limit as what it takes."""
+
+import pytest
+from gateway_world import SERVICE, ask, in_world
+from hypothesis import given
+from hypothesis import strategies as st
+from spanfall_core.gateway.orders.demand import lost_to_limits
+from spanfall_standins.gateway.upstream import whole
+
+RATES = st.floats(0, 100)
+
+
+def test_a_limit_costs_what_it_does_not_take():
+    """Four upstreams are to serve twelve a second, three each."""
+    assert lost_to_limits([1], 4, 12) == pytest.approx(2 / 3)
+    assert lost_to_limits([0, 1.5, 3, 9], 4, 12) == pytest.approx(1.5)
+    assert lost_to_limits([], 4, 12) == 0
+
+
+def test_without_load_nothing_is_lost():
+    assert lost_to_limits([0], 0, 12) == 0
+    assert lost_to_limits([0], 4, 0) == 0
+
+
+@given(st.lists(RATES, max_size=9), st.floats(0.01, 50), st.floats(0.01, 999))
+def test_no_more_is_lost_than_is_limited(limits, needed, requests_rate):
+    assert 0 <= lost_to_limits(limits, needed, requests_rate) <= len(limits)
+
+
+@in_world
+async def test_the_home_counts_each_request_that_asks(world):
+    """Refused ones too: what is offered counts, not what is served."""
+    upstream = await world.add_upstream(whole())
+    state = await world.add_gateway()
+    upstream.says = {'takes-a-second': '0'}
+    statuses = [
+        (await ask(state, '/any/1', attempt=f'a{number}')).status
+        for number in range(3)
+    ]
+    assert statuses == [200, 503, 503]
+    assert state.grant_book.asked[SERVICE] == 3
