Take an upstream's own word that it leaves, for its lifetime and for good

What callers saw: requests went on to an upstream that had said in its answers that it leaves, for as long as the store was away, and would have failed as it ended. Cause: that an upstream leaves had one source, its entry in the store. Change: the word, heard in any answer, marks the upstream's row as leaving; all that asks whether it serves (grants, choices alone, orders, doubts about ends) reads that one fact. The home hears it at once, all others with their tables, a new home from each entry. Why it holds: the mark rests on what was said of the lifetime, not on the row, so no listing, home or link takes it back; another start has another lifetime. The digest of a listing leaves it out, so nodes that know different words do not send each other whole listings.

--- a/bench/gateway_tables.py
+++ b/bench/gateway_tables.py
@@ -3,9 +3,9 @@
 import time
 from itertools import count
 
-from spanfall_core.gateway.known.directory import ListedUpstream
 from spanfall_core.gateway.known.fleet import EntryReport, FleetState
 from spanfall_core.gateway.known.limits import Limit
+from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.loads import Loads
 from spanfall_core.gateway.known.prefixes import PromptPart
 from spanfall_core.gateway.known.unit_reports import EntrySpending
--- a/packages/spanfall-core/src/spanfall_core/gateway/crashes/crash_signs.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/crashes/crash_signs.py
@@ -83,6 +83,6 @@
     """Tell whether an entry outlived a doubt, or began to leave in it."""
     row = directory.rows.get(lifetime)
     is_listed = directory.proved_at - doubt.since >= patience
-    if row is not None and (row.leaving or is_listed and row.is_serving):
+    if row is not None and (row.is_leaving or is_listed and row.is_serving):
         return True
     return now - doubt.since >= LONGEST_DOUBT
--- a/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
@@ -8,6 +8,7 @@
 
 from collections import Counter
 from collections.abc import Collection, Iterable
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, replace
 
 from xxhash import xxh3_64_intdigest
@@ -17,6 +18,7 @@
     is_earlier,
     name_lifetime,
 )
+from spanfall_core.gateway.known.listed import ListedUpstream
 
 #: Seconds that a row missing after an outage of the store is kept; the
 #: platform says that living upstreams are back within about two seconds.
@@ -27,44 +29,6 @@
 DIGEST_BITS = 0xFFFFFFFFFFFF
 
 
-@dataclass(frozen=True, slots=True)
-class ListedUpstream:
-    """Describe one lifetime of an upstream as the platform lists it."""
-
-    upstream_id: str
-    service: str
-    address: str
-    data_centre: str
-    slots: int
-    leaving: bool = False
-    reclaimable: bool = False
-    warm_up: float = 0
-    #: Seconds until it stops, where the platform tells.
-    leaves_in: float | None = None
-    #: When it started, in milliseconds since 1970, where the platform tells.
-    born: int | None = None
-    #: Whether its entry names no upstream to use at the moment.
-    paused: bool = False
-
-    @property
-    def lifetime(self) -> Lifetime:
-        """Name this lifetime."""
-        return name_lifetime(self.upstream_id, self.born)
-
-    @property
-    def is_serving(self) -> bool:
-        """Tell whether it may get new work."""
-        return not (self.leaving or self.paused)
-
-
-@dataclass(frozen=True, slots=True)
-class UnusableEntry:
-    """Say why an entry of the platform's list names no upstream to use."""
-
-    upstream_id: str
-    reason: str
-
-
 @dataclass(frozen=True, slots=True)
 class DirectoryChange:
     """State what of a directory has changed since a revision."""
@@ -76,8 +40,17 @@
 class Directory:
     """Hold the upstreams that may get work, by service."""
 
-    def __init__(self) -> None:
-        """Start with no upstream known."""
+    def __init__(
+        self,
+        said_leaving: AbstractSet[Lifetime] = frozenset(),  # noqa: WPS404
+    ) -> None:
+        """Start with no upstream known.
+
+        ``said_leaving`` are the lifetimes that said that they leave, kept by
+        their owner. That holds for good: a listing may be older than the word,
+        or the upstream may not have reached the store.
+        """
+        self._said_leaving = said_leaving
         self.revision = 0
         #: Start of the newest read that showed these rows to be the newest.
         self.proved_at = float('-inf')
@@ -126,7 +99,7 @@
         changed = tuple(
             row
             for row in before.values()
-            if not row.leaving and self._is_ending(row.lifetime)
+            if not row.is_leaving and self._is_ending(row.lifetime)
         )
         for gone in before.keys() - self.rows.keys():
             self._note_ended(gone, before[gone].upstream_id)
@@ -159,10 +132,22 @@
             if row.born is not None:
                 self._born[row.upstream_id] = row.born
             if row.lifetime not in self._ended:
-                found[row.lifetime] = row
+                found[row.lifetime] = self._with_word(row)
         paused -= {usable.upstream_id for usable in found.values()}
         return found | self._pause(paused) if paused else found
 
+    def _with_word(self, row: ListedUpstream) -> ListedUpstream:
+        """Return a row with what its upstream said itself."""
+        said = row.lifetime in self._said_leaving
+        return (
+            row
+            if said == row.said_leaving
+            else replace(
+                row,
+                said_leaving=said,
+            )
+        )
+
     def _pause(self, paused: set[str]) -> dict[Lifetime, ListedUpstream]:
         return {
             key: replace(row, paused=True)
@@ -221,6 +206,13 @@
         """Return when another upstream of a service was last listed."""
         return self._grown_at.get(service, float('-inf'))
 
+    def note_word(self, lifetime: Lifetime) -> None:
+        """Take over what an upstream has just said of itself."""
+        row = self.rows.get(lifetime)
+        if row is not None:
+            self.rows[lifetime] = self._with_word(row)
+            self._index()
+
     def end(self, lifetime: Lifetime) -> None:
         """Note that a lifetime has proved to be over."""
         row = self.rows.pop(lifetime, None)
@@ -241,7 +233,7 @@
 
     def _is_ending(self, lifetime: Lifetime) -> bool:
         row = self.rows.get(lifetime)
-        return row is None or row.leaving
+        return row is None or row.is_leaving
 
     def _lapsed(
         self,
--- a/packages/spanfall-core/src/spanfall_core/gateway/known/statements.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/statements.py
@@ -74,8 +74,9 @@
     version: int = 0
     #: Requests a second of those that name a limit now.
     rates: dict[Lifetime, float] = field(default_factory=dict)
+    #: Those that said that they leave.
+    leaving: set[Lifetime] = field(default_factory=set)
     _limits: dict[Lifetime, NamedLimit] = field(default_factory=dict)
-    _leaving: set[Lifetime] = field(default_factory=set)
     #: Version of the last change of each, oldest first.
     _changed: dict[Lifetime, int] = field(default_factory=dict)
 
@@ -115,10 +116,6 @@
             if self._learn_word(lifetime, word, now)
         ]
 
-    def leaves(self, lifetime: Lifetime) -> bool:
-        """Tell whether an upstream said that it leaves."""
-        return lifetime in self._leaving
-
     def words(self, lifetimes: Iterable[Lifetime], now: float) -> Words:
         """Return what is known of some upstreams."""
         return {one: self._word(one, now) for one in lifetimes}
@@ -138,7 +135,7 @@
         """Drop what a lifetime said that is over for good."""
         self.rates.pop(lifetime, None)
         self._limits.pop(lifetime, None)
-        self._leaving.discard(lifetime)
+        self.leaving.discard(lifetime)
         self._changed.pop(lifetime, None)
 
     def _is_taken_back(self, lifetime: Lifetime, sent_at: float) -> bool:
@@ -160,9 +157,9 @@
         return self._learn_rate(lifetime, limit) or is_new
 
     def _learn_leaving(self, lifetime: Lifetime) -> bool:
-        if lifetime in self._leaving:
+        if lifetime in self.leaving:
             return False
-        self._leaving.add(lifetime)
+        self.leaving.add(lifetime)
         self._note_changed(lifetime)
         return True
 
@@ -195,7 +192,7 @@
 
     def _word(self, lifetime: Lifetime, now: float) -> KnownWord:
         limit = self._limits.get(lifetime)
-        leaves = lifetime in self._leaving
+        leaves = lifetime in self.leaving
         if limit is None:
             return KnownWord(leaves=leaves)
         return KnownWord(limit.rate, now - limit.heard_at, leaves)
--- a/packages/spanfall-core/src/spanfall_core/gateway/limits/permits.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/limits/permits.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 
-from spanfall_core.gateway.known.directory import ListedUpstream
 from spanfall_core.gateway.known.lifetimes import Lifetime
+from spanfall_core.gateway.known.listed import ListedUpstream
 
 #: Permits that may be given at once after a pause, and the seconds of its rate
 #: that an upstream may get at once besides.
--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/orders.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/orders.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from spanfall_core.gateway.known.configuration import Scaling
-from spanfall_core.gateway.known.directory import ListedUpstream
+from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.orders.demand import Demand, HeldMost
 
 #: Seconds after a refusal before a data centre is asked again.
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
@@ -9,9 +9,10 @@
 
 from xxhash import xxh3_64_intdigest
 
-from spanfall_core.gateway.known.directory import ListedUpstream, place_on_ring
+from spanfall_core.gateway.known.directory import place_on_ring
 from spanfall_core.gateway.known.engine_model import ReadingSpeed
 from spanfall_core.gateway.known.lifetimes import Lifetime
+from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.prefixes import PrefixIndex
 from spanfall_core.gateway.routing.estimates import (
     BEARABLE_STALL,
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/estimates.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/estimates.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from spanfall_core.gateway.known.directory import ListedUpstream
 from spanfall_core.gateway.known.identity import RequestIdentity
 from spanfall_core.gateway.known.lifetimes import Lifetime
+from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.prefixes import PromptPart
 
 #: Seconds that a full batch adds to the wait for a first token.
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/entry_link.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/entry_link.py
@@ -18,7 +18,7 @@
 from spanfall_node.gateway.home.home_pace import strength
 from spanfall_node.gateway.home.lost_home import LostHome
 from spanfall_node.gateway.home.telling_words import tell_words
-from spanfall_node.gateway.home.totals import apply_totals
+from spanfall_node.gateway.home.totals import follow_own_table
 from spanfall_node.gateway.limits.unit_requests import UnitRequests
 from spanfall_node.gateway.links.crash_messages import QuarantineMessage
 from spanfall_node.gateway.links.messages import (
@@ -93,7 +93,7 @@
             if self._should_link():
                 await self._follow_home()
             elif self._state.tenure is not None:
-                self._count_alone()
+                follow_own_table(self._state)
             elif self._state.home is None:
                 self._lost.try_again()
             with anyio.move_on_after(LINK_PERIOD):
@@ -105,18 +105,6 @@
             return False
         return state.home.incarnation != state.incarnation
 
-    def _count_alone(self) -> None:
-        """Follow the table that this node itself makes as the home."""
-        state = self._state
-        now = state.timers.now()
-        report = state.own_report()
-        state.learn_report(report, now)
-        given = state.give_units(report.key, now)
-        state.learn_given(given, report, now)
-        state.learn_size(state.fleet.size(now))
-        state.learn_speeds(state.fleet.speeds())
-        apply_totals(state, state.fleet.others(report.key, now), now)
-
     async def _follow_home(self) -> None:
         home = self._state.home
         try:
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
@@ -14,6 +14,7 @@
 from spanfall_node.gateway.links.passing_on import unpack
 from spanfall_node.gateway.store.sync import Sync
 from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.hearing import learn_words
 
 logger = logging.getLogger(__name__)
 
@@ -57,7 +58,7 @@
         if state.true_time.correct(table.true_time, now):
             logger.warning('Followed the time of day of the home')
         if table.words is not None:
-            state.words.learn(table.words.words, now)
+            learn_words(state, table.words.words)
             self.words_version = table.words.version
         if table.totals is not None:
             self._totals_at = now
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
@@ -46,6 +46,7 @@
 from spanfall_node.gateway.net.sockets import BACKLOG
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.granting import decide
+from spanfall_node.gateway.upstreams.hearing import learn_words
 
 logger = logging.getLogger(__name__)
 
@@ -127,7 +128,7 @@
             case WatchedRun():
                 self._state.crashes.note_run(message, now)
             case WordsReport():
-                self._state.words.learn(message.words, now)
+                learn_words(self._state, message.words)
             case _:
                 return self._reply(message, link, now)
         return None
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/totals.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/totals.py
@@ -1,4 +1,4 @@
-"""Follow the sums over the other entries, for what is decided alone."""
+"""Follow the sums over the entries: those told, and those made as the home."""
 
 from spanfall_core.gateway.known.fleet import FleetTotals
 
@@ -14,3 +14,15 @@
     state.loads.others_running = others.running
     state.loads.others_prefill = others.prefill
     state.loads.learn_failures(others.failed, now)
+
+
+def follow_own_table(state: GatewayState) -> None:
+    """Follow the table that this node itself makes as the home."""
+    now = state.timers.now()
+    report = state.own_report()
+    state.learn_report(report, now)
+    given = state.give_units(report.key, now)
+    state.learn_given(given, report, now)
+    state.learn_size(state.fleet.size(now))
+    state.learn_speeds(state.fleet.speeds())
+    apply_totals(state, state.fleet.others(report.key, now), now)
--- a/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
@@ -6,9 +6,9 @@
 import cbor2
 import msgspec
 from spanfall_core.gateway.crashes.crashes import Standing
-from spanfall_core.gateway.known.directory import ListedUpstream
 from spanfall_core.gateway.known.engine_model import ReadingSpeed
 from spanfall_core.gateway.known.fleet import EntryReport, FleetTotals
+from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.reporting import REPORT_PERIOD
 from spanfall_core.gateway.known.unit_reports import GivenUnits
 from spanfall_core.gateway.routing.estimates import Ask
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/ports.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/ports.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from spanfall_core.gateway.known.configuration import ServedConfiguration
-from spanfall_core.gateway.known.directory import ListedUpstream, UnusableEntry
+from spanfall_core.gateway.known.listed import ListedUpstream, UnusableEntry
 from spanfall_core.gateway.known.statements import Statement
 
 Headers = list[tuple[bytes, bytes]]
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
@@ -8,7 +8,7 @@
 from collections.abc import Collection
 
 import anyio
-from spanfall_core.gateway.known.directory import ListedUpstream, UnusableEntry
+from spanfall_core.gateway.known.listed import ListedUpstream, UnusableEntry
 from spanfall_core.gateway.known.reporting import report_period
 
 from spanfall_node.gateway.links.succession_messages import HomeRecord
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/new_state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/new_state.py
@@ -1,6 +1,7 @@
 """Build the tables of a node that starts."""
 
 from spanfall_api.gateway_settings import GatewaySettings
+from spanfall_core.gateway.known.directory import Directory
 from spanfall_core.gateway.known.freshness import Freshness
 from spanfall_core.gateway.known.true_time import TrueTime
 from spanfall_core.gateway.known.usage import UsageCounts
@@ -10,6 +11,7 @@
 from spanfall_node.gateway.net.ports import PlatformAdapter
 from spanfall_node.gateway.tables.counters import Counters
 from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.tables.upstream_words import UpstreamWords
 from spanfall_node.timers import Timers
 
 
@@ -20,6 +22,7 @@
     incarnation: str,
 ) -> GatewayState:
     """Build the empty tables of a node that has just started."""
+    words = UpstreamWords()
     state = GatewayState(
         cfg=cfg,
         platform=platform,
@@ -41,6 +44,8 @@
         ),
         usage=UsageCounts(cfg.bounds.usage_window_seconds),
         true_time=TrueTime(timers.epoch() - timers.now()),
+        words=words,
+        directory=Directory(words.table.leaving),
     )
     state.counters.open_requests.set_function(lambda: state.open_requests)
     return state
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
@@ -57,12 +57,12 @@
     retries: RetryBudget
     usage: UsageCounts
     true_time: TrueTime
+    #: What upstreams say of themselves, and the list of them, which heeds it.
+    words: UpstreamWords
+    directory: Directory
     configuration: ServedConfiguration | None = None
     #: The configuration as the store holds it, to be passed on.
     configuration_source: bytes = b''
-    directory: Directory = field(default_factory=Directory)
-    #: What upstreams say of themselves in their answers.
-    words: UpstreamWords = field(default_factory=UpstreamWords)
     loads: Loads = field(default_factory=Loads)
     #: What this node has sent itself, and what it granted as the home.
     prompts: PromptHistory = field(default_factory=PromptHistory)
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/upstream_words.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/upstream_words.py
@@ -58,13 +58,15 @@
             self.heard = anyio.Event()
         return news
 
-    def learn(self, words: Words, now: float) -> None:
-        """Take what another node knows."""
-        for lifetime in self.table.learn(words, now):
+    def learn(self, words: Words, now: float) -> list[Lifetime]:
+        """Take what another node knows; return what had not been known."""
+        news = self.table.learn(words, now)
+        for lifetime in news:
             logger.info(
                 'Another node says of %s: %s', lifetime, words[lifetime]
             )
             self._follow(lifetime, now)
+        return news
 
     def take_untold(self, now: float) -> Words:
         """Return what the home may not know, once."""
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/crash_watch.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/crash_watch.py
@@ -11,9 +11,9 @@
 
 import anyio
 from spanfall_core.gateway.crashes.crashes import Sign
-from spanfall_core.gateway.known.directory import ListedUpstream
 from spanfall_core.gateway.known.identity import RequestIdentity
 from spanfall_core.gateway.known.lifetimes import Lifetime
+from spanfall_core.gateway.known.listed import ListedUpstream
 
 from spanfall_node.gateway.links.crash_messages import (
     CrashReport,
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
@@ -4,8 +4,8 @@
 from collections.abc import Set as AbstractSet
 
 from spanfall_core.gateway.crashes.crashes import Standing
-from spanfall_core.gateway.known.directory import ListedUpstream
 from spanfall_core.gateway.known.lifetimes import Lifetime
+from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.routing.balance import choose
 from spanfall_core.gateway.routing.estimates import Ask
 from spanfall_core.gateway.routing.grants import FleetLoads, Grant
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/hearing.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/hearing.py
@@ -3,7 +3,7 @@
 import logging
 
 from spanfall_core.gateway.known.lifetimes import Lifetime
-from spanfall_core.gateway.known.statements import News
+from spanfall_core.gateway.known.statements import News, Words
 
 from spanfall_node.gateway.net.client import AnswerHead
 from spanfall_node.gateway.tables.state import GatewayState
@@ -35,6 +35,8 @@
         state.timers.now(),
         is_signed=bool(head.header(state.platform.names.signature)),
     )
+    if News.LEAVES in news:
+        state.directory.note_word(lifetime)
     if said.pause:
         news.append(News.PAUSE)
     for one in news:
@@ -48,3 +50,9 @@
             said.pause,
         )
     return news
+
+
+def learn_words(state: GatewayState, words: Words) -> None:
+    """Take what another node knows of upstreams."""
+    for lifetime in state.words.learn(words, state.timers.now()):
+        state.directory.note_word(lifetime)
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
@@ -13,7 +13,7 @@
     ServedWorkspace,
     ServiceShare,
 )
-from spanfall_core.gateway.known.directory import ListedUpstream, UnusableEntry
+from spanfall_core.gateway.known.listed import ListedUpstream, UnusableEntry
 from spanfall_core.gateway.known.statements import Statement, read_decimal
 from spanfall_node.gateway.net.ports import (
     CloudDialect,
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -12,8 +12,8 @@
 from itertools import count
 
 from spanfall_core.gateway.known.configuration import EngineLimits, Scaling
-from spanfall_core.gateway.known.directory import ListedUpstream
 from spanfall_core.gateway.known.engine_model import ReadingSpeed
+from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.orders.capacity import plan_orders
 from spanfall_core.gateway.orders.demand import OfferedLoad, needed_upstreams
 from spanfall_core.gateway.orders.orders import (
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -13,7 +13,7 @@
 from anyio.abc import SocketStream, TaskGroup
 from spanfall_api.gateway_settings import Bounds, GatewaySettings, Host, Listen
 from spanfall_core.gateway.known.configuration import RouteKind
-from spanfall_core.gateway.known.directory import ListedUpstream
+from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_node.gateway.program import start_gateway
 from spanfall_node.gateway.tables.new_state import build_state
 from spanfall_node.gateway.tables.state import GatewayState
--- a/tests/test_gateway_capacity.py
+++ b/tests/test_gateway_capacity.py
@@ -6,8 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from spanfall_core.gateway.known.configuration import EngineLimits, Scaling
-from spanfall_core.gateway.known.directory import ListedUpstream
 from spanfall_core.gateway.known.engine_model import ReadingSpeed
+from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.orders.capacity import plan_orders
 from spanfall_core.gateway.orders.demand import (
     GOOD_BATCH,
--- a/tests/test_gateway_crash_signs.py
+++ b/tests/test_gateway_crash_signs.py
@@ -16,7 +16,8 @@
     settle,
 )
 from spanfall_core.gateway.crashes.crashes import CrashTable, Doubt, Standing
-from spanfall_core.gateway.known.directory import Directory, ListedUpstream
+from spanfall_core.gateway.known.directory import Directory
+from spanfall_core.gateway.known.listed import ListedUpstream
 
 HEARTBEAT = 1.2
 NO_OUTAGE = float('-inf')
--- a/tests/test_gateway_directory.py
+++ b/tests/test_gateway_directory.py
@@ -4,7 +4,8 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from spanfall_core.gateway.known.directory import Directory, ListedUpstream
+from spanfall_core.gateway.known.directory import Directory
+from spanfall_core.gateway.known.listed import ListedUpstream
 
 NO_OUTAGE = float('-inf')
 ROWS = [
--- a/tests/test_gateway_grants.py
+++ b/tests/test_gateway_grants.py
@@ -6,7 +6,7 @@
 from gateway_world import SERVICE, ask, in_world
 from hypothesis import given
 from hypothesis import strategies as st
-from spanfall_core.gateway.known.directory import ListedUpstream
+from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.loads import Loads
 from spanfall_core.gateway.known.reporting import UNHEARD_SECONDS
 from spanfall_core.gateway.routing.balance import PromptHistory, choose
--- a/tests/test_gateway_lifetimes.py
+++ b/tests/test_gateway_lifetimes.py
@@ -6,7 +6,8 @@
 from gateway_world import SERVICE, ask, in_world
 from hypothesis import given
 from hypothesis import strategies as st
-from spanfall_core.gateway.known.directory import Directory, ListedUpstream
+from spanfall_core.gateway.known.directory import Directory
+from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.loads import Loads
 from spanfall_core.gateway.known.prefixes import PrefixIndex, PromptPart
 from spanfall_standins.gateway.dialect import UPSTREAM_PREFIX
--- a/tests/test_gateway_messages.py
+++ b/tests/test_gateway_messages.py
@@ -5,10 +5,10 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 from spanfall_core.gateway.crashes.crashes import Standing
-from spanfall_core.gateway.known.directory import ListedUpstream
 from spanfall_core.gateway.known.fleet import EntryReport, FleetTotals
 from spanfall_core.gateway.known.identity import request_identity
 from spanfall_core.gateway.known.lifetimes import name_lifetime
+from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.prefixes import PromptPart
 from spanfall_core.gateway.known.unit_reports import GivenUnits
 from spanfall_core.gateway.routing.estimates import Ask
--- a/tests/test_gateway_order_patterns.py
+++ b/tests/test_gateway_order_patterns.py
@@ -11,7 +11,8 @@
 
 import pytest
 from fleet_world import FleetWorld, count_kinds
-from spanfall_core.gateway.known.directory import Directory, ListedUpstream
+from spanfall_core.gateway.known.directory import Directory
+from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.orders.demand import Demand, take_over
 
 #: What the operator runs before the system starts, and the seconds until
--- a/tests/test_gateway_permits.py
+++ b/tests/test_gateway_permits.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from named_limit_checker import SPAN, allowed, most_in_a_span
-from spanfall_core.gateway.known.directory import ListedUpstream
+from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.limits.permits import (
     BURST,
     LEAST_RATE,
--- a/tests/test_gateway_said_leaving.py
+++ b/tests/test_gateway_said_leaving.py
@@ -10,16 +10,33 @@
 that had its word; here the same with the store away and with the store well.
 """
 
+from dataclasses import replace
+
 import anyio
+import msgspec
 import pytest
-from gateway_world import ask, in_world
-from spanfall_standins.gateway.upstream import whole
+from gateway_world import SERVICE, ask, in_world
+from spanfall_core.gateway.known.directory import Directory
+from spanfall_core.gateway.known.listed import ListedUpstream
+from spanfall_core.gateway.orders.orders import count_present
+from spanfall_standins.gateway.dialect import UPSTREAM_PREFIX
+from spanfall_standins.gateway.upstream import raw, refused, whole
+from support import wait_until
+from test_gateway_succession import ending_gateway, is_home
 
 #: Seconds after an entry passed on the word in which requests may still come.
 DRAIN = 2.0
 PAUSE = 0.05
 ENTRIES = 3
 LEAVING = {'leaves': '1'}
+BROKEN_OFF = (
+    b'HTTP/1.1 200 OK\r\nattempt: {id}\r\nsigned: s\r\nleaves: 1\r\n'
+    b'content-length: 40\r\n\r\nhalf'
+)
+OTHERS_ANSWER = (
+    b'HTTP/1.1 200 OK\r\nattempt: other\r\nsigned: s\r\nleaves: 1\r\n'
+    b'content-length: 4\r\n\r\ndone'
+)
 
 
 class Leaver:
@@ -79,3 +96,107 @@
         assert set(leaver.statuses) == {200}
 
     play()
+
+
+def serving(state):
+    return {row.lifetime for row in state.directory.serving(SERVICE)}
+
+
+@in_world
+async def test_all_nodes_know_what_one_heard(world):
+    """A new home too, and those who start later; its entry says ready."""
+    upstreams = [await world.add_upstream(whole()) for _ in range(2)]
+    left = {upstreams[1].lifetime}
+    async with ending_gateway(world) as (home, life):
+        await wait_until(lambda: is_home(home))
+        others = [await world.add_gateway() for _ in range(2)]
+        upstreams[0].says = LEAVING
+        await hear_once(others[0], upstreams[0])
+        await wait_until(
+            lambda: all(serving(one) == left for one in (home, *others)),
+        )
+        life.cancel()
+    await wait_until(lambda: any(is_home(state) for state in others))
+    late = await world.add_gateway()
+    await wait_until(lambda: serving(late) == left)
+    before = len(upstreams[0].seen)
+    statuses = [
+        (await ask(state, '/any/1', attempt=f'l{number}')).status
+        for number, state in enumerate((*others, late))
+    ]
+    assert statuses == [200, 200, 200]
+    assert len(upstreams[0].seen) == before
+
+
+async def hear_once(state, upstream):
+    """Send requests to an entry until one has reached an upstream."""
+    before = len(upstream.seen)
+    number = 0
+    while len(upstream.seen) == before:
+        number += 1
+        await ask(state, '/any/1', attempt=f'h{number}')
+
+
+@in_world
+async def test_the_last_one_that_leaves_gets_nothing(world):
+    upstream = await world.add_upstream(whole())
+    state = await world.add_gateway()
+    upstream.says = LEAVING
+    first = await ask(state, '/any/1', attempt='a')
+    second = await ask(state, '/any/1', attempt='b')
+    assert (first.status, second.status) == (200, 503)
+    assert len(upstream.seen) == 1
+
+
+@in_world
+async def test_another_lifetime_there_is_served(world):
+    """What one lifetime said does not hold for the next at its address."""
+    upstream = await world.add_upstream(whole())
+    state = await world.add_gateway()
+    upstream.says = LEAVING
+    await ask(state, '/any/1', attempt='a')
+    row = state.directory.rows[upstream.lifetime]
+    world.let_lapse(upstream)
+    await wait_until(lambda: not state.directory.rows)
+    upstream.says = {}
+    entry = msgspec.json.encode(replace(row, born=2, said_leaving=False))
+    world.store.put(f'{UPSTREAM_PREFIX}{upstream.lifetime}', entry.decode())
+    await wait_until(lambda: bool(serving(state)))
+    answer = await ask(state, '/any/1', attempt='b')
+    assert answer.status == 200
+
+
+@pytest.mark.parametrize(
+    'behaviour',
+    (whole(500), refused(), raw(BROKEN_OFF), raw(OTHERS_ANSWER)),
+)
+def test_the_word_counts_however_the_answer_ends(behaviour):
+    """A failure, a refusal, one that breaks off, one to another request."""
+
+    @in_world
+    async def play(world):
+        upstream = await world.add_upstream(behaviour)
+        state = await world.add_gateway()
+        upstream.says = LEAVING
+        await ask(state, '/any/1', attempt='a')
+        assert not serving(state)
+
+    play()
+
+
+LISTED = ListedUpstream('u-1', SERVICE, '', 'north', slots=4)
+
+
+def test_no_listing_takes_the_word_back():
+    """Neither a newer one that says ready, nor one of another node."""
+    said = set()
+    directory = Directory(said)
+    directory.apply(1, [LISTED], 0, float('-inf'))
+    digest = directory.digest
+    said.add(LISTED.lifetime)
+    directory.note_word(LISTED.lifetime)
+    for revision in (1, 2, 3):
+        directory.apply(revision, [LISTED], revision, float('-inf'))
+        assert not directory.serving(SERVICE)
+    assert directory.digest == digest
+    assert count_present(directory.rows.values()).total() == 0
--- a/tests/test_gateway_shortlist.py
+++ b/tests/test_gateway_shortlist.py
@@ -9,7 +9,8 @@
 from random import Random
 
 import pytest
-from spanfall_core.gateway.known.directory import Directory, ListedUpstream
+from spanfall_core.gateway.known.directory import Directory
+from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.loads import Loads
 from spanfall_core.gateway.known.prefixes import PromptPart
 from spanfall_core.gateway.routing.balance import PromptHistory, choose
--- a/tests/test_gateway_sizes.py
+++ b/tests/test_gateway_sizes.py
@@ -2,7 +2,8 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from spanfall_core.gateway.known.directory import Directory, ListedUpstream
+from spanfall_core.gateway.known.directory import Directory
+from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.loads import Loads
 from spanfall_core.gateway.routing.balance import PromptHistory, choose
 from spanfall_core.gateway.routing.estimates import Ask
--- a/tests/test_gateway_statements.py
+++ b/tests/test_gateway_statements.py
@@ -47,7 +47,7 @@
     assert hear(table, 1, leaves=True) == [News.LEAVES]
     assert not hear(table, 2)
     assert not table.learn({UPSTREAM: KnownWord()}, 3)
-    assert table.leaves(UPSTREAM)
+    assert table.leaving == {UPSTREAM}
 
 
 def test_the_later_word_counts_in_any_order():
@@ -95,5 +95,4 @@
     second.learn(first.words_since(0, now), now)
     first.learn(second.words_since(0, now), now)
     assert first.rates == second.rates
-    both = [[row.leaves(one) for one in ('u-1', 'u-2')] for row in tables]
-    assert both[0] == both[1]
+    assert first.leaving == second.leaving
