Keep the pause that an upstream asks an entry for

What callers saw: where no other upstream serves, all their requests went on to one that turned them away, each refused with 0.2 s to come back. Cause: the time in an answer that turns a request away was read by nobody. Change: an entry keeps it by its steady clock, names the latest pauses to the home as it asks, and uses no grant for a paused one. It is no failure: after it the upstream is served as before. Where all are paused the caller is told at once when the first pause ends. Why it holds: a pause is asked of one entry, so its own table decides, whatever the home grants; a connection that is made takes 0.4 s at most, the bound binds after 0.5 s.

--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
@@ -133,7 +133,10 @@
 
     def may_get(self, lifetime: Lifetime) -> bool:
         """Tell whether the request may go to an upstream."""
-        return lifetime not in self.ask.tried and lifetime not in self.withheld
+        ask = self.ask
+        if lifetime in ask.tried or lifetime in ask.paused:
+            return False
+        return lifetime not in self.withheld
 
     def hash_part(self, number: int) -> float:
         """Return a part from 0 to 1 for a candidate."""
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/estimates.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/estimates.py
@@ -53,6 +53,8 @@
     tried: frozenset[Lifetime] = frozenset()
     #: Name of the request at each attempt.
     identity: RequestIdentity = RequestIdentity('')
+    #: Upstreams that want nothing from the entry that asks.
+    paused: frozenset[Lifetime] = frozenset()
 
 
 def estimate(
--- a/packages/spanfall-core/src/spanfall_core/reasons.py
+++ b/packages/spanfall-core/src/spanfall_core/reasons.py
@@ -23,7 +23,8 @@
     QUEUE_FULL = 'queue-full'
     DEADLINE = 'deadline'
     NO_UPSTREAM = 'no-upstream'
-    #: All that could serve name limits, which are used up for the moment.
+    #: All that could serve name limits that are used up for the moment, or asked
+    #: for a pause.
     UPSTREAMS_LIMITED = 'upstreams-limited'
     NO_HOME = 'no-home'
     NODE_DRAINING = 'node-draining'
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/upstream_words.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/upstream_words.py
@@ -9,6 +9,7 @@
 
 import anyio
 from spanfall_core.gateway.known.lifetimes import Lifetime
+from spanfall_core.gateway.known.pauses import Pauses
 from spanfall_core.gateway.known.statements import (
     News,
     Statement,
@@ -29,6 +30,8 @@
 
     table: Statements = field(default_factory=Statements)
     permits: Permits = field(default_factory=Permits)
+    #: What upstreams ask of this node alone.
+    pauses: Pauses = field(default_factory=Pauses)
     #: Upstreams of which this node heard something that the home may not know.
     untold: dict[Lifetime, None] = field(default_factory=dict)
     #: Set, and replaced, as there is another one.
@@ -44,6 +47,8 @@
         is_signed: bool,
     ) -> list[News]:
         """Take what an answer says that arrives now; return what is new."""
+        if said.pause:
+            self.pauses.note(lifetime, said.pause, now)
         news = self.table.hear(
             lifetime,
             said,
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/choosing.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/choosing.py
@@ -26,7 +26,8 @@
     """Choose an upstream; wait where that serves the caller better.
 
     A suspect waits a while for its trial, and a request that an upstream's own
-    limit keeps back waits where its turn comes within a part of its target.
+    limit or pause keeps back waits where its turn comes within a part of its
+    target.
     """
     work = exchange.work
     began_at = state.timers.now()
@@ -34,6 +35,7 @@
     while True:
         ask = _ask(state, exchange)
         choice = await grants.choose(work.service, ask)
+        choice = _after_pause(state, work.service, ask, choice)
         now = state.timers.now()
         if choice is Standing.SUSPECT:
             seconds, until = TRIAL_STEP, began_at + TRIAL_WAIT_SECONDS
@@ -55,4 +57,31 @@
         work.prompt_tokens,
         frozenset(exchange.tried),
         work.identity,
+        state.words.pauses.named(state.timers.now()),
     )
+
+
+def _after_pause(
+    state: GatewayState,
+    service: str,
+    ask: Ask,
+    choice: Outcome,
+) -> Outcome:
+    """Say when to come back where only a pause keeps a request from serving."""
+    if choice is not None and not isinstance(choice, ComeBack):
+        return choice
+    rows = state.directory.serving(service)
+    untried = (row.lifetime for row in rows if row.lifetime not in ask.tried)
+    pause = state.words.pauses.first_end(untried, state.timers.now())
+    if pause is None:
+        return choice
+    return ComeBack(pause if choice is None else min(pause, choice.seconds))
+
+
+def wait_for_any(state: GatewayState, service: str) -> float | None:
+    """Return the seconds until the first pause ends, if all are paused."""
+    now = state.timers.now()
+    lifetimes = [row.lifetime for row in state.directory.serving(service)]
+    if state.words.pauses.active(now) >= set(lifetimes):
+        return state.words.pauses.first_end(lifetimes, now)
+    return None
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
@@ -53,8 +53,9 @@
         if not trials.try_begin(request.service, identity, now):
             return GrantMessage(number, standing=standing)
     if standing is not Standing.FREE:
-        tried = request.ask.tried | withheld
-        candidates = _where_least_breaks(state, serving, tried, now)
+        ask = request.ask
+        closed = ask.tried | ask.paused | withheld
+        candidates = _where_least_breaks(state, serving, closed, now)
     grant = _choose_as_home(
         state,
         entry,
@@ -102,7 +103,7 @@
 def _where_least_breaks(
     state: GatewayState,
     candidates: Sequence[ListedUpstream],
-    tried: AbstractSet[Lifetime],
+    closed: AbstractSet[Lifetime],
     now: float,
 ) -> Sequence[ListedUpstream]:
     """Return the upstream whose end would cost least, if one is left.
@@ -116,8 +117,8 @@
         failures = state.loads.failures_at(row.lifetime, now)
         return failures >= FAILING, running[row.lifetime]
 
-    untried = [row for row in candidates if row.lifetime not in tried]
-    return sorted(untried, key=cost)[:1]
+    left = [row for row in candidates if row.lifetime not in closed]
+    return sorted(left, key=cost)[:1]
 
 
 def _choose_as_home(
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
@@ -131,10 +131,13 @@
         row = self.state.directory.rows.get(grant.lifetime)
         if row is None or not row.is_serving:
             return None
-        is_limited = grant.lifetime in self.state.words.table.rates
+        words = self.state.words
+        is_limited = grant.lifetime in words.table.rates
         if is_limited and not grant.is_permit:
             # The home had not heard yet of the limit.
             return None
+        if grant.lifetime in words.pauses.active(self.state.timers.now()):
+            return None
         is_watched = answer.standing is not Standing.FREE
         return Choice(row, 0, grant.prefill, grant.ahead, is_watched)
 
@@ -149,16 +152,18 @@
         name a limit.
         """
         state = self.state
-        standing = state.crashes.standing(ask.identity, state.timers.now())
+        now = state.timers.now()
+        standing = state.crashes.standing(ask.identity, now)
         if standing in WITHHELD:
             return standing
+        words = state.words
         choice = choose(
             state.directory.serving(service),
             ask,
             state.loads,
             state.prompts,
-            state.timers.now(),
-            state.words.table.rates.keys(),
+            now,
+            words.table.rates.keys() | words.pauses.active(now),
         )
         if choice is None and is_any_limited(state, service, ask):
             return ComeBack(HOMELESS_SECONDS)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -36,7 +36,10 @@
     count_run,
     relay_whole,
 )
-from spanfall_node.gateway.upstreams.choosing import choose_or_wait
+from spanfall_node.gateway.upstreams.choosing import (
+    choose_or_wait,
+    wait_for_any,
+)
 from spanfall_node.gateway.upstreams.crash_watch import CrashWatch
 from spanfall_node.gateway.upstreams.grants import Grants
 from spanfall_node.gateway.upstreams.sending import send
@@ -241,10 +244,11 @@
 
 
 def _take_retry(state: GatewayState, exchange: Exchange) -> bool:
+    now = state.timers.now()
     serving = state.directory.serving(exchange.work.service)
-    if all(row.lifetime in exchange.tried for row in serving):
+    closed = exchange.tried | state.words.pauses.active(now)
+    if all(row.lifetime in closed for row in serving):
         return False
-    now = state.timers.now()
     return state.retries.try_spend(exchange.work.service, now)
 
 
@@ -262,6 +266,9 @@
     if step is NextStep.RELAY and failed.head is not None:
         await relay_whole(state, exchange, failed.head, failed.body)
         return
+    pause = wait_for_any(state, exchange.work.service)
+    if step is NextStep.ANSWER_NOT_RUN and pause is not None:
+        raise RefusedError(503, RefusalReason.UPSTREAMS_LIMITED, pause)
     raise _final_refusal(step)
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
@@ -137,6 +137,16 @@
     state.loads.fail(choice.upstream.lifetime, now, weight)
 
 
+def _note_refusal(state: GatewayState, choice: Choice) -> None:
+    """Count a refusal, unless its upstream asked for a pause with it.
+
+    A pause says all: after it the upstream is served as before.
+    """
+    paused = state.words.pauses.active(state.timers.now())
+    if choice.upstream.lifetime not in paused:
+        _note_failure(state, choice, REFUSED_WEIGHT)
+
+
 async def _talk(
     state: GatewayState,
     exchange: Exchange,
@@ -195,7 +205,7 @@
         return Failed(SendEnd.OTHER_LIFETIME, 'another lifetime answers there')
     if head.header(names.not_run):
         if head.status in PROMISES:
-            _note_failure(state, choice, REFUSED_WEIGHT)
+            _note_refusal(state, choice)
             return Failed(SendEnd.REFUSED, f'refused with {head.status}')
         return None
     if head.status in PROMISES:
--- a/tests/test_gateway_asked_pause.py
+++ b/tests/test_gateway_asked_pause.py
@@ -14,8 +14,9 @@
 import anyio
 import pytest
 from gateway_world import ask, in_world
+from spanfall_core.gateway.known.pauses import MOST_NAMED, Pauses
 from spanfall_standins.gateway.upstream import refused, whole
-from support import wait_until
+from test_gateway_home import two_gateways
 
 PAUSE_SECONDS = 2.0
 #: From when on the pause binds, and the requests that may come in it.
@@ -90,3 +91,59 @@
         assert paused.in_pause(entry) <= MOST
 
     play()
+
+
+@in_world
+async def test_who_meets_a_pause_comes_back_at_its_end(world):
+    """At once, with that time; then it is served as before."""
+    paused = Paused(await world.add_upstream(whole()))
+    state = await world.add_gateway()
+    paused.turn_away()
+    refusals = [await ask(state, '/any/1', attempt=name) for name in 'abc']
+    assert {one.status for one in refusals} == {503}
+    seconds = [float(one.headers['retry-after']) for one in refusals]
+    assert seconds == sorted(seconds, reverse=True)
+    assert PAUSE_SECONDS >= seconds[0] and seconds[-1] > 0
+    assert len(paused.arrivals) == 1
+    paused.answers = whole()
+    paused.upstream.says = {}
+    await anyio.sleep(seconds[-1])
+    served = await ask(state, '/any/1', attempt='d')
+    failures = state.loads.failures_at('u-1', state.timers.now())
+    assert (served.status, failures) == (200, 0)
+
+
+@in_world
+async def test_a_pause_is_asked_of_one_entry(world):
+    """The home that grants for another entry has no pause itself."""
+    paused = Paused(await world.add_upstream(whole()))
+    home, other = await two_gateways(world)
+    paused.turn_away()
+    refused_once = await ask(other, '/any/1', attempt='o/1')
+    paused.answers = whole()
+    paused.upstream.says = {}
+    served = await ask(home, '/any/1', attempt='h/1')
+    kept = await ask(other, '/any/1', attempt='o/2')
+    statuses = [one.status for one in (refused_once, served, kept)]
+    assert statuses == [503, 200, 503]
+
+
+def test_pauses_end_and_do_not_shrink():
+    pauses = Pauses()
+    pauses.note('a', 5, 0)
+    pauses.note('b', 2, 0)
+    pauses.note('a', 1, 1)
+    assert pauses.named(1) == {'a', 'b'}
+    assert pauses.first_end(['a', 'b', 'c'], 1) == 1
+    assert pauses.active(2) == {'a'}
+    assert pauses.first_end(['b'], 2) is None
+    assert not pauses.named(5)
+
+
+def test_the_home_is_told_the_latest():
+    """A grant for one of the others is not used, as the entry knows it."""
+    pauses = Pauses()
+    for number in range(2 * MOST_NAMED):
+        pauses.note(f'u-{number}', 9, 0)
+    latest = {f'u-{after}' for after in range(MOST_NAMED, 2 * MOST_NAMED)}
+    assert pauses.named(1) == latest
--- a/tests/test_gateway_messages.py
+++ b/tests/test_gateway_messages.py
@@ -10,6 +10,7 @@
 from spanfall_core.gateway.known.lifetimes import name_lifetime
 from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.prefixes import PromptPart
+from spanfall_core.gateway.known.statements import KnownWord
 from spanfall_core.gateway.known.unit_reports import GivenUnits
 from spanfall_core.gateway.routing.estimates import Ask
 from spanfall_core.gateway.routing.grants import EntryLoad, Grant
@@ -33,6 +34,7 @@
     decode_from_home,
     encode,
 )
+from spanfall_node.gateway.links.word_messages import WordsPart, WordsReport
 
 LIFETIME = name_lifetime('u-1', 1000)
 IDENTITY = request_identity('w', 'h', 'POST', '/', b'x')
@@ -45,7 +47,9 @@
     100,
     frozenset((LIFETIME,)),
     IDENTITY,
+    frozenset((LIFETIME,)),
 )
+WORDS = {LIFETIME: KnownWord(0.5, 2.5, leaves=True)}
 FROM_ENTRY = [
     ReportMessage(EntryReport('n', 'i', {LIFETIME: 2}), 3, 4, 5, seen=6),
     LoadMessage('n/i', LOAD),
@@ -54,11 +58,14 @@
     CrashReport({IDENTITY: (LIFETIME,)}, {IDENTITY: 9.5}, is_first=True),
     CrashReport(doubts={IDENTITY: {LIFETIME: True}}),
     WatchedRun(IDENTITY, RunStage.WHOLE),
+    WordsReport(WORDS),
 ]
 FROM_HOME = [
     GrantMessage(3, Grant(3, LIFETIME, 100, 50)),
     GrantMessage(4),
     GrantMessage(5, standing=Standing.QUARANTINED),
+    GrantMessage(6, Grant(6, LIFETIME, 0, is_permit=True)),
+    GrantMessage(7, wait=0.5),
     QuarantineMessage({IDENTITY: 9.5}),
     UnitsMessage(3, 'w', 500.0),
     TableMessage(
@@ -70,6 +77,7 @@
         totals=FleetTotals({LIFETIME: 2}),
         given=GivenUnits({'w': 2.5}),
         upstreams=UpstreamsPart(6, (ROW,), (LIFETIME,), is_change=True),
+        words=WordsPart(4, WORDS),
     ),
 ]
 READERS = [
