Refuse at once where nothing has room, and tell only what is new

Changes of words are found from the newest on, so a table costs what has changed, not what is known. A property test: tried, paused or withheld, whichever upstream is left is found.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/statements.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/statements.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum, unique
+from itertools import takewhile
 
 from spanfall_core.gateway.known.lifetimes import Lifetime
 
@@ -122,14 +123,9 @@
 
     def words_since(self, version: int, now: float) -> Words:
         """Return what has changed since a version of this table."""
-        if version == self.version:
-            return {}
-        changed = (
-            lifetime
-            for lifetime, since in self._changed.items()
-            if since > version
-        )
-        return self.words(changed, now)
+        newest_first = reversed(self._changed.items())
+        changed = takewhile(lambda row: row[1] > version, newest_first)
+        return self.words((lifetime for lifetime, _ in changed), now)
 
     def forget(self, lifetime: Lifetime) -> None:
         """Drop what a lifetime said that is over for good."""
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
@@ -178,6 +178,8 @@
     ``candidates`` come in an order that all nodes share: the row in which
     prompts are placed by their length. Those ``withheld`` may get nothing.
     """
+    if _is_all_withheld(candidates, withheld):
+        return None
     place = prompts.sizes.place(ask.prompt_tokens)
     rate = prompts.speed(candidates[0].service).rate if candidates else 1
     search = Search(
@@ -198,6 +200,16 @@
     return choose_of_all(search)
 
 
+def _is_all_withheld(
+    candidates: Sequence[ListedUpstream],
+    withheld: AbstractSet[Lifetime],
+) -> bool:
+    """Tell whether none may get anything, without an estimate of each."""
+    if len(withheld) < len(candidates):
+        return False
+    return all(row.lifetime in withheld for row in candidates)
+
+
 def choose_of_all(search: Search) -> Choice | None:
     """Ask each candidate."""
     numbers = range(len(search.candidates))
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/upstream_words.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/upstream_words.py
@@ -67,7 +67,7 @@
         """Take what another node knows; return what had not been known."""
         news = self.table.learn(words, now)
         for lifetime in news:
-            logger.info(
+            logger.debug(
                 'Another node says of %s: %s', lifetime, words[lifetime]
             )
             self._follow(lifetime, now)
--- a/tests/test_gateway_shortlist.py
+++ b/tests/test_gateway_shortlist.py
@@ -9,6 +9,8 @@
 from random import Random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from spanfall_core.gateway.known.directory import Directory
 from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.loads import Loads
@@ -131,3 +133,18 @@
     more = listed(FULL_SEARCH * 2 + 1)
     choice = choose(more, Ask('b', 'z1', (), 500), loads, prompts, 0)
     assert choice.upstream.upstream_id == f'u-{FULL_SEARCH * 2}'
+
+
+@given(st.integers(1, 2 * FULL_SEARCH), st.data())
+def test_what_is_closed_to_a_request_gets_none(count, data):
+    """Tried, paused or withheld: whichever is left is found."""
+    rows = listed(count)
+    names = st.frozensets(st.sampled_from([row.lifetime for row in rows]))
+    tried, paused, withheld = (data.draw(names) for _ in range(3))
+    ask = Ask('a', 'z1', (), 500, tried, paused=paused)
+    choice = choose(rows, ask, Loads(), PromptHistory(), 0, withheld)
+    left = {row.lifetime for row in rows} - tried - paused - withheld
+    if choice is None:
+        assert not left
+    else:
+        assert choice.upstream.lifetime in left
