Let the tests of limits notice a missing bound

Two mutations passed by them: permits that a rest saves up, and entries without a home that heed no limit, as nobody called while there was none. The code is as it was.

--- a/tests/test_gateway_named_limit.py
+++ b/tests/test_gateway_named_limit.py
@@ -127,7 +127,9 @@
         before = len(observer.arrivals)
         life.cancel()
     assert before >= USED * rate * CONTACT
+    await call_all(observer, gateways, SPAN)
     await wait_until(lambda: any(is_home(state) for state in gateways))
+    before = len(observer.arrivals)
     await call_all(observer, gateways, SPAN)
     binds_from = named_at + CONTACT
     assert most_in_a_span(observer.reached(), binds_from) <= allowed(rate)
--- a/tests/test_gateway_permits.py
+++ b/tests/test_gateway_permits.py
@@ -55,6 +55,19 @@
     assert most_in_a_span(sorted(arrivals), 0) <= allowed(rate)
 
 
+@given(RATES, st.lists(st.floats(0.5, 60), min_size=1, max_size=9))
+def test_a_rest_saves_up_next_to_nothing(rate, rests):
+    """All that come at once after a rest find the limit too."""
+    permits = new_home(rate, 0)
+    sent = []
+    now = 0
+    for rest in rests:
+        now += rest
+        sent.extend(given_permits(permits, often(1, now)))
+        now += 1
+    assert most_in_a_span(sent, 0) <= allowed(rate)
+
+
 @pytest.mark.parametrize('rate', (0.3, 1, 4.2, 20))
 def test_callers_get_what_an_upstream_takes(rate):
     seconds = 60
