--- a/packages/spanfall-core/src/spanfall_core/gateway/known/pauses.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/backoffs.py
@@ -1,4 +1,4 @@
-"""Keep the pauses that upstreams ask one entry for, by its steady clock."""
+"""Keep the back-offs that upstreams ask one entry for, by its steady clock."""
 
 from collections.abc import Iterable
 from collections.abc import Set as AbstractSet
@@ -7,16 +7,16 @@
 
 from spanfall_core.gateway.known.lifetimes import Lifetime
 
-#: Paused upstreams that a question to the home names, the latest; an entry
+#: Avoided upstreams that a question to the home names, the latest; an entry
 #: uses no grant for the others.
 MOST_NAMED = 64
 
 
 @dataclass(slots=True)
-class Pauses:
+class Backoffs:
     """Hold until when upstreams want nothing from this entry.
 
-    A pause is no failure: after it the upstream is served as before.
+    A back-off is no failure: after it the upstream is served as before.
     """
 
     _until: dict[Lifetime, float] = field(default_factory=dict)
@@ -52,11 +52,11 @@
         lifetimes: Iterable[Lifetime],
         now: float,
     ) -> float | None:
-        """Return the seconds until the first of some pauses ends.
+        """Return the seconds until the first of some back-offs ends.
 
         None: none of those upstreams asked for one.
         """
-        paused = self.active(now)
-        ends = (self._until[one] for one in lifetimes if one in paused)
+        avoided = self.active(now)
+        ends = (self._until[one] for one in lifetimes if one in avoided)
         first = min(ends, default=None)
         return None if first is None else first - now
--- a/packages/spanfall-core/src/spanfall_core/gateway/known/statements.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/statements.py
@@ -31,7 +31,7 @@
     is_rate_unread: bool = False
     leaves: bool = False
     #: Seconds for which it wants nothing from the entry that it answered.
-    pause: float = 0
+    backoff: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,7 +53,7 @@
     NO_LIMIT = 'no-limit'
     UNREAD_LIMIT = 'unread-limit'
     LEAVES = 'leaves'
-    PAUSE = 'pause'
+    BACK_OFF = 'back-off'
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
@@ -134,7 +134,7 @@
     def may_get(self, lifetime: Lifetime) -> bool:
         """Tell whether the request may go to an upstream."""
         ask = self.ask
-        if lifetime in ask.tried or lifetime in ask.paused:
+        if lifetime in ask.tried or lifetime in ask.avoided:
             return False
         return lifetime not in self.withheld
 
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/estimates.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/estimates.py
@@ -54,7 +54,7 @@
     #: Name of the request at each attempt.
     identity: RequestIdentity = RequestIdentity('')
     #: Upstreams that want nothing from the entry that asks.
-    paused: frozenset[Lifetime] = frozenset()
+    avoided: frozenset[Lifetime] = frozenset()
 
 
 def estimate(
--- a/packages/spanfall-core/src/spanfall_core/reasons.py
+++ b/packages/spanfall-core/src/spanfall_core/reasons.py
@@ -24,7 +24,7 @@
     DEADLINE = 'deadline'
     NO_UPSTREAM = 'no-upstream'
     #: All that could serve name limits that are used up for the moment, or asked
-    #: for a pause.
+    #: for a back-off.
     UPSTREAMS_LIMITED = 'upstreams-limited'
     NO_HOME = 'no-home'
     NODE_DRAINING = 'node-draining'
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/upstream_words.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/upstream_words.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass, field
 
 import anyio
+from spanfall_core.gateway.known.backoffs import Backoffs
 from spanfall_core.gateway.known.lifetimes import Lifetime
-from spanfall_core.gateway.known.pauses import Pauses
 from spanfall_core.gateway.known.statements import (
     News,
     Statement,
@@ -31,7 +31,7 @@
     table: Statements = field(default_factory=Statements)
     permits: Permits = field(default_factory=Permits)
     #: What upstreams ask of this node alone.
-    pauses: Pauses = field(default_factory=Pauses)
+    backoffs: Backoffs = field(default_factory=Backoffs)
     #: Upstreams of which this node heard something that the home may not know.
     untold: dict[Lifetime, None] = field(default_factory=dict)
     #: Set, and replaced, as there is another one.
@@ -47,8 +47,8 @@
         is_signed: bool,
     ) -> list[News]:
         """Take what an answer says that arrives now; return what is new."""
-        if said.pause:
-            self.pauses.note(lifetime, said.pause, now)
+        if said.backoff:
+            self.backoffs.note(lifetime, said.backoff, now)
         news = self.table.hear(
             lifetime,
             said,
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/choosing.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/choosing.py
@@ -26,7 +26,7 @@
     """Choose an upstream; wait where that serves the caller better.
 
     A suspect waits a while for its trial, and a request that an upstream's own
-    limit or pause keeps back waits where its turn comes within a part of its
+    limit or back-off keeps back waits where its turn comes within a part of its
     target.
     """
     work = exchange.work
@@ -35,7 +35,7 @@
     while True:
         ask = _ask(state, exchange)
         choice = await grants.choose(work.service, ask)
-        choice = _after_pause(state, work.service, ask, choice)
+        choice = _after_backoff(state, work.service, ask, choice)
         now = state.timers.now()
         if choice is Standing.SUSPECT:
             seconds, until = TRIAL_STEP, began_at + TRIAL_WAIT_SECONDS
@@ -57,31 +57,31 @@
         work.prompt_tokens,
         frozenset(exchange.tried),
         work.identity,
-        state.words.pauses.named(state.timers.now()),
+        state.words.backoffs.named(state.timers.now()),
     )
 
 
-def _after_pause(
+def _after_backoff(
     state: GatewayState,
     service: str,
     ask: Ask,
     choice: Outcome,
 ) -> Outcome:
-    """Say when to come back where only a pause keeps a request from serving."""
+    """Say when to come back where only a back-off keeps a request from serving."""
     if choice is not None and not isinstance(choice, ComeBack):
         return choice
     rows = state.directory.serving(service)
     untried = (row.lifetime for row in rows if row.lifetime not in ask.tried)
-    pause = state.words.pauses.first_end(untried, state.timers.now())
-    if pause is None:
+    backoff = state.words.backoffs.first_end(untried, state.timers.now())
+    if backoff is None:
         return choice
-    return ComeBack(pause if choice is None else min(pause, choice.seconds))
+    return ComeBack(backoff if choice is None else min(backoff, choice.seconds))
 
 
 def wait_for_any(state: GatewayState, service: str) -> float | None:
-    """Return the seconds until the first pause ends, if all are paused."""
+    """Return the seconds until the first back-off ends, if all are avoided."""
     now = state.timers.now()
     lifetimes = [row.lifetime for row in state.directory.serving(service)]
-    if state.words.pauses.active(now) >= set(lifetimes):
-        return state.words.pauses.first_end(lifetimes, now)
+    if state.words.backoffs.active(now) >= set(lifetimes):
+        return state.words.backoffs.first_end(lifetimes, now)
     return None
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
@@ -54,7 +54,7 @@
             return GrantMessage(number, standing=standing)
     if standing is not Standing.FREE:
         ask = request.ask
-        closed = ask.tried | ask.paused | withheld
+        closed = ask.tried | ask.avoided | withheld
         candidates = _where_least_breaks(state, serving, closed, now)
     grant = _choose_as_home(
         state,
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
@@ -136,7 +136,7 @@
         if is_limited and not grant.is_permit:
             # The home had not heard yet of the limit.
             return None
-        if grant.lifetime in words.pauses.active(self.state.timers.now()):
+        if grant.lifetime in words.backoffs.active(self.state.timers.now()):
             return None
         is_watched = answer.standing is not Standing.FREE
         return Choice(row, 0, grant.prefill, grant.ahead, is_watched)
@@ -163,7 +163,7 @@
             state.loads,
             state.prompts,
             now,
-            words.table.rates.keys() | words.pauses.active(now),
+            words.table.rates.keys() | words.backoffs.active(now),
         )
         if choice is None and is_any_limited(state, service, ask):
             return ComeBack(HOMELESS_SECONDS)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/hearing.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/hearing.py
@@ -37,17 +37,17 @@
     )
     if News.LEAVES in news:
         state.directory.note_word(lifetime)
-    if said.pause:
-        news.append(News.PAUSE)
+    if said.backoff:
+        news.append(News.BACK_OFF)
     for one in news:
         state.counters.statements.labels(one.value).inc()
     if news:
         logger.info(
-            'Upstream %s says: %s; %s requests a second, pause %s s',
+            'Upstream %s says: %s; %s requests a second, back-off %s s',
             lifetime,
             ', '.join(news),
             said.rate,
-            said.pause,
+            said.backoff,
         )
     return news
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -246,7 +246,7 @@
 def _take_retry(state: GatewayState, exchange: Exchange) -> bool:
     now = state.timers.now()
     serving = state.directory.serving(exchange.work.service)
-    closed = exchange.tried | state.words.pauses.active(now)
+    closed = exchange.tried | state.words.backoffs.active(now)
     if all(row.lifetime in closed for row in serving):
         return False
     return state.retries.try_spend(exchange.work.service, now)
@@ -266,9 +266,9 @@
     if step is NextStep.RELAY and failed.head is not None:
         await relay_whole(state, exchange, failed.head, failed.body)
         return
-    pause = wait_for_any(state, exchange.work.service)
-    if step is NextStep.ANSWER_NOT_RUN and pause is not None:
-        raise RefusedError(503, RefusalReason.UPSTREAMS_LIMITED, pause)
+    backoff = wait_for_any(state, exchange.work.service)
+    if step is NextStep.ANSWER_NOT_RUN and backoff is not None:
+        raise RefusedError(503, RefusalReason.UPSTREAMS_LIMITED, backoff)
     raise _final_refusal(step)
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
@@ -138,12 +138,12 @@
 
 
 def _note_refusal(state: GatewayState, choice: Choice) -> None:
-    """Count a refusal, unless its upstream asked for a pause with it.
+    """Count a refusal, unless its upstream asked for a back-off with it.
 
-    A pause says all: after it the upstream is served as before.
+    A back-off says all: after it the upstream is served as before.
     """
-    paused = state.words.pauses.active(state.timers.now())
-    if choice.upstream.lifetime not in paused:
+    avoided = state.words.backoffs.active(state.timers.now())
+    if choice.upstream.lifetime not in avoided:
         _note_failure(state, choice, REFUSED_WEIGHT)
 
 
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
@@ -183,7 +183,7 @@
         rate=rate,
         is_rate_unread=b'takes-a-second' in known and rate is None,
         leaves=b'leaves' in known,
-        pause=read_decimal(known.get(b'pause', b'')) or 0,
+        backoff=read_decimal(known.get(b'back-off', b'')) or 0,
     )
 
 
--- a/tests/test_gateway_asked_pause.py
+++ b/tests/test_gateway_asked_backoff.py
@@ -1,4 +1,4 @@
-"""Let an upstream turn requests away and ask its sender for a pause.
+"""Let an upstream turn requests away and ask its sender for a back-off.
 
 Seen: nothing yet; the pages name the bound with this matter: at most two
 requests from an entry between half a second after such an answer and the end
@@ -14,20 +14,20 @@
 import anyio
 import pytest
 from gateway_world import ask, in_world
-from spanfall_core.gateway.known.pauses import MOST_NAMED, Pauses
+from spanfall_core.gateway.known.backoffs import MOST_NAMED, Backoffs
 from spanfall_standins.gateway.upstream import refused, whole
 from test_gateway_home import two_gateways
 
-PAUSE_SECONDS = 2.0
-#: From when on the pause binds, and the requests that may come in it.
+BACKOFF_SECONDS = 2.0
+#: From when on the back-off binds, and the requests that may come in it.
 BINDS_AFTER = 0.5
 MOST = 2
 STEP = 0.05
-TURNS_AWAY = {'pause': str(PAUSE_SECONDS)}
+TURNS_AWAY = {'back-off': str(BACKOFF_SECONDS)}
 NUMBERS = count()
 
 
-class Paused:
+class BusyUpstream:
     """Hold what one upstream sees, and the entries that it turned away."""
 
     def __init__(self, upstream):
@@ -41,20 +41,20 @@
         entry = seen.headers['attempt'].partition('/')[0]
         now = anyio.current_time()
         self.arrivals.append((now, entry))
-        if 'pause' in one.says:
+        if 'back-off' in one.says:
             self.asked.setdefault(entry, now)
         return await self.answers(one, seen, stream)
 
     def turn_away(self):
-        """Turn away from now on and ask for a pause."""
+        """Turn away from now on and ask for a back-off."""
         self.answers = refused()
         self.upstream.says = TURNS_AWAY
 
-    def in_pause(self, entry):
-        """Return how many requests of an entry came in its pause."""
+    def in_backoff(self, entry):
+        """Return how many requests of an entry came in its back-off."""
         asked = self.asked[entry]
         binds = asked + BINDS_AFTER
-        ends = asked + PAUSE_SECONDS
+        ends = asked + BACKOFF_SECONDS
         return sum(
             binds < at < ends for at, sender in self.arrivals if sender == entry
         )
@@ -71,42 +71,42 @@
     return answers
 
 
-async def call_until_asked(state, paused):
-    while state.cfg.node not in paused.asked:
+async def call_until_asked(state, busy):
+    while state.cfg.node not in busy.asked:
         await call(state, STEP)
 
 
 @pytest.mark.parametrize('others', (0, 1))
-def test_a_pause_is_kept(others):
+def test_a_backoff_is_kept(others):
     @in_world
     async def play(world):
-        paused = Paused(await world.add_upstream(whole()))
+        busy = BusyUpstream(await world.add_upstream(whole()))
         for _ in range(others):
             await world.add_upstream(whole())
         gateways = [await world.add_gateway() for _ in range(2)]
-        paused.turn_away()
+        busy.turn_away()
         entry = gateways[1].cfg.node
-        await call_until_asked(gateways[1], paused)
-        await call(gateways[1], PAUSE_SECONDS)
-        assert paused.in_pause(entry) <= MOST
+        await call_until_asked(gateways[1], busy)
+        await call(gateways[1], BACKOFF_SECONDS)
+        assert busy.in_backoff(entry) <= MOST
 
     play()
 
 
 @in_world
-async def test_who_meets_a_pause_comes_back_at_its_end(world):
+async def test_who_meets_a_backoff_is_told_its_end(world):
     """At once, with that time; then it is served as before."""
-    paused = Paused(await world.add_upstream(whole()))
+    busy = BusyUpstream(await world.add_upstream(whole()))
     state = await world.add_gateway()
-    paused.turn_away()
+    busy.turn_away()
     refusals = [await ask(state, '/any/1', attempt=name) for name in 'abc']
     assert {one.status for one in refusals} == {503}
     seconds = [float(one.headers['retry-after']) for one in refusals]
     assert seconds == sorted(seconds, reverse=True)
-    assert PAUSE_SECONDS >= seconds[0] and seconds[-1] > 0
-    assert len(paused.arrivals) == 1
-    paused.answers = whole()
-    paused.upstream.says = {}
+    assert BACKOFF_SECONDS >= seconds[0] and seconds[-1] > 0
+    assert len(busy.arrivals) == 1
+    busy.answers = whole()
+    busy.upstream.says = {}
     await anyio.sleep(seconds[-1])
     served = await ask(state, '/any/1', attempt='d')
     failures = state.loads.failures_at('u-1', state.timers.now())
@@ -114,36 +114,36 @@
 
 
 @in_world
-async def test_a_pause_is_asked_of_one_entry(world):
-    """The home that grants for another entry has no pause itself."""
-    paused = Paused(await world.add_upstream(whole()))
+async def test_a_backoff_is_asked_of_one_entry(world):
+    """The home that grants for another entry has no back-off itself."""
+    busy = BusyUpstream(await world.add_upstream(whole()))
     home, other = await two_gateways(world)
-    paused.turn_away()
+    busy.turn_away()
     refused_once = await ask(other, '/any/1', attempt='o/1')
-    paused.answers = whole()
-    paused.upstream.says = {}
+    busy.answers = whole()
+    busy.upstream.says = {}
     served = await ask(home, '/any/1', attempt='h/1')
     kept = await ask(other, '/any/1', attempt='o/2')
     statuses = [one.status for one in (refused_once, served, kept)]
     assert statuses == [503, 200, 503]
 
 
-def test_pauses_end_and_do_not_shrink():
-    pauses = Pauses()
-    pauses.note('a', 5, 0)
-    pauses.note('b', 2, 0)
-    pauses.note('a', 1, 1)
-    assert pauses.named(1) == {'a', 'b'}
-    assert pauses.first_end(['a', 'b', 'c'], 1) == 1
-    assert pauses.active(2) == {'a'}
-    assert pauses.first_end(['b'], 2) is None
-    assert not pauses.named(5)
+def test_backoffs_end_and_do_not_shrink():
+    backoffs = Backoffs()
+    backoffs.note('a', 5, 0)
+    backoffs.note('b', 2, 0)
+    backoffs.note('a', 1, 1)
+    assert backoffs.named(1) == {'a', 'b'}
+    assert backoffs.first_end(['a', 'b', 'c'], 1) == 1
+    assert backoffs.active(2) == {'a'}
+    assert backoffs.first_end(['b'], 2) is None
+    assert not backoffs.named(5)
 
 
 def test_the_home_is_told_the_latest():
     """A grant for one of the others is not used, as the entry knows it."""
-    pauses = Pauses()
+    backoffs = Backoffs()
     for number in range(2 * MOST_NAMED):
-        pauses.note(f'u-{number}', 9, 0)
+        backoffs.note(f'u-{number}', 9, 0)
     latest = {f'u-{after}' for after in range(MOST_NAMED, 2 * MOST_NAMED)}
-    assert pauses.named(1) == latest
+    assert backoffs.named(1) == latest
--- a/tests/test_gateway_shortlist.py
+++ b/tests/test_gateway_shortlist.py
@@ -137,13 +137,13 @@
 
 @given(st.integers(1, 2 * FULL_SEARCH), st.data())
 def test_what_is_closed_to_a_request_gets_none(count, data):
-    """Tried, paused or withheld: whichever is left is found."""
+    """Tried, avoided or withheld: whichever is left is found."""
     rows = listed(count)
     names = st.frozensets(st.sampled_from([row.lifetime for row in rows]))
-    tried, paused, withheld = (data.draw(names) for _ in range(3))
-    ask = Ask('a', 'z1', (), 500, tried, paused=paused)
+    tried, avoided, withheld = (data.draw(names) for _ in range(3))
+    ask = Ask('a', 'z1', (), 500, tried, avoided=avoided)
     choice = choose(rows, ask, Loads(), PromptHistory(), 0, withheld)
-    left = {row.lifetime for row in rows} - tried - paused - withheld
+    left = {row.lifetime for row in rows} - tried - avoided - withheld
     if choice is None:
         assert not left
     else:
