--- a/bench/checkouts.py
+++ b/bench/checkouts.py
@@ -1,7 +1,8 @@
 """Lay out checkouts of the ways that are compared, one for each player."""
 
 import subprocess
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 from shutil import copyfile
@@ -11,6 +12,9 @@
 EXPERIMENTS = '"experiments": {}'
 JOURNAL = 'journal'
 
+#: For each player, a checkout of each way by its name.
+Trees = list[dict[str, Path]]
+
 
 class WayError(Exception):
     """Say why a way cannot be laid out."""
@@ -77,7 +81,7 @@
     folder: Path,
     ways: Sequence[Way],
     players: int,
-) -> list[dict[str, Path]]:
+) -> Trees:
     """Make a checkout of each way for each player."""
     return [
         {
@@ -88,6 +92,25 @@
     ]
 
 
+@contextmanager
+def checkouts_of(
+    ways: Sequence[Way],
+    folder: Path,
+    players: int,
+) -> Iterator[Trees]:
+    """Lay out checkouts of this repository; gather what plays leave there.
+
+    Entries stay, also those of plays that fail or are stopped.
+    """
+    repository = Path.cwd()
+    trees = lay_out_all(repository, folder, ways, players)
+    try:
+        yield trees
+    finally:
+        laid_out = [tree for row in trees for tree in row.values()]
+        gather_journal(laid_out, repository)
+
+
 def gather_journal(trees: Iterable[Path], repository: Path) -> int:
     """Copy the entries that plays left in checkouts; return how many.
 
--- a/bench/compare.py
+++ b/bench/compare.py
@@ -17,7 +17,7 @@
 import anyio
 import click
 import msgspec
-from checkouts import gather_journal, lay_out_all, read_way
+from checkouts import checkouts_of, read_way
 from pairs import differences, find_pairs, table
 from plays import Play, Player, PlayFile
 
@@ -81,14 +81,12 @@
     """Play pairs and tell by how much the ways differ."""
     chosen = [read_way(way) for way in ways]
     names = [way.name for way in chosen]
-    repository = Path.cwd()
-    trees = lay_out_all(repository, folder, chosen, jobs)
     uncounted = () if processor_time else ('--no-cpu',)
     kept = PlayFile(folder / 'plays.jsonl')
     player = Player(program, (*uncounted, *options), why, kept)
     plays = plan(tuple(names), sites, days, seeds)
-    anyio.run(player.play_all, plays, trees)
-    gather_journal([tree for row in trees for tree in row.values()], repository)
+    with checkouts_of(chosen, folder, jobs) as trees:
+        anyio.run(player.play_all, plays, trees)
     click.echo(write_results(folder, kept, names))
     for failure in player.failed:
         click.echo(f'not played: {failure}', err=True)
--- a/bench/often.py
+++ b/bench/often.py
@@ -12,7 +12,7 @@
 
 import anyio
 import click
-from checkouts import gather_journal, lay_out_all, read_way
+from checkouts import checkouts_of, read_way
 from plays import Play, Player, PlayFile
 
 _MOMENT = re.compile(r'(\bat = )([0-9.]+)')
@@ -62,10 +62,8 @@
 ) -> None:
     """Play a day often and tell which rules broke."""
     chosen = read_way(way)
-    repository = Path.cwd()
-    trees = lay_out_all(repository, folder, [chosen], jobs)
     outputs = folder / 'outputs'
-    outputs.mkdir(exist_ok=True)
+    outputs.mkdir(parents=True, exist_ok=True)
     kept = PlayFile(folder / 'plays.jsonl')
     player = Player(program, options, why, kept, outputs)
     days = draw_days(day, folder / 'days', plays, apart)
@@ -73,8 +71,8 @@
         Play(chosen.name, site, str(path), seed)
         for seed, path in enumerate(days)
     ]
-    anyio.run(player.play_all, rows, trees)
-    gather_journal([tree for row in trees for tree in row.values()], repository)
+    with checkouts_of([chosen], folder, jobs) as trees:
+        anyio.run(player.play_all, rows, trees)
     broken = [played for played in kept.read() if played.broken]
     click.echo(f'{len(kept.read())} plays, {len(broken)} broke a rule')
     for played in broken:
--- a/tests/named_limit_checker.py
+++ b/tests/named_limit_checker.py
@@ -5,7 +5,8 @@
 """
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
+
+from arrivals import Arrival, arrived_after
 
 #: Seconds of the span that is bounded, and the bound: so many times the limit,
 #: and so many requests besides.
@@ -16,14 +17,6 @@
 TOLD_AFTER = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class Arrival:
-    """State when a request reached the upstream, and from which entry."""
-
-    at: float
-    entry: str
-
-
 def allowed(rate: float) -> float:
     """Return the requests that a span may hold."""
     return TIMES * rate * SPAN + BESIDES
@@ -34,12 +27,8 @@
     passed_on: Mapping[str, float],
 ) -> list[float]:
     """Return when requests came from entries that had been told."""
-    never = float('inf')
-    return sorted(
-        one.at
-        for one in arrivals
-        if one.at >= passed_on.get(one.entry, never) + TOLD_AFTER
-    )
+    told = arrived_after(arrivals, passed_on, TOLD_AFTER)
+    return sorted(one.at for one in told)
 
 
 def most_in_a_span(times: Sequence[float], binds_from: float) -> int:
--- a/tests/test_compare.py
+++ b/tests/test_compare.py
@@ -8,6 +8,7 @@
     EXPERIMENTS,
     Way,
     WayError,
+    checkouts_of,
     gather_journal,
     lay_out,
     read_way,
@@ -115,8 +116,8 @@
         template_with('{}', way)
 
 
-def test_checkouts_and_their_journal(tmp_path):
-    repository = tmp_path / 'repository'
+def first_commit(repository):
+    """Make a repository with a template of settings."""
     run_git(repository, 'init', '-q')
     template = repository / 'platform' / 'settings.json.template'
     template.parent.mkdir()
@@ -124,6 +125,11 @@
     run_git(repository, 'add', '.')
     name = ('-c', 'user.name=n', '-c', 'user.email=e@example')
     run_git(repository, *name, 'commit', '-qm', 'first')
+
+
+def test_checkouts_and_their_journal(tmp_path):
+    repository = tmp_path / 'repository'
+    first_commit(repository)
     tree = lay_out(repository, tmp_path / 'player', Way('now', 'HEAD'))
     entry = tree / 'journal' / 'kinds' / 'one.json'
     entry.parent.mkdir(parents=True)
@@ -137,6 +143,20 @@
         lay_out(repository, tmp_path / 'other', Way('no', 'no-such'))
 
 
+def test_entries_stay_where_a_play_fails(tmp_path, monkeypatch):
+    repository = tmp_path / 'repository'
+    first_commit(repository)
+    monkeypatch.chdir(repository)
+    ways = [Way('now', 'HEAD')]
+    with pytest.raises(OSError, match='stopped'):
+        with checkouts_of(ways, tmp_path / 'players', 1) as trees:
+            entry = trees[0]['now'] / 'journal' / 'one.json'
+            entry.parent.mkdir()
+            entry.write_text('{}')
+            raise OSError('stopped')
+    assert (repository / 'journal' / 'one.json').exists()
+
+
 def test_moments_are_drawn_apart(tmp_path):
     drawn = drawn_day(DAY, Random(3), 0.5)
     assert 'for_s = 4.0' in drawn
--- a/tests/test_gateway_named_limit.py
+++ b/tests/test_gateway_named_limit.py
@@ -13,10 +13,10 @@
 
 import anyio
 import pytest
+from arrivals import note_arrivals
 from gateway_world import ask, in_world
 from named_limit_checker import (
     SPAN,
-    Arrival,
     allowed,
     arrived_from_told,
     most_in_a_span,
@@ -38,23 +38,12 @@
 class Observer:
     """Hold what callers and one upstream saw."""
 
-    def __init__(self):
-        self.arrivals = []
+    def __init__(self, upstream):
+        self.arrivals = note_arrivals(upstream)
         self.passed_on = {}
         self.statuses = []
         self.came_back_in = []
 
-    def watch(self, upstream):
-        """Note each request that reaches an upstream, by its entry."""
-        answer = upstream.behaviour
-
-        async def noting(one, seen, stream):
-            entry = seen.headers['attempt'].partition('/')[0]
-            self.arrivals.append(Arrival(anyio.current_time(), entry))
-            return await answer(one, seen, stream)
-
-        upstream.behaviour = noting
-
     async def call(self, state, seconds):
         """Send requests to one entry for some seconds."""
         number = 0
@@ -81,8 +70,7 @@
 
 def name_limit(upstreams, rate):
     """Let upstreams name a limit; return when, and who observes the first."""
-    observer = Observer()
-    observer.watch(upstreams[0])
+    observer = Observer(upstreams[0])
     for upstream in upstreams:
         upstream.says = {'takes-a-second': str(rate)}
     return observer, anyio.current_time()
--- a/tests/test_gateway_said_leaving.py
+++ b/tests/test_gateway_said_leaving.py
@@ -15,6 +15,7 @@
 import anyio
 import msgspec
 import pytest
+from arrivals import arrived_after, note_arrivals
 from gateway_world import SERVICE, ask, in_world
 from spanfall_core.gateway.known.directory import Directory
 from spanfall_core.gateway.known.listed import ListedUpstream
@@ -43,17 +44,9 @@
     """Hold what callers and the upstream that leaves saw."""
 
     def __init__(self, upstream):
-        self.arrivals = []
+        self.arrivals = note_arrivals(upstream)
         self.passed_on = {}
         self.statuses = []
-        answer = upstream.behaviour
-
-        async def noting(one, seen, stream):
-            entry = seen.headers['attempt'].partition('/')[0]
-            self.arrivals.append((anyio.current_time(), entry))
-            return await answer(one, seen, stream)
-
-        upstream.behaviour = noting
 
     async def call(self, gateways, seconds):
         """Send requests to each entry in turn for some seconds."""
@@ -69,14 +62,9 @@
                 self.passed_on.setdefault(entry, anyio.current_time())
             await anyio.sleep(PAUSE)
 
-    def late(self, seconds=DRAIN):
+    def late(self):
         """Return what arrived later than allowed after an entry was told."""
-        never = float('inf')
-        return [
-            entry
-            for at, entry in self.arrivals
-            if at > self.passed_on.get(entry, never) + seconds
-        ]
+        return arrived_after(self.arrivals, self.passed_on, DRAIN)
 
 
 @pytest.mark.parametrize('failing', (0, 503))
--- a/tests/test_gateway_word_courses.py
+++ b/tests/test_gateway_word_courses.py
@@ -13,8 +13,9 @@
 
 import anyio
 import pytest
+from arrivals import arrived_after, note_arrivals
 from gateway_world import ask, in_world
-from named_limit_checker import SPAN, TOLD_AFTER, Arrival, allowed
+from named_limit_checker import SPAN, TOLD_AFTER, allowed
 from spanfall_standins.gateway.upstream import whole
 from support import wait_until
 from test_gateway_succession import is_home
@@ -43,18 +44,10 @@
         self.upstream = upstream
         #: Time and rate of each word; no rate: none is named.
         self.named = [(anyio.current_time(), None)]
-        self.arrivals = []
+        self.arrivals = note_arrivals(upstream)
         #: When each entry first passed on each word.
         self.limits_passed_on = {}
         self.leaving_passed_on = {}
-        answer = upstream.behaviour
-
-        async def noting(one, seen, stream):
-            entry = seen.headers['attempt'].partition('/')[0]
-            self.arrivals.append(Arrival(anyio.current_time(), entry))
-            return await answer(one, seen, stream)
-
-        upstream.behaviour = noting
 
     def name(self, rate):
         self.named.append((anyio.current_time(), rate))
@@ -77,24 +70,13 @@
         )
         if None in in_force or end < since + CONTACT:
             return False
-        count = sum(
-            end - SPAN < one.at <= end and self._was_told(one)
-            for one in self.arrivals
-        )
+        told = arrived_after(self.arrivals, self.limits_passed_on, TOLD_AFTER)
+        count = sum(end - SPAN < one.at <= end for one in told)
         return count > allowed(max(in_force))
 
-    def _was_told(self, one):
-        told = self.limits_passed_on.get(one.entry, float('inf'))
-        return one.at >= told + TOLD_AFTER
-
     def late(self):
         """Return what came from entries that had passed on that it leaves."""
-        told = self.leaving_passed_on
-        return [
-            one
-            for one in self.arrivals
-            if one.at > told.get(one.entry, float('inf')) + DRAIN
-        ]
+        return arrived_after(self.arrivals, self.leaving_passed_on, DRAIN)
 
 
 class Course:
