--- a/packages/spanfall-node/src/spanfall_node/admin.py
+++ b/packages/spanfall-node/src/spanfall_node/admin.py
@@ -23,11 +23,8 @@
     ExplainRequest,
 )
 from spanfall_node.catalog import Catalog, hash_token
-from spanfall_node.config_store import (
-    ConfigStore,
-    ConflictError,
-    RacesLostError,
-)
+from spanfall_node.config_errors import ConflictError, RacesLostError
+from spanfall_node.config_store import ConfigStore
 from spanfall_node.context import Context
 from spanfall_node.keyvalue import StoreError, StoreUncertainError
 from spanfall_node.members import Members
--- a/packages/spanfall-node/src/spanfall_node/claim_store.py
+++ b/packages/spanfall-node/src/spanfall_node/claim_store.py
@@ -13,7 +13,6 @@
 from uuid import uuid4
 
 import anyio
-from pydantic import BaseModel
 from spanfall_core.claims import (
     Batch,
     Claim,
@@ -24,6 +23,11 @@
     merge_batch,
 )
 
+from spanfall_node.claim_documents import (
+    BatchDocument,
+    ClaimDocument,
+    read_batch,
+)
 from spanfall_node.context import Context
 from spanfall_node.keyvalue import (
     StoreError,
@@ -50,21 +54,6 @@
     TAKEN = 'taken'
 
 
-class ClaimDocument(BaseModel):
-    """Describe one claim of an entry."""
-
-    key: str
-    request_id: str
-    at: float
-
-
-class BatchDocument(BaseModel):
-    """Describe an entry of the claim log, as stored."""
-
-    nonce: str
-    claims: tuple[ClaimDocument, ...]
-
-
 @dataclass(slots=True)
 class Waiting:
     """Hold a claim that was asked for and whom to tell the verdict."""
@@ -245,7 +234,7 @@
         entry = await self._get(key)
         if entry is None:
             raise StoreUncertainError('the entry is not there yet')
-        found = self._parse(batch.sequence, entry)
+        found = read_batch(batch.sequence, entry)
         merge_batch(writer.log, found)
         if found.nonce == batch.nonce:
             return True
@@ -264,16 +253,9 @@
         listing = await self._context.store.list_prefix(prefix)
         for entry in listing.entries:
             sequence = int(entry.key.removeprefix(prefix))
-            merge_batch(writer.log, self._parse(sequence, entry.value))
+            merge_batch(writer.log, read_batch(sequence, entry.value))
         writer.log.loaded = True
 
-    def _parse(self, sequence: int, raw: bytes) -> Batch:
-        document = BatchDocument.model_validate_json(raw)
-        claims = tuple(
-            Claim(row.key, row.request_id, row.at) for row in document.claims
-        )
-        return Batch(sequence, document.nonce, claims)
-
     def _key(self, service: str, sequence: int) -> str:
         return f'claims/{service}/{sequence:012d}'
 
--- a/packages/spanfall-node/src/spanfall_node/config_store.py
+++ b/packages/spanfall-node/src/spanfall_node/config_store.py
@@ -21,7 +21,6 @@
 from spanfall_core.configuration import (
     Change,
     ConfigState,
-    Conflict,
     Edit,
     apply_change,
     find_conflicts,
@@ -29,6 +28,7 @@
 )
 
 from spanfall_node.catalog import Catalog
+from spanfall_node.config_errors import ConflictError, RacesLostError
 from spanfall_node.context import Context
 from spanfall_node.keyvalue import (
     KeyEntry,
@@ -54,19 +54,6 @@
 ChangeListener = Callable[[Change], None]
 
 
-class ConflictError(Exception):
-    """Tell an editor which objects changed since they were read."""
-
-    def __init__(self, conflicts: Sequence[Conflict]) -> None:
-        """Keep the conflicts."""
-        super().__init__(conflicts)
-        self.conflicts = conflicts
-
-
-class RacesLostError(Exception):
-    """Tell that other changes kept winning; the change was not accepted."""
-
-
 def slot_key(revision: int) -> str:
     """Return the key of the slot of a change."""
     return f'{LOG_PREFIX}{revision % RING:04d}'
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -7,7 +7,7 @@
 from spanfall_core.configuration import Edit
 from spanfall_core.selectors import SelectorError, parse_selector
 from spanfall_node.admin import check_object
-from spanfall_node.config_store import ConflictError
+from spanfall_node.config_errors import ConflictError
 from spanfall_node.keyvalue import StoreError
 from spanfall_node.node import Node
 from spanfall_standins.faulty_store import FaultyStore
