Order for limits inside the room for a lost place, and only while they stand

Cause: what limits took away went into the fading peak of the need, on top of the room for a data centre that may be lost. Change: it counts only while the limits stand, and the room for a lost place serves for it.

--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/capacity.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/capacity.py
@@ -97,8 +97,10 @@
         return 0
     peak = orders.demand.peak
     with_loss = peak * places / max(1, places - places // LOST_PART)
+    # The room for a place that may be lost serves for what limits cost now.
+    covered = max(with_loss, peak + orders.lost)
     hold = scaling.boot_seconds * HOLD_BOOTS
-    held = orders.wanted.learn(ceil(with_loss / max(1, places)), hold, now)
+    held = orders.wanted.learn(ceil(covered / max(1, places)), hold, now)
     each = max(held, ceil(orders.demand.expected(now) / max(1, places)))
     count = max(scaling.least, min(scaling.most, each))
     if orders.is_scarce(now):
@@ -118,7 +120,8 @@
 ) -> Missing:
     """Return how many others the fleet needs beside reclaimable ones."""
     hold = scaling.boot_seconds * HOLD_BOOTS
-    seen = orders.needed.learn(ceil(orders.demand.peak), hold, now)
+    need = ceil(orders.demand.peak + orders.lost)
+    seen = orders.needed.learn(need, hold, now)
     needed = max(seen, ceil(orders.demand.expected(now)))
     there = present.reclaimable.total()
     most = max(0, needed - there)
--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/orders.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/orders.py
@@ -46,6 +46,9 @@
     wanted: HeldMost = field(default_factory=HeldMost)
     needed: HeldMost = field(default_factory=HeldMost)
     last_wanted: int = 0
+    #: Upstreams that the limits of some cost now; not kept for long, as those
+    #: limits are not.
+    lost: float = 0
     #: When more of a kind were ordered last.
     raised_at: dict[Subject, float] = field(default_factory=dict)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/duties/capacity_duty.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/capacity_duty.py
@@ -152,12 +152,12 @@
         speed = state.prompts.speed(service.name)
         needed = needed_upstreams(service.engine, load, speed, len(there))
         limits = state.words.table.rates
-        lost = lost_to_limits(
+        orders.lost = lost_to_limits(
             (limits[lifetime] for lifetime in there if lifetime in limits),
             needed,
             self._asked.rates.get(service.name, 0),
         )
-        orders.demand.learn(needed + lost, now)
+        orders.demand.learn(needed, now)
 
     async def _send(self, order: Order, orders: ServiceOrders) -> None:
         state = self._state
--- a/tests/test_gateway_limited_orders.py
+++ b/tests/test_gateway_limited_orders.py
@@ -4,8 +4,18 @@
 from gateway_world import SERVICE, ask, in_world
 from hypothesis import given
 from hypothesis import strategies as st
+from spanfall_core.gateway.orders.capacity import HOLD_BOOTS
 from spanfall_core.gateway.orders.demand import lost_to_limits
+from spanfall_core.gateway.orders.orders import count_present
 from spanfall_standins.gateway.upstream import whole
+from test_gateway_capacity import (
+    PLACES,
+    SCALING,
+    listed,
+    loaded,
+    note_all,
+    plan,
+)
 
 RATES = st.floats(0, 100)
 
@@ -39,3 +49,31 @@
     ]
     assert statuses == [200, 503, 503]
     assert state.grant_book.asked[SERVICE] == 3
+
+
+def reclaimable_in_force(peak, lost, now=0):
+    """Return the reclaimable ones that are ordered in each place."""
+    orders = loaded(peak)
+    orders.lost = lost
+    present = count_present(listed(1, 0))
+    note_all(plan(orders, present, now), orders, now)
+    return {orders.in_force.get((place, True), 1) for place in PLACES}
+
+
+def test_room_for_a_lost_place_serves_for_limits():
+    """Four places run one each; two of four that are limited fit in that."""
+    assert reclaimable_in_force(2.3, 0) == {1}
+    assert reclaimable_in_force(2.3, 1.6) == {1}
+    assert reclaimable_in_force(2.3, 2.5) == {2}
+
+
+def test_what_limits_cost_is_not_kept_for_long():
+    orders = loaded(2.3)
+    orders.lost = 2.5
+    present = count_present(listed(1, 0))
+    note_all(plan(orders, present), orders)
+    orders.lost = 0
+    later = SCALING.boot_seconds * HOLD_BOOTS + 1
+    present = count_present(listed(2, 0))
+    note_all(plan(orders, present, later), orders, later)
+    assert {orders.in_force[place, True] for place in PLACES} == {1}
