--- a/packages/spanfall-node/src/spanfall_node/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/callers.py
@@ -27,9 +27,10 @@
 from spanfall_node.bodies import read_body
 from spanfall_node.catalog import Catalog
 from spanfall_node.context import Context
-from spanfall_node.entry import Entry, Relay
+from spanfall_node.entry import Entry
 from spanfall_node.log import request_id_var
 from spanfall_node.members import Members
+from spanfall_node.relayed import Relay
 from spanfall_node.rendering import REQUEST_ID_HEADER, render_problem
 from spanfall_node.replies import Replies
 from spanfall_node.rules import Call, Target, route
--- a/packages/spanfall-node/src/spanfall_node/config_spread.py
+++ b/packages/spanfall-node/src/spanfall_node/config_spread.py
@@ -25,7 +25,7 @@
 
 from spanfall_node.config_store import ConfigStore
 from spanfall_node.context import Context
-from spanfall_node.links import Link
+from spanfall_node.link import Link
 from spanfall_node.members import Members
 
 logger = logging.getLogger(__name__)
--- a/packages/spanfall-node/src/spanfall_node/entry.py
+++ b/packages/spanfall-node/src/spanfall_node/entry.py
@@ -6,7 +6,6 @@
 """
 
 import logging
-from dataclasses import dataclass, field
 
 from spanfall_api.frames import (
     AskPermit,
@@ -31,11 +30,11 @@
 )
 from spanfall_core.tables import Request, ServiceKind
 
-from spanfall_node.answers import Answer
 from spanfall_node.context import Context
 from spanfall_node.held import Held
-from spanfall_node.links import Link
+from spanfall_node.link import Link
 from spanfall_node.members import Members
+from spanfall_node.relayed import Relay, notify_until_end
 
 logger = logging.getLogger(__name__)
 
@@ -45,39 +44,6 @@
 CREDIT_SHARE = 4
 
 
-@dataclass(eq=False, slots=True)
-class Relay:
-    """Hold one request at its entry.
-
-    ``permitted`` tells that a home may have run it; ``has_caller`` is false
-    for the copy of a request whose entry is its home.
-    """
-
-    submit: Submit
-    answer: Answer = field(default_factory=Answer)
-    attempt: int = 1
-    link: Link | None = None
-    upstream: str = ''
-    permitted: bool = False
-    has_caller: bool = True
-    attached: bool = False
-    credited: int = 0
-    expires_at: float = 0.0
-    done_at: float | None = None
-
-    @property
-    def request_id(self) -> str:
-        """Return the id of the request."""
-        return self.submit.request_id
-
-
-async def notify_until_end(held: Held) -> None:
-    """Tell the followers of an answer that others fill, until its end."""
-    while held.answer.outcome is None:
-        await held.answer.wait_beyond(held.answer.offset)
-        held.notify()
-
-
 class Entry:
     """Hold the relays of this node."""
 
--- a/packages/spanfall-node/src/spanfall_node/handover.py
+++ b/packages/spanfall-node/src/spanfall_node/handover.py
@@ -12,7 +12,7 @@
 
 from spanfall_node.context import Context
 from spanfall_node.held import Held
-from spanfall_node.links import Link
+from spanfall_node.link import Link
 from spanfall_node.outcomes import HeldTable
 from spanfall_node.pools import PoolTable
 from spanfall_node.runs import Runs
--- a/packages/spanfall-node/src/spanfall_node/heartbeats.py
+++ b/packages/spanfall-node/src/spanfall_node/heartbeats.py
@@ -13,7 +13,7 @@
 
 from spanfall_node.config_spread import ConfigSpread
 from spanfall_node.context import Context
-from spanfall_node.links import Link
+from spanfall_node.link import Link
 from spanfall_node.members import Members, delta_of, member_of
 
 logger = logging.getLogger(__name__)
--- a/packages/spanfall-node/src/spanfall_node/held.py
+++ b/packages/spanfall-node/src/spanfall_node/held.py
@@ -17,7 +17,7 @@
 from xxhash import xxh3_64_intdigest
 
 from spanfall_node.answers import Answer
-from spanfall_node.links import BATCH_BYTES, Link
+from spanfall_node.link import BATCH_BYTES, Link
 
 #: Blocks of a prompt that are indexed.
 MAX_BLOCKS = 64
--- a/packages/spanfall-node/src/spanfall_node/home.py
+++ b/packages/spanfall-node/src/spanfall_node/home.py
@@ -43,7 +43,7 @@
 from spanfall_node.context import Context
 from spanfall_node.handover import Handover
 from spanfall_node.held import Held, build_row
-from spanfall_node.links import Link
+from spanfall_node.link import Link
 from spanfall_node.load_reports import LoadReports
 from spanfall_node.members import Members
 from spanfall_node.outcomes import HeldTable
--- a/packages/spanfall-node/src/spanfall_node/notices.py
+++ b/packages/spanfall-node/src/spanfall_node/notices.py
@@ -14,7 +14,7 @@
 from spanfall_node.cloud import CloudError, CloudPort, HostRow
 from spanfall_node.config_spread import ConfigSpread
 from spanfall_node.context import Context
-from spanfall_node.links import Link
+from spanfall_node.link import Link
 from spanfall_node.members import Members
 
 logger = logging.getLogger(__name__)
--- a/packages/spanfall-node/src/spanfall_node/replies.py
+++ b/packages/spanfall-node/src/spanfall_node/replies.py
@@ -10,7 +10,8 @@
 from starlette.responses import Response, StreamingResponse
 
 from spanfall_node.context import Context
-from spanfall_node.entry import Entry, Relay
+from spanfall_node.entry import Entry
+from spanfall_node.relayed import Relay
 from spanfall_node.rendering import (
     REQUEST_ID_HEADER,
     make_envelope,
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -8,7 +8,7 @@
 import pytest
 from spanfall_api.settings import Limits
 from spanfall_node.held import split_pieces
-from spanfall_node.links import BATCH_BYTES
+from spanfall_node.link import BATCH_BYTES
 from spanfall_node.node import Node
 from spanfall_standins.fleet import Fleet, run_fleet
 from support import (
