Look for room again a moment later, at any uptime

Cause: a home takes the time at which the last part of a permit has grown, and looks again then. Found in reading the change again. Change: the next look is a millisecond later at the least.

--- a/packages/spanfall-core/src/spanfall_core/gateway/limits/permits.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/limits/permits.py
@@ -24,7 +24,10 @@
 #: Longest time after which a caller that finds no room is to come back.
 LONGEST_WAIT = 5.0
 #: Part of a permit that rounding may lack.
-ROUNDING = 1e-9
+ROUNDING = 1e-6
+#: Seconds until the next look for room at the least: the steady clock of a host
+#: that runs for long has no digits for less.
+LEAST_LOOK = 0.001
 
 
 @dataclass(slots=True)
@@ -55,7 +58,7 @@
     @property
     def free_at(self) -> float:
         """Return when there is one."""
-        return self.at + max(0, 1 - self.level) / self.rate
+        return self.at + max(LEAST_LOOK, (1 - self.level) / self.rate)
 
 
 @dataclass(slots=True)
--- a/tests/test_gateway_permits.py
+++ b/tests/test_gateway_permits.py
@@ -75,6 +75,17 @@
     assert len(sent) == pytest.approx(rate * seconds, abs=BURST)
 
 
+@pytest.mark.parametrize('uptime', (0, 1e5, 1e7, 1e9))
+def test_permits_are_given_at_any_uptime(uptime):
+    """Seconds have no digits left for the last part of a permit.
+
+    At 1e7 s, four months, a home looked for it for ever.
+    """
+    rate = 300
+    sent = given_permits(new_home(rate, uptime), often(5, uptime, 0.0007))
+    assert len(sent) == pytest.approx(rate * 5, rel=0.02)
+
+
 def test_one_that_takes_none_is_asked_rarely():
     """Only its next answer can tell that it takes requests again."""
     sent = given_permits(new_home(0, 0), often(100))
