Look for a turn each 0.02 s at the most

Where many upstreams are limited a turn comes each moment: a request asked the home again at once, and a caller was told 0.000 s. Read, not measured; runs only where upstreams name limits or ask to back off.

--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/choosing.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/choosing.py
@@ -16,6 +16,9 @@
 #: Part of a route's target that a request waits for its turn at an upstream
 #: with a limit: a refusal later than that helps its caller no more.
 TURN_WAIT_PART = 0.25
+#: Seconds to a turn at the least: where many upstreams are limited one comes
+#: each moment, and each look for it is a question to the home.
+TURN_STEP = 0.02
 
 
 async def choose_or_wait(
@@ -40,6 +43,7 @@
         if choice is Standing.SUSPECT:
             seconds, until = TRIAL_STEP, began_at + TRIAL_WAIT_SECONDS
         elif isinstance(choice, ComeBack):
+            choice = ComeBack(max(TURN_STEP, choice.seconds))
             seconds, until = choice.seconds, turn_until
         else:
             return choice
--- a/tests/test_gateway_named_limit.py
+++ b/tests/test_gateway_named_limit.py
@@ -21,6 +21,7 @@
     arrived_from_told,
     most_in_a_span,
 )
+from spanfall_node.gateway.upstreams.choosing import TURN_STEP
 from spanfall_standins.gateway.upstream import whole
 from support import wait_until
 from test_gateway_succession import ending_gateway, is_home
@@ -123,7 +124,8 @@
     assert most_in_a_span(observer.reached(), binds_from) <= allowed(rate)
     assert len(observer.arrivals) - before >= USED * rate * SPAN
     assert set(observer.statuses) == {200, 503}
-    assert all(0 < seconds <= SPAN + 1 for seconds in observer.came_back_in)
+    turns = observer.came_back_in
+    assert all(TURN_STEP <= seconds <= SPAN + 1 for seconds in turns)
 
 
 @in_world
