Name the status of another lifetime once, and return nothing unread

Read once more: hearing.py and sending.py each held 421; what hear() returned nobody read; note_words worked out a row twice.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
@@ -208,8 +208,11 @@
         services: set[str] = set()
         for lifetime in lifetimes:
             row = self.rows.get(lifetime)
-            if row is not None and self._with_word(row) is not row:
-                self.rows[lifetime] = self._with_word(row)
+            if row is None:
+                continue
+            heeding = self._with_word(row)
+            if heeding is not row:
+                self.rows[lifetime] = heeding
                 services.add(row.service)
         for service in services:
             # The order stays, which is dear to find among thousands.
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/hearing.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/hearing.py
@@ -20,13 +20,13 @@
     lifetime: Lifetime,
     head: AnswerHead,
     sent_at: float,
-) -> list[News]:
-    """Take what the head of an answer says; return what is new.
+) -> None:
+    """Take what the head of an answer says; log and count what is new.
 
     ``sent_at`` is when the request was sent over that connection.
     """
     if head.status == OTHER_LIFETIME:
-        return []
+        return
     said = state.platform.read_statement(head.status, head.headers)
     news = state.words.hear(
         lifetime,
@@ -49,7 +49,6 @@
             said.rate,
             said.backoff,
         )
-    return news
 
 
 def learn_words(state: GatewayState, words: Words) -> None:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
@@ -32,7 +32,7 @@
     is_event_stream,
     upstream_call,
 )
-from spanfall_node.gateway.upstreams.hearing import hear
+from spanfall_node.gateway.upstreams.hearing import OTHER_LIFETIME, hear
 
 logger = logging.getLogger(__name__)
 
@@ -200,7 +200,7 @@
 ) -> Failed | None:
     """Return how a whole answer failed, or None if it is relayed."""
     names = state.platform.names
-    if head.status == 421:
+    if head.status == OTHER_LIFETIME:
         state.directory.end(choice.upstream.lifetime)
         return Failed(SendEnd.OTHER_LIFETIME, 'another lifetime answers there')
     if head.header(names.not_run):
