Log what a node reads from the store and does not take over

The logs of the incident name no configuration or listing that was read and left out, so they cannot tell nodes that take new changes for old ones from nodes that cannot read. Each such read is logged once with both revisions, and so is, with a counter, that the store's answers tell of another timeline: the platform raises it as the store comes back from a copy. Nothing is decided by it yet. The stand-in store can be restored from a copy.

--- a/packages/spanfall-node/src/spanfall_node/gateway/net/ports.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/ports.py
@@ -109,6 +109,9 @@
     read_listing: Callable[[bytes], Listing]
     read_revision: Callable[[bytes], int]
     read_lease: Callable[[bytes], int]
+    #: The timeline that an answer is from; None: it does not say. A store that
+    #: was restored from a copy is on the next one.
+    read_timeline: Callable[[Headers], int | None]
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/store_client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/store_client.py
@@ -75,6 +75,7 @@
         self._pool = pool
         self._dialect = state.platform.store
         self.health = StoreHealth()
+        self._timeline: int | None = None
 
     async def get(self, key: str) -> StoredItem | None:
         """Return an item as it is now, or None."""
@@ -157,6 +158,7 @@
             self.health.note(answered=False, now=now())
             raise StoreUncertainError(exc.reason) from exc
         counter.labels(reply.status).inc()
+        self._note_timeline(reply)
         allowed = {200, 404, 412} if missing_ok else {200}
         if reply.status in {429, 503}:
             self.health.note(answered=False, now=now())
@@ -165,6 +167,20 @@
         self.health.note(answered=True, now=now())
         return reply
 
+    def _note_timeline(self, reply: HttpReply) -> None:
+        timeline = self._dialect.read_timeline(reply.headers)
+        known = self._timeline
+        if timeline is None or timeline == known:
+            return
+        self._timeline = timeline
+        if known is not None:
+            self._state.counters.store_restores.inc()
+            logger.warning(
+                'The store was restored from a copy: timeline %s after %s',
+                timeline,
+                known,
+            )
+
 
 def _read(reader: Callable[[bytes], Content], reply: HttpReply) -> Content:
     """Read what the store answered.
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
@@ -71,6 +71,8 @@
         self._store = store
         #: Revision of each entry that cannot be used, by upstream.
         self._unusable: dict[str, int] = {}
+        #: Revisions last read that are older than what is known.
+        self._older: dict[str, int] = {}
 
     async def run(self) -> None:
         """Read the store as often as this node has to, until cancelled."""
@@ -144,6 +146,8 @@
             )
         if known is None or revision >= known.revision:
             state.freshness.prove(proved_at)
+        else:
+            self._note_older('configuration', revision, known.revision)
 
     def learn_upstreams(
         self,
@@ -161,6 +165,10 @@
         now = self._state.timers.now()
         if revision >= self._state.directory.revision:
             self._state.directory.prove(proved_at)
+        else:
+            self._note_older(
+                'listing', revision, self._state.directory.revision
+            )
         before = self._state.directory.rows.keys()
         changed = self._state.directory.apply(
             revision,
@@ -182,6 +190,17 @@
             self._state.loads.forget(lifetime)
             self._state.words.forget(lifetime, now)
 
+    def _note_older(self, what: str, revision: int, known: int) -> None:
+        if self._older.get(what) == revision:
+            return
+        self._older[what] = revision
+        logger.warning(
+            'Left out the %s of revision %s, older than %s',
+            what,
+            revision,
+            known,
+        )
+
     def _period(self) -> float:
         return read_period(
             self._state.quotas.entries,
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
@@ -74,6 +74,11 @@
             'Calls to the store, by outcome',
             'outcome',
         )
+        self.store_restores = Counter(
+            'spanfall_store_restores',
+            'Restores of the store from a copy that answers told of',
+            registry=self.registry,
+        )
         self.orders = self._labelled(
             'spanfall_duty_calls',
             'Calls made for the whole fleet, by duty and status',
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
@@ -29,6 +29,7 @@
 
 CONFIGURATION_KEY = 'operator/configuration'
 UPSTREAM_PREFIX = 'upstreams/'
+TIMELINE = b'timeline'
 
 NAMES = HeaderNames(
     attempt_id=b'attempt',
@@ -211,6 +212,11 @@
     )
 
 
+def _read_timeline(headers: Headers) -> int | None:
+    text = dict(headers).get(TIMELINE)
+    return None if text is None else int(text)
+
+
 def _read_listing(body: bytes) -> Listing:
     page = msgspec.json.decode(body, type=PlainPage)
     return Listing(tuple(_item(row) for row in page.items), page.revision)
@@ -229,6 +235,7 @@
     read_listing=_read_listing,
     read_revision=int,
     read_lease=int,
+    read_timeline=_read_timeline,
 )
 
 
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/store.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/store.py
@@ -1,6 +1,7 @@
 """Stand in for the platform's store, with faults on demand."""
 
 from collections.abc import Callable
+from copy import deepcopy
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
 
@@ -8,6 +9,7 @@
 from anyio.abc import SocketStream
 
 from spanfall_standins.gateway.dialect import (
+    TIMELINE,
     PlainItem,
     PlainPage,
     PlainTransaction,
@@ -15,6 +17,15 @@
 from spanfall_standins.gateway.server import Seen, answer_bytes
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Hold what a store held at one moment."""
+
+    items: dict[str, PlainItem]
+    leases: dict[int, tuple[float, float]]
+    revision: int
+
+
 @dataclass(slots=True)
 class StandInStore:
     """Hold the items; time comes from the test."""
@@ -23,6 +34,8 @@
     items: dict[str, PlainItem] = field(default_factory=dict)
     leases: dict[int, tuple[float, float]] = field(default_factory=dict)
     revision: int = 0
+    #: Rises as the store is restored from a copy.
+    timeline: int = 0
     #: Status that every call gets instead of an answer; 0: none.
     failing: int = 0
     least_lease_ms: int = 0
@@ -39,15 +52,31 @@
         """Answer one call."""
         self.calls.append(seen.target)
         if self.failing:
-            await stream.send(answer_bytes(self.failing, b''))
+            await stream.send(self._answer(self.failing, b''))
             return True
         self._expire()
         status, body = self._handle(seen)
         if self.loses_answers and seen.method == 'POST':
             return False
-        await stream.send(answer_bytes(status, body))
+        await stream.send(self._answer(status, body))
         return True
 
+    def _answer(self, status: int, body: bytes) -> bytes:
+        headers = {TIMELINE.decode(): str(self.timeline)}
+        return answer_bytes(status, body, headers)
+
+    def copy(self) -> StoreCopy:
+        """Return a copy of all that the store holds now."""
+        return deepcopy(StoreCopy(self.items, self.leases, self.revision))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: what was written since is gone."""
+        restored = deepcopy(copy)
+        self.items = restored.items
+        self.leases = restored.leases
+        self.revision = restored.revision
+        self.timeline += 1
+
     def put(self, key: str, content: str, lease: int = 0) -> int:
         """Write an item."""
         self.revision += 1
