--- a/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
@@ -15,6 +15,7 @@
 )
 from spanfall_core.gateway.known.listed import ListedUpstream, UnusableEntry
 from spanfall_core.gateway.known.statements import Statement, read_decimal
+from spanfall_core.gateway.known.timelines import read_timeline
 from spanfall_node.gateway.net.ports import (
     CloudDialect,
     HeaderNames,
@@ -212,11 +213,6 @@
     )
 
 
-def _read_timeline(headers: Headers) -> int | None:
-    text = dict(headers).get(TIMELINE)
-    return None if text is None else int(text)
-
-
 def _read_listing(body: bytes) -> Listing:
     page = msgspec.json.decode(body, type=PlainPage)
     return Listing(tuple(_item(row) for row in page.items), page.revision)
@@ -235,7 +231,7 @@
     read_listing=_read_listing,
     read_revision=int,
     read_lease=int,
-    read_timeline=_read_timeline,
+    read_timeline=lambda rows: read_timeline(dict(rows).get(TIMELINE, b'')),
 )
 
 
