--- a/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
@@ -92,6 +92,8 @@
     """Describe a whole configuration."""
 
     routes: list[PlainRoute]
+    #: Rises with each change.
+    version: int = 0
     services: list[PlainService] = []
     workspaces: list[PlainWorkspace] = []
     header_bytes: int = 16384
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -101,11 +101,13 @@
         ),
     )
     _numbers: count = field(default_factory=lambda: count(1))
+    _versions: count = field(default_factory=lambda: count(1))
 
     def configure(self, **changes: object) -> int:
         """Write a configuration with some fields changed."""
         for name, content in changes.items():
             setattr(self.configuration, name, content)
+        self.configuration.version = next(self._versions)
         encoded = msgspec.json.encode(self.configuration).decode()
         return self.store.put(CONFIGURATION_KEY, encoded)
 
