Order configurations by the operator's version, not by the store's revision

Callers saw: requests handled by version 20 while version 27, which took a key away, had been taken by the store 2.2 s before; others refused for 11 s, as no read proved the configuration.

Cause: a node compared the revision of the item in the store. A store that comes back from a copy counts from an older revision, so each new version looked older until the counter had passed the old value, and a read of it proved nothing.

Why this works: the version is the operator's own count and outlives the store's. Nodes pass it on, so a home or entry that was restarted on the copy can't take a later version back either; what a copy holds of older versions is left out, and proves nothing.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/configuration.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/configuration.py
@@ -139,14 +139,17 @@
 
     def __init__(
         self,
-        revision: int,
+        version: int,
         routes: Iterable[Route],
         services: Iterable[ServedService],
         workspaces: Iterable[ServedWorkspace],
         limits: CallerLimits,
     ) -> None:
-        """Build the lookup tables."""
-        self.revision = revision
+        """Build the lookup tables.
+
+        ``version`` is the operator's, which rises with each change.
+        """
+        self.version = version
         self.limits = limits
         self.services = {row.name: row for row in services}
         self.workspaces = {row.name: row for row in workspaces}
--- a/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
@@ -262,7 +262,7 @@
             refusal.reason,
             refusal.detail,
             req.target if req else None,
-            state.configuration.revision if state.configuration else None,
+            state.version,
         )
         body = refusal_body(refusal)
         if req is not None and req.method == 'HEAD':
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/entry_link.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/entry_link.py
@@ -251,7 +251,7 @@
         sent_at = state.timers.now()
         message = ReportMessage(
             report,
-            state.revision,
+            state.version,
             state.directory.digest,
             state.directory.told_revision,
             wants_totals=self._table.wants_totals(sent_at),
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
@@ -44,11 +44,10 @@
         state.needs = table.needs
         if table.configuration is not None:
             self._sync.learn_configuration(
-                table.configuration.revision,
                 unpack(table.configuration),
                 sent_at - table.proof_age,
             )
-        elif table.configuration_revision == state.revision:
+        elif table.configuration_version == state.version:
             state.freshness.prove(sent_at - table.proof_age)
         listed_at = sent_at - table.upstreams_age
         if table.upstreams is None:
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
@@ -188,7 +188,6 @@
         state.grant_book.learn(report.key, load, now)
         state.grant_book.expect(report.key, unheard_after(period))
         state.grant_book.forget_silent(now)
-        revision = state.revision
         totals = None
         if message.wants_totals:
             totals = state.fleet.others(report.key, now)
@@ -197,7 +196,7 @@
             entries=state.fleet.size(now),
             report_after=period,
             totals=totals,
-            configuration_revision=revision,
+            configuration_version=state.version,
             proof_age=min(state.freshness.age(now), NEVER_SECONDS),
             upstreams_age=min(
                 now - state.directory.proved_at,
@@ -208,7 +207,7 @@
             needs=state.needs,
             given=state.give_units(report.key, now),
             resigned=not state.is_home(now),
-            configuration=self._configuration(message, revision),
+            configuration=self._configuration(message),
             upstreams=self._upstreams(message),
             words=self._words(message, now),
         )
@@ -225,12 +224,12 @@
     def _configuration(
         self,
         message: ReportMessage,
-        revision: int,
     ) -> ConfigurationPart | None:
-        if message.configuration_revision >= revision:
+        version = self._state.version
+        if message.configuration_version >= version:
             return None
         return self._passing_on.part(
-            revision,
+            version,
             self._state.configuration_source,
             self._state.timers.now(),
         )
--- a/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
@@ -44,7 +44,7 @@
     """Carry the report of an entry and what it knows already."""
 
     report: EntryReport
-    configuration_revision: int = 0
+    configuration_version: int = 0
     #: Digest of the entry's table of upstreams.
     upstreams_digest: int = 0
     #: Revision of the listing that it knows.
@@ -122,7 +122,7 @@
 class ConfigurationPart(msgspec.Struct, frozen=True):
     """Carry a configuration, packed as it is passed on."""
 
-    revision: int
+    version: int
     packed: bytes
 
 
@@ -147,8 +147,8 @@
     """Carry the home's table to one entry."""
 
     epoch: int
-    #: Revision of the configuration that the home has in force.
-    configuration_revision: int
+    #: Version of the configuration that the home has in force.
+    configuration_version: int
     #: Seconds since that was last proved the newest.
     proof_age: float
     #: Seconds since the home began its last read of the upstreams.
--- a/packages/spanfall-node/src/spanfall_node/gateway/links/passing_on.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/passing_on.py
@@ -29,14 +29,14 @@
     """Hold the configuration as it is sent, and how busy the link is."""
 
     link_megabits: float
-    _revision: int = 0
+    _version: int = 0
     _packed: bytes = b''
     #: When all that was sent so far has left, at the pace allowed.
     _sent_until: float = float('-inf')
 
     def part(
         self,
-        revision: int,
+        version: int,
         source: bytes,
         now: float,
     ) -> ConfigurationPart | None:
@@ -46,13 +46,13 @@
         """
         if now + AHEAD_SECONDS < self._sent_until:
             return None
-        if revision != self._revision:
+        if version != self._version:
             self._packed = zlib.compress(source, LEVEL)
-            self._revision = revision
+            self._version = version
         bytes_a_second = self.link_megabits * MEGA / BITS * LINK_PART
         seconds = len(self._packed) / bytes_a_second
         self._sent_until = max(now, self._sent_until) + seconds
-        return ConfigurationPart(revision, self._packed)
+        return ConfigurationPart(version, self._packed)
 
 
 def unpack(part: ConfigurationPart) -> bytes:
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/ports.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/ports.py
@@ -132,9 +132,8 @@
     store: StoreDialect
     cloud: CloudDialect
     readiness_path: str
-    #: Revision in the store and the item's content; raises
-    #: InvalidRecordError.
-    read_configuration: Callable[[int, bytes], ServedConfiguration]
+    #: The item's content; raises InvalidRecordError.
+    read_configuration: Callable[[bytes], ServedConfiguration]
     #: Key in the store and the item's content.
     read_upstream: Callable[[str, bytes], ListedUpstream | UnusableEntry]
     #: Status and headers of an upstream's answer.
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
@@ -71,7 +71,7 @@
         self._store = store
         #: Revision of each entry that cannot be used, by upstream.
         self._unusable: dict[str, int] = {}
-        #: Revisions last read that are older than what is known.
+        #: Versions and revisions last read that are older than what is known.
         self._older: dict[str, int] = {}
 
     async def run(self) -> None:
@@ -124,30 +124,27 @@
         await self._guarded_configuration()
         return self.hears_store
 
-    def learn_configuration(
-        self,
-        revision: int,
-        source: bytes,
-        proved_at: float,
-    ) -> None:
-        """Take over a configuration unless it is older."""
+    def learn_configuration(self, source: bytes, proved_at: float) -> None:
+        """Take over a configuration unless its version is an older one.
+
+        Only the operator's version tells which one is newer: the store may
+        have been restored from a copy that holds an older one.
+        """
         state = self._state
         known = state.configuration
-        if known is None or revision > known.revision:
-            state.configuration = state.platform.read_configuration(
-                revision,
-                source,
-            )
+        if known is None or source != state.configuration_source:
+            read = state.platform.read_configuration(source)
+            if known is not None and read.version < known.version:
+                self._note_older('configuration', read.version, known.version)
+                return
+            state.configuration = read
             state.configuration_source = source
             logger.info(
                 'Configuration %s is in force; it replaces %s',
-                revision,
-                known.revision if known else None,
+                read.version,
+                known.version if known else None,
             )
-        if known is None or revision >= known.revision:
-            state.freshness.prove(proved_at)
-        else:
-            self._note_older('configuration', revision, known.revision)
+        state.freshness.prove(proved_at)
 
     def learn_upstreams(
         self,
@@ -190,14 +187,14 @@
             self._state.loads.forget(lifetime)
             self._state.words.forget(lifetime, now)
 
-    def _note_older(self, what: str, revision: int, known: int) -> None:
-        if self._older.get(what) == revision:
+    def _note_older(self, what: str, number: int, known: int) -> None:
+        if self._older.get(what) == number:
             return
-        self._older[what] = revision
+        self._older[what] = number
         logger.warning(
-            'Left out the %s of revision %s, older than %s',
+            'Left out %s %s, which is older than %s',
             what,
-            revision,
+            number,
             known,
         )
 
@@ -241,7 +238,7 @@
                 # need not ask the store too, each on its own.
                 state.freshness.prove(began_at)
             return
-        self.learn_configuration(item.revision, item.content, began_at)
+        self.learn_configuration(item.content, began_at)
 
     async def _read_upstreams(self) -> None:
         state = self._state
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
@@ -107,9 +107,9 @@
         return self.configuration.limits
 
     @property
-    def revision(self) -> int:
-        """Return the revision of the configuration in force, or 0."""
-        return self.configuration.revision if self.configuration else 0
+    def version(self) -> int:
+        """Return the version of the configuration in force, or 0."""
+        return self.configuration.version if self.configuration else 0
 
     @property
     def entry_key(self) -> str:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
@@ -102,7 +102,7 @@
         now - work.began_at,
         work.prompt_tokens,
         state.loads.running_at(lifetime),
-        state.configuration.revision if state.configuration else None,
+        state.version,
         work.units,
         work.workspace.name if work.workspace else None,
         work.identity,
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
@@ -126,10 +126,10 @@
     writes: list[tuple[str, str, int]]
 
 
-def _read_configuration(revision: int, source: bytes) -> ServedConfiguration:
+def _read_configuration(source: bytes) -> ServedConfiguration:
     plain = msgspec.json.decode(source, type=PlainConfiguration)
     return ServedConfiguration(
-        revision,
+        plain.version,
         [_route(row) for row in plain.routes],
         [_service(row) for row in plain.services],
         [
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -104,12 +104,13 @@
     _versions: count = field(default_factory=lambda: count(1))
 
     def configure(self, **changes: object) -> int:
-        """Write a configuration with some fields changed."""
+        """Write a version with some fields changed; return its number."""
         for name, content in changes.items():
             setattr(self.configuration, name, content)
         self.configuration.version = next(self._versions)
         encoded = msgspec.json.encode(self.configuration).decode()
-        return self.store.put(CONFIGURATION_KEY, encoded)
+        self.store.put(CONFIGURATION_KEY, encoded)
+        return self.configuration.version
 
     async def add_upstream(
         self,
--- a/tests/test_gateway_home.py
+++ b/tests/test_gateway_home.py
@@ -125,8 +125,8 @@
 async def test_an_entry_hears_of_a_change(world):
     """The home reads the store for all, and vouches for what it read."""
     _, other = await two_gateways(world)
-    revision = world.configure(body_bytes=10)
-    await wait_until(lambda: other.configuration.revision == revision)
+    version = world.configure(body_bytes=10)
+    await wait_until(lambda: other.version == version)
     assert other.freshness.may_serve_keys(other.timers.now())
 
 
@@ -271,8 +271,8 @@
     await wait_until(lambda: entry.freshness.age(now()) < OLD_PROOF)
     assert entry.configuration is None
     assert not entry.is_ready(now())
-    revision = world.configure()
-    await wait_until(lambda: entry.revision == revision)
+    version = world.configure()
+    await wait_until(lambda: entry.version == version)
 
 
 @in_world
--- a/tests/test_gateway_messages.py
+++ b/tests/test_gateway_messages.py
@@ -70,7 +70,7 @@
     UnitsMessage(3, 'w', 500.0),
     TableMessage(
         epoch=3,
-        configuration_revision=5,
+        configuration_version=5,
         proof_age=0.5,
         upstreams_age=0.25,
         true_time=1.5,
--- a/tests/test_gateway_passing_on.py
+++ b/tests/test_gateway_passing_on.py
@@ -75,7 +75,7 @@
 
 def test_what_is_passed_on_is_what_the_store_has():
     part = PassingOn(100).part(3, SOURCE, 0)
-    assert (part.revision, unpack(part)) == (3, SOURCE)
+    assert (part.version, unpack(part)) == (3, SOURCE)
     assert len(part.packed) < len(SOURCE) / 10
 
 
--- a/tests/test_gateway_store_restore.py
+++ b/tests/test_gateway_store_restore.py
@@ -22,7 +22,8 @@
     gateways = [await world.add_gateway() for _ in range(2)]
     copy = world.store.copy()
     world.store.revision += LOST_WRITES
-    revision = world.configure(body_bytes=11)
+    world.configure(body_bytes=11)
+    revision = world.store.revision
     await wait_until(
         lambda: (
             all(row.limits.body_bytes == 11 for row in gateways)
