Know revisions of listings with the timeline they were given out on

Callers saw: requests reached an upstream 2.4 s after the store had taken that it leaves.

Cause: a node leaves out a listing whose revision is lower than the one it knows, and a store that comes back from a copy gives lower revisions out again.

Why this works: the platform's answers name the timeline, which rises with each restore. The client of the store puts it above the revision, so listings compare in the order in which the store held them, in the directory and in all messages alike. An answer of an earlier timeline that arrives late is refused, as are pages of two timelines.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/timelines.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/timelines.py
@@ -1,11 +1,14 @@
-"""Tell the timelines of a store apart.
+"""Order what a store says across its restores.
 
 A store that comes back from a copy has lost what it took since, and gives the
-same revisions out again: it goes on on the next timeline.
+same revisions out again: it goes on on the next timeline. A revision is known
+with its timeline, as one number that grows with both.
 """
 
 #: Digits of the largest timeline that is read as one.
 MOST_DIGITS = 9
+#: Room for the revisions of one timeline.
+REVISION_BITS = 40
 
 
 def read_timeline(text: bytes) -> int | None:
@@ -13,3 +16,18 @@
     digits = text.strip()
     is_number = digits.isdigit() and len(digits) <= MOST_DIGITS
     return int(digits) if is_number else None
+
+
+def on_timeline(timeline: int, revision: int) -> int:
+    """Return a revision as it is known, above all of earlier timelines."""
+    return (timeline << REVISION_BITS) + revision
+
+
+def timeline_of(known: int) -> int:
+    """Return the timeline of a revision that is known."""
+    return known >> REVISION_BITS
+
+
+def revision_of(known: int) -> int:
+    """Return a revision as the store gave it out."""
+    return known & ((1 << REVISION_BITS) - 1)
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/store_client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/store_client.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
+from spanfall_core.gateway.known.timelines import on_timeline
+
 from spanfall_node.gateway.net.errors import BrokenCallError, NotSentError
 from spanfall_node.gateway.net.pool import ConnectionPool, call_once
 from spanfall_node.gateway.net.ports import (
@@ -41,6 +43,10 @@
     """Say that a call may have had an effect, now or seconds later."""
 
 
+class StoreRestoredError(StoreError):
+    """Say that the store was restored from a copy meanwhile."""
+
+
 class ConditionFailedError(StoreError):
     """Say that an item was changed since it was read."""
 
@@ -77,6 +83,11 @@
         self.health = StoreHealth()
         self._timeline: int | None = None
 
+    @property
+    def timeline(self) -> int:
+        """Return the timeline that the store is on, as far as it is known."""
+        return self._timeline or 0
+
     async def get(self, key: str) -> StoredItem | None:
         """Return an item as it is now, or None."""
         reply = await self._call(self._dialect.get(key), missing_ok=True)
@@ -85,12 +96,19 @@
         return _read(self._dialect.read_item, reply)
 
     async def list_items(self, prefix: str) -> Listing:
-        """Return all items below a prefix, page by page."""
+        """Return all items below a prefix, page by page.
+
+        Raises:
+            StoreRestoredError: not all pages are of one timeline.
+        """
         page = await self._page(prefix, '')
         items = list(page.items)
-        revision = page.revision
+        first = self.timeline
+        revision = on_timeline(first, page.revision)
         while page.has_more and items:
             page = await self._page(prefix, items[-1].key)
+            if self.timeline != first:
+                raise StoreRestoredError
             items.extend(page.items)
         return Listing(tuple(items), revision)
 
@@ -168,10 +186,17 @@
         return reply
 
     def _note_timeline(self, reply: HttpReply) -> None:
+        """Note the timeline of an answer.
+
+        Raises:
+            StoreRestoredError: it is from before the last restore.
+        """
         timeline = self._dialect.read_timeline(reply.headers)
         known = self._timeline
         if timeline is None or timeline == known:
             return
+        if timeline < self.timeline:
+            raise StoreRestoredError
         self._timeline = timeline
         if known is not None:
             self._state.counters.store_restores.inc()
--- a/tests/test_gateway_store_restore.py
+++ b/tests/test_gateway_store_restore.py
@@ -1,11 +1,18 @@
 """The store comes back from a copy: revisions go back, leases are gone."""
 
+from contextlib import asynccontextmanager
 from dataclasses import replace
 
 import anyio
 import msgspec
+import pytest
 from gateway_world import ask, in_world
 from spanfall_core.gateway.known.listed import ListedUpstream
+from spanfall_node.gateway.net.pool import ConnectionPool
+from spanfall_node.gateway.store.store_client import (
+    StoreClient,
+    StoreRestoredError,
+)
 from spanfall_standins.gateway.dialect import UPSTREAM_PREFIX
 from spanfall_standins.gateway.upstream import whole
 from support import wait_until
@@ -34,18 +41,18 @@
     return gateways
 
 
+# Guards against a version left out since its revision is a lower one.
 @in_world
 async def test_a_change_after_a_restore_is_in_force(world):
-    """Guards against a version left out since its revision is a lower one."""
     gateways = await restored_gateways(world)
     world.configure(body_bytes=12)
     await anyio.sleep(APPLIED)
     assert [row.limits.body_bytes for row in gateways] == [12, 12]
 
 
+# Guards against a listing left out since its revision is a lower one.
 @in_world
 async def test_one_that_leaves_after_a_restore(world):
-    """Guards against a listing left out since its revision is a lower one."""
     upstreams = [await world.add_upstream(whole()) for _ in range(2)]
     gateways = await restored_gateways(world)
     world.configure(body_bytes=12)
@@ -67,3 +74,46 @@
     )
     leaving = msgspec.json.encode(replace(entry, leaving=True))
     world.store.put(key, leaving.decode())
+
+
+@asynccontextmanager
+async def store_client(world):
+    """Give a client of the store, without a gateway around it."""
+    state = await world.add_unready_gateway()
+    async with anyio.create_task_group() as tasks:
+        yield StoreClient(state, ConnectionPool(tasks))
+        tasks.cancel_scope.cancel()
+
+
+# Guards against an old answer that arrives late, after a newer one.
+@in_world
+async def test_answers_from_before_a_restore(world):
+    world.store.timeline = 2
+    async with store_client(world) as store:
+        later = (await store.list_items('x')).revision
+        world.store.timeline = 1
+        world.store.revision += LOST_WRITES
+        with pytest.raises(StoreRestoredError):
+            await store.list_items('x')
+        assert store.timeline == 2
+        world.store.timeline = 3
+        world.store.revision = 0
+        assert (await store.list_items('x')).revision > later
+
+
+# Guards against a list whose pages are from before and after a restore.
+@in_world
+async def test_a_restore_between_two_pages(world):
+    await world.add_upstream(whole())
+    async with store_client(world) as store:
+        await store.list_items('x')
+        read_page = store._page
+
+        async def page_and_restore(prefix, after):
+            page = await read_page(prefix, after)
+            world.store.restore(world.store.copy())
+            return replace(page, has_more=not after)
+
+        store._page = page_and_restore
+        with pytest.raises(StoreRestoredError):
+            await store.list_items(UPSTREAM_PREFIX)
