Hold the home's record anew on each timeline of the store

Would have been seen: entries that don't follow the next home, two homes that give the same units of a limit, and calls for the fleet with a lower fencing token.

Why this works: the record has a key for each timeline, and its revision is known with the timeline, so epochs and tokens only rise and a condition from before can not meet a later record. Each call that rests on a lease or a revision names the timeline it is from; the client refuses it, or its answer, on another. A home whose lease of the timeline before still holds goes on at once under a new record and tells its entries; any other gives units only once a lease that the store has forgotten must have ended. What a home before wrote under its condition and arrives late finds its record removed.

--- a/packages/spanfall-node/src/spanfall_node/gateway/duties/duties.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/duties.py
@@ -11,7 +11,6 @@
 from spanfall_node.gateway.net.ports import HttpCall, Write
 from spanfall_node.gateway.store.store_client import StoreClient, StoreError
 from spanfall_node.gateway.tables.state import GatewayState
-from spanfall_node.gateway.tables.tenure import HOME_KEY
 
 logger = logging.getLogger(__name__)
 
@@ -179,9 +178,10 @@
         windows[window] = state.fleet.usage.total(window)
         kept = sorted(windows)[-RECORDED_WINDOWS:]
         record = UsageRecord({key: windows[key] for key in kept})
-        self._revision = await self._store.transact(
-            {HOME_KEY: self._epoch, USAGE_KEY: self._revision},
-            (Write(USAGE_KEY, msgspec.json.encode(record)),),
+        self._revision = await self._store.write_as_home(
+            state.tenure,
+            Write(USAGE_KEY, msgspec.json.encode(record)),
+            self._revision,
         )
         self._record = record
         self._unsent.append(window)
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/claiming.py
@@ -0,0 +1,104 @@
+"""Claim the record of the home for this node."""
+
+import logging
+from dataclasses import dataclass
+
+from spanfall_node.gateway.home.home_content import (
+    HomeContent,
+    read_home,
+    write_home,
+)
+from spanfall_node.gateway.net.ports import Write
+from spanfall_node.gateway.store.store_client import (
+    ConditionFailedError,
+    StoreClient,
+)
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.tables.tenure import home_key
+
+logger = logging.getLogger(__name__)
+
+#: Key of a record that is written with each new home and never removed.
+HISTORY_KEY = 'spanfall/history'
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Hold a record that this node has just written."""
+
+    epoch: int
+    lease: int
+    #: When the lease was asked for.
+    sent_at: float
+    #: Whether no node of this fleet was ever the home before.
+    is_first: bool
+    #: Whether no node was the home yet since the store was restored.
+    is_first_since_restore: bool
+
+
+async def claim_home(
+    state: GatewayState,
+    store: StoreClient,
+    known: int,
+    lease_seconds: float,
+) -> Claim | None:
+    """Write this node's record over one of revision ``known``.
+
+    ``known`` is 0 where there is none. Return None if another node was first.
+
+    Raises:
+        StoreError: nobody knows whether it was written.
+    """
+    timeline = store.timeline
+    history = await store.get(HISTORY_KEY)
+    last = None if history is None else read_home(history.content)
+    sent_at = state.timers.now()
+    lease = await store.grant(timeline, lease_seconds)
+    cfg = state.cfg
+    content = HomeContent(
+        cfg.node,
+        cfg.listen.links,
+        state.incarnation,
+        timeline,
+    )
+    record = write_home(content)
+    key = home_key(timeline)
+    try:
+        epoch = await store.transact(
+            timeline,
+            {key: known, HISTORY_KEY: history.revision if history else 0},
+            (Write(key, record, lease), Write(HISTORY_KEY, record)),
+            _void_keys(last, timeline),
+        )
+    except ConditionFailedError:
+        logger.info('Another node became the home first')
+        return None
+    is_restored = _is_before(last, timeline, store)
+    return Claim(
+        epoch,
+        lease,
+        sent_at,
+        is_first=history is None and not is_restored,
+        is_first_since_restore=is_restored,
+    )
+
+
+def _void_keys(last: HomeContent | None, timeline: int) -> tuple[str, ...]:
+    """Return the keys of earlier timelines that are to hold no record.
+
+    What a home wrote under such a condition may arrive late.
+    """
+    if last is None or last.timeline == timeline:
+        return ()
+    return (home_key(last.timeline),)
+
+
+def _is_before(
+    last: HomeContent | None,
+    timeline: int,
+    store: StoreClient,
+) -> bool:
+    """Tell whether the last home was one of an earlier timeline."""
+    if last is None:
+        return store.was_restored
+    return last.timeline != timeline
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/home_content.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/home_content.py
@@ -8,11 +8,13 @@
 
 
 class HomeContent(msgspec.Struct, frozen=True):
-    """Hold the record; its revision in the store is the epoch."""
+    """Hold the record; its revision, on its timeline, is the epoch."""
 
     node: str
     address: str
     incarnation: str
+    #: Timeline of the store on which it was written.
+    timeline: int = 0
 
 
 def read_home(source: bytes) -> HomeContent | None:
@@ -24,6 +26,6 @@
         return None
 
 
-def write_home(node: str, address: str, incarnation: str) -> bytes:
+def write_home(content: HomeContent) -> bytes:
     """Return the record of a home."""
-    return msgspec.json.encode(HomeContent(node, address, incarnation))
+    return msgspec.json.encode(content)
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
@@ -2,22 +2,17 @@
 
 The revision of the record is the home's epoch and the fencing token of its
 calls. A holder acts only while its lease is certain to last, counted from
-before the renewal was sent.
+before the renewal was sent. A store that was restored from a copy has lost
+record and lease: there is another record for each timeline.
 """
 
 import logging
 
 import anyio
-from spanfall_core.gateway.known.fleet import MEETING_SECONDS, FleetState
 from spanfall_core.gateway.known.reporting import report_period, unheard_after
-from spanfall_core.gateway.routing.balance import PromptHistory
-from spanfall_core.gateway.routing.grants import GrantBook
 
-from spanfall_node.gateway.home.home_content import (
-    HomeContent,
-    read_home,
-    write_home,
-)
+from spanfall_node.gateway.home.claiming import Claim, claim_home
+from spanfall_node.gateway.home.home_content import HomeContent, read_home
 from spanfall_node.gateway.home.home_pace import (
     LOOK_PERIOD,
     MOST_OUTAGE_LOOKS,
@@ -26,25 +21,22 @@
     is_small,
     look_period,
 )
-from spanfall_node.gateway.links.succession_messages import (
-    HomeRecord,
-)
-from spanfall_node.gateway.net.ports import StoredItem, Write
+from spanfall_node.gateway.home.new_tenure import begin_tenure, go_on
+from spanfall_node.gateway.links.succession_messages import HomeRecord
+from spanfall_node.gateway.net.ports import StoredItem
 from spanfall_node.gateway.store.home_records import HomeRecords
 from spanfall_node.gateway.store.store_client import (
-    ConditionFailedError,
     LeaseLostError,
     StoreClient,
     StoreError,
+    StoreRestoredError,
 )
 from spanfall_node.gateway.store.sync import old_proof
 from spanfall_node.gateway.tables.state import GatewayState
-from spanfall_node.gateway.tables.tenure import HOME_KEY, Tenure
+from spanfall_node.gateway.tables.tenure import Tenure, home_key
 
 logger = logging.getLogger(__name__)
 
-#: Key of a record that is written with each new home and never removed.
-HISTORY_KEY = 'spanfall/history'
 #: Seconds that the home's lease lasts without renewal, where the store
 #: grants one as short.
 LEASE_SECONDS = 2.5
@@ -106,7 +98,7 @@
             return
         self._lay_down('this node stops')
         try:
-            await self._store.revoke(tenure.lease)
+            await self._store.revoke(tenure.timeline, tenure.lease)
         except StoreError as exc:
             logger.info('Could not end the lease: %r', exc)
 
@@ -147,7 +139,15 @@
     async def _renew(self, tenure: Tenure) -> None:
         sent_at = self._state.timers.now()
         try:
-            await self._store.renew(tenure.lease, RENEW_SECONDS)
+            await self._store.renew(
+                tenure.timeline,
+                tenure.lease,
+                RENEW_SECONDS,
+            )
+        except StoreRestoredError:
+            if tenure.timeline < self._store.timeline:
+                await self._hold_next_record(tenure)
+            return
         except StoreError:
             now = self._state.timers.now()
             tenure.is_cut = now - tenure.renewed_at > CUT_SECONDS
@@ -157,10 +157,29 @@
             return
         tenure.is_cut = False
         tenure.renewed_at = sent_at
-        tenure.valid_until = sent_at + self._lease_seconds - LEASE_MARGIN
+        tenure.valid_until = self._valid_until(sent_at)
+
+    async def _hold_next_record(self, tenure: Tenure) -> None:
+        """Hold the record of the store's next timeline as well.
+
+        While its lease of the one before lasts no other node was the home
+        there, so there is no break.
+        """
+        now = self._state.timers.now()
+        is_over = now >= tenure.valid_until
+        claim = None if is_over else await self._claim(0)
+        if claim is None:
+            raise LeaseLostError
+        if self._state.tenure is tenure and not tenure.resigned:
+            go_on(self._state, claim, self._valid_until(claim.sent_at))
 
     async def _look(self) -> None:
-        item = await self._store.get(HOME_KEY)
+        timeline = self._store.timeline
+        item = await self._store.get(home_key(timeline))
+        if self._store.timeline != timeline:
+            # That was the record of an earlier timeline.
+            self._state.look_now.set()
+            return
         if item is None:
             await self._take_free_record()
             return
@@ -202,7 +221,7 @@
         """
         known = item.revision
         if item.lease:
-            await self._store.revoke(item.lease)
+            await self._store.revoke(self._store.timeline, item.lease)
             known = 0
         await self._try_to_hold(known, self._lease_seconds - LEASE_MARGIN)
 
@@ -243,47 +262,33 @@
         ``gives_after`` are the seconds after which it may give units.
         """
         state = self._state
-        cfg = state.cfg
-        history = await self._store.get(HISTORY_KEY)
-        before = history.revision if history else 0
         shared_levels = await self._records.spending.read()
         state.needs = await self._records.needs.read()
         await self._records.crashes.read()
-        sent_at = state.timers.now()
-        lease = await self._store.grant(self._lease_seconds)
-        record = write_home(cfg.node, cfg.listen.links, state.incarnation)
-        writes = (Write(HOME_KEY, record, lease), Write(HISTORY_KEY, record))
-        expected = {HOME_KEY: known, HISTORY_KEY: before}
-        try:
-            epoch = await self._store.transact(expected, writes)
-        except ConditionFailedError:
-            logger.info('Another node became the home first')
+        claim = await self._claim(known)
+        if claim is None:
             state.look_now.set()
             return
         state.shared_levels = shared_levels
-        began_at = state.timers.now()
-        state.fleet = FleetState(
-            state.prompts.speeds,
-            expected=state.quotas.entries,
-            expected_until=began_at + MEETING_SECONDS,
-        )
-        state.grant_book = GrantBook()
-        state.granted_prompts = PromptHistory(speeds=state.prompts.speeds)
-        state.words.begin_tenure(began_at + gives_after)
-        state.tenure = Tenure(
-            epoch,
-            lease,
-            valid_until=sent_at + self._lease_seconds - LEASE_MARGIN,
-            renewed_at=sent_at,
-            began_at=began_at,
-            gives_at=began_at + gives_after,
-            is_first=not before,
-        )
-        state.home_resigned = False
-        state.note_home(
-            HomeRecord(cfg.node, cfg.listen.links, state.incarnation, epoch),
+        gives_at = state.timers.now() + gives_after
+        if claim.is_first_since_restore:
+            # The store has forgotten the lease of a home that may act on.
+            forgotten_at = self._valid_until(self._store.timeline_since)
+            gives_at = max(gives_at, forgotten_at)
+        valid_until = self._valid_until(claim.sent_at)
+        begin_tenure(state, claim, valid_until, gives_at)
+
+    async def _claim(self, known: int) -> Claim | None:
+        return await claim_home(
+            self._state,
+            self._store,
+            known,
+            self._lease_seconds,
         )
-        logger.info('This node is the home now, epoch %s', epoch)
+
+    def _valid_until(self, sent_at: float) -> float:
+        """Return until when a lease certainly lasts that was asked for."""
+        return sent_at + self._lease_seconds - LEASE_MARGIN
 
     def _lay_down(self, reason: str) -> None:
         tenure = self._state.tenure
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/new_tenure.py
@@ -0,0 +1,70 @@
+"""Begin this node's time as home, or go on with it under another record."""
+
+import logging
+from dataclasses import replace
+
+from spanfall_core.gateway.known.fleet import MEETING_SECONDS, FleetState
+from spanfall_core.gateway.routing.balance import PromptHistory
+from spanfall_core.gateway.routing.grants import GrantBook
+
+from spanfall_node.gateway.home.claiming import Claim
+from spanfall_node.gateway.links.succession_messages import HomeRecord
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.tables.tenure import Tenure
+
+logger = logging.getLogger(__name__)
+
+
+def begin_tenure(
+    state: GatewayState,
+    claim: Claim,
+    valid_until: float,
+    gives_at: float,
+) -> None:
+    """Be the home from now on; give units from a later moment on."""
+    began_at = state.timers.now()
+    state.fleet = FleetState(
+        state.prompts.speeds,
+        expected=state.quotas.entries,
+        expected_until=began_at + MEETING_SECONDS,
+    )
+    state.grant_book = GrantBook()
+    state.granted_prompts = PromptHistory(speeds=state.prompts.speeds)
+    state.words.begin_tenure(max(began_at, gives_at))
+    state.tenure = Tenure(
+        claim.epoch,
+        claim.lease,
+        valid_until=valid_until,
+        renewed_at=claim.sent_at,
+        began_at=began_at,
+        gives_at=max(began_at, gives_at),
+        is_first=claim.is_first,
+    )
+    state.home_resigned = False
+    _note_own_record(state, claim)
+
+
+def go_on(state: GatewayState, claim: Claim, valid_until: float) -> None:
+    """Go on as the home, without a break, under a record just written."""
+    state.tenure = replace(
+        state.tenure,
+        epoch=claim.epoch,
+        lease=claim.lease,
+        valid_until=valid_until,
+        renewed_at=claim.sent_at,
+        is_cut=False,
+    )
+    _note_own_record(state, claim)
+
+
+def _note_own_record(state: GatewayState, claim: Claim) -> None:
+    cfg = state.cfg
+    state.note_home(
+        HomeRecord(
+            cfg.node,
+            cfg.listen.links,
+            state.incarnation,
+            claim.epoch,
+        ),
+    )
+    logger.info('This node is the home now, epoch %s', claim.epoch)
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/succession.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/succession.py
@@ -47,6 +47,8 @@
         #: Entries that were asked or told in this matter, and when last.
         self._asked: set[ServerConnection] = set()
         self._asked_at = float('-inf')
+        #: The epoch that the entries know.
+        self._told_epoch = 0
 
     def add(self, link: ServerConnection) -> None:
         """Note an entry that listens."""
@@ -93,6 +95,17 @@
             await self._tell_some(StoreQuestion(tenure.epoch))
         else:
             self._asked.clear()
+            await self._tell_epoch(tenure.epoch)
+
+    async def _tell_epoch(self, epoch: int) -> None:
+        """Tell the entries that this node goes on under another epoch."""
+        told = self._told_epoch
+        self._told_epoch = epoch
+        if told and told != epoch:
+            await send_to_all(
+                list(self._links),
+                SuccessorMessage(self._state.home),
+            )
 
     async def _tell_successor(self) -> None:
         home = self._state.home
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/ports.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/ports.py
@@ -101,7 +101,11 @@
     upstream_prefix: str
     get: Callable[[str], HttpCall]
     list_items: Callable[[str, str], HttpCall]
-    transact: Callable[[dict[str, int], tuple[Write, ...]], HttpCall]
+    #: Expected revisions, what is written, and keys that are removed.
+    transact: Callable[
+        [dict[str, int], tuple[Write, ...], tuple[str, ...]],
+        HttpCall,
+    ]
     grant: Callable[[int], HttpCall]
     renew: Callable[[int], HttpCall]
     revoke: Callable[[int], HttpCall]
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/crash_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/crash_record.py
@@ -15,7 +15,6 @@
 from spanfall_node.gateway.net.ports import Write
 from spanfall_node.gateway.store.store_client import StoreClient, StoreError
 from spanfall_node.gateway.tables.state import GatewayState
-from spanfall_node.gateway.tables.tenure import HOME_KEY
 
 logger = logging.getLogger(__name__)
 
@@ -91,11 +90,8 @@
         if self._written == quarantined.keys():
             return
         content = msgspec.json.encode(CrashRecordContent(quarantined))
-        epoch = self._state.tenure.epoch
-        await self._store.transact(
-            {HOME_KEY: epoch},
-            (Write(CRASHES_KEY, content),),
-        )
+        write = Write(CRASHES_KEY, content)
+        await self._store.write_as_home(self._state.tenure, write)
         self._written = frozenset(quarantined)
 
     def _is_alone(self, now: float) -> bool:
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/needs_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/needs_record.py
@@ -14,7 +14,6 @@
 from spanfall_node.gateway.net.ports import Write
 from spanfall_node.gateway.store.store_client import StoreClient, StoreError
 from spanfall_node.gateway.tables.state import GatewayState
-from spanfall_node.gateway.tables.tenure import HOME_KEY
 
 logger = logging.getLogger(__name__)
 
@@ -83,13 +82,9 @@
 
     async def _write(self) -> None:
         needs = dict(self._state.needs)
-        content = msgspec.json.encode(NeedsContent(needs))
-        epoch = self._state.tenure.epoch
+        write = Write(NEEDS_KEY, msgspec.json.encode(NeedsContent(needs)))
         try:
-            await self._store.transact(
-                {HOME_KEY: epoch},
-                (Write(NEEDS_KEY, content),),
-            )
+            await self._store.write_as_home(self._state.tenure, write)
         except StoreError as exc:
             logger.info('Could not record the needs: %r', exc)
         else:
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/quota_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/quota_record.py
@@ -19,7 +19,6 @@
 from spanfall_node.gateway.net.ports import Write
 from spanfall_node.gateway.store.store_client import StoreClient, StoreError
 from spanfall_node.gateway.tables.state import GatewayState
-from spanfall_node.gateway.tables.tenure import HOME_KEY
 
 logger = logging.getLogger(__name__)
 
@@ -108,10 +107,9 @@
     async def _write(self, pressed: dict[str, list[float]], now: float) -> None:
         record = SpendingRecord(pressed)
         write = Write(SPENDING_KEY, msgspec.json.encode(record))
-        expected = {HOME_KEY: self._state.tenure.epoch}
         self._written_at = now
         try:
-            await self._store.transact(expected, (write,))
+            await self._store.write_as_home(self._state.tenure, write)
         except StoreError as exc:
             logger.info('Could not record the spending: %r', exc)
             return
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/store_client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/store_client.py
@@ -6,10 +6,14 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TypeVar
 
-from spanfall_core.gateway.known.timelines import on_timeline
+from spanfall_core.gateway.known.timelines import (
+    on_timeline,
+    revision_of,
+    timeline_of,
+)
 
 from spanfall_node.gateway.net.errors import BrokenCallError, NotSentError
 from spanfall_node.gateway.net.pool import ConnectionPool, call_once
@@ -21,6 +25,7 @@
     Write,
 )
 from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.tables.tenure import Tenure, home_key
 
 logger = logging.getLogger(__name__)
 
@@ -82,6 +87,10 @@
         self._dialect = state.platform.store
         self.health = StoreHealth()
         self._timeline: int | None = None
+        #: When an answer first told of the timeline that the store is on.
+        self.timeline_since = float('-inf')
+        #: Whether an answer told of another one before.
+        self.was_restored = False
 
     @property
     def timeline(self) -> int:
@@ -93,7 +102,7 @@
         reply = await self._call(self._dialect.get(key), missing_ok=True)
         if reply.status == 404:
             return None
-        return _read(self._dialect.read_item, reply)
+        return self._placed(_read(self._dialect.read_item, reply))
 
     async def list_items(self, prefix: str) -> Listing:
         """Return all items below a prefix, page by page.
@@ -110,46 +119,95 @@
             if self.timeline != first:
                 raise StoreRestoredError
             items.extend(page.items)
-        return Listing(tuple(items), revision)
+        return Listing(tuple(map(self._placed, items)), revision)
+
+    async def write_as_home(
+        self,
+        tenure: Tenure,
+        write: Write,
+        before: int | None = None,
+    ) -> int:
+        """Write an item while a node certainly holds the home's record.
+
+        ``before`` is the revision that the item is to have; None: any. Raises
+        what ``transact`` does.
+        """
+        expected = {home_key(tenure.timeline): tenure.epoch}
+        if before is not None:
+            expected[write.key] = before
+        return await self.transact(tenure.timeline, expected, (write,))
 
     async def transact(
         self,
+        timeline: int,
         expected: dict[str, int],
         writes: tuple[Write, ...],
+        removed: tuple[str, ...] = (),
     ) -> int:
         """Write if the items still have the expected revisions.
 
         Raises:
             ConditionFailedError: an item was changed; nothing was written.
             LeaseLostError: a lease has ended; nothing was written.
+            StoreRestoredError: the store is not on that timeline any more.
         """
-        call = self._dialect.transact(expected, writes)
-        reply = await self._call(call, missing_ok=True)
+        known = [revision for revision in expected.values() if revision]
+        if any(timeline_of(revision) != timeline for revision in known):
+            raise ConditionFailedError
+        plain = {key: revision_of(known) for key, known in expected.items()}
+        call = self._dialect.transact(plain, writes, removed)
+        reply = await self._call(call, missing_ok=True, timeline=timeline)
         if reply.status == 412:
             raise ConditionFailedError
         if reply.status == 404:
             raise LeaseLostError
-        return _read(self._dialect.read_revision, reply)
+        return on_timeline(timeline, _read(self._dialect.read_revision, reply))
 
-    async def grant(self, seconds: float) -> int:
-        """Return a new lease."""
-        reply = await self._call(self._dialect.grant(int(seconds * 1000)))
+    async def grant(self, timeline: int, seconds: float) -> int:
+        """Return a new lease.
+
+        Raises:
+            StoreRestoredError: the store is not on that timeline any more.
+        """
+        call = self._dialect.grant(int(seconds * 1000))
+        reply = await self._call(call, timeline=timeline)
         return _read(self._dialect.read_lease, reply)
 
-    async def renew(self, lease: int, seconds: float = CALL_SECONDS) -> None:
-        """Renew a lease.
+    async def renew(
+        self,
+        timeline: int,
+        lease: int,
+        seconds: float = CALL_SECONDS,
+    ) -> None:
+        """Renew a lease that was given out on a timeline.
 
         Raises:
             LeaseLostError: the lease has ended.
+            StoreRestoredError: the store is not on that timeline any more; the
+                lease may be another one that bears the same number.
         """
-        call = self._dialect.renew(lease)
-        reply = await self._call(call, missing_ok=True, seconds=seconds)
+        reply = await self._call(
+            self._dialect.renew(lease),
+            missing_ok=True,
+            seconds=seconds,
+            timeline=timeline,
+        )
         if reply.status == 404:
             raise LeaseLostError
 
-    async def revoke(self, lease: int) -> None:
-        """End a lease and remove its items."""
-        await self._call(self._dialect.revoke(lease), missing_ok=True)
+    async def revoke(self, timeline: int, lease: int) -> None:
+        """End a lease that was given out on a timeline, and remove its items.
+
+        Raises:
+            StoreRestoredError: the store is not on that timeline any more.
+        """
+        call = self._dialect.revoke(lease)
+        await self._call(call, missing_ok=True, timeline=timeline)
+
+    def _placed(self, item: StoredItem) -> StoredItem:
+        """Return an item just read, its revision with the timeline."""
+        revision = on_timeline(self.timeline, item.revision)
+        return replace(item, revision=revision)
 
     async def _page(self, prefix: str, after: str) -> Listing:
         reply = await self._call(self._dialect.list_items(prefix, after))
@@ -161,7 +219,10 @@
         *,
         missing_ok: bool = False,
         seconds: float = CALL_SECONDS,
+        timeline: int | None = None,
     ) -> HttpReply:
+        """Make a call; one for a timeline fails if the store is on another."""
+        self._check_timeline(timeline)
         now = self._state.timers.now
         counter = self._state.counters.store_calls
         address = self._state.cfg.store
@@ -177,6 +238,7 @@
             raise StoreUncertainError(exc.reason) from exc
         counter.labels(reply.status).inc()
         self._note_timeline(reply)
+        self._check_timeline(timeline)
         allowed = {200, 404, 412} if missing_ok else {200}
         if reply.status in {429, 503}:
             self.health.note(answered=False, now=now())
@@ -185,6 +247,10 @@
         self.health.note(answered=True, now=now())
         return reply
 
+    def _check_timeline(self, wanted: int | None) -> None:
+        if wanted is not None and wanted != self.timeline:
+            raise StoreRestoredError
+
     def _note_timeline(self, reply: HttpReply) -> None:
         """Note the timeline of an answer.
 
@@ -198,7 +264,9 @@
         if timeline < self.timeline:
             raise StoreRestoredError
         self._timeline = timeline
+        self.timeline_since = self._state.timers.now()
         if known is not None:
+            self.was_restored = True
             self._state.counters.store_restores.inc()
             logger.warning(
                 'The store was restored from a copy: timeline %s after %s',
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/tenure.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/tenure.py
@@ -2,14 +2,23 @@
 
 from dataclasses import dataclass
 
-#: Key of the record that names the home.
-HOME_KEY = 'spanfall/home'
+from spanfall_core.gateway.known.timelines import timeline_of
+
+
+def home_key(timeline: int) -> str:
+    """Return the key of the record that names the home.
+
+    Each timeline of the store has its own: a call under the condition of an
+    earlier one can't meet the same revision of a later record.
+    """
+    return f'spanfall/home/{timeline}'
 
 
 @dataclass(slots=True)
 class Tenure:
     """Hold this node's own time as home."""
 
+    #: Revision of its record, with the timeline: the fencing token.
     epoch: int
     lease: int
     #: Steady time until which the lease is certain to last.
@@ -27,6 +36,11 @@
     #: Whether it cannot renew its lease.
     is_cut: bool = False
 
+    @property
+    def timeline(self) -> int:
+        """Return the timeline of the store on which it holds the record."""
+        return timeline_of(self.epoch)
+
     def may_give(self, now: float) -> bool:
         """Tell whether no other node can give units of the limits."""
         return self.gives_at <= now < self.valid_until
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
@@ -124,6 +124,7 @@
 
     expected: dict[str, int]
     writes: list[tuple[str, str, int]]
+    removed: tuple[str, ...] = ()
 
 
 def _read_configuration(source: bytes) -> ServedConfiguration:
@@ -199,9 +200,13 @@
     return HttpCall('GET', '/items?{0}'.format(urlencode({'prefix': prefix})))
 
 
-def _transact(expected: dict[str, int], writes: tuple[Write, ...]) -> HttpCall:
+def _transact(
+    expected: dict[str, int],
+    writes: tuple[Write, ...],
+    removed: tuple[str, ...],
+) -> HttpCall:
     rows = [(row.key, row.content.decode(), row.lease) for row in writes]
-    body = msgspec.json.encode(PlainTransaction(expected, rows))
+    body = msgspec.json.encode(PlainTransaction(expected, rows, removed))
     return HttpCall('POST', '/transaction', body=body)
 
 
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/store.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/store.py
@@ -128,6 +128,8 @@
         self.revision += 1
         for name, content, lease in wanted.writes:
             self._set(name, content, lease)
+        for gone in wanted.removed:
+            self.items.pop(gone, None)
         return 200, str(self.revision).encode()
 
     def _revision_of(self, key: str) -> int:
--- a/tests/test_gateway_home.py
+++ b/tests/test_gateway_home.py
@@ -27,7 +27,7 @@
     old_proof,
     read_period,
 )
-from spanfall_node.gateway.tables.tenure import HOME_KEY
+from spanfall_node.gateway.tables.tenure import home_key
 from spanfall_standins.gateway.dialect import (
     CONFIGURATION_KEY,
     UPSTREAM_PREFIX,
@@ -117,7 +117,7 @@
 @in_world
 async def test_one_node_becomes_the_home(world):
     home, other = await two_gateways(world)
-    assert home.tenure.epoch == world.store.items[HOME_KEY].revision
+    assert home.tenure.epoch == world.store.items[home_key(0)].revision
     assert other.tenure is None
 
 
@@ -192,7 +192,7 @@
     def __init__(self, world):
         self._world = world
 
-    async def revoke(self, lease):
+    async def revoke(self, timeline, lease):
         self._world.store.end(lease)
 
 
@@ -213,7 +213,7 @@
     """The record of its own earlier run need not run out."""
     record = {'node': 'node-1', 'address': '127.0.0.1:1', 'incarnation': 'old'}
     world.store.leases[7] = (1000, 0)
-    old = world.store.put(HOME_KEY, json.dumps(record), 7)
+    old = world.store.put(home_key(0), json.dumps(record), 7)
     state = await world.add_gateway()
     await wait_until(lambda: state.is_home(state.timers.now()))
     assert state.tenure.epoch > old
--- /dev/null
+++ b/tests/test_gateway_home_restore.py
@@ -0,0 +1,117 @@
+"""The home, its lease and its fencing token when the store is restored."""
+
+import anyio
+import pytest
+from gateway_world import in_world
+from spanfall_node.gateway.net.ports import Write
+from spanfall_node.gateway.store.store_client import (
+    ConditionFailedError,
+    StoreRestoredError,
+)
+from spanfall_node.gateway.tables.tenure import home_key
+from spanfall_standins.gateway.dialect import PlainWorkspace
+from support import wait_until
+from test_gateway_home import home_of, two_gateways
+from test_gateway_store_restore import store_client
+from test_gateway_succession import ending_gateway, is_home
+
+#: Seconds from asking for a lease for which its holder acts.
+ACTS = 2.0
+
+
+def follows(entry, home):
+    """Tell whether an entry knows a home by its present record."""
+    epoch = home.tenure.epoch
+    return entry.home is not None and entry.home.epoch == epoch
+
+
+# Guards against entries that take the next home for an earlier one, and
+# against a fencing token that goes back.
+@in_world
+async def test_the_home_goes_on_after_a_restore(world):
+    copy = world.store.copy()
+    home, other = await two_gateways(world)
+    before = home.tenure
+    world.store.restore(copy)
+    await wait_until(lambda: home.tenure.epoch > before.epoch)
+    assert is_home(home)
+    assert home.tenure.began_at == before.began_at
+    assert home.tenure.may_give(home.timers.now())
+    assert home_key(home.tenure.timeline) in world.store.items
+    await wait_until(lambda: follows(other, home))
+    await wait_until(lambda: other.home_heard_at > home.tenure.renewed_at)
+
+
+# Guards against a lease that another holds by the same number.
+@in_world
+async def test_a_lease_from_before_a_restore(world):
+    home, other = await two_gateways(world)
+    before = home.tenure
+    world.store.restore(world.store.copy())
+    await wait_until(lambda: home.tenure.epoch > before.epoch)
+    held = world.store.items[home_key(home.tenure.timeline)]
+    assert held.lease == home.tenure.lease
+    assert held.lease != before.lease
+    assert home_key(before.timeline) not in world.store.items
+    await wait_until(lambda: follows(other, home))
+
+
+# Guards against a home that goes on where another holds the next record.
+@in_world
+async def test_another_is_the_home_after_a_restore(world):
+    home, other = await two_gateways(world)
+    world.store.restore(world.store.copy())
+    record = (
+        f'{{"node":"x","address":"{other.cfg.listen.links}",'
+        f'"incarnation":"{other.incarnation}","timeline":1}}'
+    )
+    world.store.leases[7] = (1000, world.store.clock())
+    world.store.put(home_key(1), record, 7)
+    await wait_until(lambda: not is_home(home))
+    await anyio.sleep(ACTS)
+    assert not is_home(home)
+    assert world.store.items[home_key(1)].content == record
+
+
+# Guards against two homes that give the same units: the store has forgotten
+# the lease of the first, which may act until that has ended.
+@in_world
+async def test_a_new_home_gives_late_after_a_restore(world):
+    world.configure(workspaces=[PlainWorkspace('w', ['k'], 100, 100)])
+    async with ending_gateway(world) as (first, life):
+        await wait_until(lambda: is_home(first))
+        other = await world.add_gateway()
+        await wait_until(lambda: other.home_heard_at > 0)
+        world.store.failing = 503
+        await wait_until(lambda: first.tenure.is_cut)
+        epoch = first.tenure.epoch
+        life.cancel()
+    world.store.restore(world.store.copy())
+    world.store.failing = 0
+    restored_at = other.timers.now()
+    await wait_until(lambda: is_home(other))
+    assert other.tenure.epoch > epoch
+    assert other.tenure.gives_at >= restored_at + ACTS - 0.1
+    await wait_until(lambda: other.tenure.may_give(other.timers.now()))
+    assert home_of(other) is other
+
+
+# Guards against conditions on a revision that is given out again.
+@in_world
+async def test_conditions_from_before_a_restore(world):
+    async with store_client(world) as store:
+        world.store.revision = 8
+        revision = world.store.put('a', 'one')
+        known = (await store.get('a')).revision
+        world.store.restore(world.store.copy())
+        write = (Write('b', b'two'),)
+        with pytest.raises(StoreRestoredError):
+            await store.transact(0, {'a': known}, write)
+        world.store.items.clear()
+        world.store.revision = revision - 1
+        assert world.store.put('a', 'another') == revision
+        with pytest.raises(ConditionFailedError):
+            await store.transact(1, {'a': known}, write)
+        with pytest.raises(StoreRestoredError):
+            await store.renew(0, 7)
+        assert 'b' not in world.store.items
--- a/tests/test_gateway_succession.py
+++ b/tests/test_gateway_succession.py
@@ -16,7 +16,7 @@
 from spanfall_node.gateway.links.succession_messages import ResignMessage
 from spanfall_node.gateway.program import start_gateway
 from spanfall_node.gateway.tables.new_state import build_state
-from spanfall_node.gateway.tables.tenure import HOME_KEY
+from spanfall_node.gateway.tables.tenure import home_key
 from spanfall_standins.gateway.dialect import PlainWorkspace
 from spanfall_standins.gateway.server import answer_bytes, start_server
 from support import wait_until
@@ -140,7 +140,7 @@
 @in_world
 async def test_a_record_that_cannot_be_read_is_replaced(world):
     """Units are given once its holder, if there is one, acts no more."""
-    world.store.put(HOME_KEY, 'no record')
+    world.store.put(home_key(0), 'no record')
     state = await world.add_unready_gateway()
     await wait_until(lambda: is_home(state))
     tenure = state.tenure
@@ -154,7 +154,7 @@
     def __init__(self, home):
         self._home = home
 
-    async def renew(self, lease, seconds):
+    async def renew(self, timeline, lease, seconds):
         tenure = self._home.tenure
         tenure.is_cut = True
         assert Succession(self._home).hand_over(tenure.epoch) is not None
