Keep an upstream leaving when a copy of the store lists it as before

Would have been seen: requests reach an upstream seconds after the store has taken that it leaves, until it writes so again.

Cause, the same class: a listing replaces what is known, as a later one can't be older in what it says. The first listing after a restore is.

Evidence: the test failed before, on both nodes: serving {u-1, u-2} where u-1 had left.

Why this works: leaving holds for the lifetime, from the listing that first said it, as the upstream's own word in an answer does already.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
@@ -64,6 +64,9 @@
         self.is_apart = False
         #: Lifetimes that are over, oldest first, and whose they are.
         self._ended: dict[Lifetime, str] = {}
+        #: Those listed as leaving: a copy that the store was restored from may
+        #: list them as they were before.
+        self._left: set[Lifetime] = set()
         #: The latest start that is known of each upstream.
         self._born: dict[str, int] = {}
         self._by_service: dict[str, list[ListedUpstream]] = {}
@@ -134,10 +137,18 @@
             if row.born is not None:
                 self._born[row.upstream_id] = row.born
             if row.lifetime not in self._ended:
-                found[row.lifetime] = self._with_word(row)
+                found[row.lifetime] = self._with_word(self._as_it_left(row))
         paused -= {usable.upstream_id for usable in found.values()}
         return found | self._pause(paused) if paused else found
 
+    def _as_it_left(self, row: ListedUpstream) -> ListedUpstream:
+        """Return a row that leaves if it was ever listed as leaving."""
+        if row.leaving:
+            self._left.add(row.lifetime)
+        elif row.lifetime in self._left:
+            return replace(row, leaving=True)
+        return row
+
     def _with_word(self, row: ListedUpstream) -> ListedUpstream:
         """Return a row with what its upstream said itself."""
         said = row.lifetime in self._said_leaving
@@ -231,6 +242,7 @@
 
     def _note_ended(self, lifetime: Lifetime, upstream_id: str) -> None:
         self._ended[lifetime] = upstream_id
+        self._left.discard(lifetime)
         if len(self._ended) <= REMEMBERED_ENDS:
             return
         oldest = next(iter(self._ended))
--- a/tests/test_gateway_store_restore.py
+++ b/tests/test_gateway_store_restore.py
@@ -6,7 +6,7 @@
 import anyio
 import msgspec
 import pytest
-from gateway_world import ask, in_world
+from gateway_world import SERVICE, ask, in_world
 from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_node.gateway.net.pool import ConnectionPool
 from spanfall_node.gateway.store.store_client import (
@@ -76,6 +76,26 @@
     world.store.put(key, leaving.decode())
 
 
+def serving(state):
+    """Return the upstreams that a node sends to."""
+    return {row.lifetime for row in state.directory.serving(SERVICE)}
+
+
+# Guards against a copy that takes back what an upstream has written.
+@in_world
+async def test_one_that_left_before_a_restore(world):
+    upstreams = [await world.add_upstream(whole()) for _ in range(2)]
+    gateways = [await world.add_gateway() for _ in range(2)]
+    copy = world.store.copy()
+    let_leave(world, upstreams[0])
+    left = {upstreams[1].lifetime}
+    await wait_until(lambda: all(serving(row) == left for row in gateways))
+    world.store.restore(copy)
+    world.store.put('any', 'write')
+    await anyio.sleep(DRAINED)
+    assert [serving(row) for row in gateways] == [left, left]
+
+
 @asynccontextmanager
 async def store_client(world):
     """Give a client of the store, without a gateway around it."""
