Report no window again whose record a restore of the store has lost

Would have been seen: two usage reports for one window with different counts.

Cause, the same class: a new home goes on from the record of the windows that were reported. A copy of the store does not hold the last of them, so the home counts them anew, from the entries that are left.

Evidence: the test failed before: with the home gone and the store restored, the next one reported windows again without the counts of the lost entry.

Why this works: the record bears its timeline. What one of an earlier timeline does not name may have been reported, so a home leaves out what was due, unless it reported itself so lately that no other can have done so since: a new home waits before it acts. What is left out is a report missed for each window, never a second one.

--- a/packages/spanfall-node/src/spanfall_node/gateway/duties/duties.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/duties.py
@@ -11,6 +11,7 @@
 from spanfall_node.gateway.net.ports import HttpCall, Write
 from spanfall_node.gateway.store.store_client import StoreClient, StoreError
 from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.tables.tenure import Tenure
 
 logger = logging.getLogger(__name__)
 
@@ -32,6 +33,8 @@
     """Hold the newest windows with the counts that were sent for them."""
 
     windows: WindowCounts
+    #: Timeline of the store on which it was written.
+    timeline: int = 0
 
 
 class Cloud:
@@ -100,10 +103,12 @@
         self._store = store
         self._cloud = cloud
         self._epoch = 0
+        #: This node's last time as home in which it reported.
+        self._tenure: Tenure | None = None
         self._revision = 0
         self._record = UsageRecord({})
         self._unsent: list[int] = []
-        #: First window of a holder that cannot read what was sent before:
+        #: First window of a holder that does not know what was sent before:
         #: earlier ones may have been sent with other counts.
         self._first: int | None = None
 
@@ -120,8 +125,9 @@
                 logger.info('Could not record the usage: %r', exc)
 
     async def _step(self) -> None:
-        if self._epoch != self._state.tenure.epoch:
-            await self._take_over()
+        tenure = self._state.tenure
+        if self._epoch != tenure.epoch:
+            await self._take_over(tenure)
         for late in list(self._unsent):
             if not await self._send(late):
                 return
@@ -134,21 +140,44 @@
                 return
             window += 1
 
-    async def _take_over(self) -> None:
-        epoch = self._state.tenure.epoch
+    async def _take_over(self, tenure: Tenure) -> None:
         item = await self._store.get(USAGE_KEY)
-        self._record = UsageRecord({})
-        self._revision = 0
-        self._first = None
-        if item is not None:
-            self._revision = item.revision
-            try:
-                self._record = _read_usage(item.content)
-            except (ValueError, RecursionError):
-                logger.exception('The record of usage cannot be read')
-                self._first = self._due_window() + 1
-        self._unsent = sorted(self._record.windows)
-        self._epoch = epoch
+        record = UsageRecord({}) if item is None else _read_usage(item.content)
+        first = None
+        if record is None or record.timeline != tenure.timeline:
+            record, first = self._restored(record, tenure)
+        self._record = record
+        self._first = first
+        self._revision = 0 if item is None else item.revision
+        self._unsent = sorted(record.windows)
+        self._tenure = tenure
+        self._epoch = tenure.epoch
+
+    def _restored(
+        self,
+        record: UsageRecord | None,
+        tenure: Tenure,
+    ) -> tuple[UsageRecord, int | None]:
+        """Return what was sent, and the first window that surely was not.
+
+        Windows may have been sent whose record is lost.
+        """
+        next_due = self._due_window() + 1
+        if record is None:
+            return UsageRecord({}), next_due
+        if self._knows_all():
+            return UsageRecord(record.windows | self._record.windows), None
+        return record, None if tenure.is_first else next_due
+
+    def _knows_all(self) -> bool:
+        """Tell whether no other node can have sent any since this one did.
+
+        A new home waits before it acts, and the store was restored sooner.
+        """
+        if self._tenure is None:
+            return False
+        waits = self._state.cfg.bounds.duty_lease_seconds
+        return self._store.timeline_since < self._tenure.renewed_at + waits
 
     def _due_window(self) -> int:
         """Return the newest window whose counts are complete."""
@@ -158,10 +187,12 @@
 
     def _next_window(self, due: int) -> int:
         """Return the first window that was not recorded yet."""
+        first = self._first
         if self._record.windows:
-            return max(self._record.windows) + 1
-        if self._first is not None:
-            return self._first
+            unrecorded = max(self._record.windows) + 1
+            return unrecorded if first is None else max(unrecorded, first)
+        if first is not None:
+            return first
         state = self._state
         state.learn_report(state.own_report(), state.timers.now())
         known = [
@@ -177,9 +208,13 @@
         windows = dict(self._record.windows)
         windows[window] = state.fleet.usage.total(window)
         kept = sorted(windows)[-RECORDED_WINDOWS:]
-        record = UsageRecord({key: windows[key] for key in kept})
+        tenure = state.tenure
+        record = UsageRecord(
+            {key: windows[key] for key in kept},
+            tenure.timeline,
+        )
         self._revision = await self._store.write_as_home(
-            state.tenure,
+            tenure,
             Write(USAGE_KEY, msgspec.json.encode(record)),
             self._revision,
         )
@@ -206,10 +241,10 @@
         return False
 
 
-def _read_usage(content: bytes) -> UsageRecord:
-    """Read the record of usage.
-
-    Raises:
-        ValueError: it is none.
-    """
-    return msgspec.json.decode(content, type=UsageRecord)
+def _read_usage(content: bytes) -> UsageRecord | None:
+    """Read the record of usage, or None if it is none."""
+    try:
+        return msgspec.json.decode(content, type=UsageRecord)
+    except (ValueError, RecursionError):
+        logger.exception('The record of usage cannot be read')
+        return None
--- a/tests/test_gateway_succession.py
+++ b/tests/test_gateway_succession.py
@@ -49,12 +49,12 @@
 
 
 @asynccontextmanager
-async def ending_gateway(world):
+async def ending_gateway(world, **bounds):
     """Start a gateway whose process can be ended without a word."""
     usual = world.tasks
     async with anyio.create_task_group() as tasks:
         world.tasks = tasks
-        state = await world.add_gateway()
+        state = await world.add_gateway(**bounds)
         world.tasks = usual
         yield state, tasks.cancel_scope
 
--- /dev/null
+++ b/tests/test_gateway_usage_restore.py
@@ -0,0 +1,88 @@
+"""Usage reports when the store has lost what was recorded of them."""
+
+from collections import defaultdict
+
+import anyio
+from gateway_world import ask, in_world
+from spanfall_node.gateway.duties.duties import USAGE_KEY
+from spanfall_standins.gateway.dialect import PlainWorkspace
+from spanfall_standins.gateway.upstream import whole
+from support import wait_until
+from test_gateway_succession import ending_gateway, is_home
+
+WINDOW = 1.0
+LEASE = 0.5
+BOUNDS = {'usage_window_seconds': WINDOW, 'duty_lease_seconds': LEASE}
+#: Reports before the home ends, and seconds in which the next one makes some.
+REPORTS = 3
+SECONDS = 8
+
+
+async def call_all_along(state):
+    """Send requests to an entry until cancelled."""
+    number = 0
+    while True:
+        number += 1
+        name = f'{state.cfg.node}/{number}'
+        await ask(state, '/keyed/1', attempt=name, authorization='Key k')
+        await anyio.sleep(0.05)
+
+
+def counts_by_window(world):
+    """Return the counts that were reported, by window."""
+    reports = defaultdict(list)
+    for call in world.cloud_calls:
+        if call['counts'] not in reports[call['window']]:
+            reports[call['window']].append(call['counts'])
+    return reports
+
+
+async def served_world(world):
+    world.configure(workspaces=[PlainWorkspace('w', ['k'])])
+    await world.add_upstream(whole())
+
+
+# Guards against a window that is reported again with other counts, since the
+# record of the first report is lost.
+@in_world
+async def test_a_new_home_after_a_restore(world):
+    await served_world(world)
+    async with ending_gateway(world, **BOUNDS) as (first, life):
+        await wait_until(lambda: is_home(first))
+        copy = world.store.copy()
+        other = await world.add_gateway(**BOUNDS)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call_all_along, first)
+            tasks.start_soon(call_all_along, other)
+            await wait_until(lambda: len(world.cloud_calls) >= REPORTS)
+            tasks.cancel_scope.cancel()
+        life.cancel()
+    world.store.restore(copy)
+    reported = len(world.cloud_calls)
+    await wait_until(lambda: is_home(other))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(call_all_along, other)
+        await anyio.sleep(SECONDS)
+        tasks.cancel_scope.cancel()
+    assert len(world.cloud_calls) > reported
+    reports = counts_by_window(world)
+    assert all(len(counts) == 1 for counts in reports.values())
+
+
+# Guards against windows that the home leaves out though it knows what it sent.
+@in_world
+async def test_the_same_home_after_a_restore(world):
+    await served_world(world)
+    home = await world.add_gateway(**BOUNDS)
+    await wait_until(lambda: is_home(home))
+    copy = world.store.copy()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(call_all_along, home)
+        await wait_until(lambda: len(world.cloud_calls) >= REPORTS)
+        world.store.restore(copy)
+        await anyio.sleep(SECONDS)
+        tasks.cancel_scope.cancel()
+    reports = counts_by_window(world)
+    assert USAGE_KEY in world.store.items
+    assert all(len(counts) == 1 for counts in reports.values())
+    assert sorted(reports) == list(range(min(reports), max(reports) + 1))
