Prove the configuration after a restore once the operator can have written

Would have been seen: a key that was taken away works on, at any node.

A copy that the store came back from may lack the last version, which no node had read before the store went away.

Evidence: the test failed before: with the key taken away and acknowledged as the store goes, the restored store proved the version before, and requests with that key got 200.

Why this works: a read on a new timeline proves the configuration once the operator was seen to write on it (a newer version, or another revision of the item), or 2 s after the timeline was first seen, within which platforms write again what was lost. An outage of under two seconds costs nothing by this; after one of over two seconds nodes that hold nothing newer are unready, or refuse keys, up to 2 s longer.

What reads and orders the configuration is a module of its own now. Listings that are left out are not logged any more: across a restore there are none.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/timelines.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/timelines.py
@@ -7,6 +7,9 @@
 
 #: Digits of the largest timeline that is read as one.
 MOST_DIGITS = 9
+#: Seconds after a restore within which platforms have written again what was
+#: lost.
+WRITTEN_AGAIN_SECONDS = 2.0
 #: Room for the revisions of one timeline.
 REVISION_BITS = 40
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
@@ -43,7 +43,7 @@
         state.learn_speeds(table.speeds)
         state.needs = table.needs
         if table.configuration is not None:
-            self._sync.learn_configuration(
+            self._sync.configuration.learn(
                 unpack(table.configuration),
                 sent_at - table.proof_age,
             )
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
@@ -13,6 +13,7 @@
 
 from spanfall_node.gateway.links.succession_messages import HomeRecord
 from spanfall_node.gateway.net.ports import InvalidRecordError, StoredItem
+from spanfall_node.gateway.store.configuration_sync import ConfigurationSync
 from spanfall_node.gateway.store.store_client import StoreClient, StoreError
 from spanfall_node.gateway.tables.state import GatewayState
 
@@ -71,8 +72,7 @@
         self._store = store
         #: Revision of each entry that cannot be used, by upstream.
         self._unusable: dict[str, int] = {}
-        #: Versions and revisions last read that are older than what is known.
-        self._older: dict[str, int] = {}
+        self.configuration = ConfigurationSync(state, store)
 
     async def run(self) -> None:
         """Read the store as often as this node has to, until cancelled."""
@@ -124,28 +124,6 @@
         await self._guarded_configuration()
         return self.hears_store
 
-    def learn_configuration(self, source: bytes, proved_at: float) -> None:
-        """Take over a configuration unless its version is an older one.
-
-        Only the operator's version tells which one is newer: the store may
-        have been restored from a copy that holds an older one.
-        """
-        state = self._state
-        known = state.configuration
-        if known is None or source != state.configuration_source:
-            read = state.platform.read_configuration(source)
-            if known is not None and read.version < known.version:
-                self._note_older('configuration', read.version, known.version)
-                return
-            state.configuration = read
-            state.configuration_source = source
-            logger.info(
-                'Configuration %s is in force; it replaces %s',
-                read.version,
-                known.version if known else None,
-            )
-        state.freshness.prove(proved_at)
-
     def learn_upstreams(
         self,
         revision: int,
@@ -162,10 +140,6 @@
         now = self._state.timers.now()
         if revision >= self._state.directory.revision:
             self._state.directory.prove(proved_at)
-        else:
-            self._note_older(
-                'listing', revision, self._state.directory.revision
-            )
         before = self._state.directory.rows.keys()
         changed = self._state.directory.apply(
             revision,
@@ -187,17 +161,6 @@
             self._state.loads.forget(lifetime)
             self._state.words.forget(lifetime, now)
 
-    def _note_older(self, what: str, number: int, known: int) -> None:
-        if self._older.get(what) == number:
-            return
-        self._older[what] = number
-        logger.warning(
-            'Left out %s %s, which is older than %s',
-            what,
-            number,
-            known,
-        )
-
     def _period(self) -> float:
         return read_period(
             self._state.quotas.entries,
@@ -215,7 +178,7 @@
 
     async def _guarded_configuration(self) -> None:
         try:
-            await self._read_configuration()
+            await self.configuration.read()
         except StoreError as exc:
             logger.info('Could not read the configuration: %r', exc)
         except InvalidRecordError:
@@ -227,19 +190,6 @@
         except StoreError as exc:
             logger.info('Could not list the upstreams: %r', exc)
 
-    async def _read_configuration(self) -> None:
-        state = self._state
-        began_at = state.timers.now()
-        item = await self._store.get(state.platform.store.configuration_key)
-        if item is None:
-            logger.info('The store holds no configuration yet')
-            if state.configuration is None:
-                # That there is none is known as well: entries that hear it
-                # need not ask the store too, each on its own.
-                state.freshness.prove(began_at)
-            return
-        self.learn_configuration(item.content, began_at)
-
     async def _read_upstreams(self) -> None:
         state = self._state
         began_at = state.timers.now()
--- a/tests/test_gateway_store_restore.py
+++ b/tests/test_gateway_store_restore.py
@@ -8,12 +8,17 @@
 import pytest
 from gateway_world import SERVICE, ask, in_world
 from spanfall_core.gateway.known.listed import ListedUpstream
+from spanfall_core.gateway.known.timelines import WRITTEN_AGAIN_SECONDS
 from spanfall_node.gateway.net.pool import ConnectionPool
 from spanfall_node.gateway.store.store_client import (
     StoreClient,
     StoreRestoredError,
 )
-from spanfall_standins.gateway.dialect import UPSTREAM_PREFIX
+from spanfall_standins.gateway.dialect import (
+    CONFIGURATION_KEY,
+    UPSTREAM_PREFIX,
+    PlainWorkspace,
+)
 from spanfall_standins.gateway.upstream import whole
 from support import wait_until
 
@@ -22,6 +27,8 @@
 DRAINED = 2.0
 #: Seconds after which an upstream that lives has written its entry again.
 WRITTEN_AGAIN = 1.5
+#: Seconds after which a key that was taken away may not work.
+REVOKED = 1.0
 #: Writes of others that are lost: their revisions are given out again.
 LOST_WRITES = 200
 
@@ -115,6 +122,59 @@
     assert all(newer.lifetime in serving(row) for row in gateways)
 
 
+# Guards against a key that works again: the copy lacks the version that took
+# it away, which no node had read before the store went away.
+@in_world
+async def test_a_key_taken_away_before_a_restore(world):
+    workspace = PlainWorkspace('w', ['k'])
+    world.configure(workspaces=[workspace])
+    await world.add_upstream(whole())
+    state = await world.add_gateway(revoke_seconds=REVOKED)
+    copy = world.store.copy()
+    world.store.failing = 503
+    version = world.configure(workspaces=[replace_keys(workspace)])
+    lost = world.store.items[CONFIGURATION_KEY].content
+    await wait_until(lambda: not serves_keys(state))
+    world.store.restore(copy)
+    world.store.failing = 0
+    answers = [await ask_with_key(state, number) for number in range(15)]
+    assert {answer.status for answer in answers} == {503}
+    world.store.put(CONFIGURATION_KEY, lost)
+    await wait_until(lambda: state.version == version and serves_keys(state))
+    assert (await ask_with_key(state, 99)).status == 401
+
+
+# Guards against a node that refuses for good where nothing was lost.
+@in_world
+async def test_no_change_before_a_restore(world):
+    state = await world.add_gateway(revoke_seconds=REVOKED)
+    world.store.failing = 503
+    await wait_until(lambda: not serves_keys(state))
+    world.store.restore(world.store.copy())
+    world.store.failing = 0
+    restored_at = state.timers.now()
+    await wait_until(lambda: serves_keys(state))
+    waited = state.timers.now() - restored_at
+    assert waited > WRITTEN_AGAIN_SECONDS - 0.1
+
+
+def serves_keys(state):
+    """Tell whether a node may serve requests with keys."""
+    return state.freshness.may_serve_keys(state.timers.now())
+
+
+def replace_keys(workspace):
+    """Return a workspace with another key instead."""
+    return PlainWorkspace(workspace.name, ['other'])
+
+
+async def ask_with_key(state, number):
+    """Send a request with the key, a tenth of a second after the last one."""
+    await anyio.sleep(0.1)
+    path = f'/keyed/{number}'
+    return await ask(state, path, attempt=f'k{number}', authorization='Key k')
+
+
 @asynccontextmanager
 async def store_client(world):
     """Give a client of the store, without a gateway around it."""
