Write records anew that a restore of the store has lost or brought back

Would have been seen: after a restore and then a restart of all nodes, a request that ends upstreams is sent again, spending that is long past refuses callers, and the need of upstreams is learned anew.

Cause, the same class: the home remembers what it wrote last and writes only what differs. The store may hold something older, or nothing.

Evidence: two tests that failed before: records of needs and of quarantined requests were not written again within 10 s, and an old record of spending stayed.

Why this works: a home that goes on under the record of another timeline reads its records first, as one that takes over does.

--- a/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
@@ -165,9 +165,10 @@
         While its lease of the one before lasts no other node was the home
         there, so there is no break.
         """
-        now = self._state.timers.now()
-        is_over = now >= tenure.valid_until
-        claim = None if is_over else await self._claim(0)
+        if self._state.timers.now() >= tenure.valid_until:
+            raise LeaseLostError
+        await self._records.read_again()
+        claim = await self._claim(0)
         if claim is None:
             raise LeaseLostError
         if self._state.tenure is tenure and not tenure.resigned:
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/home_records.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/home_records.py
@@ -14,3 +14,13 @@
     spending: QuotaRecord
     needs: NeedsRecord
     crashes: CrashRecord
+
+    async def read_again(self) -> None:
+        """Learn what the store holds, to write anew what it has lost.
+
+        Raises:
+            StoreError: a record cannot be read.
+        """
+        await self.spending.read()
+        await self.needs.read()
+        await self.crashes.read()
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/needs_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/needs_record.py
@@ -52,6 +52,7 @@
             StoreError: the record cannot be read.
         """
         if self._state.needs:
+            self._written = {}
             return self._state.needs
         item = await self._store.get(NEEDS_KEY)
         if item is None:
--- a/tests/test_gateway_home_restore.py
+++ b/tests/test_gateway_home_restore.py
@@ -3,7 +3,11 @@
 import anyio
 import pytest
 from gateway_world import in_world
+from spanfall_core.gateway.crashes.crashes import QUARANTINE_SECONDS
 from spanfall_node.gateway.net.ports import Write
+from spanfall_node.gateway.store.crash_record import CRASHES_KEY
+from spanfall_node.gateway.store.needs_record import NEEDS_KEY
+from spanfall_node.gateway.store.quota_record import SPENDING_KEY
 from spanfall_node.gateway.store.store_client import (
     ConditionFailedError,
     StoreRestoredError,
@@ -11,12 +15,16 @@
 from spanfall_node.gateway.tables.tenure import home_key
 from spanfall_standins.gateway.dialect import PlainWorkspace
 from support import wait_until
+from test_gateway_crash_spread import IDENTITY
 from test_gateway_home import home_of, two_gateways
 from test_gateway_store_restore import store_client
 from test_gateway_succession import ending_gateway, is_home
+from test_gateway_unit_requests import recorded
 
 #: Seconds from asking for a lease for which its holder acts.
 ACTS = 2.0
+#: Seconds within which the home has written its records again.
+RECORDED = 10.0
 
 
 def follows(entry, home):
@@ -115,3 +123,36 @@
         with pytest.raises(StoreRestoredError):
             await store.renew(0, 7)
         assert 'b' not in world.store.items
+
+
+# Guards against records that the home takes for written, though a restore
+# has lost them.
+@in_world
+async def test_records_lost_in_a_restore(world):
+    home = await world.add_gateway()
+    await wait_until(lambda: is_home(home))
+    copy = world.store.copy()
+    home.needs = {'llm': 12.5}
+    quarantined = {IDENTITY: QUARANTINE_SECONDS}
+    home.crashes.learn_quarantined(quarantined, home.timers.now())
+    written = {NEEDS_KEY, CRASHES_KEY}
+    await wait_until(lambda: written <= world.store.items.keys())
+    world.store.restore(copy)
+    assert not written & world.store.items.keys()
+    with anyio.fail_after(RECORDED):
+        await wait_until(lambda: written <= world.store.items.keys())
+
+
+# Guards against an old record of spending that stays, since the home knows
+# that it has written a later one.
+@in_world
+async def test_a_record_that_a_restore_brings_back(world):
+    world.configure(workspaces=[PlainWorkspace('w', ['k'], 100, 100)])
+    home = await world.add_gateway()
+    await wait_until(lambda: is_home(home))
+    world.store.put(SPENDING_KEY, '{"spent": {"w": [90]}}')
+    copy = world.store.copy()
+    world.store.put(SPENDING_KEY, '{"spent": {}}')
+    world.store.restore(copy)
+    with anyio.fail_after(RECORDED):
+        await wait_until(lambda: not recorded(world))
