Keep the orders of upstreams while a home goes on after a restore

Would have been seen: a home that never stopped plans its orders anew.

Cause: the orders belonged to an epoch, and one time as home may have several now. They belong to the time as home. A call names the epoch of its step.

The test failed before: other orders after the restore.

--- a/packages/spanfall-node/src/spanfall_node/gateway/duties/capacity_duty.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/capacity_duty.py
@@ -65,6 +65,8 @@
         self._state = state
         self._cloud = cloud
         self._epoch = 0
+        #: When the time as home began that the orders are of.
+        self._began_at: float | None = None
         self._orders: dict[str, ServiceOrders] = {}
         self._reading = Rate()
         self._asked = Rate()
@@ -78,8 +80,10 @@
 
     async def _step(self) -> None:
         state = self._state
-        if self._epoch != state.tenure.epoch:
-            self._epoch = state.tenure.epoch
+        tenure = state.tenure
+        self._epoch = tenure.epoch
+        if self._began_at != tenure.began_at:
+            self._began_at = tenure.began_at
             self._orders = {}
             self._reading = Rate()
             self._asked = Rate()
--- a/packages/spanfall-node/src/spanfall_node/gateway/duties/duties.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/duties.py
@@ -208,13 +208,12 @@
         windows = dict(self._record.windows)
         windows[window] = state.fleet.usage.total(window)
         kept = sorted(windows)[-RECORDED_WINDOWS:]
-        tenure = state.tenure
         record = UsageRecord(
             {key: windows[key] for key in kept},
-            tenure.timeline,
+            self._tenure.timeline,
         )
         self._revision = await self._store.write_as_home(
-            tenure,
+            self._tenure,
             Write(USAGE_KEY, msgspec.json.encode(record)),
             self._revision,
         )
--- a/tests/test_gateway_home_restore.py
+++ b/tests/test_gateway_home_restore.py
@@ -2,8 +2,10 @@
 
 import anyio
 import pytest
-from gateway_world import in_world
+from gateway_world import SERVICE, in_world
 from spanfall_core.gateway.crashes.crashes import QUARANTINE_SECONDS
+from spanfall_node.gateway.duties.capacity_duty import CapacityDuty
+from spanfall_node.gateway.duties.duties import Cloud
 from spanfall_node.gateway.net.ports import Write
 from spanfall_node.gateway.store.crash_record import CRASHES_KEY
 from spanfall_node.gateway.store.needs_record import NEEDS_KEY
@@ -156,3 +158,18 @@
     world.store.restore(copy)
     with anyio.fail_after(RECORDED):
         await wait_until(lambda: not recorded(world))
+
+
+# Guards against orders of upstreams made anew, as if another home followed.
+@in_world
+async def test_orders_outlive_a_restore(world):
+    home = await world.add_gateway()
+    await wait_until(lambda: is_home(home))
+    duty = CapacityDuty(home, Cloud(home, None))
+    await duty._step()
+    orders = duty._orders_of(SERVICE, home.timers.now())
+    before = home.tenure.epoch
+    world.store.restore(world.store.copy())
+    await wait_until(lambda: home.tenure.epoch > before)
+    await duty._step()
+    assert duty._orders_of(SERVICE, home.timers.now()) is orders
