Look for the record at once where a home has lost its lease

The store was away for longer than the home acts on its lease; then it paused for 0.3 s, and another node could become the home, which does not know what was reported. The test failed before.

--- a/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
@@ -76,6 +76,7 @@
                 await self._step()
             except LeaseLostError:
                 self._lay_down('the lease has ended')
+                self._state.look_now.set()
             except StoreError as exc:
                 logger.info('Could not look up the home: %r', exc)
             await self._wait(self._pause())
@@ -206,10 +207,9 @@
                 await self._seize(item)
             return
         self._free_since = None
-        is_free = item.revision == state.vacant_epoch
-        is_free = is_free or self._was_this_node(content)
-        may_hold = state.draining_since is None
-        if may_hold and is_free:
+        is_vacant = item.revision == state.vacant_epoch
+        is_free = is_vacant or self._was_this_node(content)
+        if is_free and state.draining_since is None:
             await self._try_to_hold(item.revision)
         else:
             self._follow(item.revision, content)
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/store_client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/store_client.py
@@ -238,13 +238,13 @@
             raise StoreUncertainError(exc.reason) from exc
         counter.labels(reply.status).inc()
         self._note_timeline(reply)
-        self._check_timeline(timeline)
         allowed = {200, 404, 412} if missing_ok else {200}
         if reply.status in {429, 503}:
             self.health.note(answered=False, now=now())
         if reply.status not in allowed:
             raise StoreRefusedError(f'the store answered {reply.status}')
         self.health.note(answered=True, now=now())
+        self._check_timeline(timeline)
         return reply
 
     def _check_timeline(self, wanted: int | None) -> None:
--- a/tests/test_gateway_home_restore.py
+++ b/tests/test_gateway_home_restore.py
@@ -1,11 +1,14 @@
 """The home, its lease and its fencing token when the store is restored."""
 
+from unittest.mock import patch
+
 import anyio
 import pytest
 from gateway_world import SERVICE, in_world
 from spanfall_core.gateway.crashes.crashes import QUARANTINE_SECONDS
 from spanfall_node.gateway.duties.capacity_duty import CapacityDuty
 from spanfall_node.gateway.duties.duties import Cloud
+from spanfall_node.gateway.home import leadership
 from spanfall_node.gateway.net.ports import Write
 from spanfall_node.gateway.store.crash_record import CRASHES_KEY
 from spanfall_node.gateway.store.needs_record import NEEDS_KEY
@@ -27,6 +30,8 @@
 ACTS = 2.0
 #: Seconds within which the home has written its records again.
 RECORDED = 10.0
+#: Seconds in which no test ends.
+LONG = 1e9
 
 
 def follows(entry, home):
@@ -173,3 +178,17 @@
     await wait_until(lambda: home.tenure.epoch > before)
     await duty._step()
     assert duty._orders_of(SERVICE, home.timers.now()) is orders
+
+
+# Guards against another home after each restore, which knows less.
+@in_world
+async def test_a_home_whose_lease_is_lost(world):
+    home = await world.add_gateway()
+    await wait_until(lambda: is_home(home))
+    world.store.failing = 503
+    await wait_until(lambda: not is_home(home))
+    world.store.restore(world.store.copy())
+    with patch.object(leadership, 'look_period', return_value=LONG):
+        world.store.failing = 0
+        with anyio.fail_after(RECORDED):
+            await wait_until(lambda: is_home(home))
