--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -144,6 +144,27 @@
         await wait_until(lambda: len(state.directory.rows) >= len(listed))
         return state
 
+    async def add_ending_gateway(
+        self,
+        life: anyio.CancelScope,
+        **bounds: float,
+    ) -> GatewayState:
+        """Start a gateway that ends without a word as its life is cancelled."""
+        usual = self.tasks
+        started: list[GatewayState] = []
+
+        async def run() -> None:
+            with life:
+                async with anyio.create_task_group() as tasks:
+                    self.tasks = tasks
+                    started.append(await self.add_gateway(**bounds))
+                    self.tasks = usual
+                    await anyio.sleep_forever()
+
+        usual.start_soon(run)
+        await wait_until(lambda: bool(started))
+        return started[0]
+
     async def add_unready_gateway(
         self,
         least_lease_seconds: float = 0,
--- a/tests/test_gateway_word_courses.py
+++ b/tests/test_gateway_word_courses.py
@@ -95,21 +95,12 @@
         for _ in range(UPSTREAMS):
             upstream = await self.world.add_upstream(whole())
             self.watched[upstream.lifetime] = Watched(upstream)
-        usual = self.world.tasks
-        usual.start_soon(self._run_home)
-        await wait_until(lambda: self.gateways and is_home(self.gateways[0]))
-        self.world.tasks = usual
+        home = await self.world.add_ending_gateway(self.life)
+        self.gateways.append(home)
+        await wait_until(lambda: is_home(home))
         for _ in range(ENTRIES - 1):
             self.gateways.append(await self.world.add_gateway())
 
-    async def _run_home(self):
-        """Run a gateway whose process can be ended without a word."""
-        with self.life:
-            async with anyio.create_task_group() as tasks:
-                self.world.tasks = tasks
-                self.gateways.append(await self.world.add_gateway())
-                await anyio.sleep_forever()
-
     async def call_often(self, until):
         async with anyio.create_task_group() as tasks:
             while not is_over(until):
