--- a/packages/spanfall-node/src/spanfall_node/home.py
+++ b/packages/spanfall-node/src/spanfall_node/home.py
@@ -9,14 +9,8 @@
 
 from pydantic import ValidationError
 from spanfall_api.frames import (
-    Attach,
-    Cancel,
-    Credit,
     Frame,
     HandBack,
-    Permit,
-    Refused,
-    RequestFrame,
     Submit,
     UpstreamNotice,
 )
@@ -41,6 +35,7 @@
 from spanfall_node.catalog import Catalog
 from spanfall_node.claim_store import ClaimStore
 from spanfall_node.context import Context
+from spanfall_node.followers import Followers, refuse_frame
 from spanfall_node.handover import Handover
 from spanfall_node.held import Held, build_row
 from spanfall_node.link import Link
@@ -57,18 +52,6 @@
 #: Retry-After of a refusal for want of the store, in seconds.
 STORE_RETRY_AFTER = 1.0
 
-Adopter = Callable[[Link, Submit], None]
-AttachCopy = Callable[[Link, Attach], bool]
-
-
-def ignore_copy(link: Link, submit: Submit) -> None:
-    """Drop the copy of a request, where no entry takes such copies."""
-
-
-def has_no_copy(link: Link, frame: Attach) -> bool:
-    """Say that there is no copy, where no entry keeps such copies."""
-    return False
-
 
 class Home:
     """Serve the services whose acting home this node is."""
@@ -85,24 +68,25 @@
         self.pools = PoolTable(context, catalog)
         self.runs = Runs(context, self.pools, self._run_ended)
         self.handover = Handover(context, self.held, self.pools, self.runs)
-        self.adopt: Adopter = ignore_copy
-        self.attach_copy: AttachCopy = has_no_copy
         self.spread_notice: Callable[[UpstreamNotice], None]
         self.spread_notice = self.upstream_leaves
         self._context = context
-        self._members = members
         self._rights = Rights(context, claims, self._right_decided)
+        self.followers = Followers(
+            context,
+            members,
+            self.held,
+            self.handover,
+            self._rights,
+            self.tick_pool,
+        )
 
     def start(self) -> None:
         """Subscribe to frames, ticks and changes."""
         context = self._context
         links = context.links
         links.subscribe(Submit, self._take_submit)
-        links.subscribe(Cancel, self._take_cancel)
-        links.subscribe(Credit, self._take_credit)
-        links.subscribe(Permit, self._take_permit)
-        links.subscribe(Attach, self._take_attach)
-        links.on_lost(self._lose_link)
+        self.followers.start()
         context.timers.every(context.cfg.times.tick, self.tick)
         if context.cfg.policy == 'least-reported':
             reports = LoadReports(context, self.pools, self.runs.calls)
@@ -141,7 +125,7 @@
             return
         known = self.held.find(frame)
         if frame.keep:
-            self.adopt(link, frame)
+            self.followers.adopt(link, frame)
         elif known:
             self._rebind(known, link, frame)
         elif self._context.draining:
@@ -181,27 +165,10 @@
             remember_prefix(pool, row, submit.upstream, now)
         held.follow(link, submit.attempt, len(submit.pieces))
         if link.peer_id == self._context.node_id:
-            self._send_copy(held)
+            self.followers.send_copy(held)
         self._carry_out(pool, admit(pool, row, now))
         self.tick_pool(pool)
 
-    def _send_copy(self, held: Held) -> None:
-        """Keep a second copy at the next home, if the entry is here, too.
-
-        The copy follows the answer as an entry without a caller would.
-        """
-        if self._context.is_off('two-copies'):
-            return
-        others = [
-            node_id
-            for node_id in self._members.homes_of(held.submit.service)
-            if node_id != self._context.node_id
-        ]
-        if others:
-            link = self._context.links.open(others[0])
-            link.send(held.submit.model_copy(update={'keep': True}))
-            held.follow(link, held.submit.attempt, len(held.submit.pieces))
-
     def _carry_out(self, pool: Pool, effects: Iterable[Effect]) -> None:
         for effect in effects:
             held = self.held.rows.get(effect.request_id)
@@ -324,57 +291,3 @@
             seconds=seconds,
         )
         self.spread_notice(notice)
-
-    def _take_cancel(self, link: Link, frame: Frame) -> None:
-        held = self.held.find(frame)
-        if held is None or held.done_at is not None:
-            return
-        if not held.row.idempotent:
-            return
-        pool = self.handover.withdraw(held)
-        reason = RefusalReason.CANCELLED
-        refusal = Refuse(held.request_id, reason, RunState.UNKNOWN)
-        self.held.end_refused(held, refusal)
-        if pool is not None:
-            self.tick_pool(pool)
-
-    def _take_credit(self, link: Link, frame: Frame) -> None:
-        held = self.held.find(frame)
-        if held is not None and isinstance(frame, Credit):
-            held.take_credit(link.peer_id, frame.offset)
-
-    def _take_permit(self, link: Link, frame: Frame) -> None:
-        held = self.held.find(frame)
-        if held is not None and isinstance(frame, Permit):
-            self._rights.take_permit(held, frame)
-
-    def _take_attach(self, link: Link, frame: Frame) -> None:
-        if not isinstance(frame, Attach):
-            return
-        held = self.held.find(frame)
-        if held is not None and held.submit.workspace == frame.workspace:
-            held.follow(link, frame.attempt, frame.offset)
-        elif not self.attach_copy(link, frame):
-            reason = RefusalReason.UNKNOWN_REQUEST
-            refuse_frame(link, frame, reason, RunState.UNKNOWN)
-
-    def _lose_link(self, link: Link) -> None:
-        for held in list(self.held.rows.values()):
-            self.handover.lose_entry(held, link)
-
-
-def refuse_frame(
-    link: Link,
-    frame: RequestFrame,
-    reason: RefusalReason,
-    run: RunState = RunState.NOT_RUN,
-) -> None:
-    """Refuse a request that is not held here."""
-    link.send(
-        Refused(
-            request_id=frame.request_id,
-            attempt=frame.attempt,
-            reason=reason,
-            run=run,
-        ),
-    )
--- a/packages/spanfall-node/src/spanfall_node/node.py
+++ b/packages/spanfall-node/src/spanfall_node/node.py
@@ -156,8 +156,8 @@
         self.claims = ClaimStore(context)
         self.home = Home(context, self.catalog, self.members, self.claims)
         self.entry = Entry(context, self.members)
-        self.home.adopt = self.entry.adopt
-        self.home.attach_copy = self.entry.attach_copy
+        self.home.followers.adopt = self.entry.adopt
+        self.home.followers.attach_copy = self.entry.attach_copy
         self.notices = Notices(context, self.members, self.spread, cloud)
         self.notices.listeners.append(self.home.upstream_leaves)
         self.home.spread_notice = self.notices.take
--- a/tests/test_reclaim.py
+++ b/tests/test_reclaim.py
@@ -353,7 +353,7 @@
                 )
                 # Only the copy may answer: the home says it has nothing.
                 held = home.home.held.rows.pop(request_id)
-                home.home.attach_copy = lambda link, frame: False
+                home.home.followers.attach_copy = lambda link, frame: False
                 again = Seen(request_id)
                 tasks.start_soon(reattach, fleet, keeper, client, again)
                 other = Seen(request_id)
