--- a/tests/test_gateway_restore_courses.py
+++ b/tests/test_gateway_restore_courses.py
@@ -71,6 +71,9 @@
         #: Versions that came into force at each node, and most givers seen.
         self.versions = {}
         self.most_givers = 0
+        #: Nodes that knew that the leaver leaves, and those that forgot it.
+        self.told = set()
+        self.forgetful = set()
         self.written = {}
         self.copies = deque(maxlen=COPIES)
         self.life = anyio.CancelScope()
@@ -98,10 +101,20 @@
                 versions = self.versions.setdefault(state.cfg.node, [])
                 if not versions or versions[-1] != state.version:
                     versions.append(state.version)
+            self.look_for_leaver()
             givers = [row for row in self.gateways if may_give(row)]
             self.most_givers = max(self.most_givers, len(givers))
             await anyio.sleep(LOOK_PERIOD)
 
+    def look_for_leaver(self):
+        if self.leaver is None:
+            return
+        for state, known in zip(self.gateways, self.serving(), strict=True):
+            if self.leaver.lifetime not in known:
+                self.told.add(state.cfg.node)
+            elif state.cfg.node in self.told:
+                self.forgetful.add(state.cfg.node)
+
     async def copy_often(self, until):
         while not is_over(until):
             self.copies.append(self.world.store.copy())
@@ -126,7 +139,7 @@
             self.statuses.add(answer.status)
 
     async def change_often(self, until):
-        events = [self._leave, self._end_home]
+        events = [self._leave, self._end_home, self._add_upstream]
         self.luck.shuffle(events)
         while not is_over(until):
             await anyio.sleep(self.luck.uniform(0.1, 1.0))
@@ -135,14 +148,19 @@
             self.world.configure()
             self.note_written(CONFIGURATION_KEY)
             if events and self.luck.random() < 0.25:
-                events.pop()()
+                await events.pop()()
+
+    async def _add_upstream(self):
+        newer = await self.world.add_upstream(whole())
+        self.upstreams.append(newer)
+        self.note_written(entry_key(newer))
 
-    def _leave(self):
+    async def _leave(self):
         self.leaver = self.luck.choice(self.upstreams)
         let_leave(self.world, self.leaver)
         self.note_written(entry_key(self.leaver))
 
-    def _end_home(self):
+    async def _end_home(self):
         self.gateways.pop(0)
         self.life.cancel()
 
@@ -195,6 +213,7 @@
         for versions in course.versions.values():
             assert versions == sorted(versions)
         assert course.most_givers == 1
+        assert not course.forgetful
         assert course.statuses <= {200, 429, 503}
         tokens = [call['token'] for call in world.cloud_calls]
         assert tokens == sorted(tokens)
