Let the first home of a fleet know that it has reported

A home that goes on after a restore is still the first of its fleet, and with its record lost it took that for nothing reported, where the store was away for longer than a new home waits. On the platforms so far that wait is longer than the lease, so the case can't arise there. The test failed before.

--- a/packages/spanfall-node/src/spanfall_node/gateway/duties/duties.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/duties.py
@@ -167,7 +167,8 @@
             return UsageRecord({}), next_due
         if self._knows_all():
             return UsageRecord(record.windows | self._record.windows), None
-        return record, None if tenure.is_first else next_due
+        none_reported = tenure.is_first and self._tenure is None
+        return record, None if none_reported else next_due
 
     def _knows_all(self) -> bool:
         """Tell whether no other node can have sent any since this one did.
--- a/tests/test_gateway_usage_restore.py
+++ b/tests/test_gateway_usage_restore.py
@@ -4,10 +4,16 @@
 
 import anyio
 from gateway_world import ask, in_world
-from spanfall_node.gateway.duties.duties import USAGE_KEY
+from spanfall_node.gateway.duties.duties import (
+    USAGE_KEY,
+    Cloud,
+    UsageDuty,
+    UsageRecord,
+)
 from spanfall_standins.gateway.dialect import PlainWorkspace
 from spanfall_standins.gateway.upstream import whole
 from support import wait_until
+from test_gateway_store_restore import store_client
 from test_gateway_succession import ending_gateway, is_home
 
 WINDOW = 1.0
@@ -86,3 +92,19 @@
     assert USAGE_KEY in world.store.items
     assert all(len(counts) == 1 for counts in reports.values())
     assert sorted(reports) == list(range(min(reports), max(reports) + 1))
+
+
+# Guards against the first home of a fleet that takes itself for one that has
+# reported nothing yet.
+@in_world
+async def test_the_first_home_has_reported(world):
+    home = await world.add_gateway(**BOUNDS)
+    await wait_until(lambda: is_home(home))
+    async with store_client(world) as store:
+        duty = UsageDuty(home, store, Cloud(home, None))
+        first = home.tenure
+        assert first.is_first
+        await duty._take_over(first)
+        store.timeline_since = first.renewed_at + 2 * LEASE
+        _, window = duty._restored(UsageRecord({}), first)
+        assert window == duty._due_window() + 1
