Hold in one place how soon platforms write again what was lost

The wait for entries after an outage and that for the configuration after a restore are one fact, 2 s, that stood in two constants. No change of behaviour.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
@@ -19,10 +19,8 @@
     name_lifetime,
 )
 from spanfall_core.gateway.known.listed import ListedUpstream
+from spanfall_core.gateway.known.timelines import WRITTEN_AGAIN_SECONDS
 
-#: Seconds that a row missing after an outage of the store is kept; the
-#: platform says that living upstreams are back within about two seconds.
-LAPSE_GRACE = 2.0
 #: Lifetimes remembered as over; a listing that is late by more is not seen.
 REMEMBERED_ENDS = 4096
 #: Bits of a digest, so that any codec carries it.
@@ -262,7 +260,7 @@
         now: float,
         outage_ended: float,
     ) -> dict[Lifetime, ListedUpstream]:
-        if now - outage_ended > LAPSE_GRACE:
+        if now - outage_ended > WRITTEN_AGAIN_SECONDS:
             return {}
         listed = {row.upstream_id for row in found.values()}
         return {
--- a/packages/spanfall-core/src/spanfall_core/gateway/known/timelines.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/timelines.py
@@ -7,8 +7,8 @@
 
 #: Digits of the largest timeline that is read as one.
 MOST_DIGITS = 9
-#: Seconds after a restore within which platforms have written again what was
-#: lost.
+#: Seconds after an outage or a restore within which platforms say that what
+#: was lost is written again.
 WRITTEN_AGAIN_SECONDS = 2.0
 #: Room for the revisions of one timeline.
 REVISION_BITS = 40
