Read the load that upstreams state; tell where scheduling features apply

Cause: the load header was named and read by nobody; nothing told which deployments call for decisions under contention. Change: the header is decoded once in platform/ (three or four figures; a malformed one is counted). A service whose upstreams state the slowdown of a shared host is known to all nodes. Settings group scheduling: contention, upstream_speeds, capacity, each auto, on or off; nothing rests on them yet.

--- a/packages/spanfall-api/src/spanfall_api/gateway_settings.py
+++ b/packages/spanfall-api/src/spanfall_api/gateway_settings.py
@@ -4,6 +4,7 @@
 unit.
 """
 
+from enum import StrEnum, unique
 from pathlib import Path
 from typing import Annotated
 
@@ -64,6 +65,29 @@
     link_megabits: Positive = 1000
 
 
+@unique
+class Mode(StrEnum):
+    """State when a feature is in force."""
+
+    #: For the services whose upstreams state how much their host slows them.
+    AUTO = 'auto'
+    ON = 'on'
+    OFF = 'off'
+
+
+class SchedulingSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True
+):
+    """Choose which scheduling features are in force."""
+
+    #: Hold, order and reject requests at the home while a service has no room.
+    contention: Mode = Mode.AUTO
+    #: Route by the speed that single upstreams state and show.
+    upstream_speeds: Mode = Mode.AUTO
+    #: Order upstreams by what one more is expected to earn and to cost.
+    capacity: Mode = Mode.AUTO
+
+
 class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Define the settings of one gateway."""
 
@@ -85,6 +109,7 @@
     orders_upstreams: bool = False
     bounds: Bounds = Bounds()
     host: Host = Host()
+    scheduling: SchedulingSettings = SchedulingSettings()
     #: Number of entries assumed to share each limit until it is known.
     assumed_entries: Count = 8
     #: Maximum log lines per second; further lines are dropped and counted.
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/entry_link.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/entry_link.py
@@ -266,6 +266,7 @@
             seen=self._grants.load().seen,
             strength=strength(state.cfg.host),
             words_version=self._table.words_version,
+            shared_host_services=tuple(state.scheduling.shared_host_services),
         )
         self._table_received = anyio.Event()
         await link.send(encode(message))
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
@@ -59,6 +59,7 @@
         if table.words is not None:
             merge_statements(state, table.words.words)
             self.words_version = table.words.version
+        state.scheduling.add_shared_host_services(table.shared_host_services)
         if table.totals is not None:
             self._totals_received_at = now
             apply_totals(state, table.totals, now)
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
@@ -191,6 +191,7 @@
         state = self._state
         report = message.report
         state.apply_report(report, now)
+        state.scheduling.add_shared_host_services(message.shared_host_services)
         state.apply_report(state.own_report(), now)
         load = EntryLoad(report.running, report.prefill, message.seen)
         period = state.fleet.period(now)
@@ -219,6 +220,7 @@
             configuration=self._configuration(message),
             upstreams=self._upstreams(message),
             words=self._words(message, now),
+            shared_host_services=tuple(state.scheduling.shared_host_services),
         )
 
     def _words(
--- a/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
@@ -62,6 +62,8 @@
     strength: float = 0
     #: Version of the home's upstream statements that the entry has.
     words_version: int = 0
+    #: Services whose upstreams share hosts with others.
+    shared_host_services: tuple[str, ...] = ()
 
 
 class LoadMessage(msgspec.Struct, frozen=True, tag='load'):
@@ -178,6 +180,8 @@
     configuration: ConfigurationPart | None = None
     upstreams: UpstreamsPart | None = None
     words: StatementsPart | None = None
+    #: Services whose upstreams share hosts with others.
+    shared_host_services: tuple[str, ...] = ()
 
 
 def totals_period(entries: int) -> float:
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/ports.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/ports.py
@@ -9,6 +9,7 @@
 
 from spanfall_core.gateway.known.configuration import ServedConfiguration
 from spanfall_core.gateway.known.listed import ListedUpstream, UnusableRecord
+from spanfall_core.gateway.known.stated_loads import InvalidLoad, StatedLoad
 from spanfall_core.gateway.known.statements import Statement
 
 Headers = list[tuple[bytes, bytes]]
@@ -143,3 +144,5 @@
     read_upstream: Callable[[str, bytes], ListedUpstream | UnusableRecord]
     #: Arguments: status and headers of an upstream's response.
     read_statement: Callable[[int, Headers], Statement]
+    #: Argument: headers of an upstream's response. None if it states no load.
+    read_load: Callable[[Headers], StatedLoad | InvalidLoad | None]
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
@@ -166,6 +166,7 @@
             self._state.granted_prompts.prefixes.forget(lifetime)
             self._state.loads.forget(lifetime)
             self._state.words.forget(lifetime, now)
+            self._state.stated_loads.forget(lifetime)
 
     def _read_period(self) -> float:
         return read_period(
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
@@ -64,6 +64,11 @@
             'What upstreams newly said of themselves in answers, by kind',
             StatementChange,
         )
+        self.invalid_loads = Counter(
+            'spanfall_invalid_upstream_loads',
+            'Loads stated by upstreams that could not be parsed',
+            registry=self.registry,
+        )
         self.cut_answers = self._labelled(
             'spanfall_cut_answers',
             'Answers that ended early, by reason',
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/new_state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/new_state.py
@@ -10,6 +10,7 @@
 
 from spanfall_node.gateway.net.ports import PlatformAdapter
 from spanfall_node.gateway.tables.counters import Counters
+from spanfall_node.gateway.tables.scheduling import Scheduling
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.tables.upstream_words import UpstreamStatements
 from spanfall_node.timers import Timers
@@ -45,6 +46,7 @@
         usage=UsageCounts(cfg.bounds.usage_window_seconds),
         true_time=TrueTime(timers.epoch() - timers.now()),
         words=words,
+        scheduling=Scheduling(cfg.scheduling),
         directory=Directory(words.table.leaving),
     )
     state.counters.open_requests.set_function(lambda: state.open_requests)
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
@@ -21,6 +21,7 @@
 from spanfall_core.gateway.known.limits import EffectiveLimits, Limit
 from spanfall_core.gateway.known.loads import Loads
 from spanfall_core.gateway.known.reporting import silent_after
+from spanfall_core.gateway.known.stated_loads import StatedLoads
 from spanfall_core.gateway.known.true_time import TrueTime
 from spanfall_core.gateway.known.unit_reports import AllocatedUnits
 from spanfall_core.gateway.known.usage import UsageCounts
@@ -36,6 +37,7 @@
 from spanfall_node.gateway.net.ports import PlatformAdapter
 from spanfall_node.gateway.tables.counters import Counters
 from spanfall_node.gateway.tables.crash_knowledge import CrashState
+from spanfall_node.gateway.tables.scheduling import Scheduling
 from spanfall_node.gateway.tables.tenure import Tenure, can_allocate
 from spanfall_node.gateway.tables.upstream_words import UpstreamStatements
 from spanfall_node.timers import Timers
@@ -61,10 +63,12 @@
     #: which takes them into account.
     words: UpstreamStatements
     directory: Directory
+    scheduling: Scheduling
     configuration: ServedConfiguration | None = None
     #: Configuration as stored, for forwarding to other nodes.
     configuration_source: bytes = b''
     loads: Loads = field(default_factory=Loads)
+    stated_loads: StatedLoads = field(default_factory=StatedLoads)
     #: Prompts that this node has sent, and prompts that it granted as the home.
     prompts: PromptHistory = field(default_factory=PromptHistory)
     granted_prompts: PromptHistory = field(default_factory=PromptHistory)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/hearing.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/hearing.py
@@ -3,6 +3,7 @@
 import logging
 
 from spanfall_core.gateway.known.lifetimes import Lifetime
+from spanfall_core.gateway.known.stated_loads import InvalidLoad
 from spanfall_core.gateway.known.statements import (
     KnownStatements,
     StatementChange,
@@ -31,6 +32,7 @@
     """
     if head.status == OTHER_LIFETIME_STATUS:
         return
+    _record_load(state, lifetime, head)
     statement = state.platform.read_statement(head.status, head.headers)
     changes = state.words.record(
         lifetime,
@@ -55,6 +57,26 @@
         )
 
 
+def _record_load(
+    state: GatewayState, lifetime: Lifetime, head: ResponseHead
+) -> None:
+    """Record the load in a response head, if it states one."""
+    load = state.platform.read_load(head.headers)
+    if load is None:
+        return
+    if isinstance(load, InvalidLoad):
+        state.counters.invalid_loads.inc()
+        logger.info(
+            'Upstream %s stated an invalid load: %r', lifetime, load.text
+        )
+        return
+    state.stated_loads.record(lifetime, load, state.timers.now())
+    if load.slowdown is not None:
+        row = state.directory.rows.get(lifetime)
+        if row is not None:
+            state.scheduling.add_shared_host_services((row.service,))
+
+
 def merge_statements(state: GatewayState, statements: KnownStatements) -> None:
     """Merge the upstream statements that another node has recorded."""
     changes = state.words.merge(statements, state.timers.now())
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
@@ -28,6 +28,8 @@
     Write,
 )
 
+from spanfall_standins.gateway.loads import LOAD_HEADER, read_load
+
 CONFIGURATION_KEY = 'operator/configuration'
 UPSTREAM_PREFIX = 'upstreams/'
 TIMELINE_HEADER = b'timeline'
@@ -42,7 +44,7 @@
     workspace=b'workspace',
     expected_lifetime=b'lifetime-wanted',
     lifetime=b'lifetime',
-    load=b'load',
+    load=LOAD_HEADER,
     not_run=b'not-run',
     engine_priority=b'rank',
     key_scheme=b'Key',
@@ -285,4 +287,5 @@
     read_configuration=_read_configuration,
     read_upstream=_read_upstream,
     read_statement=_read_statement,
+    read_load=read_load,
 )
--- /dev/null
+++ b/tests/test_gateway_scheduling.py
@@ -0,0 +1,49 @@
+"""Features are in force where settings or upstreams call for them."""
+
+import pytest
+from gateway_world import SERVICE, ask, in_world
+from spanfall_api.gateway_settings import Mode, SchedulingSettings
+from spanfall_node.gateway.tables.scheduling import Feature, Scheduling
+from spanfall_standins.gateway.upstream import complete_response
+from support import wait_until
+
+
+@pytest.mark.parametrize(
+    ('mode', 'shared', 'expected'),
+    [
+        (Mode.AUTO, False, False),
+        (Mode.AUTO, True, True),
+        (Mode.ON, False, True),
+        (Mode.OFF, True, False),
+    ],
+)
+def test_modes(mode, shared, expected):
+    scheduling = Scheduling(SchedulingSettings(capacity=mode))
+    scheduling.add_shared_host_services([SERVICE] if shared else [])
+    assert scheduling.is_on(Feature.CAPACITY, SERVICE) is expected
+
+
+@pytest.mark.parametrize(('text', 'expected'), [('1/0/4', 0), ('1/0/4/2', 1)])
+def test_all_nodes_learn_of_shared_hosts(text, expected):
+    """Only one entry gets the answer that states a slowdown."""
+
+    @in_world
+    async def play(world):
+        upstream = await world.add_upstream(complete_response())
+        upstream.statement_headers = {'load': text}
+        gateways = [await world.add_gateway() for _ in range(3)]
+        answer = await ask(gateways[0], '/any/1')
+        assert answer.status == 200
+        if expected:
+            await wait_until(
+                lambda: all(
+                    one.scheduling.is_on(Feature.CONTENTION, SERVICE)
+                    for one in gateways
+                )
+            )
+        assert all(
+            len(one.scheduling.shared_host_services) == expected
+            for one in gateways
+        )
+
+    play()
