--- a/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
@@ -14,6 +14,7 @@
 
 from xxhash import xxh3_64_intdigest
 
+from spanfall_core.gateway.known.digests import directory_digest
 from spanfall_core.gateway.known.lifetimes import (
     Lifetime,
     is_earlier,
@@ -25,8 +26,6 @@
 #: Maximum number of ended lifetimes that are remembered; an outdated listing
 #: from before the oldest of them is not recognised.
 MAX_ENDED_LIFETIMES = 4096
-#: Mask for the digest: 48 bits, which any codec can represent.
-DIGEST_MASK = 0xFFFFFFFFFFFF
 #: Default for a directory whose owner tracks no statements of upstreams.
 NO_LIFETIMES: AbstractSet[Lifetime] = frozenset()
 
@@ -285,7 +284,7 @@
         self._by_service = by_service
         listed = self.rows.values()
         self._address_counts = Counter(known.address for known in listed)
-        self.digest = _digest(self.rows.values())
+        self.digest = directory_digest(self.rows.values())
 
 
 def ring_position(lifetime: Lifetime) -> int:
@@ -295,10 +294,3 @@
 
 def _ring_position(row: ListedUpstream) -> int:
     return ring_position(row.lifetime)
-
-
-def _digest(rows: Iterable[ListedUpstream]) -> int:
-    known = sorted(
-        (row.lifetime, row.address, row.leaving, row.paused) for row in rows
-    )
-    return xxh3_64_intdigest(repr(known).encode()) & DIGEST_MASK
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
@@ -15,6 +15,7 @@
 )
 
 from spanfall_node.gateway.home.claiming import Claim, claim_home
+from spanfall_node.gateway.home.free_record import FreeRecord
 from spanfall_node.gateway.home.home_content import (
     HomeContent,
     make_home_record,
@@ -23,8 +24,6 @@
     LOOKUP_PERIOD,
     MAX_OUTAGE_LOOKUPS_PER_SECOND,
     OUTAGE_LOOKUP_PERIOD,
-    SMALL_HOST_DELAY_SECONDS,
-    is_small,
     lookup_period,
 )
 from spanfall_node.gateway.home.new_tenure import begin_tenure, continue_tenure
@@ -73,8 +72,7 @@
         self._state = state
         self._store = store
         self._records = records
-        #: When this node first found the record without a valid holder.
-        self._free_since: float | None = None
+        self._free_record = FreeRecord(state)
 
     async def run(self) -> None:
         """Follow or hold the home record until cancelled."""
@@ -206,24 +204,19 @@
         state = self._state
         if state.draining_since is not None:
             return
-        is_reported_vacant = (
-            state.vacant_epoch and state.vacant_epoch == self._epoch()
-        )
-        if is_reported_vacant or self._may_claim():
+        epoch = state.home.epoch if state.home else 0
+        is_reported_vacant = state.vacant_epoch and state.vacant_epoch == epoch
+        if is_reported_vacant or self._free_record.may_claim():
             await self._try_to_become_home(0)
 
-    def _epoch(self) -> int:
-        """Return the epoch of the followed home, or 0 if there is none."""
-        return self._state.home.epoch if self._state.home else 0
-
     async def _handle_record(self, item: StoredItem) -> None:
         state = self._state
         content = decode_record(item, HomeContent)
         if content is None:
-            if self._has_been_free_for(self._lease_seconds):
+            if self._free_record.has_been_free_for(self._lease_seconds):
                 await self._replace_unreadable_record(item)
             return
-        self._free_since = None
+        self._free_record.reset()
         is_vacant = item.revision == state.vacant_epoch
         is_free = is_vacant or self._is_from_earlier_run(content)
         if is_free and state.draining_since is None:
@@ -245,20 +238,6 @@
             known_revision, self._lease_seconds - LEASE_MARGIN
         )
 
-    def _may_claim(self) -> bool:
-        """Tell whether larger hosts have had time to claim the record."""
-        seconds = (
-            SMALL_HOST_DELAY_SECONDS if is_small(self._state.cfg.host) else 0
-        )
-        return self._has_been_free_for(seconds)
-
-    def _has_been_free_for(self, seconds: float) -> bool:
-        """Tell whether the record has been free for some seconds."""
-        now = self._state.timers.now()
-        if self._free_since is None:
-            self._free_since = now
-        return now - self._free_since >= seconds
-
     def _is_from_earlier_run(self, content: HomeContent) -> bool:
         """Tell whether an earlier run of this node wrote the record.
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/crash_knowledge.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/crash_knowledge.py
@@ -13,11 +13,10 @@
 import anyio
 from spanfall_core.gateway.crashes.crash_signs import settle
 from spanfall_core.gateway.crashes.crashes import (
-    TRIAL_SETTLE_SECONDS,
     CrashTable,
     Standing,
-    Trials,
 )
+from spanfall_core.gateway.crashes.trials import TRIAL_SETTLE_SECONDS, Trials
 from spanfall_core.gateway.known.directory import Directory
 from spanfall_core.gateway.known.identity import RequestIdentity
 from spanfall_core.gateway.known.lifetimes import Lifetime
--- a/tests/test_gateway_crash_table.py
+++ b/tests/test_gateway_crash_table.py
@@ -13,13 +13,12 @@
 from spanfall_core.gateway.crashes.crashes import (
     MAX_QUARANTINED,
     MAX_TRACKED_REQUESTS,
-    MAX_TRIAL_SECONDS,
     QUARANTINE_SECONDS,
     QUARANTINE_THRESHOLD,
     CrashTable,
     Standing,
-    Trials,
 )
+from spanfall_core.gateway.crashes.trials import MAX_TRIAL_SECONDS, Trials
 
 #: Seconds per step, and steps per run; the cause crashes its upstream after the
 #: first step.
