Decide at the home who is sent, held or rejected under contention

Cause: the home grants an upstream to each request at once, so all requests wait and all are late while callers offer more than the upstreams can serve.

Change: a pure package, gateway/contention, predicts when a request would be sent and decides to send, hold or reject it. Start-time fair queueing is one module that the relaying node's scheduler uses as well.

--- a/packages/spanfall-core/src/spanfall_core/admission.py
+++ b/packages/spanfall-core/src/spanfall_core/admission.py
@@ -7,6 +7,7 @@
 from heapq import heappush
 
 from spanfall_core.effects import Effect, Refuse
+from spanfall_core.fair_queueing import join_waiting
 from spanfall_core.reasons import RefusalReason
 from spanfall_core.tables import (
     Pool,
@@ -152,10 +153,7 @@
     workspace = find_workspace(pool, req.workspace)
     queue = pool.queues.setdefault(req.workspace, [])
     if not workspace.queued and not workspace.running:
-        workspace.virtual_time = max(
-            workspace.virtual_time,
-            pool.virtual_time,
-        )
+        join_waiting(pool, workspace)
     pool.sequence += 1
     req.sequence = pool.sequence
     due = due_time(req)
--- a/packages/spanfall-core/src/spanfall_core/dispatch.py
+++ b/packages/spanfall-core/src/spanfall_core/dispatch.py
@@ -1,15 +1,14 @@
 """Dispatch queued requests to upstreams, fairly between workspaces.
 
-The scheduler uses start-time fair queueing: each dispatch advances the virtual
-time of its workspace by the work of the request divided by the weight of the
-workspace, and the workspace with the lowest virtual time is served next
-(Goyal, Vin and Cheng, 1996).
+The scheduler uses start-time fair queueing (``fair_queueing.py``): the
+workspace with the lowest virtual time is served next.
 """
 
 from heapq import heappop
 
 from spanfall_core.admission import record_dequeued
 from spanfall_core.effects import Dispatch, Effect, Refuse, Right
+from spanfall_core.fair_queueing import charge_work
 from spanfall_core.reasons import RefusalReason, RunState
 from spanfall_core.routing import (
     Chooser,
@@ -144,8 +143,7 @@
 
 def charge(pool: Pool, workspace: Workspace, req: Request) -> None:
     """Charge the work of a request to the virtual time of its workspace."""
-    pool.virtual_time = max(pool.virtual_time, workspace.virtual_time)
-    workspace.virtual_time += req.work / workspace.weight
+    charge_work(pool, workspace, req.work, workspace.weight)
     workspace.running += 1
 
 
--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/room.py
@@ -0,0 +1,100 @@
+"""Sum up the work that the upstreams of a service can take now."""
+
+from dataclasses import dataclass, field
+
+from spanfall_core.gateway.known.lifetimes import Lifetime
+
+#: Maximum fraction of the tightest latency target that a prompt waits for
+#: other prompts at its upstream. The rest is left for its own prefill, for the
+#: batch and for the wait at the home.
+PREFILL_WAIT_FRACTION = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamLoad:
+    """State the load of one upstream."""
+
+    slots: int
+    running: int
+    #: Seconds that the engine needs, at its usual speed, for the prompts that
+    #: wait there.
+    prefill_seconds: float = 0
+    #: Factor by which its work takes longer than usual.
+    slowdown: float = 1
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRoom:
+    """State what a service can take now."""
+
+    #: Number of upstreams that may get work.
+    upstreams: int
+    #: Requests that these upstreams can run at the same time.
+    places: float
+    #: Requests that run there.
+    busy: float
+    #: Units that all of them serve per second; 0: unknown.
+    work_rate: float
+    #: Minimum seconds that one run takes.
+    least_run: float
+    #: Requests that may be sent before the loads are known again.
+    free: int
+
+
+def openings(
+    load: UpstreamLoad,
+    tightest_target: float,
+    *,
+    reads_prompts: bool,
+) -> int:
+    """Return how many requests an upstream may get at once.
+
+    It is open if a request sent now would meet the tightest latency target of
+    the service's routes, in seconds. An engine gets one request at a time,
+    since the next one waits for the prompt of this one.
+    """
+    unused = max(0, load.slots - load.running)
+    if not reads_prompts:
+        return unused
+    wait = load.prefill_seconds * load.slowdown
+    is_open = unused and wait < tightest_target * PREFILL_WAIT_FRACTION
+    return int(is_open)
+
+
+@dataclass(slots=True)
+class RoomTotals:
+    """Sum up the room of a service, one upstream at a time."""
+
+    places: int = 0
+    busy: int = 0
+    free: int = 0
+    _loads: dict[Lifetime, tuple[int, int, int]] = field(default_factory=dict)
+
+    def update(
+        self, lifetime: Lifetime, load: UpstreamLoad, opened: int
+    ) -> None:
+        """Replace the load of an upstream and its openings."""
+        self.remove(lifetime)
+        self._loads[lifetime] = (load.slots, load.running, opened)
+        self._add(load.slots, load.running, opened)
+
+    def remove(self, lifetime: Lifetime) -> None:
+        """Forget an upstream that gets no more work."""
+        slots, running, opened = self._loads.pop(lifetime, (0, 0, 0))
+        self._add(-slots, -running, -opened)
+
+    def room(self, work_rate: float, least_run: float) -> ServiceRoom:
+        """Return the room of the service."""
+        return ServiceRoom(
+            len(self._loads),
+            self.places,
+            self.busy,
+            work_rate,
+            least_run,
+            self.free,
+        )
+
+    def _add(self, slots: int, running: int, opened: int) -> None:
+        self.places += slots
+        self.busy += running
+        self.free += opened
