Add the bench row of decisions under contention

Cause: the home's processor time bounds what a fleet can be sent. Change: a row for one decision, one turn and one update of a load at 1,000 upstreams, by the number of held requests.

--- a/bench/gateway_tables.py
+++ b/bench/gateway_tables.py
@@ -3,6 +3,14 @@
 import time
 from itertools import count
 
+from spanfall_core.gateway.contention.admission import (
+    Contention,
+    Hold,
+    decide,
+    give_turn,
+)
+from spanfall_core.gateway.contention.room import RoomTotals, UpstreamLoad
+from spanfall_core.gateway.contention.waiting import AdmissionTerms, Asker
 from spanfall_core.gateway.known.fleet import EntryReport, FleetState
 from spanfall_core.gateway.known.limits import Limit
 from spanfall_core.gateway.known.listed import ListedUpstream
@@ -32,7 +40,11 @@
 
 NODE_SIZES = (10, 40, 160, 570)
 UPSTREAM_SIZES = (10, 40, 160, 640)
+HELD_SIZES = (10, 100, 1000)
+#: Upstreams of the service in which requests are held.
+UPSTREAMS = 1000
 REPEATS = 50
+CONTENTION_REPEATS = 2000
 #: Requests that each entry has in flight, and workspaces that it served.
 IN_FLIGHT = 20
 WORKSPACES = 16
@@ -135,6 +147,43 @@
     return (time.process_time() - began) / REPEATS * MICROSECONDS
 
 
+def make_terms(number: int, workspaces: int) -> AdmissionTerms:
+    """Return the terms of one of many equal requests."""
+    name = f'workspace-{number % workspaces}'
+    return AdmissionTerms(name, 1, 55, 2000, 10, 30)
+
+
+def time_contention(held: int, workspaces: int = WORKSPACES) -> float:
+    """Return the processor microseconds of one request that has to wait.
+
+    These are its decision, its turn and the update of an upstream's load.
+    """
+    totals, contention = RoomTotals(), Contention()
+    full, open_load = UpstreamLoad(32, 32), UpstreamLoad(32, 31)
+    for number in range(UPSTREAMS):
+        totals.update(f'i-{number}', full, 0)
+    rate = 1e8
+    asks = [
+        (Asker(f'edge-{number % 100}', f'request-{number}'), terms)
+        for number in range(held + CONTENTION_REPEATS)
+        for terms in (make_terms(number, workspaces),)
+    ]
+    for first, terms in asks[:held]:
+        decide(first, terms, totals.room(rate, 0.1), contention, 0)
+    began = time.process_time()
+    for number, (asker, terms) in enumerate(asks[held:]):
+        now = number * 1e-5
+        decision = decide(asker, terms, totals.room(rate, 0.1), contention, now)
+        totals.update('i-0', open_load, 1)
+        turn = give_turn(totals.room(rate, 0.1), contention.queue, now)
+        contention.queue.take(turn.asker, turn.ticket, now)
+        totals.update('i-0', full, 0)
+    seconds = time.process_time() - began
+    if not isinstance(decision, Hold) or len(contention.queue) != held:
+        raise ValueError('The queue was to keep its length')
+    return seconds / CONTENTION_REPEATS * MICROSECONDS
+
+
 def report_bytes(upstreams: int) -> float:
     """Return the bytes of a report with requests at so many upstreams."""
     running = {f'i-{number:010d}': 1 for number in range(upstreams)}
@@ -164,6 +213,10 @@
         ('upstreams of a service', 'us of the home a request'),
         lambda: [(size, time_grant(size)) for size in UPSTREAM_SIZES],
     ),
+    'gateway-contention': (
+        ('requests held', 'us of the home a request'),
+        lambda: [(size, time_contention(size)) for size in HELD_SIZES],
+    ),
     'gateway-report': (
         ('upstreams in use', 'bytes a report'),
         lambda: [(size, report_bytes(size)) for size in UPSTREAM_SIZES],
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/admission.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/admission.py
@@ -10,6 +10,7 @@
 
 from spanfall_core.gateway.contention.held import HeldQueue, HeldRequest
 from spanfall_core.gateway.contention.prediction import (
+    RETURN_SHARE,
     Prediction,
     backlog_seconds,
     find_shares,
@@ -29,9 +30,6 @@
 #: Multiple of the predicted wait after which an entry asks again: by then the
 #: prediction was wrong.
 HOLD_FACTOR = 2.0
-#: Fraction of a workspace's share that is kept for requests that were told
-#: when to come back, so that each of them is told a time.
-RETURN_SHARE = 0.1
 
 
 @unique
@@ -153,14 +151,14 @@
     rank = Rank.RETURNING if is_expected else Rank.ON_TIME
     position = queue.next_position(terms, now, rank)
     prediction = predict(queue, terms, ask.room, now, position)
+    if prediction.could_be_on_time:
+        queue.record_arrival(terms, now)
     if ask.is_too_late(prediction) and not has_room(ask.room, queue):
         return _reject(ask, RejectReason.DEADLINE)
     held = queue.hold(ask.asker, terms, now, prediction.rank)
     decision = _send_or_hold(ask, held, prediction)
     if not isinstance(decision, Reject):
         returns.settle(identity)
-        if prediction.rank is not Rank.LATE:
-            queue.record_arrival(terms, now)
     return decision
 
 
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/prediction.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/prediction.py
@@ -16,6 +16,9 @@
 #: Fraction of the seconds left to its target within which a request has to
 #: have run to count as on time. The rest covers the wait at its upstream.
 ON_TIME_FRACTION = 0.75
+#: Fraction of a workspace's share that is kept for requests that were told
+#: when to come back, so that each of them is told a time.
+RETURN_SHARE = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +28,8 @@
     #: Seconds until then; infinite if other requests always precede it.
     start: float
     rank: Rank
+    #: Whether it would be on time if nothing of its workspace waited.
+    could_be_on_time: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,16 +77,19 @@
     shares = find_shares(queue, terms, room, now)
     ahead = find_ahead(queue, terms, position)
     start = _start(ahead, shares, terms, room)
-    if rank is Rank.ON_TIME:
-        has_to_run_in = terms.target_in * ON_TIME_FRACTION
-        if start + room.least_run <= has_to_run_in:
-            return Prediction(start, rank)
-        late = (Rank.LATE, now + terms.deadline_in, position[-1])
-        ahead = find_ahead(queue, terms, late)
-        start = _start(ahead, shares, terms, room)
     if rank is Rank.RETURNING:
+        return Prediction(start, rank, could_be_on_time=False)
+    latest = terms.target_in * ON_TIME_FRACTION - room.least_run
+    # Requests that come back meanwhile go ahead.
+    latest *= 1 - RETURN_SHARE
+    if rank is Rank.ON_TIME and start <= latest:
         return Prediction(start, rank)
-    return Prediction(max(start, _seconds(ahead.own, shares.spare)), Rank.LATE)
+    alone = _start(_alone(queue, terms, ahead), shares, terms, room)
+    late = (Rank.LATE, now + terms.deadline_in, position[-1])
+    ahead = find_ahead(queue, terms, late)
+    start = _start(ahead, shares, terms, room)
+    start = max(start, _seconds(ahead.own, shares.spare))
+    return Prediction(start, Rank.LATE, alone <= latest)
 
 
 def backlog_seconds(
@@ -138,6 +146,12 @@
     return Ahead(urgent, own, _served_beside(level, flow, own))
 
 
+def _alone(queue: HeldQueue, terms: AdmissionTerms, ahead: Ahead) -> Ahead:
+    """Return the work ahead without that of the own workspace."""
+    level, flow = queue.find_flow(terms)
+    return Ahead(ahead.urgent, 0, _served_beside(level, flow, 0))
+
+
 def _served_beside(level: Level, flow: Flow, own: float) -> float:
     """Return the work of others that is served before that much own work."""
     lag = max(0, flow.virtual_time - level.virtual_time)
