Decide at the home whether requests are sent, held or rejected

Cause: while callers offer more than the upstreams serve, each admitted request was sent at once, so all waited in the upstreams and all were late. Change: where contention is in force, an ask carries its terms; the home sends it, holds it under a ticket or rejects it, and a task of the home gives turns as room appears. An entry withdraws what is no longer wanted and asks the next home when one ends.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/configuration.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/configuration.py
@@ -4,7 +4,7 @@
 a newer version replaces it as a whole.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum, unique
 from itertools import accumulate
@@ -13,6 +13,9 @@
 
 from spanfall_core.gateway.known.limits import Limit
 
+#: Target latency assumed for a service without a route.
+DEFAULT_TARGET_SECONDS = 1.0
+
 
 @unique
 class RouteKind(StrEnum):
@@ -133,6 +136,15 @@
     }
 
 
+def _tightest_targets(routes: Iterable[Route]) -> dict[str, float]:
+    targets: dict[str, float] = {}
+    for route in routes:
+        for share in route.shares:
+            known = targets.get(share.service, route.target)
+            targets[share.service] = min(known, route.target)
+    return targets
+
+
 def _prefix_length(route: Route) -> int:
     return len(route.path_prefix)
 
@@ -143,7 +155,7 @@
     def __init__(
         self,
         version: int,
-        routes: Iterable[Route],
+        routes: Collection[Route],
         services: Iterable[ServedService],
         workspaces: Iterable[ServedWorkspace],
         limits: CallerLimits,
@@ -157,6 +169,7 @@
         self.services = {row.name: row for row in services}
         self.workspaces = {row.name: row for row in workspaces}
         self._quotas: dict[float, dict[str, Limit]] = {}
+        self._targets = _tightest_targets(routes)
         self._hosts = _by_host(routes)
         self._keys = {
             key: row for row in self.workspaces.values() for key in row.keys
@@ -172,6 +185,10 @@
             }
         return self._quotas[window]
 
+    def tightest_target(self, service: str) -> float:
+        """Return the least target latency of the routes to a service."""
+        return self._targets.get(service, DEFAULT_TARGET_SECONDS)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, if any."""
         rows = self._hosts.get(host, [])
--- a/packages/spanfall-core/src/spanfall_core/reasons.py
+++ b/packages/spanfall-core/src/spanfall_core/reasons.py
@@ -21,6 +21,10 @@
     RATE_LIMITED = 'rate-limited'
     CONCURRENCY_LIMITED = 'concurrency-limited'
     QUEUE_FULL = 'queue-full'
+    #: The upstreams cannot serve the request before its deadline.
+    NO_ROOM = 'no-room'
+    #: The caller came back before the time that it was told.
+    EARLY_RETURN = 'early-return'
     DEADLINE = 'deadline'
     NO_UPSTREAM = 'no-upstream'
     #: Every eligible upstream has reached the rate limit it announced, or has
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
@@ -16,6 +16,8 @@
 
 from spanfall_node.gateway.home.quarantine_links import QuarantineLinks
 from spanfall_node.gateway.home.succession import Succession
+from spanfall_node.gateway.home.turns import Turns
+from spanfall_node.gateway.links.contention_messages import WithdrawMessage
 from spanfall_node.gateway.links.crash_messages import (
     CrashReport,
     QuarantineMessage,
@@ -48,7 +50,10 @@
 )
 from spanfall_node.gateway.net.sockets import BACKLOG
 from spanfall_node.gateway.tables.state import GatewayState
-from spanfall_node.gateway.upstreams.granting import decide_grant
+from spanfall_node.gateway.upstreams.admitting import (
+    answer_request,
+    withdraw,
+)
 from spanfall_node.gateway.upstreams.hearing import merge_statements
 
 logger = logging.getLogger(__name__)
@@ -65,6 +70,7 @@
         self._state = state
         self._succession = Succession(state)
         self._quarantine = QuarantineLinks(state)
+        self._turns = Turns(state)
         self._configuration_sender = ConfigurationSender(
             state.cfg.host.link_megabits
         )
@@ -84,6 +90,7 @@
             try:
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self._quarantine.run)
+                    tasks.start_soon(self._turns.run)
                     await self._succession.run()
             finally:
                 self._resign()
@@ -113,6 +120,7 @@
         finally:
             self._succession.remove(link)
             self._quarantine.remove(link)
+            self._turns.remove(link)
 
     async def _redirect(self, link: ServerConnection) -> None:
         """Send the current home to an entry that has linked to this node."""
@@ -132,6 +140,9 @@
             case LoadMessage():
                 book = self._state.grant_book
                 book.apply_report(message.entry, message.load, now)
+                self._state.contention.notify_room_changed()
+            case WithdrawMessage():
+                withdraw(self._state, message.entry, message.tickets)
             case WatchedRun():
                 self._state.crashes.record_run(message, now)
             case StatementsReport():
@@ -152,7 +163,7 @@
                 resigned = self._succession.hand_over(message.epoch)
                 return None if resigned is None else encode(resigned)
             case GrantRequestMessage():
-                return encode(self._grant(message, now))
+                return encode(self._grant(message, link, now))
             case UnitsRequest():
                 return encode(self._units(message, now))
             case CrashReport():
@@ -171,10 +182,17 @@
             return None
         return encode(QuarantineMessage(crashes.quarantined(now)))
 
-    def _grant(self, message: GrantRequestMessage, now: float) -> GrantMessage:
+    def _grant(
+        self,
+        message: GrantRequestMessage,
+        link: ServerConnection | None,
+        now: float,
+    ) -> GrantMessage:
         state = self._state
         state.grant_book.apply_report(message.entry, message.load, now)
-        return decide_grant(
+        if message.request.terms is not None:
+            self._turns.add(message.entry, link)
+        return answer_request(
             state, message.entry, message.number, message.request
         )
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/new_tenure.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/new_tenure.py
@@ -30,6 +30,7 @@
     state.grant_book = GrantBook()
     state.granted_prompts = PromptHistory(speeds=state.prompts.speeds)
     state.words.begin_tenure(max(began_at, gives_at))
+    state.contention.begin_tenure()
     state.tenure = Tenure(
         claim.epoch,
         claim.lease,
--- a/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
@@ -6,6 +6,7 @@
 
 import cbor2
 import msgspec
+from spanfall_core.gateway.contention.waiting import AdmissionTerms
 from spanfall_core.gateway.crashes.crashes import Standing
 from spanfall_core.gateway.known.engine_model import PrefillSpeed
 from spanfall_core.gateway.known.fleet import EntryReport, FleetTotals
@@ -15,6 +16,13 @@
 from spanfall_core.gateway.routing.estimates import RoutingRequest
 from spanfall_core.gateway.routing.grants import EntryLoad, Grant
 
+from spanfall_node.gateway.links.contention_messages import (
+    HeldTurn,
+    HoldsEndedMessage,
+    Rejection,
+    TurnMessage,
+    WithdrawMessage,
+)
 from spanfall_node.gateway.links.crash_messages import (
     CrashReport,
     QuarantineMessage,
@@ -73,11 +81,13 @@
     load: EntryLoad
 
 
-class GrantRequest(msgspec.Struct, frozen=True):
+class GrantRequest(msgspec.Struct, frozen=True, omit_defaults=True):
     """Describe a request that needs an upstream."""
 
     service: str
     ask: RoutingRequest
+    #: Terms on which it competes with others; None if it does not.
+    terms: AdmissionTerms | None = None
 
 
 class GrantRequestMessage(msgspec.Struct, frozen=True, tag='ask'):
@@ -106,6 +116,11 @@
     #: Seconds until an upstream that is at its own limit has capacity again;
     #: 0 if no upstream states such a time.
     wait: float = 0
+    #: Set if the request is held, or rejected, while others compete.
+    held: HeldTurn | None = None
+    rejected: Rejection | None = None
+    #: Whether requests wait for upstreams of the service.
+    is_contended: bool = False
 
 
 class UnitsRequest(msgspec.Struct, frozen=True, tag='units-request'):
@@ -215,6 +230,7 @@
     | CrashReport
     | WatchedRun
     | StatementsReport
+    | WithdrawMessage
 )
 FromHome = (
     TableMessage
@@ -224,6 +240,8 @@
     | ResignMessage
     | SuccessorMessage
     | QuarantineMessage
+    | TurnMessage
+    | HoldsEndedMessage
 )
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/links/pending_requests.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/pending_requests.py
@@ -54,12 +54,13 @@
         for pending in self._pending.values():
             pending.answered.set()
 
-    def resolve(self, number: int, answer: Answer | None) -> None:
-        """Store the home's answer; one that arrives too late is ignored."""
+    def resolve(self, number: int, answer: Answer | None) -> bool:
+        """Store the home's answer; return False if it arrives too late."""
         pending = self._pending.get(number)
         if pending is not None:
             pending.answer = answer
             pending.answered.set()
+        return pending is not None
 
     async def ask(
         self,
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
@@ -69,6 +69,21 @@
             'Loads stated by upstreams that could not be parsed',
             registry=self.registry,
         )
+        self.held_requests = Counter(
+            'spanfall_held_requests',
+            'Requests that the home held until there was room',
+            registry=self.registry,
+        )
+        self.turns = Counter(
+            'spanfall_turns',
+            'Turns that this node gave, as the home, to held requests',
+            registry=self.registry,
+        )
+        self.returns = self._labelled(
+            'spanfall_returns',
+            'Callers that came back after a rejection, kept or too early',
+            'outcome',
+        )
         self.cut_answers = self._labelled(
             'spanfall_cut_answers',
             'Answers that ended early, by reason',
@@ -109,6 +124,16 @@
             'Requests that callers wait for',
             registry=self.registry,
         )
+        self.held_now = Gauge(
+            'spanfall_held_requests_now',
+            'Requests of this node that wait for their turn',
+            registry=self.registry,
+        )
+        self.longest_hold = Gauge(
+            'spanfall_longest_hold_seconds',
+            'Time for which the longest held request of this node waits',
+            registry=self.registry,
+        )
         self.first_part = Histogram(
             'spanfall_first_part_seconds',
             'Time from request to the first part of its answer',
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
@@ -35,6 +35,7 @@
     HomeRecord,
 )
 from spanfall_node.gateway.net.ports import PlatformAdapter
+from spanfall_node.gateway.tables.contention import ContentionState
 from spanfall_node.gateway.tables.counters import Counters
 from spanfall_node.gateway.tables.crash_knowledge import CrashState
 from spanfall_node.gateway.tables.scheduling import Scheduling
@@ -64,6 +65,7 @@
     words: UpstreamStatements
     directory: Directory
     scheduling: Scheduling
+    contention: ContentionState = field(default_factory=ContentionState)
     configuration: ServedConfiguration | None = None
     #: Configuration as stored, for forwarding to other nodes.
     configuration_source: bytes = b''
@@ -230,6 +232,7 @@
         self.home_answered_at = now
         self.home_resigned = False
         self.tenure = None
+        self.contention.end_tenure()
 
     def update_home(self, home: HomeRecord | None) -> None:
         """Set or clear the known home and wake the tasks that wait for it."""
@@ -242,6 +245,7 @@
         """Wake the tasks that wait for a change of the load."""
         self.load_changed.set()
         self.load_changed = anyio.Event()
+        self.contention.notify_room_changed()
 
     def record_vacant_home(self, epoch: int) -> None:
         """Record that a home has resigned and look up another one at once."""
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
@@ -58,6 +58,9 @@
     caller: CallerConnection
     sends: SendState = field(default_factory=SendState)
     tried: set[Lifetime] = field(default_factory=set)
+    #: Seconds for which the home held it, and the ticket under which it does.
+    held_seconds: float = 0
+    ticket: int = 0
     events: EventSplitter = field(default_factory=EventSplitter)
     #: Whether the head of the response has been sent to the caller.
     started: bool = False
@@ -91,7 +94,7 @@
         'Request %s of %s: %s from %s, send %s, first part after %.3f s, '
         'longest pause %.3f s, total %.3f s, '
         '%s prompt tokens, %s requests running there, configuration %s, '
-        '%.0f units of workspace %s, identity %s',
+        '%.0f units of workspace %s, identity %s%s',
         admitted.attempt_id,
         admitted.route.name,
         status,
@@ -106,6 +109,9 @@
         admitted.units,
         admitted.workspace.name if admitted.workspace else None,
         admitted.identity,
+        f', held {exchange.held_seconds:.3f} s'
+        if exchange.held_seconds
+        else '',
     )
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/choosing.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/choosing.py
@@ -2,12 +2,19 @@
 
 import anyio
 from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.routing.balance import Choice
 from spanfall_core.gateway.routing.estimates import RoutingRequest
 from spanfall_core.gateway.routing.grants import RetryAfter
 
+from spanfall_node.gateway.links.contention_messages import Rejection
+from spanfall_node.gateway.tables.contention import HeldWait
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.attempt import Exchange
 from spanfall_node.gateway.upstreams.grants import ChoiceOutcome, GrantClient
+from spanfall_node.gateway.upstreams.held_requests import (
+    admission_terms,
+    wait_for_turn,
+)
 
 #: Seconds that a suspect request waits while the trial of another one runs: as
 #: long as a trial whose upstream sends nothing. Then the caller may retry.
@@ -20,18 +27,20 @@
 #: Minimum seconds of a wait for a permit. With many rate-limited upstreams a
 #: permit is due at almost any moment, and each attempt is a request to the home.
 MIN_PERMIT_WAIT_SECONDS = 0.02
+#: Result of a choice after all waits.
+SettledChoice = Choice | Rejection | RetryAfter | Standing | None
 
 
 async def choose_or_wait(
     state: GatewayState,
     grants: GrantClient,
     exchange: Exchange,
-) -> ChoiceOutcome:
+) -> SettledChoice:
     """Choose an upstream; wait where that serves the caller better.
 
     A suspect request waits for its trial. A request that only an upstream's
     rate limit or back-off delays waits if that ends within a fraction of the
-    route's latency target.
+    route's latency target. A request that the home holds waits for its turn.
     """
     admitted = exchange.admitted
     began_at = state.timers.now()
@@ -40,11 +49,15 @@
     )
     while True:
         routing_request = _routing_request(state, exchange)
-        choice = await grants.choose(admitted.service, routing_request)
+        terms = admission_terms(state, exchange)
+        choice = await grants.choose(admitted.service, routing_request, terms)
         choice = _retry_after_backoff(
             state, admitted.service, routing_request, choice
         )
         now = state.timers.now()
+        if isinstance(choice, HeldWait):
+            await wait_for_turn(state, exchange, choice)
+            continue
         if choice is Standing.SUSPECT:
             seconds, until = TRIAL_POLL_SECONDS, began_at + TRIAL_WAIT_SECONDS
         elif isinstance(choice, RetryAfter):
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
@@ -45,7 +45,7 @@
     if not request.ask.tried:
         state.grant_book.first_attempts[request.service] += 1
     serving = state.directory.serving(request.service)
-    withheld = _withheld(state, now)
+    withheld = withheld_upstreams(state, now)
     candidates = serving
     if standing is Standing.SUSPECT:
         trials = state.crashes.trials
@@ -70,7 +70,9 @@
     return GrantMessage(number, grant, standing, wait)
 
 
-def _withheld(state: GatewayState, now: float) -> AbstractSet[Lifetime]:
+def withheld_upstreams(
+    state: GatewayState, now: float
+) -> AbstractSet[Lifetime]:
     """Return the upstreams that get no requests now.
 
     A home that may not be the only one withholds all rate-limited upstreams:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
@@ -9,21 +9,30 @@
 import logging
 from dataclasses import dataclass, field
 
+from spanfall_core.gateway.contention.waiting import AdmissionTerms
 from spanfall_core.gateway.crashes.crashes import Standing
 from spanfall_core.gateway.routing.balance import Choice, choose
 from spanfall_core.gateway.routing.estimates import RoutingRequest
 from spanfall_core.gateway.routing.grants import EntryLoad, RetryAfter
 
+from spanfall_node.gateway.links.contention_messages import (
+    HeldTicket,
+    Rejection,
+)
 from spanfall_node.gateway.links.messages import (
     GrantMessage,
     GrantRequest,
     GrantRequestMessage,
 )
 from spanfall_node.gateway.links.pending_requests import PendingRequests, Send
+from spanfall_node.gateway.tables.contention import HeldWait
 from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.admitting import (
+    answer_request,
+    reject_unservable,
+)
 from spanfall_node.gateway.upstreams.granting import (
     NO_HOME_RETRY_SECONDS,
-    decide_grant,
     has_limited_candidate,
 )
 
@@ -39,7 +48,7 @@
     (Standing.SUSPECT, Standing.HELD, Standing.QUARANTINED),
 )
 #: Result of a choice; None if no upstream can serve the request.
-ChoiceOutcome = Choice | RetryAfter | Standing | None
+ChoiceOutcome = Choice | HeldWait | Rejection | RetryAfter | Standing | None
 
 #: How a choice was made, used as metric labels.
 AS_HOME = 'as-home'
@@ -52,7 +61,7 @@
     """Choose upstreams with the home's grants or, without a home, locally."""
 
     state: GatewayState
-    _pending: PendingRequests[GrantMessage] = field(
+    _pending: PendingRequests[GrantMessage | HeldWait] = field(
         default_factory=PendingRequests
     )
     _local_until: float = 0
@@ -60,14 +69,30 @@
     def connect(self, send: Send) -> None:
         """Request grants over this link from now on."""
         self._pending.connect(send)
+        self.state.contention.find_home()
 
     def disconnect(self) -> None:
         """Decide locally until another link connects."""
         self._pending.disconnect()
+        self.state.contention.lose_home()
 
     def accept_answer(self, answer: GrantMessage) -> None:
-        """Resolve a pending request; a late answer is ignored."""
-        self._pending.resolve(answer.number, answer)
+        """Resolve a pending request; a late answer is ignored.
+
+        A held request is added at once, as the message of its turn may follow
+        before the request's task runs.
+        """
+        contention = self.state.contention
+        now = self.state.timers.now()
+        if answer.is_contended:
+            contention.record_contended(now)
+        if answer.held is None:
+            self._pending.resolve(answer.number, answer)
+            return
+        wait = contention.held.add(answer.held, now)
+        if not self._pending.resolve(answer.number, wait):
+            contention.held.remove(wait.ticket)
+            contention.withdraw(wait.ticket)
 
     def load(self) -> EntryLoad:
         """Return the local load and the last grant number that it includes."""
@@ -77,36 +102,51 @@
         self,
         service: str,
         routing_request: RoutingRequest,
+        terms: AdmissionTerms | None = None,
     ) -> ChoiceOutcome:
         """Return the upstream for a request, if any can serve it.
 
-        Return the request's standing if it may not be sent, or not now. The
-        calling code has to count the request as running before it next waits.
+        Return the request's standing if it may not be sent, or not now. With
+        terms, it may be held or rejected instead. The calling code has to count
+        the request as running before it next waits.
         """
         state = self.state
         state.prompts.record_prompt(routing_request, state.timers.now())
+        request = GrantRequest(service, routing_request, terms)
         if state.tenure is not None:
             state.counters.grants.labels(AS_HOME).inc()
-            request = GrantRequest(service, routing_request)
-            return self._accept_grant(
-                decide_grant(state, state.entry_key, 0, request)
-            )
+            answer = answer_request(state, state.entry_key, 0, request)
+            if answer.held is not None:
+                now = state.timers.now()
+                return state.contention.own_held.add(answer.held, now)
+            return self._accept_grant(answer)
         can_ask = self._pending.is_connected
         if can_ask and state.timers.now() >= self._local_until:
-            choice = await self._request_grant(service, routing_request)
+            choice = await self._request_grant(request)
             if choice is not None:
                 state.counters.grants.labels(GRANTED).inc()
                 return choice
         state.counters.grants.labels(DECIDED_LOCALLY).inc()
-        return self._choose_locally(service, routing_request)
+        return self._decide_alone(request)
 
-    async def _request_grant(
-        self,
-        service: str,
-        routing_request: RoutingRequest,
-    ) -> ChoiceOutcome:
+    def _decide_alone(self, request: GrantRequest) -> ChoiceOutcome:
+        """Choose locally; reject what is known not to make its deadline.
+
+        A request that is still held at the home is withdrawn.
+        """
+        state = self.state
+        choice = self._choose_locally(request.service, request.ask)
+        if request.terms is None:
+            return choice
+        if request.terms.ticket:
+            identity, ticket = request.ask.identity, request.terms.ticket
+            state.contention.withdraw(
+                HeldTicket(request.service, identity, ticket)
+            )
+        return reject_unservable(state, request.terms, choice)
+
+    async def _request_grant(self, request: GrantRequest) -> ChoiceOutcome:
         state = self.state
-        request = GrantRequest(service, routing_request)
         question = await self._pending.ask(
             lambda number: GrantRequestMessage(
                 state.entry_key,
@@ -122,12 +162,15 @@
                 'Home sent no grant within %s s; choosing upstreams locally',
                 GRANT_TIMEOUT_SECONDS,
             )
-        if question.answer is None:
-            return None
-        return self._accept_grant(question.answer)
+        answer = question.answer
+        if answer is None or isinstance(answer, HeldWait):
+            return answer
+        return self._accept_grant(answer)
 
     def _accept_grant(self, answer: GrantMessage) -> ChoiceOutcome:
         """Return the granted choice unless newer local state rules it out."""
+        if answer.rejected is not None:
+            return answer.rejected
         grant = answer.grant
         if grant is None:
             if answer.standing in GRANT_REQUIRED:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -20,6 +20,7 @@
 )
 from spanfall_core.reasons import RefusalReason
 
+from spanfall_node.gateway.links.contention_messages import Rejection
 from spanfall_node.gateway.links.crash_messages import RunStage
 from spanfall_node.gateway.net.pool import ConnectionPool
 from spanfall_node.gateway.requests.admission import AdmittedRequest
@@ -42,6 +43,7 @@
 )
 from spanfall_node.gateway.upstreams.crash_watch import CrashDetector
 from spanfall_node.gateway.upstreams.grants import GrantClient
+from spanfall_node.gateway.upstreams.held_requests import refusal_of
 from spanfall_node.gateway.upstreams.sending import send
 
 logger = logging.getLogger(__name__)
@@ -124,6 +126,8 @@
         if choice is None or isinstance(choice, RetryAfter):
             await _end_without_upstream(state, exchange, choice)
             return
+        if isinstance(choice, Rejection):
+            raise refusal_of(exchange, choice)
         if isinstance(choice, Standing):
             await _end_unsendable(state, exchange, choice)
             return
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/service_room.py
@@ -0,0 +1,116 @@
+"""Compute, as the home, what the upstreams of a service can take now."""
+
+from collections.abc import Callable
+
+from spanfall_core.gateway.contention.room import (
+    RoomTotals,
+    ServiceRoom,
+    UpstreamLoad,
+    openings,
+)
+from spanfall_core.gateway.known.lifetimes import Lifetime
+from spanfall_core.gateway.known.listed import ListedUpstream
+
+from spanfall_node.gateway.tables.contention import ContendedService
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.granting import (
+    FAILING_THRESHOLD,
+    withheld_upstreams,
+)
+
+#: Minimum seconds between two computations of a service's room: entries report
+#: changes of their load about as often.
+MIN_ROOM_SECONDS = 0.005
+#: Seconds between two computations for each upstream of the service, so that
+#: they take a tenth of the home's time at most.
+ROOM_SECONDS_PER_UPSTREAM = 2e-5
+#: One in so many upstreams has to get a request before the room is computed
+#: again within that time.
+UPSTREAMS_PER_SEND = 8
+
+#: Returns the factor by which the work of an upstream takes longer than usual.
+Slowdown = Callable[[Lifetime, float], float]
+
+
+def usual_speed(lifetime: Lifetime, now: float) -> float:
+    """Return the slowdown of an upstream of which nothing is known."""
+    return 1
+
+
+def current_room(
+    state: GatewayState,
+    service: str,
+    now: float,
+    slowdown: Slowdown = usual_speed,
+) -> ServiceRoom:
+    """Return the room of a service, as computed a short time ago."""
+    row = state.contention.service(service)
+    if row.room is not None and not _is_room_due(row, row.room, now):
+        return row.room
+    row.room_at = now
+    row.sent_since = 0
+    row.update_waiting(now)
+    room = _compute_room(state, service, now, slowdown)
+    waiting_for = 0.0
+    if row.waiting_since is not None:
+        waiting_for = now - row.waiting_since
+    row.work_rate.learn(room.upstreams, waiting_for, now)
+    row.room = ServiceRoom(
+        room.upstreams,
+        room.places,
+        room.busy,
+        row.work_rate.per_upstream * room.upstreams,
+        room.least_run,
+        room.free,
+    )
+    return row.room
+
+
+def _is_room_due(row: ContendedService, room: ServiceRoom, now: float) -> bool:
+    age = now - row.room_at
+    upstreams = room.upstreams
+    if age >= max(MIN_ROOM_SECONDS, ROOM_SECONDS_PER_UPSTREAM * upstreams):
+        return True
+    has_sent = row.sent_since * UPSTREAMS_PER_SEND >= max(1, upstreams)
+    return has_sent and room.free <= row.queue.given
+
+
+def _compute_room(
+    state: GatewayState, service: str, now: float, slowdown: Slowdown
+) -> ServiceRoom:
+    """Sum up the loads of the upstreams that may get requests."""
+    configuration = state.configuration
+    served = configuration.services.get(service) if configuration else None
+    reads_prompts = served is not None and served.engine is not None
+    speed = state.granted_prompts.speed(service)
+    target = configuration.tightest_target(service) if configuration else 1
+    totals = RoomTotals()
+    for row in _usable(state, service, now):
+        lifetime = row.lifetime
+        load = UpstreamLoad(
+            row.slots,
+            state.grant_book.running[lifetime],
+            max(0, state.grant_book.prefill[lifetime]) / speed.rate,
+            slowdown(lifetime, now),
+        )
+        opened = openings(load, target, reads_prompts=reads_prompts)
+        totals.update(lifetime, load, opened)
+    return totals.room(0, speed.base if reads_prompts else 0)
+
+
+def _usable(
+    state: GatewayState, service: str, now: float
+) -> list[ListedUpstream]:
+    """Return the upstreams that get requests: failing ones only if all do."""
+    withheld = withheld_upstreams(state, now)
+    rows = [
+        row
+        for row in state.directory.serving(service)
+        if row.lifetime not in withheld
+    ]
+    sound = [
+        row
+        for row in rows
+        if state.loads.failures_at(row.lifetime, now) < FAILING_THRESHOLD
+    ]
+    return sound or rows
