--- a/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
@@ -81,6 +81,7 @@
     keys: list[str]
     rate: float = 0
     burst: float = 0
+    priority: int | None = None
 
 
 class PlainService(msgspec.Struct):
@@ -139,6 +140,7 @@
             ServedWorkspace(
                 row.name,
                 frozenset(row.keys),
+                priority=row.priority,
                 rate=row.rate,
                 burst=row.burst,
             )
