Sum up waiting work by bins and bound every decision

Cause: the work served beside a request was summed over all workspaces, and a rejection while the rate was unknown divided by zero. Change: Backlog holds sums over bins of a factor of two; without a rate no return is planned and one second is told.

--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/held.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/held.py
@@ -200,6 +200,8 @@
 
     def free_lapsed(self, now: float) -> None:
         """Free the turns that were not taken in time."""
+        if not self._given:
+            return
         lapsed = tuple(
             takewhile(
                 lambda ticket: self._given[ticket].expires_at <= now,
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/levels.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/levels.py
@@ -4,6 +4,7 @@
 from heapq import heapify, heappop, heappush
 
 from spanfall_core.fair_queueing import charge_work, join_waiting
+from spanfall_core.gateway.contention.backlog import Backlog
 from spanfall_core.gateway.contention.rates import DecayingRate
 from spanfall_core.gateway.contention.slack import Position, SlackOrder
 
@@ -37,9 +38,7 @@
     virtual_time: float = 0
     #: Number of the turn in which a request of this level was served last.
     last_turn: int = 0
-    #: Units and weights of the workspaces that wait.
-    units: float = 0
-    weights: float = 0
+    backlog: Backlog = field(default_factory=Backlog)
     flows: dict[str, Flow] = field(default_factory=dict)
     waiting: dict[str, Flow] = field(default_factory=dict)
     #: Units that arrive and are admitted on time.
@@ -56,33 +55,35 @@
             self._forget_idle()
             flow = Flow(workspace, weight)
             self.flows[workspace] = flow
-        if flow.is_waiting:
-            self.weights += weight - flow.weight
-        flow.weight = weight
+        if flow.weight != weight:
+            self._set_weight(flow, weight)
         return flow
 
     def add(self, flow: Flow, position: Position, units: float) -> None:
         """Let a request of the workspace wait."""
-        if not flow.is_waiting:
+        if flow.is_waiting:
+            self.backlog.exclude(flow.units, flow.weight)
+        else:
             join_waiting(self, flow)
             self.waiting[flow.workspace] = flow
-            self.weights += flow.weight
             self._tag(flow)
         flow.order.add(position, units)
         flow.units += units
-        self.units += units
+        self.backlog.include(flow.units, flow.weight)
 
     def remove(self, flow: Flow, position: Position) -> None:
         """Let a request of the workspace wait no longer."""
-        units = flow.order.remove(position)
-        flow.units -= units
-        self.units -= units
-        if not flow.is_waiting:
-            flow.units = 0
-            self.waiting.pop(flow.workspace)
-            self.weights -= flow.weight
+        self.backlog.exclude(flow.units, flow.weight)
+        flow.units -= flow.order.remove(position)
+        if flow.is_waiting:
+            self.backlog.include(flow.units, flow.weight)
+            return
+        flow.units = 0
+        self.waiting.pop(flow.workspace)
         if not self.waiting:
-            self._reset()
+            # A new busy period begins, in which all workspaces are equal.
+            self._tags.clear()
+            self.virtual_time = self._latest_virtual_time
 
     def charge(self, flow: Flow, units: float) -> None:
         """Charge the workspace for a request that is served now."""
@@ -120,12 +121,11 @@
             ]
             heapify(self._tags)
 
-    def _reset(self) -> None:
-        """Start a new busy period, in which all workspaces are equal."""
-        self.units = 0
-        self.weights = 0
-        self._tags.clear()
-        self.virtual_time = self._latest_virtual_time
+    def _set_weight(self, flow: Flow, weight: float) -> None:
+        if flow.is_waiting:
+            self.backlog.exclude(flow.units, flow.weight)
+            self.backlog.include(flow.units, weight)
+        flow.weight = weight
 
     def _forget_idle(self) -> None:
         if len(self.flows) >= 2 * len(self.waiting) + MAX_IDLE_FLOWS:
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/prediction.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/prediction.py
@@ -19,6 +19,8 @@
 #: Fraction of a workspace's share that is kept for requests that were told
 #: when to come back, so that each of them is told a time.
 RETURN_SHARE = 0.1
+#: Seconds after which to ask again while the rate of a service is unknown.
+UNKNOWN_BACKLOG_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,7 +102,7 @@
 ) -> float:
     """Return the seconds until all that precedes a late request is sent."""
     if not room.work_rate:
-        return 0
+        return UNKNOWN_BACKLOG_SECONDS
     last = (Rank.LATE, inf, 0)
     shares = find_shares(queue, terms, room, now)
     return _start(find_ahead(queue, terms, last), shares, terms, room)
@@ -122,7 +124,7 @@
     )
     least = room.work_rate * LEAST_SHARE / max(1, len(order.waiting))
     level_rate = max(0, room.work_rate - urgent)
-    weights = level.weights
+    weights = level.backlog.weights
     if not flow.is_waiting:
         weights += flow.weight
     workspace_rate = max(level_rate, least) * flow.weight / weights
@@ -139,7 +141,7 @@
     level, flow = queue.find_flow(terms)
     own = flow.order.before(position)
     urgent = sum(
-        queue.order.levels[priority].units
+        queue.order.levels[priority].backlog.units
         for priority in queue.order.waiting
         if priority < terms.priority
     )
@@ -158,11 +160,8 @@
     progress = own / flow.weight + lag
     if not progress:
         return 0
-    return sum(
-        min(row.units, progress * row.weight)
-        for row in level.waiting.values()
-        if row is not flow
-    )
+    beside = level.backlog.served_beside(progress)
+    return max(0, beside - min(flow.units, progress * flow.weight))
 
 
 def _start(
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/returns.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/returns.py
@@ -33,7 +33,7 @@
     priority: int
     #: Seconds until the work that waits now is served.
     seconds: float
-    #: Units per second that returns can expect.
+    #: Units per second that returns can expect; 0: unknown.
     rate: float
 
 
@@ -66,11 +66,11 @@
         key = (backlog.workspace, backlog.priority)
         earliest = now + max(MIN_RETRY_AFTER, backlog.seconds)
         told = max(earliest, self._ends.get(key, 0))
-        seconds = min(MAX_RETRY_AFTER, told - now)
-        if seconds <= latest_in:
+        told = min(told, now + MAX_RETRY_AFTER)
+        if backlog.rate > 0 and told - now <= latest_in:
             self._remember(identity, told, now)
             self._ends[key] = told + units / backlog.rate
-        return seconds
+        return told - now
 
     def seconds_early(self, identity: str, now: float) -> float:
         """Return the seconds by which a request is back too early, or 0."""
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/turns.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/turns.py
@@ -25,7 +25,11 @@
 
     def level(self, priority: int) -> Level:
         """Return the level of a priority."""
-        return self.levels.setdefault(priority, Level())
+        level = self.levels.get(priority)
+        if level is None:
+            level = Level()
+            self.levels[priority] = level
+        return level
 
     def begin_waiting(self, priority: int) -> None:
         """Let a level without waiting requests compete for turns."""
