--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/service_room.py
@@ -0,0 +1,122 @@
+"""Compute, as the home, what the upstreams of a service can take now."""
+
+from collections.abc import Callable
+
+from spanfall_core.gateway.contention.room import (
+    ServiceRoom,
+    UpstreamLoad,
+    openings,
+)
+from spanfall_core.gateway.known.lifetimes import Lifetime
+
+from spanfall_node.gateway.tables.contention import ContendedService, Places
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.granting import (
+    FAILING_THRESHOLD,
+    withheld_upstreams,
+)
+
+#: Minimum seconds between two computations of a service's room: entries report
+#: changes of their load about as often.
+MIN_ROOM_SECONDS = 0.005
+#: Seconds between two computations for each upstream of the service, so that
+#: they take a small part of the home's time also where there are many.
+ROOM_SECONDS_PER_UPSTREAM = 2e-5
+#: One in so many upstreams has to get a request before the room is computed
+#: again within that time.
+UPSTREAMS_PER_SEND = 8
+
+#: Returns the factor by which the work of an upstream takes longer than usual.
+Slowdown = Callable[[Lifetime, float], float]
+
+
+def usual_speed(lifetime: Lifetime, now: float) -> float:
+    """Return the slowdown of an upstream of which nothing is known."""
+    return 1
+
+
+def current_room(
+    state: GatewayState,
+    service: str,
+    now: float,
+) -> ServiceRoom:
+    """Return the room of a service, as computed a short time ago."""
+    row = state.contention.service(service)
+    if row.room is not None and not _is_room_due(row, row.room, now):
+        return row.room
+    row.room_at = now
+    row.sent_since = 0
+    row.update_waiting(now)
+    room = _compute_room(state, service, now, usual_speed)
+    waiting_for = 0.0
+    if row.waiting_since is not None:
+        waiting_for = now - row.waiting_since
+    row.work_rate.learn(room.upstreams, waiting_for, now)
+    row.room = ServiceRoom(
+        room.upstreams,
+        room.places,
+        room.busy,
+        row.work_rate.per_upstream * room.upstreams,
+        room.least_run,
+        room.free,
+    )
+    return row.room
+
+
+def _is_room_due(row: ContendedService, room: ServiceRoom, now: float) -> bool:
+    age = now - row.room_at
+    upstreams = room.upstreams
+    if age >= max(MIN_ROOM_SECONDS, ROOM_SECONDS_PER_UPSTREAM * upstreams):
+        return True
+    has_sent = row.sent_since * UPSTREAMS_PER_SEND >= max(1, upstreams)
+    return has_sent and room.free <= row.queue.given
+
+
+def _compute_room(
+    state: GatewayState, service: str, now: float, slowdown: Slowdown
+) -> ServiceRoom:
+    """Sum up the loads of the upstreams that may get requests."""
+    configuration = state.configuration
+    served = configuration.services.get(service) if configuration else None
+    reads_prompts = served is not None and served.engine is not None
+    speed = state.granted_prompts.speed(service)
+    target = configuration.tightest_target(service) if configuration else 1
+    running, prefill = state.grant_book.running, state.grant_book.prefill
+    loads = [
+        UpstreamLoad(
+            slots,
+            running.get(lifetime, 0),
+            max(0, prefill.get(lifetime, 0)) / speed.rate,
+            slowdown(lifetime, now),
+        )
+        for lifetime, slots in _usable(state, service, now)
+    ]
+    return ServiceRoom(
+        len(loads),
+        places=sum(load.slots for load in loads),
+        busy=sum(load.running for load in loads),
+        work_rate=0,
+        least_run=speed.base if reads_prompts else 0,
+        free=sum(
+            openings(load, target, reads_prompts=reads_prompts)
+            for load in loads
+        ),
+    )
+
+
+def _usable(state: GatewayState, service: str, now: float) -> list[Places]:
+    """Return the upstreams that get requests: failing ones only if all do."""
+    withheld = withheld_upstreams(state, now)
+    rows = [
+        row
+        for row in state.contention.service(service).places_of(
+            state.directory.serving(service)
+        )
+        if row[0] not in withheld
+    ]
+    sound = [
+        row
+        for row in rows
+        if state.loads.failures_at(row[0], now) < FAILING_THRESHOLD
+    ]
+    return sound or rows
