Route by the speed of single upstreams

Cause: upstreams of one service differ in speed and share hosts with others; a choice took all of them to be equally fast. Change: UpstreamSpeeds keeps a factor for each lifetime, learned from the time to first tokens and of calls, times the stated slowdown. Entries send samples with their load, the home sends long-run factors with the totals. All terms of a choice in seconds of an upstream are multiplied by its factor. The prefill line of a service is that of usual hosts where the part is on. The tests of the part, of messages and of the shortlist pass. Conclusion: off, or where no slowdown is stated in mode auto, nothing changes.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/loads.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/loads.py
@@ -111,5 +111,9 @@
         score = self._scores.get(lifetime)
         return score.value(now) if score else 0
 
+    def factor_at(self, lifetime: Lifetime, now: float) -> float:
+        """Return 1: all upstreams are taken to be equally fast."""
+        return 1
+
     def _score(self, lifetime: Lifetime) -> FailureScore:
         return self._scores.setdefault(lifetime, FailureScore())
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
@@ -24,6 +24,7 @@
     RoutingRequest,
     UpstreamLoads,
     estimate,
+    excess_seconds,
 )
 from spanfall_core.gateway.routing.shortlist import FULL_SEARCH_LIMIT, Shortlist
 from spanfall_core.gateway.routing.sizes import PromptSizes
@@ -236,9 +237,11 @@
     indices.add(preferred)
     found = search.best(indices, preferred)
     if found is not None:
+        lifetime = found.upstream.lifetime
         slots = max(1, found.upstream.slots)
         added = FULL_BATCH_SECONDS / slots + found.prefill / search.rate
-        shortlist.record_choice(found.upstream.lifetime, added)
+        factor = search.loads.factor_at(lifetime, search.now)
+        shortlist.record_choice(lifetime, added * factor)
     return found
 
 
@@ -252,12 +255,18 @@
 
     def weigh(lifetime: Lifetime, row: ListedUpstream) -> tuple[float, float]:
         running = loads.running_at(lifetime)
-        prefill_seconds = loads.prefill_at(lifetime) / rate
-        short = FULL_BATCH_SECONDS * running / row.slots + prefill_seconds
+        factor = loads.factor_at(lifetime, now)
+        prefill_seconds = loads.prefill_at(lifetime) / rate * factor
+        batch_seconds = FULL_BATCH_SECONDS * running / row.slots * factor
+        short = batch_seconds + prefill_seconds
+        short += excess_seconds(search.request, factor)
         short += loads.failures_at(lifetime, now) * FAILURE_PENALTY_SECONDS
         if running >= row.slots:
             short += (
-                QUEUED_BATCH_SECONDS * (running + 1 - row.slots) / row.slots
+                QUEUED_BATCH_SECONDS
+                * (running + 1 - row.slots)
+                / row.slots
+                * factor
             )
         if row.warm_up:
             short += row.warm_up / 10
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/estimates.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/estimates.py
@@ -17,6 +17,8 @@
 QUEUED_BATCH_SECONDS = 1.5
 #: Seconds that a call without a prompt is assumed to hold a slot.
 CALL_SECONDS = 0.1
+#: Seconds to the first token of a prompt besides its reading and the batch.
+FIRST_STEP_SECONDS = 0.03
 #: Penalty in seconds for each recent failure of an upstream.
 FAILURE_PENALTY_SECONDS = 0.5
 #: Penalty in seconds for another data centre: its latency and its price.
@@ -40,6 +42,9 @@
     def failures_at(self, lifetime: Lifetime, now: float) -> float:
         """Return the recent failures of an upstream."""
 
+    def factor_at(self, lifetime: Lifetime, now: float) -> float:
+        """Return the duration of work there, relative to the usual."""
+
 
 @dataclass(frozen=True, slots=True)
 class RoutingRequest:
@@ -68,16 +73,19 @@
     """Estimate the cost of a request at one upstream, in seconds.
 
     This is its time to the first token plus the time for which it stalls the
-    streams that run there. ``rate`` is the prefill speed in tokens per second.
+    streams that run there. ``rate`` is the prefill speed in tokens per second
+    of an upstream of the usual speed.
     """
     lifetime = row.lifetime
     running = loads.running_at(lifetime)
-    prefill_seconds = (loads.prefill_at(lifetime) + prefill) / rate
+    factor = loads.factor_at(lifetime, now)
+    prefill_seconds = (loads.prefill_at(lifetime) + prefill) / rate * factor
     seconds = (
-        _batch_seconds(row, running, request)
+        _batch_seconds(row, running, request) * factor
         + row.warm_up / 10
         + prefill_seconds
     )
+    seconds += excess_seconds(request, factor)
     if prefill_seconds > TOLERATED_STALL_SECONDS:
         seconds += (
             running * STALL_WEIGHT * (prefill_seconds - TOLERATED_STALL_SECONDS)
@@ -88,6 +96,15 @@
     return seconds
 
 
+def excess_seconds(request: RoutingRequest, factor: float) -> float:
+    """Return how much longer an idle upstream takes than a usual one.
+
+    Without this, all upstreams with no requests would cost the same.
+    """
+    own = FIRST_STEP_SECONDS if request.prompt_tokens else CALL_SECONDS
+    return own * (factor - 1)
+
+
 def _batch_seconds(
     row: ListedUpstream, running: int, request: RoutingRequest
 ) -> float:
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/grants.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/grants.py
@@ -129,3 +129,7 @@
     def failures_at(self, lifetime: Lifetime, now: float) -> float:
         """Return the recent failures of an upstream."""
         return self.failures.failures_at(lifetime, now)
+
+    def factor_at(self, lifetime: Lifetime, now: float) -> float:
+        """Return 1: all upstreams are taken to be equally fast."""
+        return 1
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/entry_link.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/entry_link.py
@@ -16,6 +16,7 @@
 
 from spanfall_node.gateway.home.followed_table import FollowedTable
 from spanfall_node.gateway.home.home_pace import strength
+from spanfall_node.gateway.home.load_sender import send_load
 from spanfall_node.gateway.home.lost_home import HomeReconnect
 from spanfall_node.gateway.home.telling_words import send_statements
 from spanfall_node.gateway.home.totals import follow_own_table
@@ -25,7 +26,6 @@
     MESSAGE_BYTES,
     FromHome,
     GrantMessage,
-    LoadMessage,
     ReportMessage,
     TableMessage,
     UnitsMessage,
@@ -50,8 +50,6 @@
 HOME_CHECK_PERIOD = 0.1
 #: Timeout in seconds for an answer of the home and for a new link to it.
 ANSWER_TIMEOUT_SECONDS = 0.8
-#: Seconds for which load changes are collected before they are sent.
-LOAD_PERIOD = 0.05
 #: Fraction of the report period after which a report may be sent early because
 #: units of a workspace run out.
 MIN_PERIOD_FRACTION = 0.25
@@ -145,7 +143,7 @@
             link_tasks = (
                 self._receive,
                 self._report_periodically,
-                self._send_load,
+                partial(send_load, self._state, self._grants),
                 self._answer_store_questions,
                 partial(send_statements, self._state),
             )
@@ -277,19 +275,6 @@
         now = state.timers.now()
         state.apply_given(table.given, report, now)
 
-    async def _send_load(self, link: ClientConnection) -> None:
-        """Send the home this node's load whenever it has changed."""
-        sent_changes = -1
-        while True:
-            if sent_changes == self._state.loads.changes:
-                await self._state.load_changed.wait()
-            await anyio.sleep(LOAD_PERIOD)
-            if sent_changes != self._state.loads.changes:
-                sent_changes = self._state.loads.changes
-                entry = self._state.entry_key
-                message = LoadMessage(entry, self._grants.load())
-                await link.send(encode(message))
-
     def _mark_home_lost(self, reason: str) -> None:
         state = self._state
         logger.warning(
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
@@ -63,6 +63,7 @@
         if table.totals is not None:
             self._totals_received_at = now
             apply_totals(state, table.totals, now)
+            state.upstream_speeds.apply_reported(table.upstream_factors, now)
 
     def wants_totals(self, now: float) -> bool:
         """Tell whether the totals of the other entries are outdated."""
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
@@ -50,6 +50,7 @@
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.granting import decide_grant
 from spanfall_node.gateway.upstreams.hearing import merge_statements
+from spanfall_node.gateway.upstreams.speeds import merge_samples
 
 logger = logging.getLogger(__name__)
 
@@ -132,6 +133,7 @@
             case LoadMessage():
                 book = self._state.grant_book
                 book.apply_report(message.entry, message.load, now)
+                merge_samples(self._state, message.speeds)
             case WatchedRun():
                 self._state.crashes.record_run(message, now)
             case StatementsReport():
@@ -198,8 +200,9 @@
         state.grant_book.apply_report(report.key, load, now)
         state.grant_book.set_load_expiry(report.key, load_expires_after(period))
         state.grant_book.drop_silent_entries(now)
-        totals = None
+        totals, factors = None, {}
         if message.wants_totals:
+            factors = state.upstream_speeds.factors_to_report(now)
             totals = state.fleet.totals_except(report.key, now)
         return TableMessage(
             epoch=state.tenure.epoch,
@@ -221,6 +224,7 @@
             upstreams=self._upstreams(message),
             words=self._words(message, now),
             shared_host_services=tuple(state.scheduling.shared_host_services),
+            upstream_factors=factors,
         )
 
     def _words(
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/load_sender.py
@@ -0,0 +1,44 @@
+"""Send the home the load of this node and what it learned of upstreams."""
+
+import anyio
+from websockets.asyncio.client import ClientConnection
+
+from spanfall_node.gateway.links.messages import LoadMessage, encode
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.grants import GrantClient
+
+#: Seconds for which load changes are collected before they are sent.
+LOAD_PERIOD = 0.05
+#: Messages per second with samples of upstreams' speeds that the home receives
+#: from all entries together.
+MAX_SPEED_MESSAGES_PER_SECOND = 400
+
+
+async def send_load(
+    state: GatewayState, grants: GrantClient, link: ClientConnection
+) -> None:
+    """Send the home this node's load whenever it has changed."""
+    speeds = state.upstream_speeds
+    if state.home is not None:
+        speeds.send_again(state.home.epoch)
+    sent_changes = -1
+    samples_due_at = float('-inf')
+    while True:
+        if sent_changes == state.loads.changes:
+            await state.load_changed.wait()
+        await anyio.sleep(LOAD_PERIOD)
+        if sent_changes == state.loads.changes:
+            continue
+        sent_changes = state.loads.changes
+        now = state.timers.now()
+        samples = ()
+        if now >= samples_due_at:
+            samples = speeds.take_samples(now)
+            samples_due_at = now + speed_period(state.quotas.entries)
+        message = LoadMessage(state.entry_key, grants.load(), samples)
+        await link.send(encode(message))
+
+
+def speed_period(entries: int) -> float:
+    """Return the seconds between two messages with samples of one entry."""
+    return entries / MAX_SPEED_MESSAGES_PER_SECOND
--- a/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
@@ -12,6 +12,7 @@
 from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.reporting import REPORT_PERIOD
 from spanfall_core.gateway.known.unit_reports import AllocatedUnits
+from spanfall_core.gateway.known.upstream_speeds import Factors, SpeedSample
 from spanfall_core.gateway.routing.estimates import RoutingRequest
 from spanfall_core.gateway.routing.grants import EntryLoad, Grant
 
@@ -66,11 +67,18 @@
     shared_host_services: tuple[str, ...] = ()
 
 
-class LoadMessage(msgspec.Struct, frozen=True, tag='load'):
+class LoadMessage(
+    msgspec.Struct,
+    frozen=True,
+    omit_defaults=True,
+    tag='load',
+):
     """Carry the current load of an entry."""
 
     entry: str
     load: EntryLoad
+    #: What the entry learned of upstreams since its last such message.
+    speeds: tuple[SpeedSample, ...] = ()
 
 
 class GrantRequest(msgspec.Struct, frozen=True):
@@ -182,6 +190,9 @@
     words: StatementsPart | None = None
     #: Services whose upstreams share hosts with others.
     shared_host_services: tuple[str, ...] = ()
+    #: Duration of work at upstreams, relative to the usual, where it differs;
+    #: sent with the totals.
+    upstream_factors: Factors = {}
 
 
 def totals_period(entries: int) -> float:
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
@@ -167,6 +167,7 @@
             self._state.loads.forget(lifetime)
             self._state.words.forget(lifetime, now)
             self._state.stated_loads.forget(lifetime)
+            self._state.upstream_speeds.forget(lifetime)
 
     def _read_period(self) -> float:
         return read_period(
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
@@ -69,6 +69,18 @@
             'Loads stated by upstreams that could not be parsed',
             registry=self.registry,
         )
+        self.speed_samples = self._labelled(
+            'spanfall_upstream_speed_samples',
+            'Samples of the speed of single upstreams, by source',
+            'source',
+        )
+        self.upstream_factors = Gauge(
+            'spanfall_upstream_factor',
+            'Duration of work at the slowest and the fastest upstream, relative'
+            ' to the usual; on the home',
+            ('which',),
+            registry=self.registry,
+        )
         self.cut_answers = self._labelled(
             'spanfall_cut_answers',
             'Answers that ended early, by reason',
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
@@ -5,6 +5,7 @@
 
 import anyio
 from spanfall_api.gateway_settings import GatewaySettings
+from spanfall_core.gateway.known.call_durations import CallDurations
 from spanfall_core.gateway.known.configuration import (
     CallerLimits,
     ServedConfiguration,
@@ -24,6 +25,7 @@
 from spanfall_core.gateway.known.stated_loads import StatedLoads
 from spanfall_core.gateway.known.true_time import TrueTime
 from spanfall_core.gateway.known.unit_reports import AllocatedUnits
+from spanfall_core.gateway.known.upstream_speeds import UpstreamSpeeds
 from spanfall_core.gateway.known.usage import UsageCounts
 from spanfall_core.gateway.limits.quota_allocator import QuotaAllocator
 from spanfall_core.gateway.limits.quotas import Quotas
@@ -69,6 +71,8 @@
     configuration_source: bytes = b''
     loads: Loads = field(default_factory=Loads)
     stated_loads: StatedLoads = field(default_factory=StatedLoads)
+    upstream_speeds: UpstreamSpeeds = field(default_factory=UpstreamSpeeds)
+    call_durations: CallDurations = field(default_factory=CallDurations)
     #: Prompts that this node has sent, and prompts that it granted as the home.
     prompts: PromptHistory = field(default_factory=PromptHistory)
     granted_prompts: PromptHistory = field(default_factory=PromptHistory)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
@@ -13,6 +13,7 @@
 from spanfall_node.gateway.links.messages import GrantMessage, GrantRequest
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.tables.tenure import can_allocate
+from spanfall_node.gateway.upstreams.speeds import loads_for
 
 #: Retry-After seconds for a request that only rate-limited upstreams could
 #: serve while no home grants permits: by then most failed homes have a
@@ -137,10 +138,13 @@
 ) -> Grant | None:
     now = state.timers.now()
     state.granted_prompts.record_prompt(request.ask, now)
+    loads = loads_for(
+        state, request.service, FleetLoads(state.grant_book, state.loads)
+    )
     choice = choose(
         candidates,
         request.ask,
-        FleetLoads(state.grant_book, state.loads),
+        loads,
         state.granted_prompts,
         now,
         withheld,
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
@@ -26,6 +26,7 @@
     decide_grant,
     has_limited_candidate,
 )
+from spanfall_node.gateway.upstreams.speeds import loads_for
 
 logger = logging.getLogger(__name__)
 
@@ -165,7 +166,7 @@
         choice = choose(
             state.directory.serving(service),
             routing_request,
-            state.loads,
+            loads_for(state, service, state.loads),
             state.prompts,
             now,
             words.table.rates.keys() | words.backoffs.active(now),
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/hearing.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/hearing.py
@@ -11,6 +11,7 @@
 
 from spanfall_node.gateway.net.client import ResponseHead
 from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.speeds import record_slowdown
 
 logger = logging.getLogger(__name__)
 
@@ -75,6 +76,7 @@
         row = state.directory.rows.get(lifetime)
         if row is not None:
             state.scheduling.add_shared_host_services((row.service,))
+            record_slowdown(state, row, load.slowdown)
 
 
 def merge_statements(state: GatewayState, statements: KnownStatements) -> None:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
@@ -36,6 +36,10 @@
     OTHER_LIFETIME_STATUS,
     record_statement,
 )
+from spanfall_node.gateway.upstreams.speeds import (
+    record_call,
+    record_first_token,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -87,8 +91,9 @@
     def first_token(self) -> None:
         """Measure the upstream's prefill speed at the first token."""
         if self.tokens and not self.choice.ahead:
-            self.state.record_first_token(
-                self.choice.upstream.service,
+            record_first_token(
+                self.state,
+                self.choice,
                 self.tokens,
                 self.state.timers.now() - self.sent_at,
             )
@@ -190,6 +195,9 @@
     if failed is not None:
         return failed
     count_run(state, admitted)
+    if not admitted.prompt_tokens and head.status < 300:
+        seconds = state.timers.now() - sent_at
+        record_call(state, choice.upstream, admitted.route.name, seconds)
     await relay_buffered(state, exchange, head, body)
     log_response(state, exchange, lifetime, head.status)
     return Answered()
--- a/tests/test_gateway_messages.py
+++ b/tests/test_gateway_messages.py
@@ -12,6 +12,7 @@
 from spanfall_core.gateway.known.prefixes import PromptPart
 from spanfall_core.gateway.known.statements import KnownStatement
 from spanfall_core.gateway.known.unit_reports import AllocatedUnits
+from spanfall_core.gateway.known.upstream_speeds import SpeedSample
 from spanfall_core.gateway.routing.estimates import RoutingRequest
 from spanfall_core.gateway.routing.grants import EntryLoad, Grant
 from spanfall_node.gateway.links.crash_messages import (
@@ -56,6 +57,7 @@
 FROM_ENTRY = [
     ReportMessage(EntryReport('n', 'i', {LIFETIME: 2}), 3, 4, 5, seen=6),
     LoadMessage('n/i', LOAD),
+    LoadMessage('n/i', LOAD, (SpeedSample(LIFETIME, 1.5, 0.25, 3, 0.5),)),
     GrantRequestMessage('n/i', 3, GrantRequest('llm', ASK), LOAD),
     UnitsRequest('n/i', 3, 'w', 500.0),
     CrashReport({IDENTITY: (LIFETIME,)}, {IDENTITY: 9.5}, is_first=True),
@@ -81,6 +83,7 @@
         given=AllocatedUnits({'w': 2.5}),
         upstreams=UpstreamsPart(6, (ROW,), (LIFETIME,), is_change=True),
         words=StatementsPart(4, WORDS),
+        upstream_factors={LIFETIME: 1.5},
     ),
 ]
 DECODERS = [
@@ -99,6 +102,13 @@
     assert decode_from_home(encode(message)) == message
 
 
+def test_unused_fields_are_not_sent():
+    short = cbor2.loads(encode(LoadMessage('n/i', LOAD)))
+    assert short.keys() == {'type', 'entry', 'load'}
+    table = cbor2.loads(encode(TableMessage(3, 5, 0.5, 0.25, 1.5)))
+    assert 'upstream_factors' not in table
+
+
 def decode_or_refuse(decoder, data):
     """Decode bytes; any exception other than ValueError fails the test."""
     try:
