--- a/packages/spanfall-node/src/spanfall_node/gateway/home/entry_link.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/entry_link.py
@@ -16,7 +16,7 @@
 
 from spanfall_node.gateway.home.followed_table import FollowedTable
 from spanfall_node.gateway.home.home_pace import strength
-from spanfall_node.gateway.home.load_sending import send_load
+from spanfall_node.gateway.home.load_sender import send_load
 from spanfall_node.gateway.home.lost_home import HomeReconnect
 from spanfall_node.gateway.home.telling_words import send_statements
 from spanfall_node.gateway.home.totals import follow_own_table
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
@@ -55,6 +55,7 @@
     withdraw,
 )
 from spanfall_node.gateway.upstreams.hearing import merge_statements
+from spanfall_node.gateway.upstreams.speeds import merge_samples
 
 logger = logging.getLogger(__name__)
 
@@ -140,6 +141,7 @@
             case LoadMessage():
                 book = self._state.grant_book
                 book.apply_report(message.entry, message.load, now)
+                merge_samples(self._state, message.speeds)
                 self._state.contention.notify_room_changed()
             case WithdrawMessage():
                 withdraw(self._state, message.entry, message.tickets)
@@ -216,8 +218,9 @@
         state.grant_book.apply_report(report.key, load, now)
         state.grant_book.set_load_expiry(report.key, load_expires_after(period))
         state.grant_book.drop_silent_entries(now)
-        totals = None
+        totals, factors = None, {}
         if message.wants_totals:
+            factors = state.upstream_speeds.factors_to_report(now)
             totals = state.fleet.totals_except(report.key, now)
         return TableMessage(
             epoch=state.tenure.epoch,
@@ -239,6 +242,7 @@
             upstreams=self._upstreams(message),
             words=self._words(message, now),
             shared_host_services=tuple(state.scheduling.shared_host_services),
+            upstream_factors=factors,
         )
 
     def _words(
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/load_sending.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/load_sender.py
@@ -1,4 +1,4 @@
-"""Send the home this entry's load as it changes."""
+"""Send the home the load of this node and what it learned of upstreams."""
 
 import anyio
 from websockets.asyncio.client import ClientConnection
@@ -12,20 +12,39 @@
 #: The same while requests wait for upstreams: a place whose end is not known
 #: stays unused, and some calls take little longer than this.
 CONTENDED_LOAD_PERIOD = 0.01
+#: Messages per second with samples of upstreams' speeds that the home receives
+#: from all entries together.
+MAX_SPEED_MESSAGES_PER_SECOND = 400
 
 
 async def send_load(
     state: GatewayState, grants: GrantClient, link: ClientConnection
 ) -> None:
     """Send the home this node's load whenever it has changed."""
+    speeds = state.upstream_speeds
+    if state.home is not None:
+        speeds.send_again(state.home.epoch)
     sent_changes = -1
+    samples_due_at = float('-inf')
     while True:
         if sent_changes == state.loads.changes:
             await state.load_changed.wait()
         await anyio.sleep(_load_period(state))
-        if sent_changes != state.loads.changes:
-            sent_changes = state.loads.changes
-            await link.send(encode(LoadMessage(state.entry_key, grants.load())))
+        if sent_changes == state.loads.changes:
+            continue
+        sent_changes = state.loads.changes
+        now = state.timers.now()
+        samples = ()
+        if now >= samples_due_at:
+            samples = speeds.take_samples(now)
+            samples_due_at = now + speed_period(state.quotas.entries)
+        message = LoadMessage(state.entry_key, grants.load(), samples)
+        await link.send(encode(message))
+
+
+def speed_period(entries: int) -> float:
+    """Return the seconds between two messages with samples of one entry."""
+    return entries / MAX_SPEED_MESSAGES_PER_SECOND
 
 
 def _load_period(state: GatewayState) -> float:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
@@ -35,6 +35,7 @@
     NO_HOME_RETRY_SECONDS,
     has_limited_candidate,
 )
+from spanfall_node.gateway.upstreams.speeds import loads_for
 
 logger = logging.getLogger(__name__)
 
@@ -211,7 +212,7 @@
         choice = choose(
             state.directory.serving(service),
             routing_request,
-            state.loads,
+            loads_for(state, service, state.loads),
             state.prompts,
             now,
             words.table.rates.keys() | words.backoffs.active(now),
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/service_room.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/service_room.py
@@ -30,11 +30,6 @@
 Slowdown = Callable[[Lifetime, float], float]
 
 
-def usual_speed(lifetime: Lifetime, now: float) -> float:
-    """Return the slowdown of an upstream of which nothing is known."""
-    return 1
-
-
 def current_room(
     state: GatewayState,
     service: str,
@@ -47,7 +42,7 @@
     row.room_at = now
     row.sent_since = 0
     row.update_waiting(now)
-    room = _compute_room(state, service, now, usual_speed)
+    room = _compute_room(state, service, now, state.upstream_speeds.factor)
     waiting_for = 0.0
     if row.waiting_since is not None:
         waiting_for = now - row.waiting_since
