Move what both planners of orders need to one module

Cause: a second planner of upstreams needs the same conversion of counts to orders, on-demand placement and safety checks as the first. Change: orders/ordering.py holds them unchanged under public names. Pure functions for offered work, queueing, reclaims, placement and expected value are added and not called yet. Result: tests -k 'capacity or order or demand or limited' pass (52).

--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/capacity.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/capacity.py
@@ -6,20 +6,22 @@
 need was lower for some time, so that orders do not oscillate.
 """
 
-from dataclasses import dataclass
 from math import ceil
 
 from spanfall_core.gateway.known.configuration import Scaling
 from spanfall_core.gateway.orders.orders import (
-    RESEND_DELAY_SECONDS,
     Order,
     ServiceOrders,
     ServingCounts,
-    is_due,
-    is_safe,
-    is_unfulfilled,
     record_fulfilled,
 )
+from spanfall_core.gateway.orders.ordering import (
+    OnDemandBounds,
+    data_centre_orders,
+    effective_orders,
+    pending_reclaimable,
+    place_on_demand,
+)
 
 #: Fraction of the need that must remain if one more data centre loses its
 #: reclaimable upstreams while no new ones are available. It is provisioned
@@ -33,14 +35,6 @@
 SCALE_DOWN_BOOTS = 2
 
 
-@dataclass(frozen=True, slots=True)
-class OnDemandBounds:
-    """Bound the on-demand upstreams: how many must run and how many may."""
-
-    least: int
-    most: int
-
-
 def plan_orders(
     service: str,
     scaling: Scaling,
@@ -57,17 +51,17 @@
     record_fulfilled(orders, serving)
     target = _reclaimable_target(orders, len(data_centres), scaling, now)
     pending = sum(
-        _pending_reclaimable(data_centre, target, scaling, orders, serving, now)
+        pending_reclaimable(data_centre, target, scaling, orders, serving, now)
         for data_centre in data_centres
     )
     bounds = _on_demand_bounds(orders, serving, pending, scaling, now)
-    on_demand_plan = _plan_on_demand(
+    on_demand_plan = place_on_demand(
         orders, serving, data_centres, scaling, bounds, now
     )
     planned: list[Order] = []
     for data_centre in data_centres:
         planned.extend(
-            _data_centre_orders(
+            data_centre_orders(
                 Order(service, data_centre, reclaimable=True, count=target),
                 on_demand_plan[data_centre],
                 scaling,
@@ -76,16 +70,7 @@
                 now,
             ),
         )
-    return [
-        order
-        for order in planned
-        if is_due(order, orders, now)
-        and is_safe(order, orders, serving, scaling, now)
-        and (
-            orders.in_force.get(order.key) != order.count
-            or is_unfulfilled(order, orders, serving, scaling, now)
-        )
-    ]
+    return effective_orders(planned, orders, serving, scaling, now)
 
 
 def _reclaimable_target(
@@ -153,110 +138,3 @@
         # There is no load yet that waits for booting upstreams.
         most = least
     return OnDemandBounds(least, max(least, most))
-
-
-def _pending_reclaimable(
-    data_centre: str,
-    target: int,
-    scaling: Scaling,
-    orders: ServiceOrders,
-    serving: ServingCounts,
-    now: float,
-) -> int:
-    """Return the reclaimable upstreams that boot there or are ordered now.
-
-    On-demand upstreams would not serve sooner, so none replace them.
-    """
-    key = (data_centre, True)
-    if orders.is_refused(data_centre, now):
-        return 0
-    timeout = scaling.boot_seconds + RESEND_DELAY_SECONDS
-    waited = now - orders.ordered_at.get(key, now)
-    if waited > timeout and key not in orders.fulfilled:
-        return 0
-    if orders.is_scarce(now):
-        # Reclaimable upstreams are scarce: only those of accepted orders are
-        # expected.
-        target = min(target, orders.in_force.get(key, 0))
-    return max(0, target - serving.reclaimable[data_centre])
-
-
-def _plan_on_demand(
-    orders: ServiceOrders,
-    serving: ServingCounts,
-    data_centres: list[str],
-    scaling: Scaling,
-    bounds: OnDemandBounds,
-    now: float,
-) -> dict[str, int]:
-    """Return the number of on-demand upstreams for each data centre.
-
-    Existing and ordered upstreams keep their place. More are added where they
-    are cheapest; surplus ones are removed where they are most expensive, and
-    only where a boot time has passed since the last increase.
-    """
-    on_demand_plan = {
-        data_centre: orders.in_force.get(
-            (data_centre, False), serving.on_demand[data_centre]
-        )
-        for data_centre in data_centres
-    }
-    ordered = sum(on_demand_plan.values())
-    change = min(max(ordered, bounds.least), bounds.most) - ordered
-    settled = [
-        data_centre
-        for data_centre in reversed(data_centres)
-        if now - orders.increased_at.get((data_centre, False), float('-inf'))
-        > scaling.boot_seconds
-    ]
-    for expensive in settled:
-        removed = max(0, min(-change, on_demand_plan[expensive]))
-        on_demand_plan[expensive] -= removed
-        change += removed
-    for cheap in data_centres:
-        room = (
-            scaling.max_upstreams
-            - serving.reclaimable[cheap]
-            - on_demand_plan[cheap]
-        )
-        added = max(0, min(room, change))
-        on_demand_plan[cheap] += added
-        change -= added
-    return on_demand_plan
-
-
-def _data_centre_orders(
-    target: Order,
-    planned: int,
-    scaling: Scaling,
-    orders: ServiceOrders,
-    serving: ServingCounts,
-    now: float,
-) -> list[Order]:
-    data_centre = target.data_centre
-    ordered = orders.in_force.get(
-        (data_centre, False), serving.on_demand[data_centre]
-    )
-    room = scaling.max_upstreams - max(ordered, serving.on_demand[data_centre])
-    reclaimable_order = Order(
-        target.service,
-        data_centre,
-        reclaimable=True,
-        count=max(0, min(target.count, room)),
-    )
-    # On-demand upstreams that serve stay until reclaimable ones do. None is
-    # ordered for a data centre that lost its reclaimable ones if the rest of
-    # the fleet suffices.
-    least = scaling.min_upstreams - serving.reclaimable[data_centre]
-    keep = max(planned, min(serving.on_demand[data_centre], least))
-    if ordered >= scaling.max_upstreams and not orders.is_scarce(now):
-        # A full data centre accepts no reclaimable upstream until another one
-        # has left. While they are scarce, no room is made for them.
-        keep = min(keep, ordered - 1)
-    on_demand_order = Order(
-        target.service,
-        data_centre,
-        reclaimable=False,
-        count=max(0, keep),
-    )
-    return [on_demand_order, reclaimable_order]
--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/reclaims.py
@@ -0,0 +1,70 @@
+"""Estimate how often each data centre reclaims its upstreams."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from spanfall_core.gateway.orders.orders import OrderKey, ServingCounts
+
+#: Prior of the rate: a reclaim in ten minutes, known as well as if a data
+#: centre had been observed for one minute.
+PRIOR_RECLAIMS = 0.1
+PRIOR_SECONDS = 60.0
+#: Fraction of the upstreams of a data centre that remains at most after a
+#: reclaim. Single upstreams also fail by themselves.
+MAX_REMAINING_FRACTION = 0.5
+
+
+@dataclass(slots=True)
+class ReclaimHistory:
+    """Count the reclaims that this home has observed."""
+
+    observed_since: float | None = None
+    counts: Counter[str] = field(default_factory=Counter)
+    #: Most upstreams that served in each data centre since its last reclaim or
+    #: since the last order for fewer.
+    _served: Counter[str] = field(default_factory=Counter)
+
+    def record(
+        self,
+        serving: ServingCounts,
+        in_force: dict[OrderKey, int],
+        now: float,
+    ) -> list[str]:
+        """Return the data centres whose upstreams were reclaimed since."""
+        if self.observed_since is None:
+            self.observed_since = now
+        reclaimed = [
+            data_centre
+            for data_centre, served in self._served.items()
+            if self._is_reclaimed(data_centre, served, serving, in_force)
+        ]
+        self.counts.update(reclaimed)
+        for data_centre in self._served.keys() | serving.reclaimable.keys():
+            present = serving.reclaimable[data_centre]
+            ordered = in_force.get((data_centre, True), 0)
+            self._served[data_centre] = (
+                present
+                if data_centre in reclaimed
+                else max(present, min(self._served[data_centre], ordered))
+            )
+        return reclaimed
+
+    def rate(self, data_centre: str, now: float) -> float:
+        """Return the expected reclaims of a data centre per second."""
+        observed = (
+            0 if self.observed_since is None else now - self.observed_since
+        )
+        return (PRIOR_RECLAIMS + self.counts[data_centre]) / (
+            PRIOR_SECONDS + observed
+        )
+
+    def _is_reclaimed(
+        self,
+        data_centre: str,
+        served: int,
+        serving: ServingCounts,
+        in_force: dict[OrderKey, int],
+    ) -> bool:
+        expected = min(served, in_force.get((data_centre, True), 0))
+        remaining = serving.reclaimable[data_centre]
+        return remaining < expected * MAX_REMAINING_FRACTION
--- /dev/null
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/valued_capacity.py
@@ -0,0 +1,189 @@
+"""Plan how many upstreams each data centre runs by their expected value.
+
+Reclaimable upstreams run where they are cheapest, as far as the loss of a data
+centre leaves what the targets need. On-demand ones cover what is worth their
+price while reclaimable ones cannot be had. Counts rise at once and fall only
+after the need was lower for some time, so that orders do not oscillate.
+"""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from math import ceil
+
+from spanfall_core.gateway.known.configuration import Scaling
+from spanfall_core.gateway.orders.demand import SlidingMaximum
+from spanfall_core.gateway.orders.expected_value import (
+    CapacityNeed,
+    assess,
+    expected_prices,
+)
+from spanfall_core.gateway.orders.offered_work import (
+    RequestTimes,
+    WorkForecast,
+)
+from spanfall_core.gateway.orders.ordering import (
+    OnDemandBounds,
+    data_centre_orders,
+    effective_orders,
+    pending_reclaimable,
+    place_on_demand,
+)
+from spanfall_core.gateway.orders.orders import (
+    Order,
+    ServiceOrders,
+    ServingCounts,
+    record_fulfilled,
+)
+from spanfall_core.gateway.orders.placement import (
+    CountBounds,
+    PlacementNeed,
+    place,
+)
+from spanfall_core.gateway.orders.reclaims import ReclaimHistory
+
+#: Boot times for which a lower count must suffice before upstreams are stopped.
+#: On-demand ones can be ordered again at any time.
+RECLAIMABLE_HOLD_BOOTS = 2
+ON_DEMAND_HOLD_BOOTS = 1
+
+
+def _held_counts() -> defaultdict[str, SlidingMaximum]:
+    return defaultdict(SlidingMaximum)
+
+
+@dataclass(slots=True)
+class Valuation:
+    """Hold what is known of a service's work, and the counts that follow."""
+
+    forecast: WorkForecast = field(default_factory=WorkForecast)
+    times: RequestTimes = field(default_factory=RequestTimes)
+    reclaims: ReclaimHistory = field(default_factory=ReclaimHistory)
+    need: CapacityNeed = field(default_factory=CapacityNeed)
+    #: Expected price of a reclaimable upstream second, by data centre.
+    prices: dict[str, float] = field(default_factory=dict)
+    #: Reclaimable upstreams to run, by data centre.
+    targets: dict[str, int] = field(default_factory=dict)
+    _held_targets: defaultdict[str, SlidingMaximum] = field(
+        default_factory=_held_counts
+    )
+    _held_on_demand: SlidingMaximum = field(default_factory=SlidingMaximum)
+
+    def hold_target(
+        self, data_centre: str, count: int, hold: float, now: float
+    ) -> int:
+        """Return the largest count of a data centre in the last seconds."""
+        return self._held_targets[data_centre].update(count, hold, now)
+
+    def hold_on_demand(self, count: int, hold: float, now: float) -> int:
+        """Return the largest count of the last seconds."""
+        return self._held_on_demand.update(count, hold, now)
+
+
+def plan_valued_orders(
+    service: str,
+    scaling: Scaling,
+    orders: ServiceOrders,
+    valuation: Valuation,
+    serving: ServingCounts,
+    now: float,
+) -> list[Order]:
+    """Return the orders to send now, the most urgent ones first."""
+    if not orders.in_force and not orders.demand.is_registration_complete(now):
+        return []
+    record_fulfilled(orders, serving)
+    valuation.reclaims.record(serving, orders.in_force, now)
+    valuation.prices = expected_prices(scaling, valuation.reclaims, now)
+    valuation.need = assess(
+        valuation.forecast, valuation.times, scaling, valuation.prices
+    )
+    valuation.targets = _reclaimable_targets(orders, valuation, scaling, now)
+    data_centres = sorted(
+        scaling.prices, key=lambda data_centre: scaling.prices[data_centre]
+    )
+    pending = sum(
+        pending_reclaimable(data_centre, target, scaling, orders, serving, now)
+        for data_centre, target in valuation.targets.items()
+    )
+    bounds = _on_demand_bounds(
+        orders, valuation, serving, pending, scaling, now
+    )
+    on_demand = place_on_demand(
+        orders, serving, data_centres, scaling, bounds, now
+    )
+    planned = [
+        order
+        for data_centre in data_centres
+        for order in data_centre_orders(
+            Order(
+                service,
+                data_centre,
+                reclaimable=True,
+                count=valuation.targets[data_centre],
+            ),
+            on_demand[data_centre],
+            scaling,
+            orders,
+            serving,
+            now,
+        )
+    ]
+    return effective_orders(planned, orders, serving, scaling, now)
+
+
+def _reclaimable_targets(
+    orders: ServiceOrders,
+    valuation: Valuation,
+    scaling: Scaling,
+    now: float,
+) -> dict[str, int]:
+    """Return the number of reclaimable upstreams for each data centre."""
+    if not scaling.reclaimable_price:
+        return dict.fromkeys(scaling.prices, 0)
+    need = valuation.need
+    total = need.reclaimable + ceil(orders.capacity_lost)
+    placed = place(
+        PlacementNeed(max(total, _unmeasured(orders, now)), need.after_loss),
+        valuation.prices,
+        CountBounds(scaling.min_upstreams, scaling.max_upstreams),
+    )
+    hold = scaling.boot_seconds * RECLAIMABLE_HOLD_BOOTS
+    held = {
+        data_centre: valuation.hold_target(data_centre, count, hold, now)
+        for data_centre, count in placed.items()
+    }
+    if not orders.is_scarce(now):
+        return held
+    # Reclaimable upstreams stopped during a shortage cannot be ordered again,
+    # and on-demand ones cost several times as much.
+    return {
+        data_centre: max(count, valuation.targets.get(data_centre, 0))
+        for data_centre, count in held.items()
+    }
+
+
+def _on_demand_bounds(
+    orders: ServiceOrders,
+    valuation: Valuation,
+    serving: ServingCounts,
+    pending: int,
+    scaling: Scaling,
+    now: float,
+) -> OnDemandBounds:
+    """Return the bounds for on-demand upstreams in the whole fleet."""
+    needed = valuation.hold_on_demand(
+        valuation.need.on_demand + ceil(orders.capacity_lost),
+        scaling.boot_seconds * ON_DEMAND_HOLD_BOOTS,
+        now,
+    )
+    needed = max(needed, _unmeasured(orders, now))
+    most = max(0, needed - serving.reclaimable.total())
+    least = max(0, most - pending)
+    # Without load so far, nothing waits for booting upstreams.
+    return OnDemandBounds(least, least if orders.demand.is_idle() else most)
+
+
+def _unmeasured(orders: ServiceOrders, now: float) -> int:
+    """Return the initial count until the load was observed for long enough."""
+    if orders.demand.is_measured(now):
+        return 0
+    return orders.demand.initial_count
