Order upstreams by their expected value, behind a setting

Change: offered work in busy engines, a queue against the tightest target, the reclaims that this home saw, prices from the configuration; counts by marginal value, placed where cheapest within a loss bound. The duty chooses the planner by scheduling.capacity.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/configuration.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/configuration.py
@@ -133,6 +133,15 @@
     }
 
 
+def _tightest_targets(routes: Iterable[Route]) -> dict[str, float]:
+    targets: dict[str, float] = {}
+    for route in routes:
+        for share in route.shares:
+            known = targets.get(share.service, route.target)
+            targets[share.service] = min(known, route.target)
+    return targets
+
+
 def _prefix_length(route: Route) -> int:
     return len(route.path_prefix)
 
@@ -157,7 +166,9 @@
         self.services = {row.name: row for row in services}
         self.workspaces = {row.name: row for row in workspaces}
         self._quotas: dict[float, dict[str, Limit]] = {}
+        routes = tuple(routes)
         self._hosts = _by_host(routes)
+        self._targets = _tightest_targets(routes)
         self._keys = {
             key: row for row in self.workspaces.values() for key in row.keys
         }
@@ -172,6 +183,10 @@
             }
         return self._quotas[window]
 
+    def tightest_target(self, service: str) -> float | None:
+        """Return the tightest latency target of the routes to a service."""
+        return self._targets.get(service)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, if any."""
         rows = self._hosts.get(host, [])
--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/capacity.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/capacity.py
@@ -9,12 +9,6 @@
 from math import ceil
 
 from spanfall_core.gateway.known.configuration import Scaling
-from spanfall_core.gateway.orders.orders import (
-    Order,
-    ServiceOrders,
-    ServingCounts,
-    record_fulfilled,
-)
 from spanfall_core.gateway.orders.ordering import (
     OnDemandBounds,
     data_centre_orders,
@@ -22,6 +16,12 @@
     pending_reclaimable,
     place_on_demand,
 )
+from spanfall_core.gateway.orders.orders import (
+    Order,
+    ServiceOrders,
+    ServingCounts,
+    record_fulfilled,
+)
 
 #: Fraction of the need that must remain if one more data centre loses its
 #: reclaimable upstreams while no new ones are available. It is provisioned
--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/offered_work.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/offered_work.py
@@ -21,6 +21,8 @@
 #: Time constant, in seconds, over which changes are averaged: several boot
 #: times, so that one of them does not decide.
 CHANGE_AVERAGE_SECONDS = 30.0
+#: Minimum change that is assumed: the estimate of the work is no more exact.
+MIN_CHANGE = 0.1
 #: Maximum change that counts: a burst is met by waiting and by refusals, not by
 #: upstreams that stand idle until the next one.
 MAX_CHANGE = 0.5
@@ -85,7 +87,7 @@
     @property
     def change(self) -> float:
         """Return the relative change to be expected within a boot time."""
-        return sqrt(self._square)
+        return max(MIN_CHANGE, sqrt(self._square))
 
     def restore(self, level: float, now: float) -> None:
         """Continue with the level that the previous home reported."""
--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/valued_capacity.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/valued_capacity.py
@@ -96,7 +96,9 @@
     valuation.need = assess(
         valuation.forecast, valuation.times, scaling, valuation.prices
     )
-    valuation.targets = _reclaimable_targets(orders, valuation, scaling, now)
+    valuation.targets = _reclaimable_targets(
+        orders, valuation, serving, scaling, now
+    )
     data_centres = sorted(
         scaling.prices, key=lambda data_centre: scaling.prices[data_centre]
     )
@@ -133,6 +135,7 @@
 def _reclaimable_targets(
     orders: ServiceOrders,
     valuation: Valuation,
+    serving: ServingCounts,
     scaling: Scaling,
     now: float,
 ) -> dict[str, int]:
@@ -156,11 +159,32 @@
     # Reclaimable upstreams stopped during a shortage cannot be ordered again,
     # and on-demand ones cost several times as much.
     return {
-        data_centre: max(count, valuation.targets.get(data_centre, 0))
+        data_centre: max(
+            count,
+            _kept_reclaimable(
+                data_centre, orders, valuation, serving, scaling, now
+            ),
+        )
         for data_centre, count in held.items()
     }
 
 
+def _kept_reclaimable(
+    data_centre: str,
+    orders: ServiceOrders,
+    valuation: Valuation,
+    serving: ServingCounts,
+    scaling: Scaling,
+    now: float,
+) -> int:
+    """Return the reclaimable upstreams of the last plan that serve or boot."""
+    last = valuation.targets.get(data_centre, 0)
+    pending = pending_reclaimable(
+        data_centre, last, scaling, orders, serving, now
+    )
+    return min(last, serving.reclaimable[data_centre] + pending)
+
+
 def _on_demand_bounds(
     orders: ServiceOrders,
     valuation: Valuation,
--- a/packages/spanfall-node/src/spanfall_node/gateway/duties/capacity_duty.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/capacity_duty.py
@@ -1,11 +1,9 @@
 """Order the upstreams that the fleet's load requires."""
 
 import logging
-from dataclasses import dataclass, field
 
 import anyio
 from spanfall_core.gateway.known.configuration import ServedService
-from spanfall_core.gateway.known.fleet import Counts
 from spanfall_core.gateway.orders.capacity import plan_orders
 from spanfall_core.gateway.orders.demand import (
     OfferedLoad,
@@ -16,12 +14,17 @@
 from spanfall_core.gateway.orders.orders import (
     Order,
     ServiceOrders,
+    ServingCounts,
     count_serving,
     record_accepted,
     record_refused,
 )
+from spanfall_core.gateway.orders.valued_capacity import plan_valued_orders
 
 from spanfall_node.gateway.duties.duties import CloudClient
+from spanfall_node.gateway.duties.rates import RateEstimator
+from spanfall_node.gateway.duties.valuations import Valuations
+from spanfall_node.gateway.tables.scheduling import Feature
 from spanfall_node.gateway.tables.state import GatewayState
 
 logger = logging.getLogger(__name__)
@@ -33,29 +36,6 @@
 SETTLE_SECONDS = 3.0
 #: The same for the first home of a fleet, which has no predecessor.
 FIRST_SETTLE_SECONDS = 0.5
-#: Seconds over which rates are averaged.
-RATE_AVERAGE_SECONDS = 2.0
-
-
-@dataclass(slots=True)
-class RateEstimator:
-    """Estimate the growth per second of one counter of each service."""
-
-    totals: Counts = field(default_factory=dict)
-    rates: dict[str, float] = field(default_factory=dict)
-    updated_at: float = 0
-
-    def update(self, totals: Counts, now: float) -> None:
-        """Update the exponentially smoothed rates from new totals."""
-        elapsed = now - self.updated_at
-        for service, total in totals.items():
-            previous = self.totals.get(service, total)
-            weight = min(1.0, elapsed / RATE_AVERAGE_SECONDS)
-            rate = max(0, total - previous) / max(elapsed, 0.01)
-            old = self.rates.get(service, 0)
-            self.rates[service] = old + weight * (rate - old)
-        self.totals = totals
-        self.updated_at = now
 
 
 class CapacityPlanner:
@@ -71,6 +51,7 @@
         self._orders: dict[str, ServiceOrders] = {}
         self._prefill_rates = RateEstimator()
         self._request_rates = RateEstimator()
+        self._valuations = Valuations(state)
 
     async def run(self) -> None:
         """Plan and place orders until cancelled."""
@@ -88,11 +69,13 @@
             self._orders = {}
             self._prefill_rates = RateEstimator()
             self._request_rates = RateEstimator()
+            self._valuations = Valuations(state)
         if state.configuration is None:
             return
         now = state.timers.now()
         self._prefill_rates.update(state.fleet.read_work(), now)
         self._request_rates.update(dict(state.grant_book.first_attempts), now)
+        self._valuations.update_rates(now)
         for service in state.configuration.services.values():
             if service.scaling is not None and service.engine is not None:
                 await self._plan_service(service, now)
@@ -118,18 +101,31 @@
         if state.tenure.is_first:
             settle = FIRST_SETTLE_SECONDS
         settled = now - state.tenure.began_at >= settle
+        if settled:
+            self._valuations.update(service, rows, now)
         if not rows or not settled or not self._cloud.may_act():
             return
-        planned = plan_orders(
-            service.name,
-            service.scaling,
-            orders,
-            present,
-            now,
-        )
-        for order in planned:
+        for order in self._plan(service, orders, present, now):
             await self._send(order, orders)
 
+    def _plan(
+        self,
+        service: ServedService,
+        orders: ServiceOrders,
+        present: ServingCounts,
+        now: float,
+    ) -> list[Order]:
+        """Return the orders of the planner that is in force."""
+        name, scaling = service.name, service.scaling
+        if not self._state.scheduling.is_on(Feature.CAPACITY, name):
+            return plan_orders(name, scaling, orders, present, now)
+        valuation = self._valuations.of(name, now)
+        planned = plan_valued_orders(
+            name, scaling, orders, valuation, present, now
+        )
+        self._valuations.report(name, planned)
+        return planned
+
     def _orders_of(self, service: str, now: float) -> ServiceOrders:
         """Return a service's orders, starting from the last home's demand."""
         service_orders = self._orders.get(service)
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
@@ -109,6 +109,12 @@
             'Requests that callers wait for',
             registry=self.registry,
         )
+        self.capacity = Gauge(
+            'spanfall_capacity',
+            'Upstreams that the work of a service keeps busy and is worth',
+            ['service', 'figure'],
+            registry=self.registry,
+        )
         self.first_part = Histogram(
             'spanfall_first_part_seconds',
             'Time from request to the first part of its answer',
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -48,6 +48,7 @@
     """Simulate a fleet and its orders, and measure the results."""
 
     pattern: Pattern
+    planner: Callable = plan_orders
     now: float = 0
     orders: ServiceOrders = field(default_factory=ServiceOrders)
     rows: dict[str, ListedUpstream] = field(default_factory=dict)
@@ -135,8 +136,8 @@
         demand.record_initial_count(present.total(), self.now, self.now)
         if self.now < self.settles_at:
             return
-        planned = plan_orders('llm', SCALING, self.orders, present, self.now)
-        for order in planned:
+        args = 'llm', SCALING, self.orders, present, self.now
+        for order in self.planner(*args):
             self._execute(order)
 
     def _execute(self, order) -> None:
