Expect the growth of the work, and keep placements that fit

Cause: in the virtual-time world a wave left up to one of seven engines missing for six seconds, as an order takes effect a boot time after it; placements of equal totals moved upstreams between data centres. Change: forecasts include the growth until the order takes effect; current counts change as little as the need calls for.

--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/expected_value.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/expected_value.py
@@ -69,7 +69,7 @@
             points, ratio, fmean(reclaimable_prices.values()) / value
         ),
         worthwhile_count(points, ratio, min(scaling.prices.values()) / value),
-        ceil(forecast.level / bearable),
+        ceil(forecast.expected / bearable),
     )
 
 
--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/offered_work.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/offered_work.py
@@ -16,18 +16,22 @@
     OfferedLoad,
 )
 
-#: Prior of the relative change of the work within a boot time.
-PRIOR_CHANGE = 0.15
-#: Time constant, in seconds, over which changes are averaged: several boot
+#: Prior of the relative error of a forecast.
+PRIOR_ERROR = 0.15
+#: Minimum error that is assumed: the estimate of the work is no more exact.
+MIN_ERROR = 0.1
+#: Time constant, in seconds, over which errors are averaged: several boot
 #: times, so that one of them does not decide.
-CHANGE_AVERAGE_SECONDS = 30.0
-#: Minimum change that is assumed: the estimate of the work is no more exact.
-MIN_CHANGE = 0.1
-#: Maximum change that counts: a burst is met by waiting and by refusals, not by
-#: upstreams that stand idle until the next one.
-MAX_CHANGE = 0.5
-#: Nodes and weights of a normal distribution with three points.
-SPREAD_POINTS = ((-sqrt(3), 1 / 6), (0.0, 2 / 3), (sqrt(3), 1 / 6))
+ERROR_AVERAGE_SECONDS = 30.0
+#: Maximum relative growth that is expected, and maximum error that counts: a
+#: burst is met by waiting and by refusals, not by upstreams that stand idle
+#: until the next one.
+MAX_GROWTH = 0.3
+MAX_ERROR = 0.5
+#: Normal distribution as three points: distances from the mean in standard
+#: deviations, with weights.
+OUTER_POINT = sqrt(3)
+SPREAD_POINTS = ((-OUTER_POINT, 1 / 6), (0.0, 2 / 3), (OUTER_POINT, 1 / 6))
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,25 +77,42 @@
     return RequestTimes(target, speed.base + reading, reading)
 
 
+@dataclass(frozen=True, slots=True)
+class PastForecast:
+    """Hold the work at some time and what was expected after a boot time."""
+
+    at: float
+    level: float
+    expected: float
+
+
 @dataclass(slots=True)
 class WorkForecast:
-    """Average the offered work and how much it changes in a boot time."""
+    """Forecast the offered work for the time at which an order takes effect."""
 
+    #: Work at present and after a boot time.
     level: float = 0
+    expected: float = 0
     _weight: float = 0
     _updated_at: float | None = None
-    #: Levels of the last boot time, oldest first.
-    _levels: deque[tuple[float, float]] = field(default_factory=deque)
-    _square: float = PRIOR_CHANGE * PRIOR_CHANGE
+    #: Forecasts of the last boot time, oldest first.
+    _past: deque[PastForecast] = field(default_factory=deque)
+    _square_error: float = PRIOR_ERROR * PRIOR_ERROR
 
     @property
-    def change(self) -> float:
-        """Return the relative change to be expected within a boot time."""
-        return max(MIN_CHANGE, sqrt(self._square))
+    def error(self) -> float:
+        """Return the relative error to be expected of a forecast."""
+        return max(MIN_ERROR, sqrt(self._square_error))
+
+    @property
+    def is_growing(self) -> bool:
+        """Return whether the work grows by more than an estimate varies."""
+        return self.expected > self.level * (1 + MIN_ERROR / 2)
 
     def restore(self, level: float, now: float) -> None:
-        """Continue with the level that the previous home reported."""
+        """Continue with the work that the previous home reported."""
         self.level = level
+        self.expected = level
         self._weight = 1
         self._updated_at = now
 
@@ -108,23 +129,37 @@
         if self._weight:
             self.level += weight / self._weight * (busy - self.level)
         self._updated_at = now
-        self._record_change(boot_seconds, max(0, elapsed), now)
+        while self._past and now - self._past[0].at > boot_seconds:
+            self._record_error(self._past.popleft(), max(0, elapsed))
+        self.expected = self.level * (1 + self._growth(boot_seconds, now))
+        self._past.append(PastForecast(now, self.level, self.expected))
 
     def points(self) -> list[tuple[float, float]]:
         """Return possible amounts of work after a boot time, with weights."""
         return [
-            (max(0, self.level * (1 + offset * self.change)), weight)
+            (max(0, self.expected * (1 + offset * self.error)), weight)
             for offset, weight in SPREAD_POINTS
         ]
 
-    def _record_change(
-        self, boot_seconds: float, elapsed: float, now: float
-    ) -> None:
-        self._levels.append((now, self.level))
-        while now - self._levels[0][0] > boot_seconds:
-            _, before = self._levels.popleft()
-            change = (
-                min(MAX_CHANGE, abs(self.level / before - 1)) if before else 0
-            )
-            part = min(1, elapsed / CHANGE_AVERAGE_SECONDS)
-            self._square += part * (change * change - self._square)
+    def _growth(self, boot_seconds: float, now: float) -> float:
+        """Return the relative growth until an upstream ordered now serves.
+
+        The level is as old as the average is long. A decline is not expected
+        to last.
+        """
+        if not self._past or not self._past[0].level:
+            return 0
+        oldest = self._past[0]
+        seconds = now - oldest.at
+        if seconds < boot_seconds / 2:
+            return 0
+        growth = (self.level / oldest.level - 1) / seconds
+        ahead = boot_seconds + LOAD_AVERAGE_SECONDS
+        return min(MAX_GROWTH, max(0, growth * ahead))
+
+    def _record_error(self, past: PastForecast, elapsed: float) -> None:
+        if not past.expected:
+            return
+        error = min(MAX_ERROR, abs(self.level / past.expected - 1))
+        part = min(1, elapsed / ERROR_AVERAGE_SECONDS)
+        self._square_error += part * (error * error - self._square_error)
--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/placement.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/placement.py
@@ -2,8 +2,13 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from functools import partial
 from itertools import pairwise
 
+#: Fraction of the price that another placement must save: upstreams that move
+#: are paid twice while they boot.
+MIN_SAVING = 0.1
+
 
 @dataclass(frozen=True, slots=True)
 class PlacementNeed:
@@ -44,6 +49,29 @@
     return min(feasible, key=lambda counts: cost(counts, prices))
 
 
+def adjust(
+    current: Mapping[str, int],
+    need: PlacementNeed,
+    prices: Mapping[str, float],
+    bounds: CountBounds,
+) -> dict[str, int]:
+    """Return counts that meet a need with few changes to the current ones.
+
+    They are placed anew where there are none yet, where they cannot meet the
+    need, or where that saves much.
+    """
+    best = place(need, prices, bounds)
+    if current.keys() != best.keys():
+        return best
+    changed = _reduced(
+        _raised(current, need, prices, bounds), need, prices, bounds
+    )
+    if not meets(need, changed):
+        return best
+    saved = cost(changed, prices) - cost(best, prices)
+    return best if saved > MIN_SAVING * cost(changed, prices) else changed
+
+
 def meets(need: PlacementNeed, counts: Mapping[str, int]) -> bool:
     """Return whether counts meet a need, also after the largest loss."""
     total = sum(counts.values())
@@ -74,3 +102,59 @@
             cheapest, pairwise(filled), strict=True
         )
     }
+
+
+def _raised(
+    current: Mapping[str, int],
+    need: PlacementNeed,
+    prices: Mapping[str, float],
+    bounds: CountBounds,
+) -> dict[str, int]:
+    """Add upstreams where they help, and cheapest, until a need is met."""
+    counts = {
+        data_centre: min(bounds.most, max(bounds.least, count))
+        for data_centre, count in current.items()
+    }
+    rank = partial(_rank, need, prices)
+    while not meets(need, counts):
+        raised = [
+            counts | {data_centre: count + 1}
+            for data_centre, count in counts.items()
+            if count < bounds.most
+        ]
+        if not raised:
+            break
+        counts = min(raised, key=rank)
+    return counts
+
+
+def _reduced(
+    counts: dict[str, int],
+    need: PlacementNeed,
+    prices: Mapping[str, float],
+    bounds: CountBounds,
+) -> dict[str, int]:
+    """Remove the most expensive upstreams that a need leaves over."""
+    rank = partial(_rank, need, prices)
+    while True:
+        reduced = [
+            counts | {data_centre: count - 1}
+            for data_centre, count in counts.items()
+            if count > bounds.least
+        ]
+        enough = [other for other in reduced if meets(need, other)]
+        if not enough:
+            return counts
+        counts = min(enough, key=rank)
+
+
+def _rank(
+    need: PlacementNeed,
+    prices: Mapping[str, float],
+    counts: Mapping[str, int],
+) -> tuple[int, float]:
+    """Return what counts lack and their price; lower is better."""
+    total = sum(counts.values())
+    remaining = total - max(counts.values(), default=0)
+    lacking = max(0, need.total - total) + max(0, need.after_loss - remaining)
+    return lacking, cost(counts, prices)
--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/valued_capacity.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/valued_capacity.py
@@ -37,7 +37,7 @@
 from spanfall_core.gateway.orders.placement import (
     CountBounds,
     PlacementNeed,
-    place,
+    adjust,
 )
 from spanfall_core.gateway.orders.reclaims import ReclaimHistory
 
@@ -61,7 +61,9 @@
     need: CapacityNeed = field(default_factory=CapacityNeed)
     #: Expected price of a reclaimable upstream second, by data centre.
     prices: dict[str, float] = field(default_factory=dict)
-    #: Reclaimable upstreams to run, by data centre.
+    #: Reclaimable upstreams that the need calls for, and those to run while
+    #: counts that fell are held, by data centre.
+    placed: dict[str, int] = field(default_factory=dict)
     targets: dict[str, int] = field(default_factory=dict)
     _held_targets: defaultdict[str, SlidingMaximum] = field(
         default_factory=_held_counts
@@ -144,7 +146,8 @@
         return dict.fromkeys(scaling.prices, 0)
     need = valuation.need
     total = need.reclaimable + ceil(orders.capacity_lost)
-    placed = place(
+    valuation.placed = adjust(
+        valuation.placed,
         PlacementNeed(max(total, _unmeasured(orders, now)), need.after_loss),
         valuation.prices,
         CountBounds(scaling.min_upstreams, scaling.max_upstreams),
@@ -152,12 +155,13 @@
     hold = scaling.boot_seconds * RECLAIMABLE_HOLD_BOOTS
     held = {
         data_centre: valuation.hold_target(data_centre, count, hold, now)
-        for data_centre, count in placed.items()
+        for data_centre, count in valuation.placed.items()
     }
-    if not orders.is_scarce(now):
+    if not (orders.is_scarce(now) or valuation.forecast.is_growing):
         return held
     # Reclaimable upstreams stopped during a shortage cannot be ordered again,
-    # and on-demand ones cost several times as much.
+    # and on-demand ones cost several times as much. While the work grows, those
+    # stopped would soon boot again.
     return {
         data_centre: max(
             count,
--- a/packages/spanfall-node/src/spanfall_node/gateway/duties/valuations.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/valuations.py
@@ -94,7 +94,8 @@
         state = self._state
         figures = {
             'busy': valuation.forecast.level,
-            'change': valuation.forecast.change,
+            'expected': valuation.forecast.expected,
+            'error': valuation.forecast.error,
             'reclaimable': need.reclaimable,
             'on-demand': need.on_demand,
             'after-loss': need.after_loss,
@@ -104,12 +105,13 @@
         if not planned:
             return
         logger.info(
-            'Upstreams of %s: %.1f busy, change %.2f; worth their price: %s '
+            'Upstreams of %s: %.1f busy, %.1f expected, error %.2f; worth their price: %s '
             'reclaimable, %s on demand; %s to remain after a loss; reclaimable '
             'targets %s, expected prices %s, reclaims %s; %s',
             service,
             valuation.forecast.level,
-            valuation.forecast.change,
+            valuation.forecast.expected,
+            valuation.forecast.error,
             need.reclaimable,
             need.on_demand,
             need.after_loss,
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -134,11 +134,10 @@
         demand = self.orders.demand
         demand.record_need(needed, self.now)
         demand.record_initial_count(present.total(), self.now, self.now)
-        if self.now < self.settles_at:
-            return
-        args = 'llm', SCALING, self.orders, present, self.now
-        for order in self.planner(*args):
-            self._execute(order)
+        if self.now >= self.settles_at:
+            args = 'llm', SCALING, self.orders, present, self.now
+            for order in self.planner(*args):
+                self._execute(order)
 
     def _execute(self, order) -> None:
         place, reclaimable = order.key
