--- a/packages/spanfall-core/src/spanfall_core/gateway/known/configuration.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/configuration.py
@@ -169,8 +169,9 @@
         self.services = {row.name: row for row in services}
         self.workspaces = {row.name: row for row in workspaces}
         self._quotas: dict[float, dict[str, Limit]] = {}
-        self._targets = _tightest_targets(routes)
+        routes = tuple(routes)
         self._hosts = _by_host(routes)
+        self._targets = _tightest_targets(routes)
         self._keys = {
             key: row for row in self.workspaces.values() for key in row.keys
         }
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
@@ -146,6 +146,18 @@
             'Time for which the longest held request of this node waits',
             registry=self.registry,
         )
+        self.capacity = Gauge(
+            'spanfall_capacity',
+            'Upstreams that the work of a service keeps busy and is worth',
+            ['service', 'figure'],
+            registry=self.registry,
+        )
+        self.reclaims = Gauge(
+            'spanfall_reclaims_seen',
+            'Reclaims of data centres that this home has seen',
+            ['service', 'data_centre'],
+            registry=self.registry,
+        )
         self.first_part = Histogram(
             'spanfall_first_part_seconds',
             'Time from request to the first part of its answer',
