--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/held.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/held.py
@@ -95,6 +95,7 @@
         self._positions[ticket] = position
         self.order.begin_waiting(terms.priority)
         level, flow = self.find_flow(terms)
+        level.set_weight(flow, terms.weight)
         level.add(flow, position, terms.units)
         self._last_ticket = ticket
         return held
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/levels.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/levels.py
@@ -49,16 +49,21 @@
     _tags: list[tuple[float, str]] = field(default_factory=list)
 
     def flow(self, workspace: str, weight: float) -> Flow:
-        """Return the flow of a workspace and update its weight."""
+        """Return the flow of a workspace; a new one has this weight."""
         flow = self.flows.get(workspace)
         if flow is None:
             self._forget_idle()
             flow = Flow(workspace, weight)
             self.flows[workspace] = flow
-        if flow.weight != weight:
-            self._set_weight(flow, weight)
         return flow
 
+    def set_weight(self, flow: Flow, weight: float) -> None:
+        """Change the weight of a workspace."""
+        if flow.is_waiting:
+            self.backlog.exclude(flow.units, flow.weight)
+            self.backlog.include(flow.units, weight)
+        flow.weight = weight
+
     def add(self, flow: Flow, position: Position, units: float) -> None:
         """Let a request of the workspace wait."""
         if flow.is_waiting:
@@ -121,12 +126,6 @@
             ]
             heapify(self._tags)
 
-    def _set_weight(self, flow: Flow, weight: float) -> None:
-        if flow.is_waiting:
-            self.backlog.exclude(flow.units, flow.weight)
-            self.backlog.include(flow.units, weight)
-        flow.weight = weight
-
     def _forget_idle(self) -> None:
         if len(self.flows) >= 2 * len(self.waiting) + MAX_IDLE_FLOWS:
             self.flows = dict(self.waiting)
