Wait longer for the home while requests compete

Cause: beside load, an answer of the home took over 30 ms; the entry then sent all its requests alone for 0.5 s, and 10 ran at an upstream of 4 slots. Change: while the home signals contention, an ask with terms waits an eighth of the time left to its target and the next request asks again. The tests are split by what they show, with one for a home that falls silent and one for an entry that is alone.

--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
@@ -41,7 +41,12 @@
 #: Seconds that a request waits for the home's grant: a few network delays
 #: between data centres, and far less than any latency target.
 GRANT_TIMEOUT_SECONDS = 0.03
-#: Seconds for which an entry decides locally after a grant timed out.
+#: Fraction of the time left to its latency target that a request waits for the
+#: home while requests compete: a caller that is refused by then can still turn
+#: elsewhere.
+CONTENDED_WAIT_FRACTION = 0.125
+#: Seconds for which an entry decides locally after a grant timed out, unless
+#: requests compete.
 LOCAL_DECISION_SECONDS = 0.5
 #: Standings of requests that are sent only with the home's grant.
 GRANT_REQUIRED = frozenset(
@@ -114,7 +119,9 @@
         the request as running before it next waits.
         """
         state = self.state
-        state.prompts.record_prompt(routing_request, state.timers.now())
+        if terms is None or not terms.waited:
+            now = state.timers.now()
+            state.prompts.record_prompt(routing_request, now)
         request = GrantRequest(service, routing_request, terms)
         if state.tenure is not None:
             state.counters.grants.labels(AS_HOME).inc()
@@ -123,8 +130,7 @@
                 now = state.timers.now()
                 return state.contention.own_held.add(answer.held, now)
             return self._accept_grant(answer)
-        can_ask = self._pending.is_connected
-        if can_ask and state.timers.now() >= self._local_until:
+        if self._should_ask():
             choice = await self._request_grant(request)
             if choice is not None:
                 state.counters.grants.labels(GRANTED).inc()
@@ -132,6 +138,27 @@
         state.counters.grants.labels(DECIDED_LOCALLY).inc()
         return self._decide_alone(request)
 
+    def _should_ask(self) -> bool:
+        now = self.state.timers.now()
+        is_due = now >= self._local_until
+        is_contended = self.state.contention.is_contended(now)
+        return self._pending.is_connected and (is_due or is_contended)
+
+    def _grant_timeout(self, request: GrantRequest) -> float:
+        """Return the seconds for which a request waits for the home's answer.
+
+        While requests compete, one that is sent without the home delays those
+        whose turn it is, so it waits longer.
+        """
+        terms = request.terms
+        is_contended = self.state.contention.is_contended(
+            self.state.timers.now()
+        )
+        if terms is None or not is_contended:
+            return GRANT_TIMEOUT_SECONDS
+        wait = terms.target_in * CONTENDED_WAIT_FRACTION
+        return max(GRANT_TIMEOUT_SECONDS, wait)
+
     def _decide_alone(self, request: GrantRequest) -> ChoiceOutcome:
         """Choose locally; reject what is known not to make its deadline.
 
@@ -150,6 +177,7 @@
 
     async def _request_grant(self, request: GrantRequest) -> ChoiceOutcome:
         state = self.state
+        seconds = self._grant_timeout(request)
         question = await self._pending.ask(
             lambda number: GrantRequestMessage(
                 state.entry_key,
@@ -157,13 +185,13 @@
                 request,
                 self.load(),
             ),
-            GRANT_TIMEOUT_SECONDS,
+            seconds,
         )
         if not question.is_answered:
             self._local_until = state.timers.now() + LOCAL_DECISION_SECONDS
             logger.info(
-                'Home sent no grant within %s s; choosing upstreams locally',
-                GRANT_TIMEOUT_SECONDS,
+                'Home sent no grant within %.3g s; choosing upstreams locally',
+                seconds,
             )
         answer = question.answer
         if answer is None or isinstance(answer, HeldWait):
--- /dev/null
+++ b/tests/test_gateway_contention_fails.py
@@ -0,0 +1,153 @@
+"""Held requests outlast each failure: none is lost, late or run twice."""
+
+import anyio
+import pytest
+from contention_world import (
+    SLOTS,
+    Callers,
+    Gate,
+    add_fleet,
+    fill_and_hold,
+    held_at,
+    is_linked,
+    runs_of,
+    turn_on,
+)
+from gateway_world import ask, dial, in_world, request_bytes
+from spanfall_node.gateway.home.home_links import HomeLinks
+from spanfall_node.gateway.home.turns import Turns
+from support import wait_until
+
+
+@pytest.mark.parametrize('has_successor', [True, False])
+def test_the_home_ends_with_requests_held(has_successor):
+    """The next home, or the entry alone, serves each of them once."""
+
+    @in_world
+    async def play(world):
+        life = anyio.CancelScope()
+        home = await world.add_killable_gateway(life)
+        await wait_until(lambda: home.is_home(home.timers.now()))
+        entry = await world.add_gateway()
+        await wait_until(lambda: is_linked(entry))
+        turn_on(home, entry)
+        gate = Gate()
+        async with anyio.create_task_group() as tasks:
+            callers = Callers(tasks)
+            upstream = await fill_and_hold(world, callers, entry, gate, 3, home)
+            if not has_successor:
+                world.store.error_status = 500
+            life.cancel()
+            await wait_until(lambda: not len(entry.contention.held))
+            gate.opened.set()
+            await callers.all_answered(SLOTS + 3)
+        assert callers.statuses() == {200: SLOTS + 3}
+        assert set(runs_of(upstream).values()) == {1}
+
+    play()
+
+
+def test_the_home_falls_silent(monkeypatch):
+    """Held requests of an entry that is cut off go on without the home."""
+
+    @in_world
+    async def play(world):
+        home, (entry,) = await add_fleet(world, 2)
+        gate = Gate()
+        async with anyio.create_task_group() as tasks:
+            callers = Callers(tasks)
+            upstream = await fill_and_hold(world, callers, entry, gate, 3, home)
+            monkeypatch.setattr(HomeLinks, '_answer', lambda *_: None)
+            monkeypatch.setattr(Turns, '_give_turns', lambda *_: None)
+            await wait_until(lambda: not len(entry.contention.held))
+            gate.opened.set()
+            await callers.all_answered(SLOTS + 3)
+        assert callers.statuses() == {200: SLOTS + 3}
+        assert set(runs_of(upstream).values()) == {1}
+
+    play()
+
+
+@in_world
+async def test_the_home_resigns_with_requests_held(world):
+    """A home that stops leaves its held requests to the next one."""
+    home, (entry,) = await add_fleet(world, 2)
+    gate = Gate()
+    async with anyio.create_task_group() as tasks:
+        callers = Callers(tasks)
+        upstream = await fill_and_hold(world, callers, entry, gate, 3, home)
+        home.draining_since = home.timers.now()
+        home.tenure.resign()
+        entry.record_vacant_home(home.tenure.epoch)
+        await wait_until(lambda: not held_at(home))
+        gate.opened.set()
+        await callers.all_answered(SLOTS + 3)
+    assert callers.statuses() == {200: SLOTS + 3}
+    assert set(runs_of(upstream).values()) == {1}
+
+
+@in_world
+async def test_a_draining_entry_serves_what_is_held(world):
+    home, (entry,) = await add_fleet(world, 2)
+    gate = Gate()
+    async with anyio.create_task_group() as tasks:
+        callers = Callers(tasks)
+        await fill_and_hold(world, callers, entry, gate, 3, home)
+        entry.draining_since = entry.timers.now()
+        gate.opened.set()
+        await callers.all_answered(SLOTS + 3)
+    assert callers.statuses() == {200: SLOTS + 3}
+
+
+@in_world
+async def test_turns_without_the_store(world):
+    home, (entry,) = await add_fleet(world, 2)
+    gate = Gate()
+    async with anyio.create_task_group() as tasks:
+        callers = Callers(tasks)
+        upstream = await fill_and_hold(world, callers, entry, gate, 3, home)
+        world.store.error_status = 500
+        gate.opened.set()
+        await callers.all_answered(SLOTS + 3)
+    assert callers.statuses() == {200: SLOTS + 3}
+    assert set(runs_of(upstream).values()) == {1}
+
+
+@pytest.mark.parametrize('by_home', [True, False])
+def test_a_caller_leaves_while_held(by_home):
+    """Its request leaves the order and is sent to no upstream."""
+
+    @in_world
+    async def play(world):
+        home, (entry,) = await add_fleet(world, 2)
+        asked = home if by_home else entry
+        gate = Gate()
+        async with anyio.create_task_group() as tasks:
+            callers = Callers(tasks)
+            upstream = await fill_and_hold(world, callers, asked, gate, 1, home)
+            stream = await dial(asked.cfg.listen.callers)
+            await stream.send(request_bytes('/any/2', 'gone'))
+            await wait_until(lambda: held_at(home) == 2)
+            await stream.aclose()
+            await wait_until(lambda: held_at(home) == 1)
+            gate.opened.set()
+            await callers.all_answered(SLOTS + 1)
+        assert not runs_of(upstream)['gone']
+
+    play()
+
+
+@in_world
+async def test_a_deadline_ends_a_hold(world):
+    """A request whose turn never comes is answered within its time."""
+    home, (entry,) = await add_fleet(world, 2)
+    gate = Gate()
+    async with anyio.create_task_group() as tasks:
+        callers = Callers(tasks)
+        upstream = await fill_and_hold(world, callers, entry, gate, 1, home)
+        answer = await ask(entry, '/any/2', attempt='late', left_ms='300')
+        assert answer.status == 503
+        await wait_until(lambda: held_at(home) == 1)
+        gate.opened.set()
+        await callers.all_answered(SLOTS + 1)
+    assert not runs_of(upstream)['late']
