--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/offered_work.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/offered_work.py
@@ -16,6 +16,8 @@
     OfferedLoad,
 )
 
+#: Seconds that one measurement stands for at most: it is a snapshot.
+MAX_SAMPLE_SECONDS = 0.5
 #: Prior of the relative error of a forecast.
 PRIOR_ERROR = 0.15
 #: Minimum error that is assumed: the estimate of the work is no more exact.
@@ -122,15 +124,16 @@
         The first measurements weigh more, so that the level does not have to
         rise from zero.
         """
-        last = self._updated_at
-        elapsed = LOAD_AVERAGE_SECONDS / 8 if last is None else now - last
-        weight = min(1, max(0, elapsed) / LOAD_AVERAGE_SECONDS)
+        elapsed = MAX_SAMPLE_SECONDS
+        if self._updated_at is not None:
+            elapsed = min(elapsed, max(0, now - self._updated_at))
+        weight = elapsed / LOAD_AVERAGE_SECONDS
         self._weight += weight * (1 - self._weight)
         if self._weight:
             self.level += weight / self._weight * (busy - self.level)
         self._updated_at = now
         while self._past and now - self._past[0].at > boot_seconds:
-            self._record_error(self._past.popleft(), max(0, elapsed))
+            self._record_error(self._past.popleft(), elapsed)
         self.expected = self.level * (1 + self._growth(boot_seconds, now))
         self._past.append(PastForecast(now, self.level, self.expected))
 
@@ -160,6 +163,7 @@
     def _record_error(self, past: PastForecast, elapsed: float) -> None:
         if not past.expected:
             return
-        error = min(MAX_ERROR, abs(self.level / past.expected - 1))
-        part = min(1, elapsed / ERROR_AVERAGE_SECONDS)
+        # Work below its forecast is late for nobody.
+        error = min(MAX_ERROR, max(0, self.level / past.expected - 1))
+        part = elapsed / ERROR_AVERAGE_SECONDS
         self._square_error += part * (error * error - self._square_error)
--- a/tests/test_gateway_expected_value.py
+++ b/tests/test_gateway_expected_value.py
@@ -261,3 +261,11 @@
     for step in range(80, 84):
         forecast.record(60, 4, step / 4)
     assert forecast.expected <= 1.3 * forecast.level
+
+
+def test_restored_forecast_outlasts_a_snapshot():
+    """A new home measures for the first time three seconds after it began."""
+    forecast = WorkForecast()
+    forecast.restore(20, 100)
+    forecast.record(0, 4, 103)
+    assert forecast.level >= 15
