--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/expected_value.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/expected_value.py
@@ -65,13 +65,16 @@
     """
     ratio = slack_ratio(times.target, times.first_token, times.busy)
     value = on_time_value(scaling)
-    points = forecast.points()
+    growing = forecast.points(forecast.expected)
+    # Growth within a boot time is mostly chance; on-demand upstreams that it
+    # brings about cost several times as much.
+    present = forecast.points(forecast.level)
     bearable = bearable_utilisation(ratio, SHORTAGE_LATE_FRACTION)
     return CapacityNeed(
         worthwhile_count(
-            points, ratio, fmean(reclaimable_prices.values()) / value
+            growing, ratio, fmean(reclaimable_prices.values()) / value
         ),
-        worthwhile_count(points, ratio, min(scaling.prices.values()) / value),
+        worthwhile_count(present, ratio, min(scaling.prices.values()) / value),
         ceil(forecast.expected / bearable),
     )
 
--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/offered_work.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/offered_work.py
@@ -137,10 +137,10 @@
         self.expected = self.level * (1 + self._growth(boot_seconds, now))
         self._past.append(PastForecast(now, self.level, self.expected))
 
-    def points(self) -> list[tuple[float, float]]:
-        """Return possible amounts of work after a boot time, with weights."""
+    def points(self, work: float) -> list[tuple[float, float]]:
+        """Return the amounts that some work may really be, with weights."""
         return [
-            (max(0, self.expected * (1 + offset * self.error)), weight)
+            (max(0, work * (1 + offset * self.error)), weight)
             for offset, weight in SPREAD_POINTS
         ]
 
