Read the totals of work once a plan; order nothing without prices

Cause: both planners' rates read the same totals; a service without prices ended the planner by an error. Change: the duty passes the totals on; no price, no orders, as before.

--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/valued_capacity.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/valued_capacity.py
@@ -91,6 +91,8 @@
     now: float,
 ) -> list[Order]:
     """Return the orders to send now, the most urgent ones first."""
+    if not scaling.prices:
+        return []
     if not orders.in_force and not orders.demand.is_registration_complete(now):
         return []
     record_fulfilled(orders, serving)
--- a/packages/spanfall-node/src/spanfall_node/gateway/duties/capacity_duty.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/capacity_duty.py
@@ -73,9 +73,11 @@
         if state.configuration is None:
             return
         now = state.timers.now()
-        self._prefill_rates.update(state.fleet.read_work(), now)
-        self._request_rates.update(dict(state.grant_book.first_attempts), now)
-        self._valuations.update_rates(now)
+        work = state.fleet.read_work()
+        requests = dict(state.grant_book.first_attempts)
+        self._prefill_rates.update(work, now)
+        self._request_rates.update(requests, now)
+        self._valuations.update_rates(work, requests, now)
         for service in state.configuration.services.values():
             if service.scaling is not None and service.engine is not None:
                 await self._plan_service(service, now)
--- a/packages/spanfall-node/src/spanfall_node/gateway/duties/valuations.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/valuations.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 from spanfall_core.gateway.known.configuration import ServedService
+from spanfall_core.gateway.known.fleet import Counts
 from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.orders.demand import (
     TARGET_PREFILL_UTILIZATION,
@@ -52,13 +53,11 @@
             self._valuations[service] = valuation
         return valuation
 
-    def update_rates(self, now: float) -> None:
-        """Update the rates of work and of requests."""
-        work = self._state.fleet.read_work()
+    def update_rates(self, work: Counts, requests: Counts, now: float) -> None:
+        """Update the rates from the totals of work and of requests."""
         self._work_rates.update(work, now)
         self._mean_work_rates.update(work, now)
-        asked = dict(self._state.grant_book.first_attempts)
-        self._request_rates.update(asked, now)
+        self._request_rates.update(requests, now)
 
     def update(
         self,
--- a/tests/test_gateway_expected_value.py
+++ b/tests/test_gateway_expected_value.py
@@ -4,6 +4,7 @@
 evenly; ``late`` and ``price`` are in seconds and in price of upstream seconds.
 """
 
+from dataclasses import replace
 from math import sin, tau
 
 import pytest
@@ -27,6 +28,7 @@
     WorkForecast,
     busy_engines,
 )
+from spanfall_core.gateway.orders.orders import ServiceOrders, count_serving
 from spanfall_core.gateway.orders.placement import (
     CountBounds,
     PlacementNeed,
@@ -269,3 +271,15 @@
     forecast.restore(20, 100)
     forecast.record(0, 4, 103)
     assert forecast.level >= 15
+
+
+def test_service_without_prices_gets_no_orders():
+    planned = plan_valued_orders(
+        'llm',
+        replace(SCALING, prices={}),
+        ServiceOrders(),
+        Valuation(),
+        count_serving([]),
+        0,
+    )
+    assert not planned
