--- a/tests/test_gateway_expected_value.py
+++ b/tests/test_gateway_expected_value.py
@@ -4,6 +4,7 @@
 evenly; ``late`` and ``price`` are in seconds and in price of upstream seconds.
 """
 
+from dataclasses import replace
 from math import sin, tau
 
 import pytest
@@ -27,6 +28,7 @@
     WorkForecast,
     busy_engines,
 )
+from spanfall_core.gateway.orders.orders import ServiceOrders, count_serving
 from spanfall_core.gateway.orders.placement import (
     CountBounds,
     PlacementNeed,
@@ -261,3 +263,23 @@
     for step in range(80, 84):
         forecast.record(60, 4, step / 4)
     assert forecast.expected <= 1.3 * forecast.level
+
+
+def test_restored_forecast_outlasts_a_snapshot():
+    """A new home measures for the first time three seconds after it began."""
+    forecast = WorkForecast()
+    forecast.restore(20, 100)
+    forecast.record(0, 4, 103)
+    assert forecast.level >= 15
+
+
+def test_service_without_prices_gets_no_orders():
+    planned = plan_valued_orders(
+        'llm',
+        replace(SCALING, prices={}),
+        ServiceOrders(),
+        Valuation(),
+        count_serving([]),
+        0,
+    )
+    assert not planned
