Turn admission and orders by value on where callers are impatient

Cause: on a deployment whose callers compete, upstreams state no slowdown, so the features in mode auto were off there (trial: no request was held). Change: a service with engines whose most urgent routes have timeouts below eight latency targets calls for admission and for orders by expected value: a queue of some targets loses those requests instead of serving them late.

--- a/packages/spanfall-api/src/spanfall_api/gateway_settings.py
+++ b/packages/spanfall-api/src/spanfall_api/gateway_settings.py
@@ -69,7 +69,7 @@
 class Mode(StrEnum):
     """State when a feature is in force."""
 
-    #: For the services whose upstreams state how much their host slows them.
+    #: For the services whose upstreams or routes call for it.
     AUTO = 'auto'
     ON = 'on'
     OFF = 'off'
--- a/packages/spanfall-core/src/spanfall_core/gateway/known/configuration.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/configuration.py
@@ -169,9 +169,9 @@
         self.services = {row.name: row for row in services}
         self.workspaces = {row.name: row for row in workspaces}
         self._quotas: dict[float, dict[str, Limit]] = {}
-        routes = tuple(routes)
-        self._hosts = _by_host(routes)
-        self._targets = _tightest_targets(routes)
+        self.routes = tuple(routes)
+        self._hosts = _by_host(self.routes)
+        self._targets = _tightest_targets(self.routes)
         self._keys = {
             key: row for row in self.workspaces.values() for key in row.keys
         }
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/configuration_sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/configuration_sync.py
@@ -77,6 +77,7 @@
             self._log_older(read.version, known.version)
             return False
         state.configuration = read
+        state.scheduling.apply_configuration(read)
         state.configuration_source = source
         logger.info(
             'Applied configuration version %s (previous version: %s)',
--- a/tests/test_gateway_scheduling.py
+++ b/tests/test_gateway_scheduling.py
@@ -3,6 +3,15 @@
 import pytest
 from gateway_world import SERVICE, ask, in_world
 from spanfall_api.gateway_settings import Mode, SchedulingSettings
+from spanfall_core.gateway.known.configuration import (
+    CallerLimits,
+    EngineLimits,
+    Route,
+    RouteKind,
+    ServedConfiguration,
+    ServedService,
+    ServiceShare,
+)
 from spanfall_node.gateway.tables.scheduling import Feature, Scheduling
 from spanfall_standins.gateway.upstream import complete_response
 from support import wait_until
@@ -47,3 +56,47 @@
         )
 
     play()
+
+
+def configuration(*routes):
+    services = [
+        ServedService('engines', 64, EngineLimits(8, 1000)),
+        ServedService('calls', 64),
+    ]
+    return ServedConfiguration(1, routes, services, [], CallerLimits())
+
+
+def served_route(service, priority, timeout, target):
+    name = f'{service}/{priority}/{timeout}'
+    shares = (ServiceShare(service, 1),)
+    kind = RouteKind.STREAM
+    return Route(
+        name, 'h', '/', kind, timeout, target, shares, priority=priority
+    )
+
+
+@pytest.mark.parametrize(
+    ('timeouts', 'expected'),
+    [
+        # The urgent callers of engines leave after four targets.
+        ({'engines': (3.2, 15)}, {'engines'}),
+        # They wait for 20 targets, the others leave sooner.
+        ({'engines': (16, 2)}, set()),
+        # A service without engines rejects what it has no room for.
+        ({'calls': (3.2, 15)}, set()),
+        ({}, set()),
+    ],
+)
+def test_services_with_impatient_callers(timeouts, expected):
+    """A queue of some targets loses the requests of impatient callers."""
+    routes = [
+        served_route(service, priority, timeout, 0.8)
+        for service, both in timeouts.items()
+        for priority, timeout in enumerate(both)
+    ]
+    scheduling = Scheduling(SchedulingSettings())
+    scheduling.apply_configuration(configuration(*routes))
+    assert scheduling.impatient_services == expected
+    for service in expected:
+        assert scheduling.is_on(Feature.CONTENTION, service)
+        assert not scheduling.is_on(Feature.UPSTREAM_SPEEDS, service)
