Release the units of a pressing workspace at its rate where callers compete

Cause: a limit allows what is left of its window at any moment. In force where contention is for any service; it only lowers what is given, so the bound of the limit stands.

--- a/packages/spanfall-core/src/spanfall_core/gateway/limits/quota_allocator.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/limits/quota_allocator.py
@@ -8,6 +8,7 @@
 
 from collections import defaultdict
 from dataclasses import dataclass, field
+from math import inf
 
 from spanfall_core.gateway.known.fleet import ENTRY_RETENTION_SECONDS
 from spanfall_core.gateway.known.limits import Limit, Limits, Tolerance
@@ -19,6 +20,8 @@
 )
 from spanfall_core.gateway.limits.entry_account import EntryAccount
 from spanfall_core.gateway.limits.fleet_spending import FleetSpending
+from spanfall_core.gateway.limits.limit_usage import LimitUsage
+from spanfall_core.gateway.limits.pacing import Pacing
 from spanfall_core.gateway.limits.predecessor_estimate import (
     PredecessorEstimate,
 )
@@ -37,38 +40,6 @@
 ISOLATION_MIN_ENTRIES = 4
 
 
-@dataclass(slots=True)
-class LimitUsage:
-    """Show how the units of one limit are distributed."""
-
-    total: float
-    spent: float
-    #: Units that live entries may hold, and those they may spend in addition
-    #: without a home.
-    held: float
-    beyond: float
-    #: Units that silent and missing entries may still spend.
-    silent_units: float
-    #: Units of ``beyond`` and ``silent_units`` that the tolerance covers.
-    covered: float
-
-    @property
-    def pool(self) -> float:
-        """Return the units that no entry has spent or may hold."""
-        uncovered = max(0, self.silent_units + self.beyond - self.covered)
-        return self.total - self.spent - self.held - uncovered
-
-    @property
-    def level(self) -> float:
-        """Return the units left, in the pool or held by live entries."""
-        return self.total - self.spent - self.silent_units
-
-    def free_beyond(self, live: int) -> float:
-        """Return what one entry may spend beyond its units without a home."""
-        free = self.covered - self.silent_units
-        return max(0, min(free / live, free - self.beyond))
-
-
 def _sums() -> defaultdict[str, float]:
     return defaultdict(float)
 
@@ -79,6 +50,8 @@
 
     tolerance: Tolerance = field(default_factory=Tolerance)
     spending: FleetSpending = field(default_factory=FleetSpending)
+    #: Set where workspaces that press against their limits are paced.
+    pacing: Pacing | None = None
     _entries: dict[str, EntryAccount] = field(default_factory=dict)
     #: Sums over live entries: units held, and allowed without a home.
     _held: defaultdict[str, float] = field(default_factory=_sums)
@@ -111,6 +84,11 @@
         account.apply_returned(report, now)
         self.spending.count_returned(account.returned, 1)
 
+    def set_paced(self, *, is_paced: bool) -> None:
+        """Start or stop pacing workspaces that press against their limits."""
+        if is_paced != (self.pacing is not None):
+            self.pacing = Pacing() if is_paced else None
+
     def has_reported(self, entry: str) -> bool:
         """Tell whether an entry has reported in this tenure as the home."""
         return entry in self._entries
@@ -175,13 +153,18 @@
 
     def usage(self, workspace: str, limit: Limit, now: float) -> LimitUsage:
         """Return how the units of one limit are distributed."""
+        spent = self.spending.recent(workspace, limit, now)
+        released = inf
+        if self.pacing is not None:
+            released = self.pacing.release(workspace, limit, spent, now)
         return LimitUsage(
             limit.total,
-            self.spending.recent(workspace, limit, now),
+            spent,
             self._held[workspace],
             self._beyond[workspace],
             self._silent_units(workspace, limit, now),
             self.tolerance.extra_units(limit) * COVERED_PART,
+            released,
         )
 
     def spending_to_record(
@@ -232,6 +215,8 @@
             limit = limits.get(workspace)
             if limit is not None:
                 self.spending.add(workspace, units, now)
+                if self.pacing is not None:
+                    self.pacing.record_spent(workspace, limit, units, now)
                 own_spending = account.own_spending.setdefault(
                     workspace,
                     Spending(),
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
@@ -49,6 +49,7 @@
     StatementsReport,
 )
 from spanfall_node.gateway.net.sockets import BACKLOG
+from spanfall_node.gateway.tables.scheduling import Feature
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.admitting import (
     answer_request,
@@ -210,6 +211,9 @@
     def _table(self, message: ReportMessage, now: float) -> TableMessage:
         state = self._state
         report = message.report
+        state.quota_allocator.set_paced(
+            is_paced=state.scheduling.is_on_anywhere(Feature.CONTENTION)
+        )
         state.apply_report(report, now)
         state.scheduling.add_shared_host_services(message.shared_host_services)
         state.apply_report(state.own_report(), now)
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/scheduling.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/scheduling.py
@@ -65,6 +65,15 @@
                 ', '.join(sorted(impatient)) or 'none',
             )
 
+    def is_on_anywhere(self, feature: Feature) -> bool:
+        """Return whether a feature is in force for any service."""
+        mode = getattr(self.cfg, feature.value)
+        if mode is not Mode.AUTO:
+            return mode is Mode.ON
+        if feature in IMPATIENT_FEATURES and self.impatient_services:
+            return True
+        return bool(self.shared_host_services)
+
     def add_shared_host_services(self, services: Iterable[str]) -> None:
         """Add services whose upstreams share hosts with others."""
         added = set(services) - self.shared_host_services
