--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/offered_work.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/offered_work.py
@@ -96,6 +96,7 @@
     level: float = 0
     expected: float = 0
     _weight: float = 0
+    _observed_since: float | None = None
     _updated_at: float | None = None
     #: Forecasts of the last boot time, oldest first.
     _past: deque[PastForecast] = field(default_factory=deque)
@@ -111,6 +112,11 @@
         """Return whether the work grows by more than an estimate varies."""
         return self.expected > self.level * (1 + MIN_ERROR / 2)
 
+    def is_observed(self, seconds: float, now: float) -> bool:
+        """Return whether the work was measured for some time."""
+        since = self._observed_since
+        return since is not None and now - since >= seconds
+
     def restore(self, level: float, now: float) -> None:
         """Continue with the work that the previous home reported."""
         self.level = level
@@ -124,6 +130,8 @@
         The first measurements weigh more, so that the level does not have to
         rise from zero.
         """
+        if self._observed_since is None:
+            self._observed_since = now
         elapsed = MAX_SAMPLE_SECONDS
         if self._updated_at is not None:
             elapsed = min(elapsed, max(0, now - self._updated_at))
--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/valued_capacity.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/valued_capacity.py
@@ -164,11 +164,8 @@
         )
         for data_centre, count in valuation.placed.items()
     }
-    if not (orders.is_scarce(now) or valuation.forecast.is_growing):
+    if not _keeps_reclaimable(orders, valuation.forecast, hold, now):
         return held
-    # Reclaimable upstreams stopped during a shortage cannot be ordered again,
-    # and on-demand ones cost several times as much. While the work grows, those
-    # stopped would soon boot again.
     return {
         data_centre: max(
             count,
@@ -180,6 +177,20 @@
     }
 
 
+def _keeps_reclaimable(
+    orders: ServiceOrders, forecast: WorkForecast, hold: float, now: float
+) -> bool:
+    """Return whether no reclaimable upstream may be stopped now.
+
+    Those stopped during a shortage cannot be ordered again, and on-demand ones
+    cost several times as much; while the work grows, they would soon boot
+    again. A new home has a need that its predecessor may have known for a short
+    time only.
+    """
+    is_new = not forecast.is_observed(hold, now)
+    return is_new or forecast.is_growing or orders.is_scarce(now)
+
+
 def _kept_reclaimable(
     data_centre: str,
     orders: ServiceOrders,
@@ -213,8 +224,13 @@
     needed = max(needed, _unmeasured(orders, now))
     most = max(0, needed - serving.reclaimable.total())
     least = max(0, most - pending)
-    # Without load so far, nothing waits for booting upstreams.
-    return OnDemandBounds(least, least if orders.demand.is_idle() else most)
+    if orders.demand.is_idle():
+        # Nothing waits for booting upstreams yet.
+        return OnDemandBounds(least, least)
+    new_seconds = scaling.boot_seconds * RECLAIMABLE_HOLD_BOOTS
+    if not valuation.forecast.is_observed(new_seconds, now):
+        most = max(most, serving.on_demand.total())
+    return OnDemandBounds(least, most)
 
 
 def _unmeasured(orders: ServiceOrders, now: float) -> int:
--- a/tests/test_gateway_expected_value.py
+++ b/tests/test_gateway_expected_value.py
@@ -21,7 +21,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from spanfall_core.gateway.orders.capacity import plan_orders
-from spanfall_core.gateway.orders.demand import OfferedLoad
+from spanfall_core.gateway.orders.demand import OfferedLoad, restore_demand
 from spanfall_core.gateway.orders.expected_value import worthwhile_count
 from spanfall_core.gateway.orders.offered_work import (
     RequestTimes,
@@ -41,6 +41,7 @@
     Valuation,
     plan_valued_orders,
 )
+from spanfall_node.gateway.duties.capacity_duty import SETTLE_SECONDS
 
 FOUND = 9
 LEAD = 12
@@ -74,6 +75,8 @@
 
     def __init__(self, pattern):
         self.pattern = pattern
+        #: Fraction of the load that was reported to the home.
+        self.reported = 1
         self.orders = None
         self.valuation = Valuation()
 
@@ -81,7 +84,7 @@
         if orders is not self.orders:
             self.orders = orders
             self.valuation = Valuation(times=TIMES)
-        part = self.pattern(now)
+        part = self.pattern(now) * self.reported
         load = OfferedLoad(FULL_LOAD * part, FULL_PREFILL_TOKENS * part)
         if part:
             busy = busy_engines(ENGINE, load, SPEED, SCALING.max_upstreams * 4)
@@ -209,6 +212,25 @@
     assert world.reversals == 0
 
 
+@pytest.mark.parametrize('lost', [[], [('west', 6), ('east', 8)]])
+def test_new_home_waits_for_reports(lost):
+    """Its predecessor had seen little of the load, and reports come slowly.
+
+    A new home stopped half of the upstreams, seconds before a shortage.
+    """
+    world = played(full, lost)
+    present = world.serving()
+    world.lose_home()
+    world.planner.reported = 0.3
+    world.run(SETTLE_SECONDS)
+    world.orders.demand = restore_demand(1, world.now)
+    world.run(SCALING.boot_seconds + 1)
+    assert world.serving() >= present
+    world.planner.reported = 1
+    world.run(6)
+    assert world.serving() >= present
+
+
 def test_shortage_prices_buy_fewer_upstreams():
     """An upstream at four times the price has to earn four times as much."""
     points = [(15, 1 / 6), (18, 2 / 3), (21, 1 / 6)]
