--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/levels.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/levels.py
@@ -22,7 +22,7 @@
     #: Units of the waiting requests.
     units: float = 0
     order: SlackOrder = field(default_factory=SlackOrder)
-    #: Units that arrive and are admitted on time.
+    #: Units of new requests that could be on time.
     arrivals: DecayingRate = field(default_factory=DecayingRate)
 
     @property
@@ -41,10 +41,8 @@
     backlog: Backlog = field(default_factory=Backlog)
     flows: dict[str, Flow] = field(default_factory=dict)
     waiting: dict[str, Flow] = field(default_factory=dict)
-    #: Units that arrive and are admitted on time.
+    #: Units of new requests that could be on time.
     arrivals: DecayingRate = field(default_factory=DecayingRate)
-    #: Highest virtual time that a workspace reached.
-    _latest_virtual_time: float = 0
     #: Virtual times of the waiting workspaces; those that changed are stale.
     _tags: list[tuple[float, str]] = field(default_factory=list)
 
@@ -85,21 +83,11 @@
             return
         flow.units = 0
         self.waiting.pop(flow.workspace)
-        if not self.waiting:
-            # A new busy period begins, in which all workspaces are equal.
-            self._tags.clear()
-            self.virtual_time = self._latest_virtual_time
 
     def charge(self, flow: Flow, units: float) -> None:
-        """Charge the workspace for a request that is served now."""
-        if not flow.is_waiting:
-            join_waiting(self, flow)
+        """Charge the workspace for a waiting request that is served now."""
         charge_work(self, flow, units, flow.weight)
-        self._latest_virtual_time = max(
-            self._latest_virtual_time, flow.virtual_time
-        )
-        if flow.is_waiting:
-            self._tag(flow)
+        self._tag(flow)
 
     def refund(self, flow: Flow, units: float) -> None:
         """Take back the charge for a request that was not served after all."""
--- a/tests/test_gateway_contention.py
+++ b/tests/test_gateway_contention.py
@@ -8,7 +8,7 @@
 import random
 from collections import Counter
 from dataclasses import replace
-from itertools import count, permutations
+from itertools import count, islice, permutations
 
 import pytest
 from hypothesis import given, settings, strategies
@@ -24,6 +24,7 @@
     has_room,
 )
 from spanfall_core.gateway.contention.held import TURN_SECONDS, HeldQueue
+from spanfall_core.gateway.contention.prediction import predict
 from spanfall_core.gateway.contention.returns import Backlog, ReturnPlan
 from spanfall_core.gateway.contention.room import (
     RoomTotals,
@@ -31,6 +32,7 @@
     UpstreamLoad,
     openings,
 )
+from spanfall_core.gateway.contention.slack import Rank
 from spanfall_core.gateway.contention.turns import TURNS_PER_YIELD
 from spanfall_core.gateway.contention.waiting import (
     AdmissionTerms,
@@ -83,10 +85,11 @@
 def offer(rates, target, seconds=10, seed=1):
     """Let workspaces offer calls at their rates; one place frees each tick.
 
-    Return how many are served on time and how many are rejected, by workspace.
+    Return by workspace how many are served on time, rejected at once, and held
+    in vain.
     """
     contention, rng = Contention(), random.Random(seed)
-    on_time, rejected = Counter(), Counter()
+    on_time, rejected, in_vain = Counter(), Counter(), Counter()
     for tick in range(int(seconds * RATE)):
         now = tick / RATE
         calls = [
@@ -100,14 +103,15 @@
             stated = terms(name, target_in=target)
             decision = decide(one, stated, FULL, contention, now)
             rejected[name] += isinstance(decision, Reject)
-        contention.queue.expired(now)
+        expired = contention.queue.expired(now)
+        in_vain.update(gone.terms.workspace for gone in expired)
         turn = give_turn(OPEN, contention.queue, now)
         if turn is not None:
             contention.queue.take(turn.asker, turn.ticket, now)
             target_at = turn.deadline_at - DEADLINE + target
             is_on_time = now + RUN_SECONDS <= target_at
             on_time[turn.terms.workspace] += is_on_time
-    return on_time, rejected
+    return on_time, rejected, in_vain
 
 
 def test_one_workspace_cannot_crowd_out_another():
@@ -118,10 +122,12 @@
     first one gets the rest, of which a fifth may go to returns and to calls
     that were predicted to be on time.
     """
-    on_time, rejected = offer({'hot': 250, 'small': 20}, target=0.4)
+    rates = {'hot': 250, 'small': 20}
+    on_time, rejected, in_vain = offer(rates, target=0.4)
     assert not rejected['small']
     assert on_time['small'] >= 0.9 * 20 * 10
     assert on_time['hot'] >= 0.8 * 80 * 10
+    assert in_vain.total() <= 0.1 * rejected.total()
 
 
 def test_a_burst_is_not_late_as_a_whole():
@@ -130,7 +136,7 @@
     Callers need some answers on time rather than all of them late.
     """
     rates = {f'w{number}': 10 for number in range(15)} | {'hot': 60}
-    on_time, rejected = offer(rates, target=0.6)
+    on_time, rejected, _ = offer(rates, target=0.6)
     assert on_time.total() >= 0.8 * RATE * 10
     assert min(on_time.values()) >= 0.75 * RATE * 10 / len(rates)
     assert rejected['hot'] > 0.5 * rejected.total()
@@ -243,13 +249,16 @@
 
 
 def test_turn_that_is_not_taken_is_free_again():
+    """Its workspace is not charged for it."""
     contention = Contention()
-    fill(contention, 2)
+    fill(contention, 2, workspace='a')
+    fill(contention, 2, workspace='b')
     queue = contention.queue
     first = give_turn(OPEN, queue, 0)
     assert give_turn(OPEN, queue, 0.09) is None
     second = give_turn(OPEN, queue, TURN_SECONDS)
     assert second.ticket != first.ticket
+    assert second.terms.workspace == first.terms.workspace
     assert not queue.take(first.asker, first.ticket, TURN_SECONDS)
 
 
@@ -279,6 +288,37 @@
     assert served['b'] == 30
 
 
+def test_idle_workspace_saves_up_no_share():
+    queue = HeldQueue()
+    for number in range(20):
+        queue.hold(asker(number), terms('a'), 0)
+    list(islice(turns(queue), 10))
+    for another in range(10):
+        queue.hold(asker(another), terms('b'), 0)
+    served = [turn.terms.workspace for turn in islice(turns(queue), 10)]
+    assert served.count('b') == 5
+
+
+@pytest.mark.parametrize(
+    ('weight', 'urgent', 'seconds'),
+    [(1, 0, 0.4), (2, 0, 0.3), (1, 30, 0.7)],
+)
+def test_predicted_start_counts_what_goes_ahead(weight, urgent, seconds):
+    """20 of the own workspace wait, 60 of another, and more urgent ones."""
+    contention = Contention()
+    queue = contention.queue
+    fill(contention, 60)
+    fill(contention, urgent, workspace='urgent', priority=0)
+    fill(contention, 20, workspace='a', weight=weight)
+    stated = terms('a', weight=weight, target_in=9, deadline_in=9)
+    position = queue.next_position(stated, 0, Rank.ON_TIME)
+    start = predict(queue, stated, FULL, 0, position).start
+    assert start == pytest.approx(seconds + RUN_SECONDS / PLACES)
+    queue.record_arrival(terms(priority=0, units=RATE / 2), 0)
+    later = predict(queue, stated, FULL, 0, position).start
+    assert later == pytest.approx(2 * seconds + RUN_SECONDS / PLACES)
+
+
 flows = strategies.dictionaries(
     strategies.sampled_from(WORKSPACES),
     strategies.tuples(
@@ -426,10 +466,15 @@
     @rule(
         workspace=workspaces,
         priority=strategies.integers(0, 3),
-        target_in=strategies.floats(0.1, 1),
+        deadline_in=strategies.floats(0.1, 1),
     )
-    def first_ask(self, workspace, priority, target_in):
-        stated = terms(workspace, priority=priority, target_in=target_in)
+    def first_ask(self, workspace, priority, deadline_in):
+        stated = terms(
+            workspace,
+            priority=priority,
+            target_in=deadline_in / 2,
+            deadline_in=deadline_in,
+        )
         self.ask(asker(next(self.numbers)), stated)
 
     @rule(index=strategies.integers(0, 20))
@@ -477,6 +522,8 @@
         levels = queue.order.levels.values()
         total = sum(level.backlog.units for level in levels)
         assert total == pytest.approx(len(queue))
+        served = sum(level.backlog.served_beside(1e9) for level in levels)
+        assert served == pytest.approx(total)
 
 
 TestAnyCourse = AnyCourse.TestCase
