Keep the place of late requests; bound the plan of returns

Requests with later deadlines were counted ahead of it, and it was rejected. And a return planned while a service was stalled took a place thousands of seconds long, after which all callers of its workspace were told 30 s, also once the service ran again. Change: a prediction uses the terms of the newest ask, and the position that a late request has. No planned place ends later than the longest Retry-After.

--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/admission.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/admission.py
@@ -98,7 +98,7 @@
     if held is None:
         return _decide_first(ask)
     position = queue.position(held.ticket)
-    prediction = predict(queue, held.terms, room, now, position)
+    prediction = predict(queue, terms, room, now, position)
     return _send_or_hold(ask, held, prediction)
 
 
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/prediction.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/prediction.py
@@ -87,7 +87,9 @@
     if rank is Rank.ON_TIME and start <= latest:
         return Prediction(start, rank)
     alone = _start(_alone(queue, terms, ahead), shares, terms, room)
-    late = (Rank.LATE, now + terms.deadline_in, position[-1])
+    late = position
+    if rank is not Rank.LATE:
+        late = (Rank.LATE, now + terms.deadline_in, position[-1])
     ahead = find_ahead(queue, terms, late)
     start = _start(ahead, shares, terms, room)
     start = max(start, _seconds(ahead.own, shares.spare))
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/returns.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/returns.py
@@ -69,7 +69,8 @@
         told = min(told, now + MAX_RETRY_AFTER)
         if backlog.rate > 0 and told - now <= latest_in:
             self._remember(identity, told, now)
-            self._ends[key] = told + units / backlog.rate
+            end = told + units / backlog.rate
+            self._ends[key] = min(end, now + MAX_RETRY_AFTER)
         return told - now
 
     def seconds_early(self, identity: str, now: float) -> float:
--- a/tests/test_gateway_contention.py
+++ b/tests/test_gateway_contention.py
@@ -24,13 +24,18 @@
     has_room,
 )
 from spanfall_core.gateway.contention.held import TURN_SECONDS, HeldQueue
-from spanfall_core.gateway.contention.returns import Backlog, ReturnPlan
+from spanfall_core.gateway.contention.returns import (
+    MAX_RETRY_AFTER,
+    Backlog,
+    ReturnPlan,
+)
 from spanfall_core.gateway.contention.room import (
     RoomTotals,
     ServiceRoom,
     UpstreamLoad,
     openings,
 )
+from spanfall_core.gateway.contention.slack import Rank
 from spanfall_core.gateway.contention.turns import TURNS_PER_YIELD
 from spanfall_core.gateway.contention.waiting import (
     AdmissionTerms,
@@ -202,6 +207,22 @@
         contention.queue.next_turn(now)
 
 
+def test_late_request_keeps_its_place_when_it_asks_again():
+    """Requests with later deadlines arrive while it waits.
+
+    They are served after it, so they are no reason to reject it.
+    """
+    contention = Contention()
+    queue = contention.queue
+    held = queue.hold(asker(), terms(), 0, Rank.LATE)
+    for number in range(1, 91):
+        queue.hold(asker(number), terms(deadline_in=1.5), 1, Rank.LATE)
+    again = terms(target_in=-0.5, deadline_in=1, waited=1, ticket=held.ticket)
+    decision = decide(asker(), again, FULL, contention, 1)
+    assert isinstance(decision, Hold)
+    assert decision.ticket == held.ticket
+
+
 def test_lost_upstreams_reject_held_requests():
     """A data centre's engines are reclaimed while requests are held."""
     contention = Contention()
@@ -349,6 +370,18 @@
     assert told == pytest.approx([1 + one * 2 / RATE for one in range(100)])
 
 
+def test_returns_after_a_stall_are_told_a_near_time():
+    """All upstreams of a service stalled while a long request was rejected.
+
+    Once they run again, callers of its workspace get places as before.
+    """
+    planned = ReturnPlan()
+    stalled = Backlog('a', 55, 1.0, 0.01)
+    planned.plan('request-0', stalled, 2000, 10.0, 0)
+    assert plan(planned, 1, MAX_RETRY_AFTER) == 1
+    assert planned.is_expected('request-1', MAX_RETRY_AFTER + 1)
+
+
 def test_impatient_caller_takes_no_place():
     """It is told the truth, and who is rejected next gets the same time."""
     planned = ReturnPlan()
