Leave no ticket at the home that nobody asks with

Cause: a held request whose service lost its last upstream, or that no longer competed, was answered without terms and stayed in the order; so did those that were held when contention was turned off. Each later got a turn that nobody took, which kept a place free for 0.1 s; with the setting turned off, requests that were told their turn were sent beside it. Work of a request that no upstream was found for counted as sent. A withdrawal for an unknown service created its state. test_priorities_change_while_held took turns beside the home's own task and failed when that was first.

--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/admitting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/admitting.py
@@ -55,12 +55,12 @@
     """
     now = state.timers.now()
     if not _is_competing(state, request, now):
-        return decide_grant(state, entry, number, request)
+        return _grant_without_turn(state, entry, number, request)
     state.record_own_load(now)
     row = state.contention.service(request.service)
     room = current_room(state, request.service, now)
     if not room.upstreams:
-        return decide_grant(state, entry, number, request)
+        return _grant_without_turn(state, entry, number, request)
     asker = Asker(entry, request.ask.identity)
     terms = request.terms
     _count_return(state, row, asker, terms, now)
@@ -69,8 +69,9 @@
     row.update_waiting(now)
     answer = _unsent(state, row, number, request, decision)
     if answer is None:
-        row.record_sent(terms.units, now)
         answer = decide_grant(state, entry, number, request)
+        if answer.grant is not None:
+            row.record_sent(terms.units, now)
         if row.is_contended:
             answer = replace(answer, is_contended=True)
     return answer
@@ -86,6 +87,22 @@
     return state.crashes.standing(request.ask.identity, now) is Standing.FREE
 
 
+def _grant_without_turn(
+    state: GatewayState,
+    entry: str,
+    number: int,
+    request: GrantRequest,
+) -> GrantMessage:
+    """Answer a request that does not compete; it is held no longer."""
+    terms = request.terms
+    if terms is not None and terms.ticket:
+        ticket = HeldTicket(
+            request.service, request.ask.identity, terms.ticket
+        )
+        withdraw(state, entry, (ticket,))
+    return decide_grant(state, entry, number, request)
+
+
 def _unsent(
     state: GatewayState,
     row: ContendedService,
@@ -163,8 +180,9 @@
 ) -> None:
     """Remove held requests of an entry that are not to be sent any more."""
     for ticket in tickets:
-        queue = state.contention.service(ticket.service).queue
-        queue.withdraw(Asker(entry, ticket.identity), ticket.number)
+        row = state.contention.services.get(ticket.service)
+        if row is not None:
+            row.queue.withdraw(Asker(entry, ticket.identity), ticket.number)
 
 
 def next_turns(
--- a/tests/test_gateway_contention_node.py
+++ b/tests/test_gateway_contention_node.py
@@ -1,6 +1,6 @@
 """Requests that compete for upstreams are held, ordered or rejected."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from types import SimpleNamespace
 
 import anyio
@@ -12,18 +12,23 @@
     Gate,
     add_fleet,
     fill_and_hold,
+    held_at,
     is_linked,
     runs_of,
 )
 from gateway_world import SERVICE, ask, in_world
+from spanfall_api.gateway_settings import Mode, SchedulingSettings
+from spanfall_core.gateway.contention.room import ServiceRoom
 from spanfall_core.gateway.contention.waiting import AdmissionTerms
 from spanfall_core.gateway.known.identity import RequestIdentity
 from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.routing.balance import Choice
 from spanfall_core.gateway.routing.estimates import RoutingRequest
 from spanfall_core.reasons import RefusalReason
+from spanfall_node.gateway.home.turns import Turns
 from spanfall_node.gateway.links.contention_messages import Rejection
 from spanfall_node.gateway.links.messages import GrantRequest, encode
+from spanfall_node.gateway.upstreams import admitting
 from spanfall_node.gateway.upstreams.admitting import (
     answer_request,
     next_turns,
@@ -130,9 +135,66 @@
     assert outcome == expected
 
 
+def test_lost_upstreams_end_holds(monkeypatch):
+    """A held request is refused while no upstream is left.
+
+    It gets no turn afterwards, which nobody would take.
+    """
+
+    @in_world
+    async def play(world):
+        home, _ = await add_fleet(world, 1)
+        gate = Gate()
+        async with anyio.create_task_group() as tasks:
+            callers = Callers(tasks)
+            await fill_and_hold(world, callers, home, gate, 0, home)
+            held = answer_request(home, 'e/1', 1, request_of('a', 0)).held
+            no_room = ServiceRoom(0, 0, 0, 0, 0, 0)
+            monkeypatch.setattr(admitting, 'current_room', lambda *_: no_room)
+            again = request_of('a', 0, held.ticket.number)
+            assert not answer_request(home, 'e/1', 2, again).held
+            assert not held_at(home)
+            gate.opened.set()
+            await callers.all_answered(SLOTS)
+
+    play()
+
+
 @in_world
-async def test_priorities_change_while_held(world):
-    """The order follows the terms of the newest ask."""
+async def test_work_that_no_upstream_gets_is_not_counted(world):
+    """The entry avoids the only upstream, which the home takes for free."""
+    home, _ = await add_fleet(world, 1)
+    await world.add_upstream(complete_response())
+    await wait_until(lambda: home.directory.serving(SERVICE))
+    (row,) = home.directory.serving(SERVICE)
+    plain = request_of('a', 0)
+    avoided = frozenset((row.lifetime,))
+    ask_of = replace(plain.ask, avoided=avoided)
+    asked = GrantRequest(SERVICE, ask_of, plain.terms)
+    assert answer_request(home, 'e/1', 1, asked).grant is None
+    assert not home.contention.service(SERVICE).sent_since
+
+
+@in_world
+async def test_held_requests_go_on_when_turned_off(world):
+    """The operator turns contention off; each place gets one request."""
+    home, (entry,) = await add_fleet(world, 2)
+    gate = Gate()
+    async with anyio.create_task_group() as tasks:
+        callers = Callers(tasks)
+        await fill_and_hold(world, callers, entry, gate, 3, home)
+        for state in (home, entry):
+            state.scheduling.cfg = SchedulingSettings(contention=Mode.OFF)
+        await anyio.sleep(0.5)
+        assert gate.running == SLOTS
+        gate.opened.set()
+        await callers.all_answered(SLOTS + 3)
+    assert gate.most_running == SLOTS
+    assert callers.statuses() == {200: SLOTS + 3}
+
+
+@in_world
+async def play_changed_priorities(world):
     home, _ = await add_fleet(world, 1)
     gate = Gate()
     async with anyio.create_task_group() as tasks:
@@ -153,6 +215,13 @@
     assert [one.terms.workspace for one in turns] == ['second', 'first']
 
 
+def test_priorities_change_while_held(monkeypatch):
+    """The order follows the terms of the newest ask."""
+    # The home's own task would take the turns that are awaited here.
+    monkeypatch.setattr(Turns, '_give_turns', lambda *_: None)
+    play_changed_priorities()
+
+
 @in_world
 async def test_nothing_competes_where_contention_is_off(world):
     upstream = await world.add_upstream(complete_response())
