Tell entries of a home that ends between two rounds of turns

Cause: if a node was superseded while its task of turns slept between two rounds, the orders were gone before the task looked for them, so it went idle and never sent that the holds had ended. Entries asked the next home only after their link broke or the seconds of each hold had passed. Change: a round is given before the task looks whether anything is left to do. Result: the new test timed out before and passes now.

--- a/packages/spanfall-node/src/spanfall_node/gateway/home/turns.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/turns.py
@@ -66,12 +66,11 @@
         async with anyio.create_task_group() as tasks:
             while True:
                 await contention.has_work.wait()
-                if not any(contention.active_services()):
-                    contention.has_work = anyio.Event()
-                    continue
                 with anyio.move_on_after(ROUND_SECONDS):
                     await contention.room_changed.wait()
                 self._give_turns(tasks)
+                if not any(contention.active_services()):
+                    contention.has_work = anyio.Event()
                 await anyio.sleep(MIN_ROUND_SECONDS)
 
     def _give_turns(self, tasks: TaskGroup) -> None:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/admitting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/admitting.py
@@ -96,9 +96,7 @@
     """Answer a request that does not compete; it is held no longer."""
     terms = request.terms
     if terms is not None and terms.ticket:
-        ticket = HeldTicket(
-            request.service, request.ask.identity, terms.ticket
-        )
+        ticket = HeldTicket(request.service, request.ask.identity, terms.ticket)
         withdraw(state, entry, (ticket,))
     return decide_grant(state, entry, number, request)
 
--- a/tests/test_gateway_contention_fails.py
+++ b/tests/test_gateway_contention_fails.py
@@ -1,5 +1,9 @@
 """Held requests outlast each failure: none is lost, late or run twice."""
 
+import time
+from functools import partial
+from types import SimpleNamespace
+
 import anyio
 import pytest
 from contention_world import (
@@ -13,10 +17,15 @@
     runs_of,
     turn_on,
 )
-from gateway_world import ask, dial, in_world, request_bytes
+from gateway_world import SERVICE, ask, dial, in_world, request_bytes
+from spanfall_core.gateway.contention.waiting import AdmissionTerms, Asker
+from spanfall_node.gateway.home import turns
 from spanfall_node.gateway.home.home_links import HomeLinks
 from spanfall_node.gateway.home.turns import Turns
-from support import wait_until
+from spanfall_node.gateway.links.contention_messages import HoldsEndedMessage
+from spanfall_node.gateway.links.messages import encode
+from spanfall_node.gateway.tables.contention import ContentionState
+from support import run_async, wait_until
 
 
 @pytest.mark.parametrize('has_successor', [True, False])
@@ -151,3 +160,45 @@
         gate.opened.set()
         await callers.all_answered(SLOTS + 1)
     assert not runs_of(upstream)['late']
+
+
+def test_entries_hear_of_a_home_that_ends_between_rounds(monkeypatch):
+    """They ask the next home at once, also if it ends while no turn is due."""
+    rounds = anyio.Event()
+
+    def next_turns(*_):
+        rounds.set()
+        return ()
+
+    monkeypatch.setattr(turns, 'next_turns', next_turns)
+    monkeypatch.setattr(turns, 'MIN_ROUND_SECONDS', 0.1)
+
+    async def play():
+        contention = ContentionState()
+        state = SimpleNamespace(
+            contention=contention,
+            tenure=SimpleNamespace(resigned=False),
+            timers=SimpleNamespace(now=time.monotonic),
+            entry_key='home',
+        )
+        told = []
+        link = SimpleNamespace(send=partial(append_to, told))
+        home_turns = Turns(state)
+        home_turns.add('e/1', link)
+        terms = AdmissionTerms('a', 1, 0, 1, 1, 5)
+        queue = contention.service(SERVICE).queue
+        queue.hold(Asker('e/1', 'one'), terms, time.monotonic())
+        contention.has_work.set()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(home_turns.run)
+            await rounds.wait()
+            contention.end_tenure()
+            state.tenure = None
+            await wait_until(lambda: told == [encode(HoldsEndedMessage())])
+            tasks.cancel_scope.cancel()
+
+    run_async(play)
+
+
+async def append_to(told, data):
+    told.append(data)
