Compute the shares of a rejected request once less

Cause: a rejection computed the rates that a request can count on a third time for its Retry-After, though it had them at hand. Change: backlog_seconds takes them. Result: tests/test_gateway_contention.py passes.

--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/admission.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/admission.py
@@ -187,7 +187,7 @@
     backlog = Backlog(
         terms.workspace,
         terms.priority,
-        backlog_seconds(queue, terms, room, now),
+        backlog_seconds(queue, terms, room, shares),
         max(shares.spare, shares.workspace * RETURN_SHARE),
     )
     retry_after = ask.contention.returns.plan(
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/prediction.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/prediction.py
@@ -100,13 +100,12 @@
     queue: HeldQueue,
     terms: AdmissionTerms,
     room: ServiceRoom,
-    now: float,
+    shares: Shares,
 ) -> float:
     """Return the seconds until all that precedes a late request is sent."""
     if not room.work_rate:
         return UNKNOWN_BACKLOG_SECONDS
     last = (Rank.LATE, inf, 0)
-    shares = find_shares(queue, terms, room, now)
     return _start(find_ahead(queue, terms, last), shares, terms, room)
 
 
