Describe only upstreams with unused slots when room is computed

Cause: the room of a service was summed over one object for each upstream, also for those that run all that they can, which have no room whatever else is known of them. Under contention those are most. Change: only the others are described.

--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/service_room.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/service_room.py
@@ -77,24 +77,26 @@
     speed = state.granted_prompts.speed(service)
     target = configuration.tightest_target(service) if configuration else 1
     running, prefill = state.grant_book.running, state.grant_book.prefill
-    loads = [
+    usable = _usable(state, service, now)
+    with_unused = (
         UpstreamLoad(
             slots,
             running.get(lifetime, 0),
             max(0, prefill.get(lifetime, 0)) / speed.rate,
             slowdown(lifetime, now),
         )
-        for lifetime, slots in _usable(state, service, now)
-    ]
+        for lifetime, slots in usable
+        if running.get(lifetime, 0) < slots
+    )
     return ServiceRoom(
-        len(loads),
-        places=sum(load.slots for load in loads),
-        busy=sum(load.running for load in loads),
+        len(usable),
+        places=sum(slots for _, slots in usable),
+        busy=sum(running.get(lifetime, 0) for lifetime, _ in usable),
         work_rate=0,
         least_run=speed.base if reads_prompts else 0,
         free=sum(
             openings(load, target, reads_prompts=reads_prompts)
-            for load in loads
+            for load in with_unused
         ),
     )
 
