--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/admission.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/admission.py
@@ -98,7 +98,7 @@
     if held is None:
         return _decide_first(ask)
     position = queue.position(held.ticket)
-    prediction = predict(queue, held.terms, room, now, position)
+    prediction = predict(queue, terms, room, now, position)
     return _send_or_hold(ask, held, prediction)
 
 
@@ -187,7 +187,7 @@
     backlog = Backlog(
         terms.workspace,
         terms.priority,
-        backlog_seconds(queue, terms, room, now),
+        backlog_seconds(queue, terms, room, shares),
         max(shares.spare, shares.workspace * RETURN_SHARE),
     )
     retry_after = ask.contention.returns.plan(
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/prediction.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/prediction.py
@@ -87,7 +87,9 @@
     if rank is Rank.ON_TIME and start <= latest:
         return Prediction(start, rank)
     alone = _start(_alone(queue, terms, ahead), shares, terms, room)
-    late = (Rank.LATE, now + terms.deadline_in, position[-1])
+    late = position
+    if rank is not Rank.LATE:
+        late = (Rank.LATE, now + terms.deadline_in, position[-1])
     ahead = find_ahead(queue, terms, late)
     start = _start(ahead, shares, terms, room)
     start = max(start, _seconds(ahead.own, shares.spare))
@@ -98,13 +100,12 @@
     queue: HeldQueue,
     terms: AdmissionTerms,
     room: ServiceRoom,
-    now: float,
+    shares: Shares,
 ) -> float:
     """Return the seconds until all that precedes a late request is sent."""
     if not room.work_rate:
         return UNKNOWN_BACKLOG_SECONDS
     last = (Rank.LATE, inf, 0)
-    shares = find_shares(queue, terms, room, now)
     return _start(find_ahead(queue, terms, last), shares, terms, room)
 
 
