Keep no speeds of upstreams that have ended

Work that outlived its upstream added the lifetime again after it was forgotten, and nothing removed it any more. A lifetime that was listed under another service raised KeyError in the request.

Durations of upstreams that are no longer listed are dropped, the lifetime known for longest gives way to a new one, and a lifetime stays with its first service.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/upstream_speeds.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/upstream_speeds.py
@@ -121,10 +121,10 @@
         self, service: str, lifetime: Lifetime, slowdown: float, now: float
     ) -> None:
         """Record the slowdown that an upstream stated to this node."""
-        if self._admit(service, lifetime):
-            self._stated_row(lifetime).record(slowdown, now)
-            self._cached.pop(lifetime, None)
-            self._unsent.setdefault(lifetime, RatioSums())
+        self._admit(service, lifetime)
+        self._stated_row(lifetime).record(slowdown, now)
+        self._cached.pop(lifetime, None)
+        self._unsent.setdefault(lifetime, RatioSums())
 
     def record_duration(
         self,
@@ -139,10 +139,9 @@
         The measured ones are without the stated slowdown; see
         ``usual_seconds``.
         """
-        if not self._admit(service, lifetime):
-            return
+        learned = self._admit(service, lifetime)
         sums = RatioSums(1, log_ratio(measured, expected))
-        self._learned[service].add(lifetime, sums, now)
+        learned.add(lifetime, sums, now)
         unsent = self._unsent.setdefault(lifetime, RatioSums())
         unsent.add(sums.count, sums.log_sum)
 
@@ -157,15 +156,14 @@
 
     def merge(self, service: str, sample: SpeedSample, now: float) -> None:
         """Add what an entry reports of an upstream."""
-        if not self._admit(service, sample.lifetime):
-            return
+        learned = self._admit(service, sample.lifetime)
         if sample.slowdown > 0 and 0 <= sample.age <= MAX_REPORTED_AGE:
             row = self._stated_row(sample.lifetime)
             row.record(sample.slowdown, now - sample.age)
             self._cached.pop(sample.lifetime, None)
         sums = valid_sums(sample.count, sample.log_sum)
         if sums.count:
-            self._learned[service].add(sample.lifetime, sums, now)
+            learned.add(sample.lifetime, sums, now)
 
     def take_samples(self, now: float) -> tuple[SpeedSample, ...]:
         """Return the samples for the next message; they count as sent."""
@@ -225,14 +223,16 @@
         self._reported.pop(lifetime, None)
         self._cached.pop(lifetime, None)
 
-    def _admit(self, service: str, lifetime: Lifetime) -> bool:
-        """Prepare to record something of a lifetime, unless there are too many."""
-        if lifetime not in self._services:
-            if len(self._services) >= MAX_LIFETIMES:
-                return False
-            self._services[lifetime] = service
-            self._learned.setdefault(service, LearnedSpeeds())
-        return True
+    def _admit(self, service: str, lifetime: Lifetime) -> LearnedSpeeds:
+        """Return the samples that those of a lifetime are added to.
+
+        A lifetime stays with its first service. If there are too many, the one
+        known for longest is forgotten.
+        """
+        known = self._services.setdefault(lifetime, service)
+        if len(self._services) > MAX_LIFETIMES:
+            self.forget(next(iter(self._services)))
+        return self._learned.setdefault(known, LearnedSpeeds())
 
     def _stated_row(self, lifetime: Lifetime) -> StatedSlowdown:
         return self._stated.setdefault(lifetime, StatedSlowdown())
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/speeds.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/speeds.py
@@ -91,7 +91,12 @@
     seconds: float,
     expected: float,
 ) -> None:
-    """Record a duration, unless the request may have waited for a slot."""
+    """Record a duration, unless the request may have waited for a slot.
+
+    An upstream may have ended while it did the work.
+    """
+    if upstream.lifetime not in state.directory.rows:
+        return
     if state.loads.running_at(upstream.lifetime) > upstream.slots:
         return
     state.counters.speed_samples.labels(MEASURED).inc()
--- a/tests/test_gateway_upstream_speeds.py
+++ b/tests/test_gateway_upstream_speeds.py
@@ -8,6 +8,7 @@
 from gateway_world import ask, in_world
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from spanfall_core.gateway.known import upstream_speeds
 from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.loads import Loads
 from spanfall_core.gateway.known.stated_slowdowns import (
@@ -25,6 +26,7 @@
 from spanfall_core.gateway.routing.balance import PromptHistory, choose
 from spanfall_core.gateway.routing.estimates import RoutingRequest
 from spanfall_core.gateway.routing.uneven_loads import UnevenLoads
+from spanfall_node.gateway.upstreams.speeds import record_call
 from spanfall_standins.gateway.upstream import complete_response
 
 #: Speeds that the upstreams of one service have, as the duration of work.
@@ -202,6 +204,38 @@
     assert not speeds.take_samples(0)
 
 
+def test_new_upstreams_are_heard_whatever_ended(monkeypatch):
+    """Load: more lifetimes than are kept, as upstreams come and go."""
+    monkeypatch.setattr(upstream_speeds, 'MAX_LIFETIMES', 2)
+    speeds = UpstreamSpeeds()
+    for row in listed(4):
+        speeds.record_slowdown('app', row.lifetime, 4, 0)
+    assert [speeds.factor(row.lifetime, 0) > 1 for row in listed(4)] == [
+        False,
+        False,
+        True,
+        True,
+    ]
+
+
+def test_upstream_that_changes_service_keeps_its_samples():
+    speeds = UpstreamSpeeds()
+    for service in ('app', 'other'):
+        speeds.record_duration(service, 'u', 2, 1, 0)
+    speeds.forget('u')
+    assert speeds.factor('u', 0) == 1
+
+
+@in_world
+async def test_work_that_outlives_its_upstream_leaves_nothing(world):
+    """An upstream ends while a call runs there; its answer still arrives."""
+    state = await world.add_gateway()
+    state.scheduling.add_shared_host_services(['app'])
+    gone = listed(1)[0]
+    record_call(state, gone, 'any', 0.2)
+    assert not state.upstream_speeds.take_samples(state.timers.now())
+
+
 @in_world
 async def test_slow_upstream_gets_less(world):
     """Load: calls at two entries; one upstream states that its host is slow.
