Take over what another planner or home has ordered

In mode auto the planner by expected value begins seconds after the even one has placed orders. Its held counts were empty, so it lowered orders at once, also for upstreams that still booted, and placed all anew. A new home placed anew as well, without the reclaims that its predecessor had seen. Targets of the initial count exceeded the bound of a data centre, so that on-demand upstreams waited for ones that cannot be ordered; and a data centre full of on-demand upstreams was lowered and raised by one each run where it was to run no reclaimable ones.

The first plan starts from what it finds and holds the orders in force as long as its own; the initial counts are bounded; room is made only for reclaimable upstreams that are wanted. The even planner does as before.

--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/ordering.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/ordering.py
@@ -100,11 +100,14 @@
     orders: ServiceOrders,
     serving: ServingCounts,
     now: float,
+    *,
+    may_make_room: bool = True,
 ) -> list[Order]:
     """Return the orders for both kinds of upstreams of one data centre.
 
     ``target`` is the order for reclaimable ones if there is room, ``planned``
-    the number of on-demand ones.
+    the number of on-demand ones. ``may_make_room`` tells whether on-demand ones
+    leave a full data centre for reclaimable ones.
     """
     data_centre = target.data_centre
     ordered = orders.in_force.get(
@@ -122,7 +125,8 @@
     # the fleet suffices.
     least = scaling.min_upstreams - serving.reclaimable[data_centre]
     keep = max(planned, min(serving.on_demand[data_centre], least))
-    if ordered >= scaling.max_upstreams and not orders.is_scarce(now):
+    is_full = ordered >= scaling.max_upstreams
+    if may_make_room and is_full and not orders.is_scarce(now):
         # A full data centre accepts no reclaimable upstream until another one
         # has left. While they are scarce, no room is made for them.
         keep = min(keep, ordered - 1)
--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/valued_capacity.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/valued_capacity.py
@@ -30,6 +30,7 @@
 )
 from spanfall_core.gateway.orders.orders import (
     Order,
+    OrderKey,
     ServiceOrders,
     ServingCounts,
     record_fulfilled,
@@ -66,6 +67,8 @@
     #: counts that fell are held, by data centre.
     placed: dict[str, int] = field(default_factory=dict)
     targets: dict[str, int] = field(default_factory=dict)
+    #: During the first plan, the orders that another planner left in force.
+    taken_over: dict[OrderKey, int] = field(default_factory=dict)
     _held_targets: defaultdict[str, SlidingMaximum] = field(
         default_factory=_held_counts
     )
@@ -96,6 +99,7 @@
     if not orders.in_force and not orders.demand.is_registration_complete(now):
         return []
     record_fulfilled(orders, serving)
+    valuation.taken_over = {} if valuation.targets else dict(orders.in_force)
     valuation.reclaims.record(serving, orders.in_force, now)
     valuation.prices = expected_prices(scaling, valuation.reclaims, now)
     valuation.need = assess(
@@ -132,6 +136,7 @@
             orders,
             serving,
             now,
+            may_make_room=valuation.targets[data_centre] > 0,
         )
     ]
     return effective_orders(planned, orders, serving, scaling, now)
@@ -150,7 +155,7 @@
     need = valuation.need
     total = need.reclaimable + ceil(orders.capacity_lost)
     valuation.placed = adjust(
-        valuation.placed,
+        valuation.placed or _found_reclaimable(orders, serving, scaling),
         PlacementNeed(total, need.after_loss),
         valuation.prices,
         CountBounds(scaling.min_upstreams, scaling.max_upstreams),
@@ -159,8 +164,13 @@
     initial = spread_evenly(_unmeasured(orders, now), scaling.prices)
     held = {
         data_centre: max(
-            initial[data_centre],
-            valuation.hold_target(data_centre, count, hold, now),
+            min(initial[data_centre], scaling.max_upstreams),
+            valuation.hold_target(
+                data_centre,
+                max(count, valuation.taken_over.get((data_centre, True), 0)),
+                hold,
+                now,
+            ),
         )
         for data_centre, count in valuation.placed.items()
     }
@@ -180,6 +190,22 @@
     }
 
 
+def _found_reclaimable(
+    orders: ServiceOrders,
+    serving: ServingCounts,
+    scaling: Scaling,
+) -> dict[str, int]:
+    """Return the reclaimable upstreams that a first plan finds, if any."""
+    found = {
+        data_centre: max(
+            orders.in_force.get((data_centre, True), 0),
+            serving.reclaimable[data_centre],
+        )
+        for data_centre in scaling.prices
+    }
+    return found if any(found.values()) else {}
+
+
 def _kept_reclaimable(
     data_centre: str,
     orders: ServiceOrders,
@@ -205,8 +231,15 @@
     now: float,
 ) -> OnDemandBounds:
     """Return the bounds for on-demand upstreams in the whole fleet."""
+    found = sum(
+        count
+        for (_, reclaimable), count in valuation.taken_over.items()
+        if not reclaimable
+    )
+    if found:
+        found += serving.reclaimable.total()
     needed = valuation.hold_on_demand(
-        valuation.need.on_demand + ceil(orders.capacity_lost),
+        max(found, valuation.need.on_demand + ceil(orders.capacity_lost)),
         scaling.boot_seconds * ON_DEMAND_HOLD_BOOTS,
         now,
     )
--- /dev/null
+++ b/tests/test_gateway_valued_changes.py
@@ -0,0 +1,85 @@
+"""Orders by expected value when the data centres or the planner change."""
+
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+from fleet_world import PRICES, SCALING
+from spanfall_core.gateway.orders.capacity import plan_orders
+from spanfall_core.gateway.orders.offered_work import RequestTimes
+from spanfall_core.gateway.orders.orders import (
+    ServingCounts,
+    record_accepted,
+)
+from spanfall_core.gateway.orders.valued_capacity import (
+    Valuation,
+    plan_valued_orders,
+)
+from test_gateway_capacity import loaded
+
+
+def valuation(busy, now=0.0):
+    known = Valuation(times=RequestTimes(0.8, 0.15, 0.1))
+    known.forecast.restore(busy, now)
+    return known
+
+
+def serving(reclaimable, on_demand=()):
+    return ServingCounts(Counter(reclaimable), Counter(on_demand))
+
+
+def planned(known, orders, present, scaling=SCALING, now=0.0):
+    """Plan, and let the cloud accept all orders."""
+    found = plan_valued_orders('llm', scaling, orders, known, present, now)
+    for order in found:
+        record_accepted(order, orders, now)
+    return {order.key: order.count for order in found}
+
+
+@pytest.mark.parametrize('on_demand', [1, 3])
+def test_planner_that_takes_over_stops_nothing_that_boots(on_demand):
+    """Load: upstreams begin to state slowdowns while ordered ones still boot.
+
+    The even planner has ordered equal counts a second before.
+    """
+    orders, found = loaded(9), serving({}, dict.fromkeys(PRICES, on_demand))
+    for order in plan_orders('llm', SCALING, orders, found, 0):
+        record_accepted(order, orders, 0)
+    before = dict(orders.in_force)
+    planned(valuation(5, 1), orders, found, now=1)
+    lower = {
+        key: orders.in_force[key]
+        for key, count in before.items()
+        if orders.in_force[key] < count
+    }
+    assert not lower
+
+
+def test_new_home_leaves_upstreams_where_they_are():
+    """Load: its predecessor avoided the cheapest data centre."""
+    found = {'north': 5, 'south': 2, 'east': 5, 'west': 5}
+    known = valuation(11)
+    planned(known, loaded(16), serving(found), now=100)
+    assert known.placed == found | {'south': 3}
+
+
+@pytest.mark.parametrize('initial', [4, 60])
+def test_initial_upstreams_exceed_no_bound(initial):
+    """Load: the operator starts more than the data centres may run."""
+    orders = loaded(1)
+    orders.demand.loaded_since = None
+    orders.demand.initial_count = initial
+    known = valuation(1)
+    planned(known, orders, serving({}, {'south': 5}))
+    assert max(known.targets.values()) <= SCALING.max_upstreams
+
+
+def test_full_data_centre_without_reclaimable_is_left_alone():
+    """Load: on-demand upstreams fill a data centre that needs no others."""
+    scaling = replace(SCALING, min_upstreams=0, reclaimable_price=0)
+    full = serving({}, dict.fromkeys(PRICES, 5))
+    orders, known = loaded(9), valuation(60)
+    changes = [
+        planned(known, orders, full, scaling, step / 4) for step in range(40)
+    ]
+    assert not any(changes[1:])
