Count a reclaim once, and bound no loss of a single data centre

The upstreams of a reclaimed data centre leave the list one after the other. The last of them counted as a second reclaim, which raised the price of that data centre. A service with prices for one data centre only could not meet the need after a loss, and ran the maximum whatever its load.

Fewer upstreams than remained after a reclaim are no further one until more serve again; a single data centre provides the total. Both tests failed before and pass now.

--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/placement.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/placement.py
@@ -79,8 +79,13 @@
 
 
 def meets(need: PlacementNeed, counts: Mapping[str, int]) -> bool:
-    """Return whether counts meet a need, also after the largest loss."""
+    """Return whether counts meet a need, also after the largest loss.
+
+    No number of upstreams in a single data centre remains after its loss.
+    """
     total = sum(counts.values())
+    if len(counts) == 1:
+        return total >= need.total
     largest = max(counts.values(), default=0)
     return total >= need.total and total - largest >= need.after_loss
 
--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/reclaims.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/reclaims.py
@@ -23,6 +23,9 @@
     #: Most upstreams that served in each data centre since its last reclaim or
     #: since the last order for fewer.
     _served: Counter[str] = field(default_factory=Counter)
+    #: Upstreams that remain after the last reclaim of each data centre. Its
+    #: upstreams do not all leave at once, so that fewer of them are no new one.
+    _remaining: dict[str, int] = field(default_factory=dict)
 
     def record(
         self,
@@ -42,11 +45,14 @@
         for data_centre in self._served.keys() | serving.reclaimable.keys():
             present = serving.reclaimable[data_centre]
             ordered = in_force.get((data_centre, True), 0)
-            self._served[data_centre] = (
-                present
-                if data_centre in reclaimed
-                else max(present, min(self._served[data_centre], ordered))
-            )
+            remaining = self._remaining.get(data_centre, -1)
+            if data_centre in reclaimed or present <= remaining:
+                self._remaining[data_centre] = present
+                self._served[data_centre] = 0
+                continue
+            self._remaining.pop(data_centre, None)
+            served = min(self._served[data_centre], ordered)
+            self._served[data_centre] = max(present, served)
         return reclaimed
 
     def rate(self, data_centre: str, now: float) -> float:
--- a/tests/test_gateway_valued_changes.py
+++ b/tests/test_gateway_valued_changes.py
@@ -11,12 +11,21 @@
     ServingCounts,
     record_accepted,
 )
+from spanfall_core.gateway.orders.placement import (
+    CountBounds,
+    PlacementNeed,
+    adjust,
+    place,
+)
+from spanfall_core.gateway.orders.reclaims import ReclaimHistory
 from spanfall_core.gateway.orders.valued_capacity import (
     Valuation,
     plan_valued_orders,
 )
 from test_gateway_capacity import loaded
 
+ALL_KEPT = {('south', True): 4}
+
 
 def valuation(busy, now=0.0):
     known = Valuation(times=RequestTimes(0.8, 0.15, 0.1))
@@ -36,6 +45,24 @@
     return {order.key: order.count for order in found}
 
 
+def test_only_data_centre_runs_what_the_work_needs():
+    """No count in a single data centre outlasts its loss."""
+    need = PlacementNeed(total=3, after_loss=2)
+    bounds = CountBounds(1, 20)
+    assert place(need, {'south': 1}, bounds) == {'south': 3}
+    assert adjust({'south': 9}, need, {'south': 1}, bounds) == {'south': 3}
+
+
+def test_reclaim_that_is_noticed_in_parts_counts_once():
+    history, times = ReclaimHistory(), iter(range(20))
+    for present in (4, 4, 3, 1, 0, 0):
+        history.record(serving({'south': present}), ALL_KEPT, next(times))
+    assert history.counts == {'south': 1}
+    for present in (1, 4, 1, 0):
+        history.record(serving({'south': present}), ALL_KEPT, next(times))
+    assert history.counts == {'south': 2}
+
+
 @pytest.mark.parametrize('on_demand', [1, 3])
 def test_planner_that_takes_over_stops_nothing_that_boots(on_demand):
     """Load: upstreams begin to state slowdowns while ordered ones still boot.
