Let each planner say whether a full data centre makes room

data_centre_orders took more arguments than the linter allows since it also had to know whether reclaimable upstreams are wanted. It needed the time only for whether they are scarce, so the planners say both in one argument. Names and imports of the new tests follow the linter as well. Orders of the even planner are the same.

--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/capacity.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/capacity.py
@@ -67,7 +67,8 @@
                 scaling,
                 orders,
                 serving,
-                now,
+                # None is available while they are scarce.
+                may_make_room=not orders.is_scarce(now),
             ),
         )
     return effective_orders(planned, orders, serving, scaling, now)
--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/ordering.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/ordering.py
@@ -99,9 +99,8 @@
     scaling: Scaling,
     orders: ServiceOrders,
     serving: ServingCounts,
-    now: float,
     *,
-    may_make_room: bool = True,
+    may_make_room: bool,
 ) -> list[Order]:
     """Return the orders for both kinds of upstreams of one data centre.
 
@@ -125,10 +124,9 @@
     # the fleet suffices.
     least = scaling.min_upstreams - serving.reclaimable[data_centre]
     keep = max(planned, min(serving.on_demand[data_centre], least))
-    is_full = ordered >= scaling.max_upstreams
-    if may_make_room and is_full and not orders.is_scarce(now):
+    if may_make_room and ordered >= scaling.max_upstreams:
         # A full data centre accepts no reclaimable upstream until another one
-        # has left. While they are scarce, no room is made for them.
+        # has left.
         keep = min(keep, ordered - 1)
     on_demand_order = Order(
         target.service,
--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/valued_capacity.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/valued_capacity.py
@@ -121,6 +121,7 @@
     on_demand = place_on_demand(
         orders, serving, data_centres, scaling, bounds, now
     )
+    is_scarce = orders.is_scarce(now)
     planned = [
         order
         for data_centre in data_centres
@@ -135,8 +136,7 @@
             scaling,
             orders,
             serving,
-            now,
-            may_make_room=valuation.targets[data_centre] > 0,
+            may_make_room=valuation.targets[data_centre] > 0 and not is_scarce,
         )
     ]
     return effective_orders(planned, orders, serving, scaling, now)
--- a/tests/test_gateway_upstream_speeds.py
+++ b/tests/test_gateway_upstream_speeds.py
@@ -8,7 +8,6 @@
 from gateway_world import ask, in_world
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from spanfall_core.gateway.known import upstream_speeds
 from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.loads import Loads
 from spanfall_core.gateway.known.stated_slowdowns import (
@@ -206,7 +205,8 @@
 
 def test_new_upstreams_are_heard_whatever_ended(monkeypatch):
     """Load: more lifetimes than are kept, as upstreams come and go."""
-    monkeypatch.setattr(upstream_speeds, 'MAX_LIFETIMES', 2)
+    kept = 'spanfall_core.gateway.known.upstream_speeds.MAX_LIFETIMES'
+    monkeypatch.setattr(kept, 2)
     speeds = UpstreamSpeeds()
     for row in listed(4):
         speeds.record_slowdown('app', row.lifetime, 4, 0)
@@ -218,7 +218,7 @@
     ]
 
 
-def test_upstream_that_changes_service_keeps_its_samples():
+def test_upstream_that_changes_its_service():
     speeds = UpstreamSpeeds()
     for service in ('app', 'other'):
         speeds.record_duration(service, 'u', 2, 1, 0)
@@ -227,7 +227,7 @@
 
 
 @in_world
-async def test_work_that_outlives_its_upstream_leaves_nothing(world):
+async def test_work_that_outlives_its_upstream(world):
     """An upstream ends while a call runs there; its answer still arrives."""
     state = await world.add_gateway()
     state.scheduling.add_shared_host_services(['app'])
--- a/tests/test_gateway_valued_changes.py
+++ b/tests/test_gateway_valued_changes.py
@@ -40,12 +40,16 @@
 def planned(known, orders, present, scaling=SCALING, now=0.0):
     """Plan, and let the cloud accept all orders."""
     found = plan_valued_orders('llm', scaling, orders, known, present, now)
+    accept(found, orders, now)
+    return {order.key: order.count for order in found}
+
+
+def accept(found, orders, now):
     for order in found:
         record_accepted(order, orders, now)
-    return {order.key: order.count for order in found}
 
 
-def test_only_data_centre_runs_what_the_work_needs():
+def test_only_data_centre_runs_what_is_needed():
     """No count in a single data centre outlasts its loss."""
     need = PlacementNeed(total=3, after_loss=2)
     bounds = CountBounds(1, 20)
@@ -53,7 +57,7 @@
     assert adjust({'south': 9}, need, {'south': 1}, bounds) == {'south': 3}
 
 
-def test_reclaim_that_is_noticed_in_parts_counts_once():
+def test_reclaim_noticed_in_parts_counts_once():
     history, times = ReclaimHistory(), iter(range(20))
     for present in (4, 4, 3, 1, 0, 0):
         history.record(serving({'south': present}), ALL_KEPT, next(times))
@@ -64,14 +68,13 @@
 
 
 @pytest.mark.parametrize('on_demand', [1, 3])
-def test_planner_that_takes_over_stops_nothing_that_boots(on_demand):
+def test_taking_over_stops_nothing_that_boots(on_demand):
     """Load: upstreams begin to state slowdowns while ordered ones still boot.
 
     The even planner has ordered equal counts a second before.
     """
     orders, found = loaded(9), serving({}, dict.fromkeys(PRICES, on_demand))
-    for order in plan_orders('llm', SCALING, orders, found, 0):
-        record_accepted(order, orders, 0)
+    accept(plan_orders('llm', SCALING, orders, found, 0), orders, 0)
     before = dict(orders.in_force)
     planned(valuation(5, 1), orders, found, now=1)
     lower = {
@@ -101,7 +104,7 @@
     assert max(known.targets.values()) <= SCALING.max_upstreams
 
 
-def test_full_data_centre_without_reclaimable_is_left_alone():
+def test_full_data_centre_is_left_alone():
     """Load: on-demand upstreams fill a data centre that needs no others."""
     scaling = replace(SCALING, min_upstreams=0, reclaimable_price=0)
     full = serving({}, dict.fromkeys(PRICES, 5))
