Count the work of prompts by the present speed of upstreams

Where the speed of single upstreams counts, the stated slowdown is divided out of the prefill line, which is then that of hosts that are as usual. Orders divided the arriving work by that line: with all hosts slowed by two, they saw half of the engines that were busy with prompts, and ordered for them. effective_upstreams, which the design names for this, was used nowhere.

Both planners now take the line times the mean speed of the upstreams that are listed; without the feature it is the line as before. A parameter for refused work that nothing passed is gone. The test of slowed hosts failed before and passes now; the case with the feature off passes before and after.

--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/offered_work.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/offered_work.py
@@ -53,17 +53,13 @@
     load: OfferedLoad,
     speed: PrefillSpeed,
     present: int,
-    refused_fraction: float = 0,
 ) -> float:
     """Return the engines that a load keeps busy.
 
-    Requests beyond the slots of the ``present`` engines are a backlog. The
-    prompts of refused requests were not read, so that the work of the others
-    stands for them.
+    Requests beyond the slots of the ``present`` engines are a backlog.
     """
     decoding = min(load.running / engine.slots, present)
-    reading = load.prefill_rate / speed.rate
-    return decoding + reading / max(0.5, 1 - refused_fraction)
+    return decoding + load.prefill_rate / speed.rate
 
 
 def request_times(
--- a/packages/spanfall-node/src/spanfall_node/gateway/duties/capacity_duty.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/capacity_duty.py
@@ -26,6 +26,7 @@
 from spanfall_node.gateway.duties.valuations import Valuations
 from spanfall_node.gateway.tables.scheduling import Feature
 from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.speeds import present_speed
 
 logger = logging.getLogger(__name__)
 
@@ -156,7 +157,7 @@
         load = OfferedLoad(
             running_requests, self._prefill_rates.rates.get(service.name, 0)
         )
-        speed = state.prompts.speed(service.name)
+        speed = present_speed(state, service.name, lifetimes)
         needed = needed_upstreams(service.engine, load, speed, len(lifetimes))
         limits = state.words.table.rates
         orders.capacity_lost = capacity_lost_to_limits(
--- a/packages/spanfall-node/src/spanfall_node/gateway/duties/valuations.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/valuations.py
@@ -19,6 +19,7 @@
 
 from spanfall_node.gateway.duties.rates import RateEstimator
 from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.speeds import present_speed
 
 logger = logging.getLogger(__name__)
 
@@ -73,7 +74,8 @@
             sum(running.get(row.lifetime, 0) for row in rows),
             self._work_rates.rates.get(service.name, 0),
         )
-        speed = state.prompts.speed(service.name)
+        lifetimes = [row.lifetime for row in rows]
+        speed = present_speed(state, service.name, lifetimes)
         busy = busy_engines(service.engine, load, speed, len(rows))
         if valuation.forecast.level or busy >= MIN_BUSY_ENGINES:
             valuation.forecast.record(busy, service.scaling.boot_seconds, now)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/speeds.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/speeds.py
@@ -1,12 +1,20 @@
 """Measure, exchange and use the speed of single upstreams, where it is on."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from itertools import islice
 
-from spanfall_core.gateway.known.engine_model import prefill_work
+from spanfall_core.gateway.known.engine_model import (
+    PrefillSpeed,
+    prefill_work,
+)
+from spanfall_core.gateway.known.lifetimes import Lifetime
 from spanfall_core.gateway.known.listed import ListedUpstream
-from spanfall_core.gateway.known.upstream_speeds import Factors, SpeedSample
+from spanfall_core.gateway.known.upstream_speeds import (
+    Factors,
+    SpeedSample,
+    effective_upstreams,
+)
 from spanfall_core.gateway.routing.balance import Choice
 from spanfall_core.gateway.routing.estimates import UpstreamLoads
 from spanfall_core.gateway.routing.uneven_loads import UnevenLoads
@@ -85,6 +93,23 @@
     _record_duration(state, upstream, seconds, expected)
 
 
+def present_speed(
+    state: GatewayState, service: str, lifetimes: Sequence[Lifetime]
+) -> PrefillSpeed:
+    """Return the mean prefill speed of upstreams on their hosts as they are.
+
+    Where the speed of single upstreams counts, that of the service is the one
+    on hosts that are as usual.
+    """
+    speed = state.prompts.speed(service)
+    if not (lifetimes and is_on(state, service)):
+        return speed
+    now = state.timers.now()
+    effective = effective_upstreams(lifetimes, state.upstream_speeds, now)
+    part = effective / len(lifetimes)
+    return PrefillSpeed(speed.base / part, speed.rate * part)
+
+
 def _record_duration(
     state: GatewayState,
     upstream: ListedUpstream,
--- a/tests/test_gateway_capacity_modes.py
+++ b/tests/test_gateway_capacity_modes.py
@@ -1,6 +1,7 @@
 """Plan upstreams by expected value only where the settings call for it."""
 
 from copy import deepcopy
+from itertools import product
 
 import pytest
 from gateway_world import in_world
@@ -14,6 +15,7 @@
 from spanfall_core.gateway.orders.orders import count_serving
 from spanfall_node.gateway.duties.capacity_duty import CapacityPlanner
 from spanfall_node.gateway.duties.duties import CloudClient
+from spanfall_node.gateway.duties.valuations import Valuations
 from spanfall_node.gateway.tables.scheduling import Scheduling
 from test_gateway_capacity import SCALING, listed, loaded
 
@@ -60,3 +62,35 @@
         assert 'spanfall_capacity{figure="after-loss",service="llm"}' in metrics
 
     play()
+
+
+@pytest.mark.parametrize(('mode', 'factor'), [(Mode.ON, 2), (Mode.OFF, 1)])
+def test_slowed_hosts_do_less_work(mode, factor):
+    """Load: neighbours slow all hosts to half their usual speed.
+
+    With the speed of single upstreams, that of the service is the usual one;
+    without, it is the present one already.
+    """
+
+    @in_world
+    async def play(world):
+        state = await world.add_gateway()
+        state.scheduling = Scheduling(SchedulingSettings(upstream_speeds=mode))
+        rows = listed(2, 1)
+        known, now = busy(state, rows), state.timers.now()
+        for row, ago in product(rows, range(100, -1, -1)):
+            state.upstream_speeds.record_slowdown(
+                'llm', row.lifetime, 2, now - ago / 2
+            )
+        assert busy(state, rows) == pytest.approx(known * factor, rel=0.1)
+
+    play()
+
+
+def busy(state, rows):
+    """Return the engines that prompts keep busy."""
+    valuations, now = Valuations(state), state.timers.now()
+    for step in range(2):
+        valuations.update_rates({'llm': 9e4 * step}, {'llm': step}, now + step)
+    valuations.update(SERVICE, rows, now + 1)
+    return valuations.of('llm', now).forecast.level
