Expect no growth between two measurements of one moment

With a boot time of zero the oldest forecast may be as new as the measurement, and the growth per second divided by zero, which would end the task that places orders. The new test failed before and passes now.

--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/offered_work.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/offered_work.py
@@ -150,7 +150,7 @@
             return 0
         oldest = self._past[0]
         seconds = now - oldest.at
-        if seconds < boot_seconds / 2:
+        if not seconds or seconds < boot_seconds / 2:
             return 0
         growth = (self.level / oldest.level - 1) / seconds
         ahead = boot_seconds + LOAD_AVERAGE_SECONDS
--- a/tests/test_gateway_expected_value.py
+++ b/tests/test_gateway_expected_value.py
@@ -273,6 +273,14 @@
     assert forecast.level >= 15
 
 
+def test_upstreams_that_boot_at_once():
+    """Two measurements of one moment tell of no growth."""
+    forecast = WorkForecast()
+    for _ in range(2):
+        forecast.record(10, 0, 1)
+    assert forecast.expected == pytest.approx(10)
+
+
 def test_service_without_prices_gets_no_orders():
     planned = plan_valued_orders(
         'llm',
