--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/room.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/room.py
@@ -4,10 +4,13 @@
 
 from spanfall_core.gateway.known.lifetimes import Lifetime
 
-#: Maximum fraction of the tightest latency target that a prompt waits for
-#: other prompts at its upstream. The rest is left for its own prefill, for the
-#: batch and for the wait at the home.
-PREFILL_WAIT_FRACTION = 0.25
+#: Maximum fraction of the tightest latency target that a request waits for
+#: others at its upstream. The rest is left for its own run and for the wait at
+#: the home.
+UPSTREAM_WAIT_FRACTION = 0.25
+#: Maximum calls that wait at an upstream, as a fraction of its slots: upstreams
+#: reject calls beyond a queue of some slots.
+MAX_WAITING_CALLS = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,18 +49,23 @@
     tightest_target: float,
     *,
     reads_prompts: bool,
+    calls_per_second: float = 0,
 ) -> int:
     """Return how many requests an upstream may get at once.
 
     It is open if a request sent now would meet the tightest latency target of
     the service's routes, in seconds. An engine gets one request at a time,
-    since the next one waits for the prompt of this one.
+    since the next one waits for the prompt of this one. Calls may fill its
+    slots and, where it is known how many it serves in a second, wait there for
+    as long: the slot that one leaves is not idle until the home has heard.
     """
-    unused = max(0, load.slots - load.running)
     if not reads_prompts:
-        return unused
+        wait = tightest_target * UPSTREAM_WAIT_FRACTION
+        waiting = min(calls_per_second * wait, load.slots * MAX_WAITING_CALLS)
+        return max(0, load.slots + int(waiting) - load.running)
+    unused = max(0, load.slots - load.running)
     wait = load.prefill_seconds * load.slowdown
-    is_open = unused and wait < tightest_target * PREFILL_WAIT_FRACTION
+    is_open = unused and wait < tightest_target * UPSTREAM_WAIT_FRACTION
     return int(is_open)
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/service_room.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/service_room.py
@@ -78,7 +78,7 @@
     target = configuration.tightest_target(service) if configuration else 1
     running, prefill = state.grant_book.running, state.grant_book.prefill
     usable = _usable(state, service, now)
-    with_unused = (
+    loads = (
         UpstreamLoad(
             slots,
             running.get(lifetime, 0),
@@ -86,8 +86,9 @@
             slowdown(lifetime, now),
         )
         for lifetime, slots in usable
-        if running.get(lifetime, 0) < slots
+        if not reads_prompts or running.get(lifetime, 0) < slots
     )
+    calls_per_second = state.contention.service(service).work_rate.per_upstream
     return ServiceRoom(
         len(usable),
         places=sum(slots for _, slots in usable),
@@ -95,8 +96,13 @@
         work_rate=0,
         least_run=speed.base if reads_prompts else 0,
         free=sum(
-            openings(load, target, reads_prompts=reads_prompts)
-            for load in with_unused
+            openings(
+                load,
+                target,
+                reads_prompts=reads_prompts,
+                calls_per_second=calls_per_second,
+            )
+            for load in loads
         ),
     )
 
--- a/tests/test_gateway_contention.py
+++ b/tests/test_gateway_contention.py
@@ -180,6 +180,22 @@
     assert openings(load, 0.515, reads_prompts=False) == unused
 
 
+@pytest.mark.parametrize(
+    ('served', 'target', 'openings_left'),
+    [(0, 0.3, 1), (40, 0.3, 4), (40, 0.1, 2), (400, 0.3, 4)],
+)
+def test_calls_wait_briefly_at_their_upstream(served, target, openings_left):
+    """Short calls leave slots faster than entries report that.
+
+    At 40 a second, three more wait for 75 ms, a quarter of a target of 0.3 s;
+    no more than half of the slots, which upstreams don't reject.
+    """
+    load = UpstreamLoad(slots=6, running=5)
+    assert openings_left == openings(
+        load, target, reads_prompts=False, calls_per_second=served
+    )
+
+
 def test_room_follows_the_loads_of_upstreams():
     totals = RoomTotals()
     totals.update('i-1', UpstreamLoad(6, 2), 4)
@@ -212,7 +228,7 @@
         contention.queue.next_turn(now)
 
 
-def test_late_request_keeps_its_place_when_it_asks_again():
+def test_late_request_keeps_its_place():
     """Requests with later deadlines arrive while it waits.
 
     They are served after it, so they are no reason to reject it.
@@ -409,7 +425,7 @@
     assert told == pytest.approx([1 + one * 2 / RATE for one in range(100)])
 
 
-def test_returns_after_a_stall_are_told_a_near_time():
+def test_returns_after_a_stall_are_near():
     """All upstreams of a service stalled while a long request was rejected.
 
     Once they run again, callers of its workspace get places as before.
--- a/tests/test_gateway_contention_fails.py
+++ b/tests/test_gateway_contention_fails.py
@@ -162,7 +162,7 @@
     assert not runs_of(upstream)['late']
 
 
-def test_entries_hear_of_a_home_that_ends_between_rounds(monkeypatch):
+def test_entries_hear_of_home_ending_in_a_pause(monkeypatch):
     """They ask the next home at once, also if it ends while no turn is due."""
     rounds = anyio.Event()
 
--- a/tests/test_gateway_upstream_speeds.py
+++ b/tests/test_gateway_upstream_speeds.py
@@ -25,6 +25,7 @@
 from spanfall_core.gateway.routing.balance import PromptHistory, choose
 from spanfall_core.gateway.routing.estimates import RoutingRequest
 from spanfall_core.gateway.routing.uneven_loads import UnevenLoads
+from spanfall_node.gateway.upstreams.speeds import record_call
 from spanfall_standins.gateway.upstream import complete_response
 
 #: Speeds that the upstreams of one service have, as the duration of work.
@@ -202,6 +203,39 @@
     assert not speeds.take_samples(0)
 
 
+def test_new_upstreams_are_heard_whatever_ended(monkeypatch):
+    """Load: more lifetimes than are kept, as upstreams come and go."""
+    kept = 'spanfall_core.gateway.known.upstream_speeds.MAX_LIFETIMES'
+    monkeypatch.setattr(kept, 2)
+    speeds = UpstreamSpeeds()
+    for row in listed(4):
+        speeds.record_slowdown('app', row.lifetime, 4, 0)
+    assert [speeds.factor(row.lifetime, 0) > 1 for row in listed(4)] == [
+        False,
+        False,
+        True,
+        True,
+    ]
+
+
+def test_upstream_that_changes_its_service():
+    speeds = UpstreamSpeeds()
+    for service in ('app', 'other'):
+        speeds.record_duration(service, 'u', 2, 1, 0)
+    speeds.forget('u')
+    assert speeds.factor('u', 0) == 1
+
+
+@in_world
+async def test_work_that_outlives_its_upstream(world):
+    """An upstream ends while a call runs there; its answer still arrives."""
+    state = await world.add_gateway()
+    state.scheduling.add_shared_host_services(['app'])
+    gone = listed(1)[0]
+    record_call(state, gone, 'any', 0.2)
+    assert not state.upstream_speeds.take_samples(state.timers.now())
+
+
 @in_world
 async def test_slow_upstream_gets_less(world):
     """Load: calls at two entries; one upstream states that its host is slow.
