Take no call for an early return of an equal one

Cause: calls without a prompt are often equal, so all callers of a page had the identity of one that was rejected, and were rejected as too early until its time, though they were told nothing (found by the author of the core). Change: only requests with a prompt count as early. Conclusion: a call that comes early competes as a newcomer.

--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/admission.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/admission.py
@@ -143,7 +143,7 @@
     queue, returns = ask.contention.queue, ask.contention.returns
     terms, identity, now = ask.terms, ask.asker.identity, ask.now
     early = returns.seconds_early(identity, now)
-    if early and not terms.waited:
+    if early and terms.has_own_identity and not terms.waited:
         return Reject(early, RejectReason.EARLY_RETURN)
     if queue.is_full(terms.workspace):
         return _reject(ask, RejectReason.QUEUE_FULL)
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/waiting.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/waiting.py
@@ -7,6 +7,8 @@
 
 #: Number of priorities of workspaces and of routes; 0 is the most urgent.
 PRIORITIES = 10
+#: Units of a call without a prompt.
+CALL_UNITS = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +40,14 @@
     #: Ticket under which the request is held, or 0.
     ticket: int = 0
 
+    @property
+    def has_own_identity(self) -> bool:
+        """Return whether no other request has this one's identity.
+
+        Calls without a prompt are often equal to others of their workspace.
+        """
+        return self.units > CALL_UNITS
+
 
 def urgency(workspace_priority: int | None, route_priority: int) -> int:
     """Return the urgency of a request; 0 is the most urgent.
