Give workspaces without a rate a usual share

Cause: the weight of a workspace is its rate in units a second, and 1 for one without a limit and for callers without a key: beside workspaces with rates of hundreds they got almost nothing once requests competed. Change: they weigh the median of the configured rates.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/configuration.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/configuration.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum, unique
 from itertools import accumulate
+from statistics import median
 
 from xxhash import xxh3_64_intdigest
 
@@ -145,6 +146,10 @@
     return targets
 
 
+def _median_rate(workspaces: Iterable[ServedWorkspace]) -> float:
+    return median([row.rate for row in workspaces if row.rate] or [1])
+
+
 def _prefix_length(route: Route) -> int:
     return len(route.path_prefix)
 
@@ -172,6 +177,7 @@
         routes = tuple(routes)
         self._hosts = _by_host(routes)
         self._targets = _tightest_targets(routes)
+        self._usual_rate = _median_rate(self.workspaces.values())
         self._keys = {
             key: row for row in self.workspaces.values() for key in row.keys
         }
@@ -186,6 +192,15 @@
             }
         return self._quotas[window]
 
+    def weight(self, workspace: ServedWorkspace | None) -> float:
+        """Return the share of a workspace relative to others.
+
+        It is the rate of the workspace, or the median rate of the others for
+        one without a limit and for callers without a key.
+        """
+        rate = workspace.rate if workspace else 0
+        return rate or self._usual_rate
+
     def tightest_target(self, service: str) -> float:
         """Return the least target latency of the routes to a service."""
         return self._targets.get(service, DEFAULT_TARGET_SECONDS)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/held_requests.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/held_requests.py
@@ -44,7 +44,7 @@
     units = sum(token_counts(admitted.req, state.platform.names))
     return AdmissionTerms(
         workspace.name,
-        workspace.rate or 1,
+        _weight(state, workspace),
         urgency(workspace.priority, route.priority),
         units or 1,
         admitted.began_at + route.target - now,
@@ -54,6 +54,13 @@
     )
 
 
+def _weight(state: GatewayState, workspace: ServedWorkspace) -> float:
+    """Return the share of a workspace relative to others."""
+    if state.configuration is None:
+        return workspace.rate or 1
+    return state.configuration.weight(workspace)
+
+
 def _current_workspace(
     state: GatewayState, admitted: AdmittedRequest
 ) -> ServedWorkspace:
--- a/tests/test_gateway_contention.py
+++ b/tests/test_gateway_contention.py
@@ -207,7 +207,7 @@
         contention.queue.next_turn(now)
 
 
-def test_late_request_keeps_its_place_when_it_asks_again():
+def test_late_request_keeps_its_place():
     """Requests with later deadlines arrive while it waits.
 
     They are served after it, so they are no reason to reject it.
@@ -370,7 +370,7 @@
     assert told == pytest.approx([1 + one * 2 / RATE for one in range(100)])
 
 
-def test_returns_after_a_stall_are_told_a_near_time():
+def test_returns_after_a_stall_are_soon():
     """All upstreams of a service stalled while a long request was rejected.
 
     Once they run again, callers of its workspace get places as before.
--- a/tests/test_gateway_contention_fails.py
+++ b/tests/test_gateway_contention_fails.py
@@ -19,7 +19,6 @@
 )
 from gateway_world import SERVICE, ask, dial, in_world, request_bytes
 from spanfall_core.gateway.contention.waiting import AdmissionTerms, Asker
-from spanfall_node.gateway.home import turns
 from spanfall_node.gateway.home.home_links import HomeLinks
 from spanfall_node.gateway.home.turns import Turns
 from spanfall_node.gateway.links.contention_messages import HoldsEndedMessage
@@ -27,6 +26,8 @@
 from spanfall_node.gateway.tables.contention import ContentionState
 from support import run_async, wait_until
 
+TURNS = 'spanfall_node.gateway.home.turns'
+
 
 @pytest.mark.parametrize('has_successor', [True, False])
 def test_the_home_ends_with_requests_held(has_successor):
@@ -162,7 +163,7 @@
     assert not runs_of(upstream)['late']
 
 
-def test_entries_hear_of_a_home_that_ends_between_rounds(monkeypatch):
+def test_the_home_ends_between_rounds(monkeypatch):
     """They ask the next home at once, also if it ends while no turn is due."""
     rounds = anyio.Event()
 
@@ -170,8 +171,8 @@
         rounds.set()
         return ()
 
-    monkeypatch.setattr(turns, 'next_turns', next_turns)
-    monkeypatch.setattr(turns, 'MIN_ROUND_SECONDS', 0.1)
+    monkeypatch.setattr(f'{TURNS}.next_turns', next_turns)
+    monkeypatch.setattr(f'{TURNS}.MIN_ROUND_SECONDS', 0.1)
 
     async def play():
         contention = ContentionState()
--- a/tests/test_gateway_contention_node.py
+++ b/tests/test_gateway_contention_node.py
@@ -20,6 +20,11 @@
 from spanfall_api.gateway_settings import Mode, SchedulingSettings
 from spanfall_core.gateway.contention.room import ServiceRoom
 from spanfall_core.gateway.contention.waiting import AdmissionTerms
+from spanfall_core.gateway.known.configuration import (
+    CallerLimits,
+    ServedConfiguration,
+    ServedWorkspace,
+)
 from spanfall_core.gateway.known.identity import RequestIdentity
 from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.routing.balance import Choice
@@ -28,7 +33,6 @@
 from spanfall_node.gateway.home.turns import Turns
 from spanfall_node.gateway.links.contention_messages import Rejection
 from spanfall_node.gateway.links.messages import GrantRequest, encode
-from spanfall_node.gateway.upstreams import admitting
 from spanfall_node.gateway.upstreams.admitting import (
     answer_request,
     next_turns,
@@ -39,6 +43,8 @@
 from spanfall_standins.gateway.upstream import complete_response
 from support import wait_until
 
+ADMITTING = 'spanfall_node.gateway.upstreams.admitting'
+
 
 @dataclass(slots=True)
 class FixedRate:
@@ -150,7 +156,7 @@
             await fill_and_hold(world, callers, home, gate, 0, home)
             held = answer_request(home, 'e/1', 1, request_of('a', 0)).held
             no_room = ServiceRoom(0, 0, 0, 0, 0, 0)
-            monkeypatch.setattr(admitting, 'current_room', lambda *_: no_room)
+            monkeypatch.setattr(f'{ADMITTING}.current_room', lambda *_: no_room)
             again = request_of('a', 0, held.ticket.number)
             assert not answer_request(home, 'e/1', 2, again).held
             assert not held_at(home)
@@ -161,12 +167,12 @@
 
 
 @in_world
-async def test_work_that_no_upstream_gets_is_not_counted(world):
+async def test_work_that_is_not_sent_is_not_counted(world):
     """The entry avoids the only upstream, which the home takes for free."""
     home, _ = await add_fleet(world, 1)
     await world.add_upstream(complete_response())
     await wait_until(lambda: home.directory.serving(SERVICE))
-    (row,) = home.directory.serving(SERVICE)
+    row = home.directory.serving(SERVICE)[0]
     plain = request_of('a', 0)
     avoided = frozenset((row.lifetime,))
     ask_of = replace(plain.ask, avoided=avoided)
@@ -222,6 +228,25 @@
     play_changed_priorities()
 
 
+@pytest.mark.parametrize('name', ['unlimited', ''])
+def test_callers_without_a_rate_get_a_usual_share(name):
+    """Three workspaces have a rate; one, and callers without a key, have none.
+
+    They compete like a usual workspace of the deployment.
+    """
+    rates = {'small': 200, 'usual': 300, 'large': 4000, 'unlimited': 0}
+    workspaces = [
+        ServedWorkspace(key, frozenset(), rate=rate)
+        for key, rate in rates.items()
+    ]
+    configuration = ServedConfiguration(1, (), (), workspaces, CallerLimits())
+    known = configuration.workspaces.get(name)
+    assert configuration.weight(known) == 300
+    assert configuration.weight(configuration.workspaces['large']) == 4000
+    bare = ServedConfiguration(1, (), (), (), CallerLimits())
+    assert bare.weight(None) == 1
+
+
 @in_world
 async def test_nothing_competes_where_contention_is_off(world):
     upstream = await world.add_upstream(complete_response())
