Test that a broken link drops its holds and that lost holds wait

Cause: with either taken out by hand, the tests of failures passed. Change: one test for each, with the bounds of the wait. Result: they pass, and each fails with the fault it is for.

--- a/tests/test_gateway_contention_fails.py
+++ b/tests/test_gateway_contention_fails.py
@@ -18,12 +18,21 @@
     turn_on,
 )
 from gateway_world import SERVICE, ask, dial, in_world, request_bytes
+from prometheus_client import Counter
 from spanfall_core.gateway.contention.waiting import AdmissionTerms, Asker
 from spanfall_node.gateway.home.home_links import HomeLinks
 from spanfall_node.gateway.home.turns import Turns
-from spanfall_node.gateway.links.contention_messages import HoldsEndedMessage
+from spanfall_node.gateway.links.contention_messages import (
+    HeldTicket,
+    HeldTurn,
+    HoldsEndedMessage,
+)
 from spanfall_node.gateway.links.messages import encode
 from spanfall_node.gateway.tables.contention import ContentionState
+from spanfall_node.gateway.upstreams.held_requests import (
+    HOME_WAIT_SECONDS,
+    wait_for_turn,
+)
 from support import run_async, wait_until
 
 TURNS = 'spanfall_node.gateway.home.turns'
@@ -203,3 +212,53 @@
 
 async def append_to(told, data):
     told.append(data)
+
+
+def test_a_broken_link_drops_its_holds():
+    """No turn goes to an entry that ended, but those of others remain."""
+    contention = ContentionState()
+    home_turns = Turns(SimpleNamespace(contention=contention))
+    terms = AdmissionTerms('a', 1, 0, 1, 1, 5)
+    queue = contention.service(SERVICE).queue
+    links = {entry: SimpleNamespace() for entry in ('e/1', 'e/2')}
+    for entry, link in links.items():
+        home_turns.add(entry, link)
+        queue.hold(Asker(entry, 'one'), terms, 0)
+    home_turns.remove(links['e/1'])
+    assert queue.next_turn(0).asker.entry_key == 'e/2'
+    assert not len(queue)
+
+
+@pytest.mark.parametrize(
+    ('found_after', 'shortest', 'longest'),
+    [(0.1, 0.1, 0.4), (5, HOME_WAIT_SECONDS, HOME_WAIT_SECONDS + 0.4)],
+)
+def test_a_lost_hold_waits_for_the_next_home(found_after, shortest, longest):
+    """It goes on when there is one, or after a bounded time without any."""
+    contention = ContentionState()
+    state = SimpleNamespace(
+        contention=contention,
+        counters=SimpleNamespace(
+            held_requests=Counter('held', 'Held.', registry=None)
+        ),
+        timers=SimpleNamespace(now=time.monotonic),
+    )
+    exchange = SimpleNamespace(held_seconds=0, ticket=0)
+
+    async def find_home():
+        await anyio.sleep(found_after)
+        contention.find_home()
+
+    async def play():
+        ticket = HeldTicket(SERVICE, 'one', 3)
+        wait = contention.held.add(HeldTurn(ticket, 9), time.monotonic())
+        contention.lose_home()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(find_home)
+            await wait_for_turn(state, exchange, wait)
+            tasks.cancel_scope.cancel()
+
+    run_async(play)
+    assert shortest <= exchange.held_seconds <= longest
+    assert not exchange.ticket
+    assert not contention.withdrawn
