--- a/tests/test_gateway_contention.py
+++ b/tests/test_gateway_contention.py
@@ -425,7 +425,7 @@
     assert told == pytest.approx([1 + one * 2 / RATE for one in range(100)])
 
 
-def test_returns_after_a_stall_are_near():
+def test_returns_after_a_stall_are_soon():
     """All upstreams of a service stalled while a long request was rejected.
 
     Once they run again, callers of its workspace get places as before.
