--- a/tests/test_gateway_valued_changes.py
+++ b/tests/test_gateway_valued_changes.py
@@ -113,3 +113,40 @@
         planned(known, orders, full, scaling, step / 4) for step in range(40)
     ]
     assert not any(changes[1:])
+
+
+def test_reclaimed_data_centre_runs_fewest():
+    """Load: south, the cheapest, was reclaimed three times in 100 s."""
+    calm, lost = valuation(11), valuation(11)
+    lost.reclaims.observed_since = 0
+    lost.reclaims.counts['south'] = 3
+    for known in (calm, lost):
+        planned(known, loaded(16), serving({}), now=100)
+    assert calm.placed['south'] == max(calm.placed.values())
+    assert lost.placed['south'] == min(lost.placed.values())
+    assert lost.placed['south'] < calm.placed['south']
+
+
+def test_number_of_the_operator_until_load_is_known():
+    """Load: a tenth of it was seen a second ago, most is still to come."""
+    orders, known = loaded(1), valuation(1)
+    orders.demand.loaded_since = -1
+    orders.demand.initial_count = 8
+    found = {'south': 4, 'west': 4}
+    planned(known, orders, serving({}, found))
+    assert min(known.targets.values()) == 2
+    assert {place: orders.in_force[place, False] for place in found} == found
+
+
+def test_short_dip_stops_no_on_demand():
+    """Load: it halves for a second while no reclaimable ones are available."""
+    orders, known = loaded(16), valuation(11)
+    orders.refused_until = dict.fromkeys(PRICES, 1000)
+    planned(known, orders, serving({}))
+    before = dict(orders.in_force)
+    for now, busy in ((10, 11), (11, 5), (12, 11), (13, 5)):
+        known.forecast.restore(busy, now)
+        planned(known, orders, serving({}), now=now)
+        assert orders.in_force == before
+    planned(known, orders, serving({}), now=20)
+    assert sum(orders.in_force.values()) < sum(before.values())
