Bound how long a test waits for reported factors

Without the factors of the home the test never ended instead of failing: it asked until the idle entry knew of the slow upstream. It now fails after 2000 calls, and was seen to with the factors not applied.

--- a/tests/test_gateway_upstream_speeds.py
+++ b/tests/test_gateway_upstream_speeds.py
@@ -32,6 +32,9 @@
 DURATIONS = (0.6, 1.0, 1.6)
 CALLS = 240
 PERIOD = 0.02
+#: Calls by which all nodes have heard of a slow upstream: several seconds of
+#: them.
+MAX_CALLS = 2000
 
 
 def listed(size, slots=6):
@@ -256,6 +259,7 @@
     numbers = count()
     while factor_at_idle() <= 1:
         number = next(numbers)
+        assert number < MAX_CALLS, 'the idle entry never learns of it'
         await ask(asking[number % 2], '/any/1', attempt=f'w-{number}')
     for number in range(60):
         await ask(asking[number % 2], '/any/1', attempt=f'c-{number}')
