--- a/tests/test_gateway_upstream_speeds.py
+++ b/tests/test_gateway_upstream_speeds.py
@@ -239,6 +239,20 @@
     assert not state.upstream_speeds.take_samples(state.timers.now())
 
 
+@in_world
+async def test_work_that_queued_tells_no_speed(world):
+    """Load: more calls than slots; those that wait take longer anywhere."""
+    state = await world.add_gateway()
+    state.scheduling.add_shared_host_services(['app'])
+    full = listed(1, slots=1)[0]
+    state.directory.rows[full.lifetime] = full
+    for expected in (1, 0):
+        state.loads.begin(full.lifetime, 0)
+        record_call(state, full, 'any', 0.2)
+        samples = state.upstream_speeds.take_samples(state.timers.now())
+        assert len(samples) == expected
+
+
 @in_world
 async def test_slow_upstream_gets_less(world):
     """Load: calls at two entries; one upstream states that its host is slow.
--- a/tests/test_gateway_valued_changes.py
+++ b/tests/test_gateway_valued_changes.py
@@ -127,7 +127,7 @@
     assert lost.placed['south'] < calm.placed['south']
 
 
-def test_number_of_the_operator_until_load_is_known():
+def test_initial_count_until_load_is_known():
     """Load: a tenth of it was seen a second ago, most is still to come."""
     orders, known = loaded(1), valuation(1)
     orders.demand.loaded_since = -1
