--- a/tests/test_gateway_upstream_speeds.py
+++ b/tests/test_gateway_upstream_speeds.py
@@ -32,6 +32,9 @@
 DURATIONS = (0.6, 1.0, 1.6)
 CALLS = 240
 PERIOD = 0.02
+#: Calls by which all nodes have heard of a slow upstream: several seconds of
+#: them.
+MAX_CALLS = 2000
 
 
 def listed(size, slots=6):
@@ -236,6 +239,20 @@
     assert not state.upstream_speeds.take_samples(state.timers.now())
 
 
+@in_world
+async def test_work_that_queued_tells_no_speed(world):
+    """Load: more calls than slots; those that wait take longer anywhere."""
+    state = await world.add_gateway()
+    state.scheduling.add_shared_host_services(['app'])
+    full = listed(1, slots=1)[0]
+    state.directory.rows[full.lifetime] = full
+    for expected in (1, 0):
+        state.loads.begin(full.lifetime, 0)
+        record_call(state, full, 'any', 0.2)
+        samples = state.upstream_speeds.take_samples(state.timers.now())
+        assert len(samples) == expected
+
+
 @in_world
 async def test_slow_upstream_gets_less(world):
     """Load: calls at two entries; one upstream states that its host is slow.
@@ -256,6 +273,7 @@
     numbers = count()
     while factor_at_idle() <= 1:
         number = next(numbers)
+        assert number < MAX_CALLS, 'the idle entry never learns of it'
         await ask(asking[number % 2], '/any/1', attempt=f'w-{number}')
     for number in range(60):
         await ask(asking[number % 2], '/any/1', attempt=f'c-{number}')
