--- a/packages/spanfall-node/src/spanfall_node/gateway/home/turns.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/turns.py
@@ -28,7 +28,6 @@
 #: Seconds without a held request after which contention is taken to be over,
 #: and between two log lines about one service.
 CALM_SECONDS = 1.0
-
 #: Seconds for which requests have to wait until that is logged.
 NOTABLE_SECONDS = 0.2
 
@@ -112,35 +111,36 @@
     """Log when contention begins and ends, at most once a second."""
     if now - row.logged_at < CALM_SECONDS:
         return
-    waiting_since = row.waiting_since
-    if row.is_logged:
-        is_changed = now - row.last_waiting_at >= CALM_SECONDS
+    if not row.is_logged and row.seconds_waiting(now) >= NOTABLE_SECONDS:
+        _log_begin(service, row)
+    elif row.is_logged and now - row.last_waiting_at >= CALM_SECONDS:
+        _log_end(service, row, now)
     else:
-        is_changed = (
-            waiting_since is not None and now - waiting_since >= NOTABLE_SECONDS
-        )
-    if not is_changed:
         return
-    if row.is_logged:
-        logger.info(
-            'Service %s has room again after %.1f s: %s held, %s rejected',
-            service,
-            now - row.logged_at,
-            row.held_count,
-            row.rejected_count,
-        )
-        row.held_count = 0
-        row.rejected_count = 0
-    else:
-        room = row.room
-        logger.info(
-            'Service %s has no room for all requests: %s wait, %s of %s '
-            'places are taken, %.0f units a second',
-            service,
-            len(row.queue),
-            room.busy if room else 0,
-            room.places if room else 0,
-            room.work_rate if room else 0,
-        )
     row.is_logged = not row.is_logged
     row.logged_at = now
+
+
+def _log_begin(service: str, row: ContendedService) -> None:
+    room = row.room
+    logger.info(
+        'Service %s has no room for all requests: %s wait, %s of %s places '
+        'are taken, %.0f units a second',
+        service,
+        len(row.queue),
+        room.busy if room else 0,
+        room.places if room else 0,
+        room.work_rate if room else 0,
+    )
+
+
+def _log_end(service: str, row: ContendedService, now: float) -> None:
+    logger.info(
+        'Service %s has room again after %.1f s: %s held, %s rejected',
+        service,
+        now - row.logged_at,
+        row.held_count,
+        row.rejected_count,
+    )
+    row.held_count = 0
+    row.rejected_count = 0
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/contention.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/contention.py
@@ -135,6 +135,10 @@
         if room is not None:
             self.room = replace(room, free=room.free - 1, busy=room.busy + 1)
 
+    def seconds_waiting(self, now: float) -> float:
+        """Return the seconds for which requests have waited without a break."""
+        return 0 if self.waiting_since is None else now - self.waiting_since
+
     def update_waiting(self, now: float) -> None:
         """Record whether requests wait now."""
         if not self.queue:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/service_room.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/service_room.py
@@ -48,10 +48,7 @@
     row.sent_since = 0
     row.update_waiting(now)
     room = _compute_room(state, service, now, usual_speed)
-    waiting_for = 0.0
-    if row.waiting_since is not None:
-        waiting_for = now - row.waiting_since
-    row.work_rate.learn(room.upstreams, waiting_for, now)
+    row.work_rate.learn(room.upstreams, row.seconds_waiting(now), now)
     row.room = ServiceRoom(
         room.upstreams,
         room.places,
