--- a/tests/test_gateway_contention_node.py
+++ b/tests/test_gateway_contention_node.py
@@ -22,6 +22,7 @@
 from spanfall_core.gateway.routing.balance import Choice
 from spanfall_core.gateway.routing.estimates import RoutingRequest
 from spanfall_core.reasons import RefusalReason
+from spanfall_node.gateway.home.turns import Turns
 from spanfall_node.gateway.links.contention_messages import Rejection
 from spanfall_node.gateway.links.messages import GrantRequest, encode
 from spanfall_node.gateway.upstreams.admitting import (
@@ -130,27 +131,33 @@
     assert outcome == expected
 
 
-@in_world
-async def test_priorities_change_while_held(world):
+def test_priorities_change_while_held(monkeypatch):
     """The order follows the terms of the newest ask."""
-    home, _ = await add_fleet(world, 1)
-    gate = Gate()
-    async with anyio.create_task_group() as tasks:
-        callers = Callers(tasks)
-        await fill_and_hold(world, callers, home, gate, 0, home)
-        tickets = {
-            name: answer_request(home, 'e/1', 1, request_of(name, priority))
-            for name, priority in (('first', 11), ('second', 22))
-        }
-        number = tickets['second'].held.ticket.number
-        changed = request_of('second', 0, number)
-        assert answer_request(home, 'e/1', 2, changed).held
-        gate.opened.set()
-        turns = []
-        while len(turns) < 2:
-            await anyio.sleep(0.01)
-            turns += next_turns(home, SERVICE, home.timers.now())
-    assert [one.terms.workspace for one in turns] == ['second', 'first']
+    # The test takes the turns in place of the home's task.
+    monkeypatch.setattr(Turns, '_give_turns', lambda *_: None)
+
+    @in_world
+    async def play(world):
+        home, _ = await add_fleet(world, 1)
+        gate = Gate()
+        async with anyio.create_task_group() as tasks:
+            callers = Callers(tasks)
+            await fill_and_hold(world, callers, home, gate, 0, home)
+            tickets = {
+                name: answer_request(home, 'e/1', 1, request_of(name, priority))
+                for name, priority in (('first', 11), ('second', 22))
+            }
+            number = tickets['second'].held.ticket.number
+            changed = request_of('second', 0, number)
+            assert answer_request(home, 'e/1', 2, changed).held
+            gate.opened.set()
+            turns = []
+            while len(turns) < 2:
+                await anyio.sleep(0.01)
+                turns += next_turns(home, SERVICE, home.timers.now())
+        assert [one.terms.workspace for one in turns] == ['second', 'first']
+
+    play()
 
 
 @in_world
