--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/levels.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/levels.py
@@ -43,6 +43,8 @@
     waiting: dict[str, Flow] = field(default_factory=dict)
     #: Units of new requests that could be on time.
     arrivals: DecayingRate = field(default_factory=DecayingRate)
+    #: Highest virtual time that a workspace reached.
+    _latest_virtual_time: float = 0
     #: Virtual times of the waiting workspaces; those that changed are stale.
     _tags: list[tuple[float, str]] = field(default_factory=list)
 
@@ -83,10 +85,17 @@
             return
         flow.units = 0
         self.waiting.pop(flow.workspace)
+        if not self.waiting:
+            # A new busy period begins, in which all workspaces are equal.
+            self._tags.clear()
+            self.virtual_time = self._latest_virtual_time
 
     def charge(self, flow: Flow, units: float) -> None:
         """Charge the workspace for a waiting request that is served now."""
         charge_work(self, flow, units, flow.weight)
+        self._latest_virtual_time = max(
+            self._latest_virtual_time, flow.virtual_time
+        )
         self._tag(flow)
 
     def refund(self, flow: Flow, units: float) -> None:
