--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/offered_work.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/offered_work.py
@@ -36,6 +36,11 @@
 SPREAD_POINTS = ((-OUTER_POINT, 1 / 6), (0.0, 2 / 3), (OUTER_POINT, 1 / 6))
 
 
+#: Maximum fraction of rejected requests that counts as work not done: those
+#: that come back are counted again.
+MAX_REJECTED_FRACTION = 0.5
+
+
 @dataclass(frozen=True, slots=True)
 class RequestTimes:
     """Describe the requests of a service as far as waiting depends on it."""
@@ -62,6 +67,21 @@
     return decoding + load.prefill_rate / speed.rate
 
 
+def offered_prefill_rate(
+    prefill_rate: float, request_rate: float, rejected_rate: float
+) -> float:
+    """Return the prefill work that callers offer, in tokens per second.
+
+    ``prefill_rate`` is the work sent, ``request_rate`` that of all requests.
+    The prompts of the rejected ones were not read; the work of the others
+    stands for them, or a service that rejects seems to need less than it has.
+    """
+    if not request_rate:
+        return prefill_rate
+    fraction = min(MAX_REJECTED_FRACTION, rejected_rate / request_rate)
+    return prefill_rate / (1 - fraction)
+
+
 def request_times(
     target: float,
     prefill_rate: float,
--- a/packages/spanfall-node/src/spanfall_node/gateway/duties/valuations.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/valuations.py
@@ -12,6 +12,7 @@
 )
 from spanfall_core.gateway.orders.offered_work import (
     busy_engines,
+    offered_prefill_rate,
     request_times,
 )
 from spanfall_core.gateway.orders.orders import Order
@@ -40,6 +41,7 @@
         self._work_rates = RateEstimator(average_seconds=WORK_AVERAGE_SECONDS)
         self._mean_work_rates = RateEstimator()
         self._request_rates = RateEstimator()
+        self._rejected_rates = RateEstimator()
 
     def of(self, service: str, now: float) -> Valuation:
         """Return a service's valuation, from the last home's need on."""
@@ -59,6 +61,11 @@
         self._work_rates.update(work, now)
         self._mean_work_rates.update(work, now)
         self._request_rates.update(requests, now)
+        rejected = {
+            service: row.rejected_total
+            for service, row in self._state.contention.services.items()
+        }
+        self._rejected_rates.update(rejected, now)
 
     def update(
         self,
@@ -72,7 +79,11 @@
         running = state.fleet.running(now)
         load = OfferedLoad(
             sum(running.get(row.lifetime, 0) for row in rows),
-            self._work_rates.rates.get(service.name, 0),
+            offered_prefill_rate(
+                self._work_rates.rates.get(service.name, 0),
+                self._request_rates.rates.get(service.name, 0),
+                self._rejected_rates.rates.get(service.name, 0),
+            ),
         )
         lifetimes = [row.lifetime for row in rows]
         speed = present_speed(state, service.name, lifetimes)
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/contention.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/contention.py
@@ -106,6 +106,8 @@
     #: Requests held and rejected since contention was logged.
     held_count: int = 0
     rejected_count: int = 0
+    #: Requests rejected in this tenure.
+    rejected_total: int = 0
     #: Upstreams of the service, as listed, and their places.
     _listed: Sequence[ListedUpstream] = ()
     _places: list[Places] = field(default_factory=list)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/admitting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/admitting.py
@@ -120,6 +120,7 @@
             return GrantMessage(number, held=held, is_contended=True)
         case Reject():
             row.rejected_count += 1
+            row.rejected_total += 1
             state.grant_book.first_attempts[request.service] += 1
             reason = REFUSAL_REASONS[decision.reason]
             rejected = Rejection(decision.retry_after, reason)
--- a/tests/test_gateway_expected_value.py
+++ b/tests/test_gateway_expected_value.py
@@ -27,6 +27,7 @@
     RequestTimes,
     WorkForecast,
     busy_engines,
+    offered_prefill_rate,
 )
 from spanfall_core.gateway.orders.orders import ServiceOrders, count_serving
 from spanfall_core.gateway.orders.placement import (
@@ -313,3 +314,16 @@
         0,
     )
     assert not planned
+
+
+@pytest.mark.parametrize(
+    ('rejected', 'offered'), [(0, 1000), (20, 1250), (80, 2000)]
+)
+def test_rejected_work_is_offered_work(rejected, offered):
+    """A home that rejects a fifth of 100 requests a second reads the rest.
+
+    Without the rejected ones, a service short of upstreams seems to need no
+    more than it has. Those that come back at once count twice, so at most half
+    of the work counts as rejected.
+    """
+    assert offered_prefill_rate(1000, 100, rejected) == pytest.approx(offered)
