Admit at the home, in mode auto, only where a service has engines

Change: mode auto puts admission in force only for services with engines; on does so for all, as before, for operators whose workspaces compete there. Conclusion: shares of calls between workspaces stay a setting.

--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/scheduling.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/scheduling.py
@@ -24,10 +24,6 @@
     CAPACITY = 'capacity'
 
 
-#: Features that are in force, too, where callers are impatient.
-IMPATIENT_FEATURES = frozenset((Feature.CONTENTION, Feature.CAPACITY))
-
-
 @dataclass(slots=True)
 class Scheduling:
     """Hold the modes of the features and what upstreams call for.
@@ -36,6 +32,8 @@
     share hosts with others: their speed changes with the work of others, so the
     configured figures do not tell what they can serve. Admission and orders
     are in force, too, for those whose most urgent callers are impatient.
+    Admission is so only for services with engines: calls that wait at the home
+    leave short gaps at upstreams whose own queue would fill them.
     """
 
     cfg: SchedulingSettings
@@ -43,18 +41,33 @@
     shared_host_services: set[str] = field(default_factory=set)
     #: Services whose configuration gives urgent callers little time to wait.
     impatient_services: frozenset[str] = frozenset()
+    #: Services with engines.
+    engine_services: frozenset[str] = frozenset()
 
     def is_on(self, feature: Feature, service: str) -> bool:
         """Return whether a feature is in force for a service."""
         mode = getattr(self.cfg, feature.value)
         if mode is not Mode.AUTO:
             return mode is Mode.ON
-        if feature in IMPATIENT_FEATURES and service in self.impatient_services:
+        return self._is_called_for(feature, service)
+
+    def _is_called_for(self, feature: Feature, service: str) -> bool:
+        """Return whether a service calls for a feature."""
+        is_admission = feature is Feature.CONTENTION
+        if is_admission and service not in self.engine_services:
+            return False
+        if service in self.shared_host_services:
             return True
-        return service in self.shared_host_services
+        is_for_patience = feature is not Feature.UPSTREAM_SPEEDS
+        return is_for_patience and service in self.impatient_services
 
     def apply_configuration(self, configuration: ServedConfiguration) -> None:
         """Follow a configuration that is now in force."""
+        self.engine_services = frozenset(
+            service.name
+            for service in configuration.services.values()
+            if service.engine is not None
+        )
         impatient = impatient_services(configuration)
         if impatient != self.impatient_services:
             self.impatient_services = impatient
@@ -70,9 +83,8 @@
         mode = getattr(self.cfg, feature.value)
         if mode is not Mode.AUTO:
             return mode is Mode.ON
-        if feature in IMPATIENT_FEATURES and self.impatient_services:
-            return True
-        return bool(self.shared_host_services)
+        known = self.shared_host_services | self.impatient_services
+        return any(self._is_called_for(feature, name) for name in known)
 
     def add_shared_host_services(self, services: Iterable[str]) -> None:
         """Add services whose upstreams share hosts with others."""
