--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/room.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/room.py
@@ -1,8 +1,6 @@
 """Sum up the work that the upstreams of a service can take now."""
 
-from dataclasses import dataclass, field
-
-from spanfall_core.gateway.known.lifetimes import Lifetime
+from dataclasses import dataclass
 
 #: Maximum fraction of the tightest latency target that a request waits for
 #: others at its upstream. The rest is left for its own run and for the wait at
@@ -67,42 +65,3 @@
     wait = load.prefill_seconds * load.slowdown
     is_open = unused and wait < tightest_target * UPSTREAM_WAIT_FRACTION
     return int(is_open)
-
-
-@dataclass(slots=True)
-class RoomTotals:
-    """Sum up the room of a service, one upstream at a time."""
-
-    places: int = 0
-    busy: int = 0
-    free: int = 0
-    _loads: dict[Lifetime, tuple[int, int, int]] = field(default_factory=dict)
-
-    def update(
-        self, lifetime: Lifetime, load: UpstreamLoad, opened: int
-    ) -> None:
-        """Replace the load of an upstream and its openings."""
-        self.remove(lifetime)
-        self._loads[lifetime] = (load.slots, load.running, opened)
-        self._add(load.slots, load.running, opened)
-
-    def remove(self, lifetime: Lifetime) -> None:
-        """Forget an upstream that gets no more work."""
-        slots, running, opened = self._loads.pop(lifetime, (0, 0, 0))
-        self._add(-slots, -running, -opened)
-
-    def room(self, work_rate: float, least_run: float) -> ServiceRoom:
-        """Return the room of the service."""
-        return ServiceRoom(
-            len(self._loads),
-            self.places,
-            self.busy,
-            work_rate,
-            least_run,
-            self.free,
-        )
-
-    def _add(self, slots: int, running: int, opened: int) -> None:
-        self.places += slots
-        self.busy += running
-        self.free += opened
