--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
@@ -26,6 +26,7 @@
     estimate,
     excess_seconds,
 )
+from spanfall_core.gateway.routing.expected_prefill import expected_prefill
 from spanfall_core.gateway.routing.shortlist import FULL_SEARCH_LIMIT, Shortlist
 from spanfall_core.gateway.routing.sizes import PromptSizes
 
@@ -33,9 +34,6 @@
 HASH_TIE_SECONDS = 0.01
 #: Number of possible hash values.
 HASH_RANGE = 2**64
-#: Fraction of a prompt's shared tokens that the upstream preferred by the hash
-#: is expected to have cached for other entries.
-EXPECTED_CACHED_FRACTION = 0.7
 #: Penalty in seconds for an engine at the opposite end of the row from the
 #: position of prompts of this length: the delay of a stream that meets a long
 #: prompt, times the probability of that.
@@ -123,8 +121,11 @@
             row = self.candidates[index]
             if not self.is_eligible(row.lifetime):
                 continue
-            prefill = _prefill(
-                row, self.request, self.prompts, index == preferred
+            prefill = expected_prefill(
+                row,
+                self.request,
+                self.prompts.prefixes,
+                is_preferred=index == preferred,
             )
             seconds = self._expected_seconds(row, index, prefill)
             if best is None or seconds < best[0]:
@@ -279,25 +280,6 @@
     shortlist.refresh(weigh, now)
 
 
-def _prefill(
-    row: ListedUpstream,
-    request: RoutingRequest,
-    prompts: PromptHistory,
-    is_preferred: bool,
-) -> int:
-    """Return the prompt tokens that an upstream is expected to read."""
-    cached = prompts.prefixes.cached_tokens(row.lifetime, request.parts)
-    if is_preferred:
-        cached = max(cached, _expected_cached(request))
-    return max(0, request.prompt_tokens - cached)
-
-
-def _expected_cached(request: RoutingRequest) -> int:
-    """Return the tokens likely cached there for other requests."""
-    shared = sum(part.tokens for part in request.parts[:-1])
-    return int(shared * EXPECTED_CACHED_FRACTION)
-
-
 def _seed(request: RoutingRequest) -> int:
     """Return a hash seed that is equal for requests with a shared prompt."""
     key = request.attempt_id
