Drop the table of stated loads, which nothing read

Cause: it was built as a seam; speeds keep what they need (found in review). Result: tests of scheduling, speeds, lifetimes and the platform pass, lint clean.

--- a/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
@@ -166,7 +166,6 @@
             self._state.granted_prompts.prefixes.forget(lifetime)
             self._state.loads.forget(lifetime)
             self._state.words.forget(lifetime, now)
-            self._state.stated_loads.forget(lifetime)
             self._state.upstream_speeds.forget(lifetime)
 
     def _read_period(self) -> float:
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
@@ -22,7 +22,6 @@
 from spanfall_core.gateway.known.limits import EffectiveLimits, Limit
 from spanfall_core.gateway.known.loads import Loads
 from spanfall_core.gateway.known.reporting import silent_after
-from spanfall_core.gateway.known.stated_loads import StatedLoads
 from spanfall_core.gateway.known.true_time import TrueTime
 from spanfall_core.gateway.known.unit_reports import AllocatedUnits
 from spanfall_core.gateway.known.upstream_speeds import UpstreamSpeeds
@@ -72,7 +71,6 @@
     #: Configuration as stored, for forwarding to other nodes.
     configuration_source: bytes = b''
     loads: Loads = field(default_factory=Loads)
-    stated_loads: StatedLoads = field(default_factory=StatedLoads)
     upstream_speeds: UpstreamSpeeds = field(default_factory=UpstreamSpeeds)
     call_durations: CallDurations = field(default_factory=CallDurations)
     #: Prompts that this node has sent, and prompts that it granted as the home.
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/hearing.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/hearing.py
@@ -71,7 +71,6 @@
             'Upstream %s stated an invalid load: %r', lifetime, load.text
         )
         return
-    state.stated_loads.record(lifetime, load, state.timers.now())
     if load.slowdown is not None:
         row = state.directory.rows.get(lifetime)
         if row is not None:
