--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,11 @@
 
 from pathlib import Path
 
+import pytest
+
+#: Module of the entry's side, and seconds within which a home answers there.
+GRANTS = 'spanfall_node.gateway.upstreams.grants'
+ANSWER_SECONDS = 1.0
 KNOWN_RED = Path(__file__).parents[1] / 'KNOWN-RED.txt'
 
 
@@ -25,3 +30,9 @@
 def pytest_terminal_summary(terminalreporter):
     for line in known_failures():
         terminalreporter.write_line(f'known red, not run: {line}')
+
+
+@pytest.fixture()
+def patient_entries(monkeypatch):
+    """Let entries wait for a home on a busy machine, so that it decides."""
+    monkeypatch.setattr(f'{GRANTS}.GRANT_TIMEOUT_SECONDS', ANSWER_SECONDS)
--- a/tests/test_gateway_contention_fails.py
+++ b/tests/test_gateway_contention_fails.py
@@ -37,15 +37,7 @@
 
 TURNS = 'spanfall_node.gateway.home.turns'
 
-#: Module of the entry's side, and seconds within which a home answers here.
-GRANTS = 'spanfall_node.gateway.upstreams.grants'
-ANSWER_SECONDS = 1.0
-
-
-@pytest.fixture(autouse=True)
-def patient_entries(monkeypatch):
-    """Let entries wait for a home on a busy machine, so that it decides."""
-    monkeypatch.setattr(f'{GRANTS}.GRANT_TIMEOUT_SECONDS', ANSWER_SECONDS)
+pytestmark = pytest.mark.usefixtures('patient_entries')
 
 
 @pytest.mark.parametrize('has_successor', [True, False])
