--- a/packages/spanfall-core/src/spanfall_core/gateway/limits/limit_usage.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/limits/limit_usage.py
@@ -25,8 +25,8 @@
     def pool(self) -> float:
         """Return the units that no entry has spent or may hold."""
         uncovered = max(0, self.silent_units + self.beyond - self.covered)
-        left = self.total - self.spent - uncovered
-        return min(left, self.released) - self.held
+        left = self.total - self.spent - self.held - uncovered
+        return min(left, self.released - self.held)
 
     @property
     def level(self) -> float:
