Open a connection again where its time-out was noticed after a pause

Cause: a process that was paused for over 0.4 s while it opened a connection found its time-out and the accepted connection at the same moment, and the time-out won: the upstream was counted as unreachable (three failures, told to the fleet) and the request refused with 503.

Change: such a time-out (noticed over 0.05 s late) is tried once more.

--- a/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
@@ -13,17 +13,9 @@
 import h11
 from anyio.abc import ByteStream
 
-from spanfall_node.gateway.net.errors import (
-    BrokenCallError,
-    NobodyListensError,
-    NotSentError,
-)
+from spanfall_node.gateway.net.errors import BrokenCallError
 from spanfall_node.gateway.net.ports import Headers, HttpCall
-from spanfall_node.gateway.net.sockets import (
-    READ_BYTES,
-    SOCKET_ERRORS,
-    enable_keepalive,
-)
+from spanfall_node.gateway.net.sockets import READ_BYTES, SOCKET_ERRORS
 
 logger = logging.getLogger(__name__)
 
@@ -279,22 +271,3 @@
     if call.body or call.method in {'POST', 'PUT', 'PATCH'}:
         headers.append((b'content-length', b'%d' % len(call.body)))
     return headers
-
-
-async def connect(address: str, timeout: float) -> Connection:
-    """Open a connection.
-
-    Raises:
-        NobodyListensError: the host refused the connection.
-        NotSentError: the connection was not established in time.
-    """
-    host, _, port = address.rpartition(':')
-    try:
-        with anyio.fail_after(timeout):
-            stream = await anyio.connect_tcp(host, int(port))
-    except (OSError, TimeoutError) as exc:
-        if isinstance(exc.__cause__, ConnectionRefusedError):
-            raise NobodyListensError('nobody listens there') from exc
-        raise NotSentError(f'no connection: {type(exc).__name__}') from exc
-    enable_keepalive(stream)
-    return Connection(stream, address)
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/connecting.py
@@ -0,0 +1,52 @@
+"""Open connections to HTTP servers."""
+
+import logging
+
+import anyio
+from anyio.abc import ByteStream
+
+from spanfall_node.gateway.net.client import Connection
+from spanfall_node.gateway.net.errors import NobodyListensError, NotSentError
+from spanfall_node.gateway.net.sockets import enable_keepalive
+
+logger = logging.getLogger(__name__)
+
+#: Seconds by which a time-out is noticed late if this process was paused.
+PAUSE_SECONDS = 0.05
+
+
+async def connect(address: str, timeout: float) -> Connection:
+    """Open a connection.
+
+    Tries once more where the time-out was noticed late: a process that was
+    paused cannot tell whether the server accepted in time.
+
+    Raises:
+        NobodyListensError: the host refused the connection.
+        NotSentError: the connection was not established in time.
+    """
+    stream = await _open_stream(address, timeout)
+    if stream is None:
+        logger.info('Connecting to %s again: this process paused', address)
+        stream = await _open_stream(address, timeout)
+    if stream is None:
+        raise NotSentError('no connection: this process paused twice')
+    enable_keepalive(stream)
+    return Connection(stream, address)
+
+
+async def _open_stream(address: str, timeout: float) -> ByteStream | None:
+    """Open a stream; return None if its time-out was noticed late."""
+    host, _, port = address.rpartition(':')
+    deadline = anyio.current_time() + timeout
+    try:
+        with anyio.fail_after(timeout):
+            return await anyio.connect_tcp(host, int(port))
+    except TimeoutError as exc:
+        if anyio.current_time() - deadline > PAUSE_SECONDS:
+            return None
+        raise NotSentError(f'no connection within {timeout} s') from exc
+    except OSError as exc:
+        if isinstance(exc.__cause__, ConnectionRefusedError):
+            raise NobodyListensError('nobody listens there') from exc
+        raise NotSentError(f'no connection: {type(exc).__name__}') from exc
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/pool.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/pool.py
@@ -5,7 +5,8 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from spanfall_node.gateway.net.client import Connection, connect
+from spanfall_node.gateway.net.client import Connection
+from spanfall_node.gateway.net.connecting import connect
 from spanfall_node.gateway.net.errors import BrokenCallError
 from spanfall_node.gateway.net.ports import HttpCall, HttpReply
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/crash_watch.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/crash_watch.py
@@ -22,7 +22,7 @@
     WatchedRun,
 )
 from spanfall_node.gateway.links.pending_requests import Send
-from spanfall_node.gateway.net.client import connect
+from spanfall_node.gateway.net.connecting import connect
 from spanfall_node.gateway.net.errors import NobodyListensError, NotSentError
 from spanfall_node.gateway.net.pool import ConnectionPool
 from spanfall_node.gateway.tables.state import GatewayState
--- a/tests/test_gateway_client.py
+++ b/tests/test_gateway_client.py
@@ -1,11 +1,15 @@
 """Test the HTTP client with servers that misuse the connection."""
 
 import socket
+import time
 from collections.abc import Awaitable, Callable
 
 import anyio
+import pytest
 from anyio.abc import SocketAttribute, SocketStream
-from spanfall_node.gateway.net.client import Connection, connect
+from spanfall_node.gateway.net.client import Connection
+from spanfall_node.gateway.net.connecting import connect
+from spanfall_node.gateway.net.errors import NotSentError
 from spanfall_node.gateway.net.ports import HttpCall
 from spanfall_node.gateway.net.sockets import TCP_USER_TIMEOUT_MS
 from support import run_async
@@ -14,6 +18,10 @@
 LARGE_BODY = b'x' * 16_000_000
 #: Time-out in seconds for steps that should not wait; expiry is a failure.
 TIMEOUT_SECONDS = 25
+#: Time-out in seconds of connections that are expected to miss it.
+CONNECT_SECONDS = 0.2
+#: Connections of which a listener that accepts none holds fewer.
+QUEUE_LIMIT = 8
 EARLY_RESPONSE = b'HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n'
 
 
@@ -23,6 +31,42 @@
     await anyio.sleep_forever()
 
 
+async def pause_process(seconds: float) -> None:
+    """Stop this process, and so all its tasks, for some seconds."""
+    time.sleep(seconds)  # noqa: ASYNC251
+
+
+def test_a_pause_of_this_process_is_no_timeout():
+    """The server accepts while this process cannot see that it does."""
+
+    async def main() -> None:
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(SocketAttribute.local_port)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, respond_without_reading)
+            await anyio.wait_all_tasks_blocked()
+            tasks.start_soon(pause_process, 2 * CONNECT_SECONDS)
+            await connect(f'127.0.0.1:{port}', CONNECT_SECONDS)
+            tasks.cancel_scope.cancel()
+
+    run_async(main)
+
+
+def test_a_server_that_does_not_accept_times_out():
+    """Its queue of connections is full; the client waits no longer than told."""
+
+    async def main() -> None:
+        with socket.socket() as silent:
+            silent.bind(('127.0.0.1', 0))
+            silent.listen(0)
+            port = silent.getsockname()[1]
+            with pytest.raises(NotSentError):
+                for _ in range(QUEUE_LIMIT):
+                    await connect(f'127.0.0.1:{port}', CONNECT_SECONDS)
+
+    run_async(main)
+
+
 def run_with_unreading_server(
     test: Callable[[Connection], Awaitable[None]],
 ) -> None:
