--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Deselect the tests listed in KNOWN-RED.txt, and print them."""
 
+import gc
 from pathlib import Path
 
 import pytest
@@ -27,6 +28,14 @@
             items.remove(node)
 
 
+def pytest_collection_finish():
+    """Keep what the test modules hold out of garbage collections.
+
+    A test runs whole fleets in this process, and a collection stops them all.
+    """
+    gc.freeze()
+
+
 def pytest_terminal_summary(terminalreporter):
     for line in known_failures():
         terminalreporter.write_line(f'known red, not run: {line}')
