--- a/packages/spanfall-cli/src/spanfall_cli/main.py
+++ b/packages/spanfall-cli/src/spanfall_cli/main.py
@@ -21,7 +21,8 @@
 from spanfall_cli.logs import logs_group
 from spanfall_cli.objects import COMMANDS
 from spanfall_cli.reference import write_reference
-from spanfall_cli.replay import Report, run_replay
+from spanfall_cli.replay import run_replay
+from spanfall_cli.replay_report import Report
 from spanfall_cli.traces import read_trace, write_trace
 
 EXIT_FAILED = 1
--- a/packages/spanfall-cli/src/spanfall_cli/replay.py
+++ b/packages/spanfall-cli/src/spanfall_cli/replay.py
@@ -2,9 +2,7 @@
 
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from itertools import count
-from typing import Any
 
 import anyio
 import httpx
@@ -28,13 +26,10 @@
 )
 from spanfall_cli.promises import (
     ANSWERED,
-    Checked,
     Evidence,
-    Figures,
     Outcome,
-    check_all,
-    measure,
 )
+from spanfall_cli.replay_report import Report, check_evidence
 from spanfall_cli.traces import FaultLine, Trace
 
 #: Seconds that callers wait for the last answers.
@@ -53,37 +48,6 @@
 Injector = Callable[[FaultLine], Awaitable[None]]
 
 
-@dataclass(frozen=True, slots=True)
-class Report:
-    """Hold the result of a replay."""
-
-    checks: list[Checked]
-    figures: Figures
-    stated: bool
-
-    def kept(self) -> bool:
-        """Tell whether all promises and stated outcomes were kept."""
-        return self.stated and not any(row.broken for row in self.checks)
-
-    def document(self) -> dict[str, Any]:
-        """Return the report as a JSON document."""
-        figures = {
-            name: getattr(self.figures, name) for name in Figures.__slots__
-        }
-        return {
-            'promises': {
-                row.promise: {
-                    'checked': row.checked,
-                    'broken': len(row.broken),
-                    'examples': row.broken[:3],
-                }
-                for row in self.checks
-            },
-            'stated_outcomes_kept': self.stated,
-            'figures': figures,
-        }
-
-
 class Replay:
     """Run one trace against one fleet."""
 
@@ -330,9 +294,4 @@
     async with run_fleet(plan, options, store) as fleet:
         replay = Replay(trace, fleet, store)
         await replay.run()
-    evidence = replay.evidence
-    figures = measure(evidence)
-    share = figures.answered / max(1, len(evidence.outcomes))
-    wanted = set(trace.outcomes.promises)
-    checks = [row for row in check_all(evidence) if row.promise in wanted]
-    return Report(checks, figures, share >= trace.outcomes.least_answered)
+    return check_evidence(trace, replay.evidence)
--- a/packages/spanfall-node/src/spanfall_node/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/callers.py
@@ -3,7 +3,6 @@
 import logging
 from collections.abc import Awaitable, Callable
 from functools import wraps
-from uuid import uuid4
 
 import anyio
 from pydantic import ValidationError
@@ -14,7 +13,7 @@
     parse_request,
     token_limit,
 )
-from spanfall_api.frames import Header, Refused, Submit
+from spanfall_api.frames import Refused, Submit
 from spanfall_api.objects import Service, Workspace
 from spanfall_api.problems import RefusedError
 from spanfall_core.reasons import RefusalReason, RunState
@@ -31,28 +30,21 @@
 from spanfall_node.log import request_id_var
 from spanfall_node.members import Members
 from spanfall_node.relayed import Relay
-from spanfall_node.rendering import REQUEST_ID_HEADER, render_problem
+from spanfall_node.rendering import render_problem
 from spanfall_node.replies import Replies
 from spanfall_node.rules import Call, Target, route
-from spanfall_node.terms import MILLISECONDS, read_number, read_terms
-from spanfall_node.upstream_calls import HOP_HEADERS
+from spanfall_node.submits import (
+    CALL_MARK,
+    CHAT_MARK,
+    TEXT_MARK,
+    build_submit,
+    passed_headers,
+)
+from spanfall_node.terms import read_number
 
 logger = logging.getLogger(__name__)
 
-#: Headers of a caller that are meant for spanfall alone.
-OWN_HEADERS = frozenset(
-    (
-        'authorization',
-        'spanfall-deadline-ms',
-        'spanfall-priority',
-    ),
-)
 METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
-#: Letter in a request id that says how its answer is rendered.
-CHAT_MARK = 'c'
-TEXT_MARK = 't'
-CALL_MARK = 'a'
-
 Endpoint = Callable[['Callers', Request], Awaitable[Response]]
 
 
@@ -146,7 +138,9 @@
         target, service = self._route(Call(workspace, body.model))
         path = req.url.path
         mark = CHAT_MARK if path == CHAT_PATH else TEXT_MARK
-        submit = self._build(req, workspace, target, service, mark)
+        submit = build_submit(
+            req, workspace, target, service, self._context.node_id, mark
+        )
         submit = submit.model_copy(update={'path': path, 'body': raw})
         relay = self._open(submit)
         if body.stream:
@@ -173,13 +167,15 @@
                 RefusalReason.UNKNOWN_SERVICE,
                 'this service is a model; use the completions interface',
             )
-        submit = self._build(req, workspace, target, service, CALL_MARK)
+        submit = build_submit(
+            req, workspace, target, service, self._context.node_id, CALL_MARK
+        )
         query = f'?{req.url.query}' if req.url.query else ''
         submit = submit.model_copy(
             update={
                 'method': req.method,
                 'path': path + query,
-                'headers': self._pass_headers(req, submit.request_id),
+                'headers': passed_headers(req, submit.request_id),
                 'body': raw,
             },
         )
@@ -270,51 +266,6 @@
             )
         return target, service
 
-    def _build(
-        self,
-        req: Request,
-        workspace: Workspace,
-        target: Target,
-        service: Service,
-        mark: str,
-    ) -> Submit:
-        terms = read_terms(req)
-        deadline = terms.deadline
-        if deadline is None and target.deadline_ms is not None:
-            deadline = target.deadline_ms / MILLISECONDS
-        if deadline is None:
-            deadline = service.queue_seconds
-        priority = target.priority
-        if terms.priority is not None:
-            priority = terms.priority
-        node_id = self._context.node_id
-        request_id = f'{service.name}.{node_id}.{mark}{uuid4().hex}'
-        request_id_var.set(request_id)
-        return Submit(
-            request_id=request_id,
-            attempt=1,
-            service=service.name,
-            workspace=workspace.name,
-            service_kind=service.kind,
-            idempotent=target.idempotent,
-            key=terms.key,
-            priority=priority,
-            deadline=deadline,
-            life=service.life_seconds,
-        )
-
-    def _pass_headers(
-        self,
-        req: Request,
-        request_id: str,
-    ) -> tuple[Header, ...]:
-        passed = [
-            (name, text)
-            for name, text in req.headers.items()
-            if name not in HOP_HEADERS and name not in OWN_HEADERS
-        ]
-        return (*passed, (REQUEST_ID_HEADER.lower(), request_id))
-
     def _open(self, submit: Submit) -> Relay:
         metrics = self._context.metrics
         metrics.requests.labels(submit.service).inc()
--- a/packages/spanfall-node/src/spanfall_node/entry.py
+++ b/packages/spanfall-node/src/spanfall_node/entry.py
@@ -164,32 +164,20 @@
             return
         link = self._context.links.open(homes[0])
         relay.link = link
-        now = self._context.timers.now()
-        link.send(
-            relay.submit.model_copy(
-                update={
-                    'attempt': relay.attempt,
-                    'pieces': tuple(relay.answer.pieces),
-                    'upstream': relay.upstream,
-                    'life': max(0, relay.expires_at - now),
-                },
-            ),
-        )
+        link.send(relay.next_submit(self._context.timers.now()))
 
     def _reassign(self, relay: Relay, reason: RetryReason) -> None:
         """Submit to the next home, or say that the outcome is unknown."""
         relay.link = None
-        is_once = not relay.submit.idempotent and not relay.submit.key
-        may_have_run = relay.permitted or not relay.has_caller
         if relay.attached:
             self._refuse(relay, RefusalReason.NO_HOME, RunState.UNKNOWN)
-        elif relay.answer.head is not None or (is_once and may_have_run):
-            reason_given = RefusalReason.OUTCOME_UNKNOWN
-            self._refuse(relay, reason_given, RunState.UNKNOWN)
-        else:
+        elif relay.may_run_again:
             self._context.metrics.retries.labels(reason.value).inc()
             relay.attempt += 1
             self._assign(relay)
+        else:
+            reason_given = RefusalReason.OUTCOME_UNKNOWN
+            self._refuse(relay, reason_given, RunState.UNKNOWN)
 
     def _refuse(
         self,
--- a/packages/spanfall-node/src/spanfall_node/relayed.py
+++ b/packages/spanfall-node/src/spanfall_node/relayed.py
@@ -34,6 +34,25 @@
         """Return the id of the request."""
         return self.submit.request_id
 
+    @property
+    def may_run_again(self) -> bool:
+        """Return whether another home may run the request."""
+        if self.answer.head is not None:
+            return False
+        is_once = not self.submit.idempotent and not self.submit.key
+        return not is_once or (not self.permitted and self.has_caller)
+
+    def next_submit(self, now: float) -> Submit:
+        """Return the request with what was relayed, for its next home."""
+        return self.submit.model_copy(
+            update={
+                'attempt': self.attempt,
+                'pieces': tuple(self.answer.pieces),
+                'upstream': self.upstream,
+                'life': max(0, self.expires_at - now),
+            },
+        )
+
 
 async def notify_until_end(held: Held) -> None:
     """Tell the followers of an answer that others fill, until its end."""
