Connect elsewhere without a retry while a request was sent nowhere

Cause: a connection that fails spent a retry of the budget, though no upstream received the request. Test: with a budget of zero and four of five upstreams gone, a request that isn't idempotent is answered; failed before (503). Change: before the first send no retry is spent, for 8 upstreams at most. Conclusion: the limit counts what upstreams receive more than once, as before.

--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/sends.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/sends.py
@@ -56,6 +56,10 @@
 
 #: Maximum number of sends of one request, whatever their outcomes.
 MAX_SENDS = 4
+#: Maximum number of upstreams that one request tries to connect to before its
+#: first send. Such tries are not limited by the retry budget: no upstream
+#: receives a request twice.
+MAX_UNSENT = 8
 
 
 @dataclass(slots=True)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -13,6 +13,7 @@
 from spanfall_core.gateway.routing.balance import Choice
 from spanfall_core.gateway.routing.grants import RetryAfter
 from spanfall_core.gateway.routing.sends import (
+    MAX_UNSENT,
     RETRY_REASONS,
     NextStep,
     SendOutcome,
@@ -265,6 +266,8 @@
     excluded = exchange.tried | state.words.backoffs.active(now)
     if all(row.lifetime in excluded for row in serving):
         return False
+    if not exchange.sends.sends:
+        return len(exchange.tried) < MAX_UNSENT
     return state.retries.try_spend(exchange.admitted.service, now)
 
 
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -236,3 +236,18 @@
     long = await ask(state, '/once/7', filler='y' * 400)
     fine = await ask(state, '/once/7', body=b'x' * 100)
     assert (large.status, long.status, fine.status) == (413, 431, 200)
+
+
+@in_world
+async def test_upstreams_that_are_gone_take_no_retries(world):
+    """Hosts are reclaimed together, and a request meets several of them.
+
+    None received it, so it is sent for the first time where one is left.
+    """
+    upstreams = [await world.add_upstream(complete_response()) for _ in '12345']
+    state = await world.add_gateway(retry_ratio=0, retry_allowance=0)
+    for gone in upstreams[1:]:
+        gone.process_scope.cancel()
+    answers = [await ask(state, '/once/7', attempt=mark) for mark in 'abc']
+    assert [answer.status for answer in answers] == [200, 200, 200]
+    assert count_sent(world) == len(upstreams[0].received_requests) == 3
