Keep upstreams through dips that end soon after a stop

Cause: a count falls once the need was lower for two boot times (on demand: one). On a load that swings, the largest count of the last seconds follows the falling load until it meets the rising one, so the last stops come just before the first orders: a pure run of the planner stopped up to five upstreams per dip and ordered them again 0.5 to 3 s later. No fixed delay helps: any is met by dips that are a little longer.

Change: the last dip below each count is remembered (dips.py). Where it ended within a boot time after a stop, the count is kept until a dip outlasts it by a boot time; longer dips are followed as before.

Conclusion: what remains is the first dip of a load, which nobody can know, and loads whose dips grow longer each time. A new home learns the dips anew.

--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/valued_capacity.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/valued_capacity.py
@@ -12,6 +12,11 @@
 
 from spanfall_core.gateway.known.configuration import Scaling
 from spanfall_core.gateway.orders.demand import SlidingMaximum
+from spanfall_core.gateway.orders.dips import (
+    ON_DEMAND_HOLD_BOOTS,
+    RECLAIMABLE_HOLD_BOOTS,
+    NeedDips,
+)
 from spanfall_core.gateway.orders.expected_value import (
     CapacityNeed,
     assess,
@@ -43,11 +48,6 @@
 )
 from spanfall_core.gateway.orders.reclaims import ReclaimHistory
 
-#: Boot times for which a lower count must suffice before upstreams are stopped.
-#: On-demand ones can be ordered again at any time.
-RECLAIMABLE_HOLD_BOOTS = 2
-ON_DEMAND_HOLD_BOOTS = 1
-
 
 def _held_counts() -> defaultdict[str, SlidingMaximum]:
     return defaultdict(SlidingMaximum)
@@ -61,6 +61,8 @@
     times: RequestTimes = field(default_factory=RequestTimes)
     reclaims: ReclaimHistory = field(default_factory=ReclaimHistory)
     need: CapacityNeed = field(default_factory=CapacityNeed)
+    #: The same with the capacity that limits cost, while the need dips.
+    kept: CapacityNeed = field(default_factory=CapacityNeed)
     #: Expected price of a reclaimable upstream second, by data centre.
     prices: dict[str, float] = field(default_factory=dict)
     #: Reclaimable upstreams that the need calls for, and those to run while
@@ -69,11 +71,22 @@
     targets: dict[str, int] = field(default_factory=dict)
     #: During the first plan, the orders that another planner left in force.
     taken_over: dict[OrderKey, int] = field(default_factory=dict)
+    _dips: NeedDips = field(default_factory=NeedDips)
     _held_targets: defaultdict[str, SlidingMaximum] = field(
         default_factory=_held_counts
     )
     _held_on_demand: SlidingMaximum = field(default_factory=SlidingMaximum)
 
+    def record_need(
+        self, need: CapacityNeed, lost: int, boot_seconds: float, now: float
+    ) -> None:
+        """Record a need and the upstreams that limits cost beside it."""
+        self.need = need
+        with_lost = CapacityNeed(
+            need.reclaimable + lost, need.on_demand + lost, need.after_loss
+        )
+        self.kept = self._dips.keep(with_lost, boot_seconds, now)
+
     def hold_target(
         self, data_centre: str, count: int, hold: float, now: float
     ) -> int:
@@ -102,8 +115,11 @@
     valuation.taken_over = {} if valuation.targets else dict(orders.in_force)
     valuation.reclaims.record(serving, orders.in_force, now)
     valuation.prices = expected_prices(scaling, valuation.reclaims, now)
-    valuation.need = assess(
-        valuation.forecast, valuation.times, scaling, valuation.prices
+    valuation.record_need(
+        assess(valuation.forecast, valuation.times, scaling, valuation.prices),
+        ceil(orders.capacity_lost),
+        scaling.boot_seconds,
+        now,
     )
     valuation.targets = _reclaimable_targets(
         orders, valuation, serving, scaling, now
@@ -152,11 +168,10 @@
     """Return the number of reclaimable upstreams for each data centre."""
     if not scaling.reclaimable_price:
         return dict.fromkeys(scaling.prices, 0)
-    need = valuation.need
-    total = need.reclaimable + ceil(orders.capacity_lost)
+    kept = valuation.kept
     valuation.placed = adjust(
         valuation.placed or _found_reclaimable(orders, serving, scaling),
-        PlacementNeed(total, need.after_loss),
+        PlacementNeed(kept.reclaimable, kept.after_loss),
         valuation.prices,
         CountBounds(scaling.min_upstreams, scaling.max_upstreams),
     )
@@ -250,7 +265,7 @@
     if found:
         found += serving.reclaimable.total()
     needed = valuation.hold_on_demand(
-        max(found, valuation.need.on_demand + ceil(orders.capacity_lost)),
+        max(found, valuation.kept.on_demand),
         scaling.boot_seconds * ON_DEMAND_HOLD_BOOTS,
         now,
     )
