Hand the reclaims seen to the next home

Cause: the reclaims that price a reclaimable upstream were counted for one tenure. A new home took the prior of one in ten minutes for a data centre that had reclaimed five upstreams within the last minute, and ordered there again.

Change: the home hands on the counts and the seconds in which they were seen, of the 16 data centres with most, for configured services only, where the need goes already: with each table, and in the record `spanfall/needs`. The record is written again at each new reclaim, and else when the time observed has doubled.

Time between the homes doesn't count as observed.

Conclusion: an old home between two new ones breaks the chain, and the next starts from the prior.

--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/reclaims.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/reclaims.py
@@ -9,14 +9,25 @@
 #: centre had been observed for one minute.
 PRIOR_RECLAIMS = 0.1
 PRIOR_SECONDS = 60.0
+#: Data centres whose reclaims are handed on to the next home: those with most.
+MAX_HANDED_ON = 16
 #: Fraction of the upstreams of a data centre that remains at most after a
 #: reclaim. Single upstreams also fail by themselves.
 MAX_REMAINING_FRACTION = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class SeenReclaims:
+    """State the reclaims that homes have seen, for the next one."""
+
+    #: Seconds in which they were seen.
+    seconds: float = 0
+    counts: dict[str, int] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class ReclaimHistory:
-    """Count the reclaims that this home has observed."""
+    """Count the reclaims that this home and those before it have observed."""
 
     observed_since: float | None = None
     counts: Counter[str] = field(default_factory=Counter)
@@ -55,15 +66,21 @@
             self._served[data_centre] = max(present, served)
         return reclaimed
 
+    def seen(self, now: float) -> SeenReclaims:
+        """Return what the next home continues with."""
+        most = self.counts.most_common(MAX_HANDED_ON)
+        return SeenReclaims(self._seconds(now), dict(most))
+
     def rate(self, data_centre: str, now: float) -> float:
         """Return the expected reclaims of a data centre per second."""
-        observed = (
-            0 if self.observed_since is None else now - self.observed_since
-        )
         return (PRIOR_RECLAIMS + self.counts[data_centre]) / (
-            PRIOR_SECONDS + observed
+            PRIOR_SECONDS + self._seconds(now)
         )
 
+    def _seconds(self, now: float) -> float:
+        since = self.observed_since
+        return 0 if since is None else now - since
+
     def _is_reclaimed(
         self,
         data_centre: str,
@@ -74,3 +91,13 @@
         expected = min(served, in_force.get((data_centre, True), 0))
         remaining = serving.reclaimable[data_centre]
         return remaining < expected * MAX_REMAINING_FRACTION
+
+
+def restore_reclaims(seen: SeenReclaims, now: float) -> ReclaimHistory:
+    """Return the history that the previous home reported, if any.
+
+    Without it, upstreams run again where they have just been reclaimed.
+    """
+    if not seen.counts:
+        return ReclaimHistory()
+    return ReclaimHistory(now - seen.seconds, Counter(seen.counts))
--- a/packages/spanfall-node/src/spanfall_node/gateway/duties/capacity_duty.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/capacity_duty.py
@@ -73,13 +73,19 @@
             self._valuations = Valuations(state)
         if state.configuration is None:
             return
+        services = state.configuration.services
+        state.reclaims = {
+            name: seen
+            for name, seen in state.reclaims.items()
+            if name in services
+        }
         now = state.timers.now()
         work = state.fleet.read_work()
         requests = dict(state.grant_book.first_attempts)
         self._prefill_rates.update(work, now)
         self._request_rates.update(requests, now)
         self._valuations.update_rates(work, requests, now)
-        for service in state.configuration.services.values():
+        for service in services.values():
             if service.scaling is not None and service.engine is not None:
                 await self._plan_service(service, now)
 
@@ -126,7 +132,7 @@
         planned = plan_valued_orders(
             name, scaling, orders, valuation, present, now
         )
-        self._valuations.report(name, planned)
+        self._valuations.report(name, planned, now)
         return planned
 
     def _orders_of(self, service: str, now: float) -> ServiceOrders:
--- a/packages/spanfall-node/src/spanfall_node/gateway/duties/valuations.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/valuations.py
@@ -16,6 +16,10 @@
     request_times,
 )
 from spanfall_core.gateway.orders.orders import Order
+from spanfall_core.gateway.orders.reclaims import (
+    SeenReclaims,
+    restore_reclaims,
+)
 from spanfall_core.gateway.orders.valued_capacity import Valuation
 
 from spanfall_node.gateway.duties.rates import RateEstimator
@@ -44,10 +48,11 @@
         self._rejected_rates = RateEstimator()
 
     def of(self, service: str, now: float) -> Valuation:
-        """Return a service's valuation, from the last home's need on."""
+        """Return a service's valuation, from what the last home knew on."""
         valuation = self._valuations.get(service)
         if valuation is None:
-            valuation = Valuation()
+            seen = self._state.reclaims.get(service, SeenReclaims())
+            valuation = Valuation(reclaims=restore_reclaims(seen, now))
             need = self._state.needs.get(service, 0)
             if need:
                 valuation.forecast.restore(
@@ -98,11 +103,16 @@
             speed,
         )
 
-    def report(self, service: str, planned: Sequence[Order]) -> None:
-        """Log why a plan changes counts, and update the metrics."""
+    def report(
+        self, service: str, planned: Sequence[Order], now: float
+    ) -> None:
+        """Log why a plan changes counts; update metrics and what is handed on."""
         valuation = self._valuations[service]
         need = valuation.need
         state = self._state
+        seen = valuation.reclaims.seen(now)
+        if seen.counts:
+            state.reclaims[service] = seen
         figures = {
             'busy': valuation.forecast.level,
             'expected': valuation.forecast.expected,
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
@@ -42,6 +42,7 @@
         self.report_after = table.report_after
         state.set_prefill_speeds(table.speeds)
         state.needs = table.needs
+        state.reclaims = dict(table.reclaims)
         if table.configuration is not None:
             self._sync.configuration.apply_reported(
                 unpack(table.configuration),
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
@@ -240,6 +240,7 @@
             true_time=state.true_time.at(now),
             speeds=state.fleet.speeds(),
             needs=state.needs,
+            reclaims=state.reclaims,
             given=state.allocate_units(report.key, now),
             resigned=not state.is_home(now),
             configuration=self._configuration(message),
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
@@ -260,7 +260,9 @@
         """
         state = self._state
         quota_allocator = await self._records.spending.read()
-        state.needs = await self._records.needs.read()
+        known = await self._records.needs.read()
+        state.needs = known.needs
+        state.reclaims = known.reclaims
         await self._records.crashes.read()
         claim = await self._claim(known_revision)
         if claim is None:
--- a/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
@@ -14,6 +14,7 @@
 from spanfall_core.gateway.known.reporting import REPORT_PERIOD
 from spanfall_core.gateway.known.unit_reports import AllocatedUnits
 from spanfall_core.gateway.known.upstream_speeds import Factors, SpeedSample
+from spanfall_core.gateway.orders.reclaims import SeenReclaims
 from spanfall_core.gateway.routing.estimates import RoutingRequest
 from spanfall_core.gateway.routing.grants import EntryLoad, Grant
 
@@ -195,6 +196,8 @@
     speeds: dict[str, PrefillSpeed] = {}
     #: Upstreams that each service needs, for the next home.
     needs: dict[str, float] = {}
+    #: Reclaims that homes have seen, by service, for the next home.
+    reclaims: dict[str, SeenReclaims] = {}
     #: Units that this entry may spend; None if the sender may not allocate
     #: any.
     given: AllocatedUnits | None = None
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/home_records.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/home_records.py
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HomeRecords:
-    """Hold the records of spending, needed upstreams and crashes."""
+    """Hold the records of spending, needs with reclaims, and crashes."""
 
     spending: QuotaRecord
     needs: NeedsRecord
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/needs_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/needs_record.py
@@ -1,6 +1,7 @@
 """Record in the store how many upstreams the fleet needs, for the next home.
 
-Entries receive the numbers with each table, but after all processes were
+Beside them are the reclaims seen, from which the next home continues to rate
+the data centres. Entries receive both with each table, but after all processes were
 killed only the store has them. A home that determined them anew mistook the
 traffic that the remaining capacity admitted for the whole demand: it released
 a third of the upstreams, and they were missing four seconds later.
@@ -10,6 +11,7 @@
 
 import anyio
 import msgspec
+from spanfall_core.gateway.orders.reclaims import SeenReclaims
 
 from spanfall_node.gateway.net.ports import Write
 from spanfall_node.gateway.store.store_client import StoreClient, StoreError
@@ -27,12 +29,16 @@
 #: rewritten: as a fraction of the need and in upstreams.
 CHANGED_FRACTION = 0.15
 MIN_CHANGE = 0.5
+#: Factor by which the time observed must have grown if no reclaim was seen.
+LONG_FACTOR = 2
 
 
-class NeedsContent(msgspec.Struct, frozen=True):
-    """Hold the number of needed upstreams by service."""
+class NeedsContent(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Hold the number of needed upstreams and the reclaims by service."""
 
     needs: dict[str, float]
+    #: Absent where none was seen, and in records of earlier versions.
+    reclaims: dict[str, SeenReclaims] = {}
 
 
 class NeedsRecord:
@@ -42,10 +48,10 @@
         """Use the state and the store client of the node."""
         self._state = state
         self._store = store
-        self._written: dict[str, float] = {}
+        self._written = NeedsContent({})
 
-    async def read(self) -> dict[str, float]:
-        """Return the needs that a new home starts with.
+    async def read(self) -> NeedsContent:
+        """Return the needs and the reclaims that a new home starts with.
 
         Needs received from the previous home are newer than its record.
 
@@ -53,16 +59,16 @@
             StoreError: the read failed.
         """
         if self._state.needs:
-            self._written = {}
-            return self._state.needs
+            self._written = NeedsContent({})
+            return NeedsContent(self._state.needs, self._state.reclaims)
         item = await self._store.get(NEEDS_KEY)
         if item is None:
-            return {}
+            return NeedsContent({})
         content = decode_record(item, NeedsContent)
         if content is None:
-            return {}
-        self._written = content.needs
-        return dict(content.needs)
+            return NeedsContent({})
+        self._written = content
+        return NeedsContent(dict(content.needs), dict(content.reclaims))
 
     async def run(self) -> None:
         """Rewrite the record whenever it is outdated, until cancelled."""
@@ -73,16 +79,20 @@
                 await self._write()
 
     def _is_outdated(self) -> bool:
-        needs = self._state.needs
+        if _are_outdated(self._written.reclaims, self._state.reclaims):
+            return True
+        written = self._written.needs
         return any(
-            abs(need - self._written.get(service, 0))
+            abs(need - written.get(service, 0))
             > max(MIN_CHANGE, CHANGED_FRACTION * need)
-            for service, need in needs.items()
+            for service, need in self._state.needs.items()
         )
 
     async def _write(self) -> None:
-        needs = dict(self._state.needs)
-        write = Write(NEEDS_KEY, msgspec.json.encode(NeedsContent(needs)))
+        content = NeedsContent(
+            dict(self._state.needs), dict(self._state.reclaims)
+        )
+        write = Write(NEEDS_KEY, msgspec.json.encode(content))
         try:
             await self._store.write_as_home(self._state.tenure, write)
         except StoreError as exc:
@@ -90,4 +100,16 @@
                 'Could not write the record of needed upstreams: %r', exc
             )
         else:
-            self._written = needs
+            self._written = content
+
+
+def _are_outdated(
+    written: dict[str, SeenReclaims], present: dict[str, SeenReclaims]
+) -> bool:
+    """Return whether there are new reclaims, or none for a long time."""
+    return any(
+        service not in written
+        or seen.counts != written[service].counts
+        or seen.seconds > LONG_FACTOR * written[service].seconds
+        for service, seen in present.items()
+    )
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
@@ -28,6 +28,7 @@
 from spanfall_core.gateway.known.usage import UsageCounts
 from spanfall_core.gateway.limits.quota_allocator import QuotaAllocator
 from spanfall_core.gateway.limits.quotas import Quotas
+from spanfall_core.gateway.orders.reclaims import SeenReclaims
 from spanfall_core.gateway.routing.balance import PromptHistory
 from spanfall_core.gateway.routing.grants import EntryLoad, GrantBook
 from spanfall_core.gateway.routing.retry_budget import RetryBudget
@@ -102,6 +103,8 @@
     reading: dict[str, PrefillSums] = field(default_factory=dict)
     #: Number of upstreams that each service needs, as reported by the home.
     needs: dict[str, float] = field(default_factory=dict)
+    #: Reclaims that homes have seen, by service.
+    reclaims: dict[str, SeenReclaims] = field(default_factory=dict)
     #: Whether the home has resigned and another one must be found.
     home_resigned: bool = False
     draining_since: float | None = None
--- a/tests/test_gateway_capacity_modes.py
+++ b/tests/test_gateway_capacity_modes.py
@@ -13,6 +13,7 @@
 )
 from spanfall_core.gateway.orders.capacity import plan_orders
 from spanfall_core.gateway.orders.orders import count_serving
+from spanfall_core.gateway.orders.reclaims import SeenReclaims
 from spanfall_node.gateway.duties.capacity_duty import CapacityPlanner
 from spanfall_node.gateway.duties.duties import CloudClient
 from spanfall_node.gateway.duties.valuations import Valuations
@@ -64,6 +65,17 @@
     play()
 
 
+@in_world
+async def test_next_home_knows_the_reclaims(world):
+    """Load: five reclaims of a data centre were seen before the home ended."""
+    state = await world.add_gateway()
+    state.reclaims = {'llm': SeenReclaims(60, {'south': 5})}
+    valuations = Valuations(state)
+    assert valuations.of('llm', 7).reclaims.counts == {'south': 5}
+    valuations.report('llm', [], 9)
+    assert state.reclaims == {'llm': SeenReclaims(62, {'south': 5})}
+
+
 @pytest.mark.parametrize(('mode', 'factor'), [(Mode.ON, 2), (Mode.OFF, 1)])
 def test_slowed_hosts_do_less_work(mode, factor):
     """Load: neighbours slow all hosts to half their usual speed.
--- a/tests/test_gateway_messages.py
+++ b/tests/test_gateway_messages.py
@@ -14,6 +14,7 @@
 from spanfall_core.gateway.known.statements import KnownStatement
 from spanfall_core.gateway.known.unit_reports import AllocatedUnits
 from spanfall_core.gateway.known.upstream_speeds import SpeedSample
+from spanfall_core.gateway.orders.reclaims import SeenReclaims
 from spanfall_core.gateway.routing.estimates import RoutingRequest
 from spanfall_core.gateway.routing.grants import EntryLoad, Grant
 from spanfall_core.reasons import RefusalReason
@@ -98,6 +99,7 @@
         upstreams_age=0.25,
         true_time=1.5,
         totals=FleetTotals({LIFETIME: 2}),
+        reclaims={'llm': SeenReclaims(60, {'south': 5})},
         given=AllocatedUnits({'w': 2.5}),
         upstreams=UpstreamsPart(6, (ROW,), (LIFETIME,), is_change=True),
         words=StatementsPart(4, WORDS),
--- a/tests/test_gateway_valued_changes.py
+++ b/tests/test_gateway_valued_changes.py
@@ -17,7 +17,10 @@
     adjust,
     place,
 )
-from spanfall_core.gateway.orders.reclaims import ReclaimHistory
+from spanfall_core.gateway.orders.reclaims import (
+    ReclaimHistory,
+    restore_reclaims,
+)
 from spanfall_core.gateway.orders.valued_capacity import (
     Valuation,
     plan_valued_orders,
@@ -67,6 +70,16 @@
     assert history.counts == {'south': 2}
 
 
+def test_reclaims_are_handed_on():
+    """Load: five of the upstreams' reclaims within the last minute."""
+    known = ReclaimHistory(40, Counter(south=5))
+    taken = restore_reclaims(known.seen(100), now=7)
+    rates = [known.rate('south', 130), taken.rate('south', 37)]
+    assert rates[0] == rates[1]
+    many = ReclaimHistory(0, Counter({f'z{at}': at + 1 for at in range(99)}))
+    assert set(many.seen(1).counts.values()) == set(range(84, 100))
+
+
 @pytest.mark.parametrize('on_demand', [1, 3])
 def test_taking_over_stops_nothing_that_boots(on_demand):
     """Load: upstreams begin to state slowdowns while ordered ones still boot.
