Count the end of an only upstream as a reclaim if it had a notice

Cause: a data centre that keeps less than half of its reclaimable upstreams was reclaimed; where it runs one, each crash is that. The price of its upstreams rose by a reclaim a minute, and they were moved.

Failing test: test_crash_of_the_only_upstream_is_no_reclaim (a planned shutdown gives no time of leaving and counted as well).

Change: where one is expected, its listing must state when it leaves, as only reclaimed upstreams do. Two and more are judged by their number as before: a home that misses the notice must not miss the reclaim.

Result: the test and those of the planner pass (test_gateway_valued_changes, _expected_value, _dips, _capacity, _order_patterns).

Conclusion: restore_demand marks a restored need as measured, also where capacity by value is on. It has no effect there: a new home stops nothing before it has observed the load for two boot times. Left as it is: without the mark a new home would spread the counts that it finds evenly, which is what the first plan avoids.

--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/orders.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/orders.py
@@ -79,6 +79,8 @@
 
     reclaimable: Counter[str]
     on_demand: Counter[str]
+    #: Reclaimable ones that the platform has given notice to.
+    noticed: Counter[str] = field(default_factory=Counter)
 
     def total(self) -> int:
         """Return the number of all serving upstreams."""
@@ -94,10 +96,16 @@
 
 def count_serving(rows: Iterable[ListedUpstream]) -> ServingCounts:
     """Count the upstreams that accept new work."""
-    serving = [row for row in rows if row.is_serving]
+    known = list(rows)
+    serving = [row for row in known if row.is_serving]
     return ServingCounts(
         Counter(row.data_centre for row in serving if row.reclaimable),
         Counter(row.data_centre for row in serving if not row.reclaimable),
+        Counter(
+            row.data_centre
+            for row in known
+            if row.reclaimable and row.leaves_in is not None
+        ),
     )
 
 
--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/reclaims.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/reclaims.py
@@ -12,7 +12,8 @@
 #: Data centres whose reclaims are handed on to the next home: those with most.
 MAX_HANDED_ON = 16
 #: Fraction of the upstreams of a data centre that remains at most after a
-#: reclaim. Single upstreams also fail by themselves.
+#: reclaim. Single upstreams also fail by themselves, so that the only one counts
+#: as reclaimed if it had a notice.
 MAX_REMAINING_FRACTION = 0.5
 
 
@@ -89,6 +90,8 @@
         in_force: dict[OrderKey, int],
     ) -> bool:
         expected = min(served, in_force.get((data_centre, True), 0))
+        if expected == 1 and not serving.noticed[data_centre]:
+            return False
         remaining = serving.reclaimable[data_centre]
         return remaining < expected * MAX_REMAINING_FRACTION
 
--- a/tests/test_gateway_valued_changes.py
+++ b/tests/test_gateway_valued_changes.py
@@ -5,10 +5,12 @@
 
 import pytest
 from fleet_world import PRICES, SCALING
+from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.orders.capacity import plan_orders
 from spanfall_core.gateway.orders.offered_work import RequestTimes
 from spanfall_core.gateway.orders.orders import (
     ServingCounts,
+    count_serving,
     record_accepted,
 )
 from spanfall_core.gateway.orders.placement import (
@@ -70,6 +72,17 @@
     assert history.counts == {'south': 2}
 
 
+@pytest.mark.parametrize('leaves_in', [None, 2.5])
+def test_crash_of_the_only_upstream_is_no_reclaim(leaves_in):
+    """Load: a data centre runs one, which ends with or without a notice."""
+    row = ListedUpstream('u', 'llm', '', 'south', 8, reclaimable=True)
+    noticed = replace(row, leaving=True, leaves_in=leaves_in)
+    history = ReclaimHistory()
+    for now, rows in enumerate(([row], [noticed], [], [row])):
+        history.record(count_serving(rows), {('south', True): 1}, now)
+    assert history.counts['south'] == (leaves_in is not None)
+
+
 def test_reclaims_are_handed_on():
     """Load: five of the upstreams' reclaims within the last minute."""
     known = ReclaimHistory(40, Counter(south=5))
