Remember the longest dip of a count, not the last

Cause: below a noisy load, dips of a count last 9 s once and 13 s the next time. Each was told from the delay of the first stop, so a dip of 13 s that ended one second after a stop made the count forget the one of 9 s.

Failing test: test_dips_of_varying_length_are_kept.

Change: the longest dip stays until one lasts a boot time longer than the stop that follows from it. Counts are bounded by what may be ordered, so that the memory of dips is, whatever the load that is reported.

--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/dips.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/dips.py
@@ -15,19 +15,19 @@
 RECLAIMABLE_HOLD_BOOTS = 2
 ON_DEMAND_HOLD_BOOTS = 1
 
-#: Length of the last dip below a count of which none is known.
+#: Length of the dips below a count of which none is known.
 _UNKNOWN = float('-inf')
 
 
 @dataclass(slots=True)
 class DipHistory:
-    """Remember for each count how long the need was lower last time."""
+    """Remember for each count how long the need was lower before."""
 
     _needed: int = 0
     #: Times at which the need fell below counts that it has not reached since.
     _fell_at: dict[int, float] = field(default_factory=dict)
-    #: Seconds of the last dip below each count, where it ended too soon after
-    #: a stop.
+    #: Seconds of the longest dip below each count since one that was long
+    #: enough for a stop, if it was too short for one.
     _lengths: dict[int, float] = field(default_factory=dict)
 
     def keep(
@@ -36,14 +36,16 @@
         """Return the count that a need calls for if its dips last as before.
 
         Upstreams are stopped after ``hold`` seconds of a lower need. A dip that
-        outlasts the last one by a boot time is taken to be a lasting fall.
+        outlasts those before by a boot time is taken to be a lasting fall.
         """
         for reached in range(self._needed + 1, needed + 1):
             seconds = now - self._fell_at.pop(reached, now)
-            if seconds >= hold:
-                self._lengths[reached] = seconds
-            if seconds >= hold + boot_seconds:
-                self._lengths.pop(reached)
+            known = self._lengths.get(reached, hold - boot_seconds)
+            stopped_after = known + boot_seconds
+            if seconds >= stopped_after + boot_seconds:
+                self._lengths.pop(reached, None)
+            elif seconds >= hold:
+                self._lengths[reached] = max(known, seconds)
         fallen = range(needed + 1, self._needed + 1)
         self._fell_at.update(dict.fromkeys(fallen, now))
         self._needed = needed
--- a/packages/spanfall-core/src/spanfall_core/gateway/orders/valued_capacity.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/orders/valued_capacity.py
@@ -78,14 +78,18 @@
     _held_on_demand: SlidingMaximum = field(default_factory=SlidingMaximum)
 
     def record_need(
-        self, need: CapacityNeed, lost: int, boot_seconds: float, now: float
+        self, need: CapacityNeed, lost: int, scaling: Scaling, now: float
     ) -> None:
         """Record a need and the upstreams that limits cost beside it."""
         self.need = need
-        with_lost = CapacityNeed(
-            need.reclaimable + lost, need.on_demand + lost, need.after_loss
+        # No more than this can be ordered, whatever the need.
+        most = scaling.max_upstreams * len(scaling.prices)
+        bounded = CapacityNeed(
+            min(most, need.reclaimable + lost),
+            min(most, need.on_demand + lost),
+            min(most, need.after_loss),
         )
-        self.kept = self._dips.keep(with_lost, boot_seconds, now)
+        self.kept = self._dips.keep(bounded, scaling.boot_seconds, now)
 
     def hold_target(
         self, data_centre: str, count: int, hold: float, now: float
@@ -118,7 +122,7 @@
     valuation.record_need(
         assess(valuation.forecast, valuation.times, scaling, valuation.prices),
         ceil(orders.capacity_lost),
-        scaling.boot_seconds,
+        scaling,
         now,
     )
     valuation.targets = _reclaimable_targets(
--- a/tests/test_gateway_dips.py
+++ b/tests/test_gateway_dips.py
@@ -1,5 +1,6 @@
 """Orders by expected value while the load swings, in virtual time."""
 
+from itertools import chain, cycle, repeat
 from math import copysign, sin, tau
 
 import pytest
@@ -47,12 +48,23 @@
     assert not early_rises(world, 4 * period, reclaimable=not lost)
 
 
+def kept_counts(*seconds):
+    """Return what is kept if the need is 6 and 4 by turns."""
+    dips = DipHistory()
+    needs = chain.from_iterable(map(repeat, cycle((6, 4)), seconds))
+    return [dips.keep(need, 8, 4, now) for now, need in enumerate(needs)]
+
+
 def test_lasting_fall_is_followed():
-    """Load: it is low for 10 s of 20, then remains low."""
-    dips, kept = DipHistory(), []
-    for now in range(100):
-        needed = 6 if now < 50 and now % 20 < 10 else 4
-        kept.append(dips.keep(needed, 8, 4, now))
+    """Load: it is low for 10 s of 20, then remains low, then as at first."""
+    kept = kept_counts(10, 10, 10, 10, 10, 50, 1, 1)
     assert kept[10] == 4
     assert set(kept[30:40]) == {6}
-    assert set(kept[64:]) == {4}
+    assert set(kept[64:100]) == {4}
+    assert kept[101] == 4
+
+
+def test_dips_of_varying_length_are_kept():
+    """Load: noise makes it low for 9, then for 13 s, again and again."""
+    kept = kept_counts(10, 9, 10, 13, 10, 9, 10, 13)
+    assert set(kept[42:]) == {6}
