Pace only workspaces that spend at over twice their rate

Cause: pacing took any workspace that had spent 0.6 of its window for one that presses. Test: peaks of 1.7 times the rate for two seconds, at a use of 0.8 otherwise; failed before (978 of 1,445 units in the first second of a peak). Change: a workspace is paced for one window once it has spent, within a second, over twice its rate, and 0.6 of the window. Result: test_gateway_pacing passes, with the bounds for a workspace that presses as they were.

--- a/packages/spanfall-core/src/spanfall_core/gateway/limits/pacing.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/limits/pacing.py
@@ -3,18 +3,23 @@
 A limit allows the units of a whole window at any moment. A workspace that
 suddenly asks for several times its rate would spend what is left of its window
 at once, at the cost of all others, and get next to nothing for the rest of the
-window. Once it has used a good part of its window, units are therefore released
-at its rate.
+window. Units are therefore released at its rate for one window. Shorter and
+lower peaks fit into the window and are not paced.
 """
 
 from dataclasses import dataclass, field
 from math import inf
 
 from spanfall_core.gateway.known.limits import Limit
-
-#: Part of a limit spent in the window from which on a workspace is pressing.
-#: It is above the part that a workspace spends which uses half of its rate, so
-#: that the usual variation is not paced.
+from spanfall_core.gateway.known.spending import Spending
+
+#: Multiple of its rate at which a workspace spends if it is pressing, and the
+#: seconds over which that is measured. At this multiple the rest of a window of
+#: several seconds is gone before a peak in the usual variation ends.
+PRESSING_RATE = 2.0
+PRESSING_SECONDS = 1.0
+#: Part of a limit that is spent in the window of a pressing workspace. It is
+#: above the part of one that uses half of its rate.
 PRESSING_PART = 0.6
 #: Seconds of a workspace's rate by which its bucket may be overdrawn.
 MAX_DEBT_SECONDS = 0.5
@@ -22,10 +27,13 @@
 
 @dataclass(slots=True)
 class TokenBucket:
-    """Hold the units that may be released now."""
+    """Hold the units that may be released now, while it paces."""
 
     level: float
     updated_at: float
+    #: Units spent in the last ``PRESSING_SECONDS``.
+    recent: Spending = field(default_factory=Spending)
+    paced_until: float = -inf
 
     def refill(self, limit: Limit, now: float) -> None:
         """Add the units of the time since the last refill, up to the burst."""
@@ -51,6 +59,7 @@
         bucket = self._bucket(workspace, limit, now)
         least = -limit.rate * MAX_DEBT_SECONDS
         bucket.level = max(least, bucket.level - units)
+        bucket.recent.spend(units, PRESSING_SECONDS, now)
 
     def release(
         self, workspace: str, limit: Limit, spent: float, now: float
@@ -61,7 +70,11 @@
         """
         if spent < limit.total * PRESSING_PART:
             return inf
-        return self._bucket(workspace, limit, now).level
+        bucket = self._bucket(workspace, limit, now)
+        recent = bucket.recent.recent(PRESSING_SECONDS, now)
+        if recent > limit.rate * PRESSING_RATE * PRESSING_SECONDS:
+            bucket.paced_until = now + limit.window
+        return bucket.level if now < bucket.paced_until else inf
 
     def _bucket(self, workspace: str, limit: Limit, now: float) -> TokenBucket:
         bucket = self._buckets.get(workspace)
--- a/tests/test_gateway_pacing.py
+++ b/tests/test_gateway_pacing.py
@@ -17,6 +17,9 @@
 #: Usual use of the rate, and that of a workspace with six times its callers.
 USUAL, PRESSING = 0.55, 3.3
 PRESSES_AT, ENDS_AT = 10.0, 17.0
+#: Use of the rate by a workspace that is near its limit, and in short peaks.
+BUSY, PEAK = 0.8, 1.7
+PEAK_PERIOD, PEAK_SECONDS = 10.0, 2.0
 
 
 class Fleet:
@@ -47,15 +50,25 @@
         return quotas.try_spend('w', LIMIT, units, now)
 
 
-def units_by_second(*, is_paced):
-    """Let a workspace press for seven seconds; return its units by second."""
+def pressing(now):
+    """Return the use of the rate by a workspace that begins to press."""
+    return USUAL if now < PRESSES_AT else PRESSING
+
+
+def peaking(now):
+    """Return the use of the rate by a workspace with short peaks."""
+    is_peak = now % PEAK_PERIOD >= PEAK_PERIOD - PEAK_SECONDS
+    return PEAK if is_peak else BUSY
+
+
+def units_by_second(*, is_paced, use=pressing):
+    """Return the units of a workspace by second, for a use of its rate."""
     fleet = Fleet(is_paced=is_paced)
     served = defaultdict(float)
     steps = range(round(ENDS_AT / STEP_SECONDS))
     for step, (number, key) in product(steps, enumerate(fleet.entries)):
         now = step * STEP_SECONDS
-        asked = USUAL if now < PRESSES_AT else PRESSING
-        units = asked * LIMIT.rate * STEP_SECONDS / ENTRIES
+        units = use(now) * LIMIT.rate * STEP_SECONDS / ENTRIES
         if (step + number) % REPORT_STEPS == 0:
             fleet.report(key, now)
         if fleet.try_spend(key, units, now):
@@ -83,3 +96,11 @@
         served[second] == pytest.approx(USUAL * LIMIT.rate, rel=0.02)
         for second in range(4, int(PRESSES_AT))
     )
+
+
+def test_short_peaks_within_the_limit_are_served():
+    """The window has room for them, so they are owed whole."""
+    served = units_by_second(is_paced=True, use=peaking)
+    unpaced = units_by_second(is_paced=False, use=peaking)
+    assert served == unpaced
+    assert served[9] == pytest.approx(PEAK * LIMIT.rate, rel=0.02)
