Give shared prompt parts as many copies as their heat pays for

Cause: the choice counts what reading a shared part costs the request itself, not the others behind it. No upstream with a hot part was full; the fault is spreading, not pinning.

In force where scheduling.upstream_speeds is; elsewhere there is no heat and choices are the same. PromptHistory moves to a module of its own.

--- a/bench/gateway_tables.py
+++ b/bench/gateway_tables.py
@@ -18,7 +18,7 @@
 from spanfall_core.gateway.known.prefixes import PromptPart
 from spanfall_core.gateway.known.unit_reports import EntrySpending
 from spanfall_core.gateway.limits.quota_allocator import QuotaAllocator
-from spanfall_core.gateway.routing.balance import PromptHistory, choose
+from spanfall_core.gateway.routing.balance import choose
 from spanfall_core.gateway.routing.estimates import RoutingRequest
 from spanfall_core.gateway.routing.grants import (
     EntryLoad,
@@ -26,6 +26,7 @@
     Grant,
     GrantBook,
 )
+from spanfall_core.gateway.routing.prompt_history import PromptHistory
 from spanfall_node.gateway.links.messages import (
     GrantMessage,
     GrantRequest,
--- a/packages/spanfall-core/src/spanfall_core/gateway/known/prefixes.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/prefixes.py
@@ -14,6 +14,9 @@
 #: Maximum number of parts kept for each upstream; the oldest are dropped.
 MAX_PARTS_PER_UPSTREAM = 400
 
+#: Upstreams that have processed a part, latest last.
+Holders = dict[Lifetime, None]
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -28,8 +31,7 @@
     """Index the parts that each upstream has processed, oldest first."""
 
     _parts: dict[Lifetime, OrderedDict[str, None]] = field(default_factory=dict)
-    #: Upstreams that have processed each part, latest last.
-    _holders: dict[str, dict[Lifetime, None]] = field(default_factory=dict)
+    _holders: dict[str, Holders] = field(default_factory=dict)
 
     def cached_tokens(
         self,
@@ -74,9 +76,12 @@
         cached. For each part, the latest upstream comes first.
         """
         for part in reversed(parts):
-            holders = self._holders.get(part.part_id)
-            if holders:
-                yield reversed(holders)
+            if part.part_id in self._holders:
+                yield reversed(self.holders_of(part))
+
+    def holders_of(self, part: PromptPart) -> Holders:
+        """Return the upstreams that have processed a part, latest last."""
+        return self._holders.get(part.part_id, {})
 
     def _drop(self, part_id: str, lifetime: Lifetime) -> None:
         holders = self._holders[part_id]
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
@@ -6,15 +6,18 @@
 
 from collections.abc import Iterable, Sequence
 from collections.abc import Set as AbstractSet
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from xxhash import xxh3_64_intdigest
 
-from spanfall_core.gateway.known.directory import ring_position
-from spanfall_core.gateway.known.engine_model import PrefillSpeed
 from spanfall_core.gateway.known.lifetimes import Lifetime
 from spanfall_core.gateway.known.listed import ListedUpstream
-from spanfall_core.gateway.known.prefixes import PrefixIndex
+from spanfall_core.gateway.routing.copies import (
+    CopiedParts,
+    copied_parts,
+    excess_read_seconds,
+    excess_tokens,
+)
 from spanfall_core.gateway.routing.estimates import (
     FAILURE_PENALTY_SECONDS,
     FULL_BATCH_SECONDS,
@@ -27,8 +30,8 @@
     excess_seconds,
 )
 from spanfall_core.gateway.routing.expected_prefill import expected_prefill
+from spanfall_core.gateway.routing.prompt_history import PromptHistory
 from spanfall_core.gateway.routing.shortlist import FULL_SEARCH_LIMIT, Shortlist
-from spanfall_core.gateway.routing.sizes import PromptSizes
 
 #: Seconds of difference within which the hash decides between upstreams.
 HASH_TIE_SECONDS = 0.01
@@ -47,42 +50,6 @@
 NONE_WITHHELD: AbstractSet[Lifetime] = frozenset()
 
 
-@dataclass(slots=True)
-class PromptHistory:
-    """Hold which upstream has read which prompts, and the prompts' lengths."""
-
-    prefixes: PrefixIndex = field(default_factory=PrefixIndex)
-    sizes: PromptSizes = field(default_factory=PromptSizes)
-    #: Prefill speed of the engines of each service, as measured by the home.
-    speeds: dict[str, PrefillSpeed] = field(default_factory=dict)
-    _shortlists: dict[str, Shortlist[ListedUpstream]] = field(
-        default_factory=dict,
-    )
-
-    def record_prompt(self, request: RoutingRequest, now: float) -> None:
-        """Count the length of a prompt that is about to be read."""
-        if request.prompt_tokens:
-            self.sizes.record_prompt(request.prompt_tokens, now)
-
-    def speed(self, service: str) -> PrefillSpeed:
-        """Return the prefill speed of a service, or a default if unmeasured."""
-        return self.speeds.get(service, PrefillSpeed())
-
-    def shortlist(
-        self,
-        rows: Sequence[ListedUpstream],
-    ) -> Shortlist[ListedUpstream]:
-        """Return the shortlist of these upstreams, new if they have changed."""
-        service = rows[0].service
-        known = self._shortlists.get(service)
-        if known is None or known.rows is not rows:
-            digests = [ring_position(row.lifetime) for row in rows]
-            indices = {row.lifetime: at for at, row in enumerate(rows)}
-            known = Shortlist(rows, digests, indices)
-            self._shortlists[service] = known
-        return known
-
-
 @dataclass(frozen=True, slots=True)
 class Choice:
     """Hold the chosen upstream and the estimates behind the choice."""
@@ -94,6 +61,8 @@
     ahead: int = 0
     #: Whether an upstream has crashed under the request before.
     is_watched: bool = False
+    #: Prompt tokens to be read for the request of which there are enough copies.
+    excess: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +82,8 @@
     rate: float
     #: Upstreams that may not be sent anything now.
     withheld: AbstractSet[Lifetime] = NONE_WITHHELD
+    #: Parts of the prompt that need no further copy.
+    copied: CopiedParts = ()
 
     def best(self, indices: Iterable[int], preferred: int) -> Choice | None:
         """Return the best eligible one of some candidates, if any."""
@@ -134,7 +105,8 @@
             return None
         chosen = self.candidates[best[1]]
         ahead = self.loads.prefill_at(chosen.lifetime)
-        return Choice(chosen, best[0], best[2], ahead)
+        excess = self._excess(chosen.lifetime)
+        return Choice(chosen, best[0], best[2], ahead, excess=excess)
 
     def is_eligible(self, lifetime: Lifetime) -> bool:
         """Return whether the request may be sent to an upstream."""
@@ -167,8 +139,19 @@
         if request.prompt_tokens:
             position = (index + 0.5) / len(self.candidates)
             seconds += LENGTH_MISMATCH_SECONDS * abs(position - self.position)
+        excess = self._excess(row.lifetime)
+        if excess:
+            factor = self.loads.factor_at(row.lifetime, self.now)
+            seconds += excess_read_seconds(excess, self.rate) * factor
         return seconds
 
+    def _excess(self, lifetime: Lifetime) -> int:
+        if not self.copied:
+            return 0
+        prefixes = self.prompts.prefixes
+        cached = prefixes.cached_tokens(lifetime, self.request.parts)
+        return excess_tokens(cached, self.copied)
+
 
 def choose(
     candidates: Sequence[ListedUpstream],
@@ -197,6 +180,7 @@
         position,
         rate,
         withheld,
+        copied_parts(candidates, request, loads, prompts, now),
     )
     if len(candidates) > FULL_SEARCH_LIMIT:
         found = _choose_from_shortlist(search)
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/new_tenure.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/new_tenure.py
@@ -4,8 +4,8 @@
 from dataclasses import replace
 
 from spanfall_core.gateway.known.fleet import ASSUMED_SIZE_SECONDS, FleetState
-from spanfall_core.gateway.routing.balance import PromptHistory
 from spanfall_core.gateway.routing.grants import GrantBook
+from spanfall_core.gateway.routing.prompt_history import PromptHistory
 
 from spanfall_node.gateway.home.claiming import Claim
 from spanfall_node.gateway.tables.state import GatewayState
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/totals.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/totals.py
@@ -3,6 +3,7 @@
 from spanfall_core.gateway.known.fleet import FleetTotals
 
 from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.prefix_copies import log_hot_parts
 from spanfall_node.gateway.upstreams.speeds import log_factors
 
 
@@ -28,3 +29,4 @@
     state.set_prefill_speeds(state.fleet.speeds())
     apply_totals(state, state.fleet.totals_except(report.key, now), now)
     log_factors(state, now)
+    log_hot_parts(state, now)
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
@@ -96,6 +96,12 @@
             ('which',),
             registry=self.registry,
         )
+        self.shared_tokens_read_again = self._labelled(
+            'spanfall_shared_tokens_read_again',
+            'Tokens of shared prompt parts read again as granted by the home, by'
+            ' whether the heat of the part pays for it',
+            'kind',
+        )
         self.cut_answers = self._labelled(
             'spanfall_cut_answers',
             'Answers that ended early, by reason',
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
@@ -28,8 +28,8 @@
 from spanfall_core.gateway.known.usage import UsageCounts
 from spanfall_core.gateway.limits.quota_allocator import QuotaAllocator
 from spanfall_core.gateway.limits.quotas import Quotas
-from spanfall_core.gateway.routing.balance import PromptHistory
 from spanfall_core.gateway.routing.grants import EntryLoad, GrantBook
+from spanfall_core.gateway.routing.prompt_history import PromptHistory
 from spanfall_core.gateway.routing.retry_budget import RetryBudget
 
 from spanfall_node.gateway.links.succession_messages import (
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
@@ -13,6 +13,10 @@
 from spanfall_node.gateway.links.messages import GrantMessage, GrantRequest
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.tables.tenure import can_allocate
+from spanfall_node.gateway.upstreams.prefix_copies import (
+    record_choice,
+    tracked_heat,
+)
 from spanfall_node.gateway.upstreams.speeds import loads_for
 
 #: Retry-After seconds for a request that only rate-limited upstreams could
@@ -143,6 +147,7 @@
     loads = loads_for(
         state, request.service, FleetLoads(state.grant_book, state.loads)
     )
+    heat = tracked_heat(state, request.service)
     choice = choose(
         candidates,
         request.ask,
@@ -155,6 +160,8 @@
         return None
     lifetime = choice.upstream.lifetime
     is_permit = state.words.permits.acquire(lifetime, now)
+    if heat is not None:
+        record_choice(state, heat, request.ask, choice)
     prefixes = state.granted_prompts.prefixes
     prefixes.record(lifetime, request.ask.parts)
     grant = Grant(
--- a/tests/test_gateway_grants.py
+++ b/tests/test_gateway_grants.py
@@ -9,7 +9,7 @@
 from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.loads import Loads
 from spanfall_core.gateway.known.reporting import LOAD_EXPIRY_SECONDS
-from spanfall_core.gateway.routing.balance import PromptHistory, choose
+from spanfall_core.gateway.routing.balance import choose
 from spanfall_core.gateway.routing.estimates import RoutingRequest
 from spanfall_core.gateway.routing.grants import (
     EntryLoad,
@@ -17,6 +17,7 @@
     Grant,
     GrantBook,
 )
+from spanfall_core.gateway.routing.prompt_history import PromptHistory
 from spanfall_node.gateway.links.messages import GrantMessage
 from spanfall_node.gateway.upstreams.grants import (
     LOCAL_DECISION_SECONDS,
--- a/tests/test_gateway_shortlist.py
+++ b/tests/test_gateway_shortlist.py
@@ -16,8 +16,9 @@
 from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.loads import Loads
 from spanfall_core.gateway.known.prefixes import PromptPart
-from spanfall_core.gateway.routing.balance import PromptHistory, choose
+from spanfall_core.gateway.routing.balance import choose
 from spanfall_core.gateway.routing.estimates import RoutingRequest
+from spanfall_core.gateway.routing.prompt_history import PromptHistory
 from spanfall_core.gateway.routing.shortlist import FULL_SEARCH_LIMIT
 
 #: Fraction of the expected time that the shortlist may lose.
--- a/tests/test_gateway_sizes.py
+++ b/tests/test_gateway_sizes.py
@@ -5,8 +5,9 @@
 from spanfall_core.gateway.known.directory import Directory
 from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.loads import Loads
-from spanfall_core.gateway.routing.balance import PromptHistory, choose
+from spanfall_core.gateway.routing.balance import choose
 from spanfall_core.gateway.routing.estimates import RoutingRequest
+from spanfall_core.gateway.routing.prompt_history import PromptHistory
 from spanfall_core.gateway.routing.sizes import PromptSizes
 
 SHORT = 800
--- a/tests/test_gateway_upstream_speeds.py
+++ b/tests/test_gateway_upstream_speeds.py
@@ -22,8 +22,9 @@
     UpstreamSpeeds,
     effective_upstreams,
 )
-from spanfall_core.gateway.routing.balance import PromptHistory, choose
+from spanfall_core.gateway.routing.balance import choose
 from spanfall_core.gateway.routing.estimates import RoutingRequest
+from spanfall_core.gateway.routing.prompt_history import PromptHistory
 from spanfall_core.gateway.routing.uneven_loads import UnevenLoads
 from spanfall_node.gateway.upstreams.speeds import record_call
 from spanfall_standins.gateway.upstream import complete_response
