Look up the cached tokens of an upstream once in a choice

Cause: the charge for copies looked up the leading tokens that each candidate holds a second time. The loads of two tests repeated the same running prompts.

--- a/bench/gateway_tables.py
+++ b/bench/gateway_tables.py
@@ -17,8 +17,10 @@
 from spanfall_core.gateway.known.loads import Loads
 from spanfall_core.gateway.known.prefixes import PromptPart
 from spanfall_core.gateway.known.unit_reports import EntrySpending
+from spanfall_core.gateway.known.upstream_speeds import UpstreamSpeeds
 from spanfall_core.gateway.limits.quota_allocator import QuotaAllocator
 from spanfall_core.gateway.routing.balance import choose
+from spanfall_core.gateway.routing.copies import record_heat
 from spanfall_core.gateway.routing.estimates import RoutingRequest
 from spanfall_core.gateway.routing.grants import (
     EntryLoad,
@@ -27,6 +29,7 @@
     GrantBook,
 )
 from spanfall_core.gateway.routing.prompt_history import PromptHistory
+from spanfall_core.gateway.routing.uneven_loads import UnevenLoads
 from spanfall_node.gateway.links.messages import (
     GrantMessage,
     GrantRequest,
@@ -130,6 +133,23 @@
     return (time.process_time() - began) / REPEATS * MICROSECONDS
 
 
+def time_copies(upstreams: int) -> float:
+    """Return the same where speeds count and half of them hold the parts."""
+    rows = make_rows(upstreams)
+    speeds, prompts = UpstreamSpeeds(), PromptHistory()
+    loads = UnevenLoads(Loads(), speeds)
+    heat = prompts.track_heat('llm', is_on=True)
+    for row in rows[::2]:
+        speeds.record_slowdown('llm', row.lifetime, 1.5, 0)
+        prompts.prefixes.record(row.lifetime, PARTS[:-1])
+    began = time.process_time()
+    for number in range(REPEATS):
+        ask = RoutingRequest(f'a-{number}', 'north', PARTS, 6000)
+        choose(rows, ask, loads, prompts, 0)
+        record_heat(heat, ask, SLOTS, 0.1, 1e5, 0)
+    return (time.process_time() - began) / REPEATS * MICROSECONDS
+
+
 def time_grant(upstreams: int) -> float:
     """Return the processor microseconds of the home for one grant."""
     rows = make_rows(upstreams)
@@ -210,6 +230,10 @@
         ('upstreams of a service', 'us a request'),
         lambda: [(size, time_choice(size)) for size in UPSTREAM_SIZES],
     ),
+    'gateway-copies': (
+        ('upstreams of a service', 'us a request'),
+        lambda: [(size, time_copies(size)) for size in UPSTREAM_SIZES],
+    ),
     'gateway-grant': (
         ('upstreams of a service', 'us of the home a request'),
         lambda: [(size, time_grant(size)) for size in UPSTREAM_SIZES],
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
@@ -87,26 +87,26 @@
 
     def best(self, indices: Iterable[int], preferred: int) -> Choice | None:
         """Return the best eligible one of some candidates, if any."""
-        best: tuple[float, int, int] | None = None
+        best: tuple[float, int, int, int] | None = None
         for index in indices:
             row = self.candidates[index]
             if not self.is_eligible(row.lifetime):
                 continue
+            cached = self.prompts.prefixes.cached_tokens(
+                row.lifetime, self.request.parts
+            )
             prefill = expected_prefill(
-                row,
-                self.request,
-                self.prompts.prefixes,
-                is_preferred=index == preferred,
+                self.request, cached, is_preferred=index == preferred
             )
-            seconds = self._expected_seconds(row, index, prefill)
+            excess = excess_tokens(cached, self.copied)
+            seconds = self._expected_seconds(row, index, prefill, excess)
             if best is None or seconds < best[0]:
-                best = (seconds, index, prefill)
+                best = (seconds, index, prefill, excess)
         if best is None:
             return None
         chosen = self.candidates[best[1]]
         ahead = self.loads.prefill_at(chosen.lifetime)
-        excess = self._excess(chosen.lifetime)
-        return Choice(chosen, best[0], best[2], ahead, excess=excess)
+        return Choice(chosen, best[0], best[2], ahead, excess=best[3])
 
     def is_eligible(self, lifetime: Lifetime) -> bool:
         """Return whether the request may be sent to an upstream."""
@@ -125,6 +125,7 @@
         row: ListedUpstream,
         index: int,
         prefill: int,
+        excess: int,
     ) -> float:
         request = self.request
         seconds = estimate(
@@ -139,19 +140,11 @@
         if request.prompt_tokens:
             position = (index + 0.5) / len(self.candidates)
             seconds += LENGTH_MISMATCH_SECONDS * abs(position - self.position)
-        excess = self._excess(row.lifetime)
         if excess:
             factor = self.loads.factor_at(row.lifetime, self.now)
             seconds += excess_read_seconds(excess, self.rate) * factor
         return seconds
 
-    def _excess(self, lifetime: Lifetime) -> int:
-        if not self.copied:
-            return 0
-        prefixes = self.prompts.prefixes
-        cached = prefixes.cached_tokens(lifetime, self.request.parts)
-        return excess_tokens(cached, self.copied)
-
 
 def choose(
     candidates: Sequence[ListedUpstream],
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/expected_prefill.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/expected_prefill.py
@@ -1,7 +1,5 @@
 """Estimate the prompt tokens that an upstream has to read for a request."""
 
-from spanfall_core.gateway.known.listed import ListedUpstream
-from spanfall_core.gateway.known.prefixes import PrefixIndex
 from spanfall_core.gateway.routing.estimates import RoutingRequest
 
 #: Fraction of a prompt's shared tokens that the upstream preferred by the hash
@@ -10,14 +8,12 @@
 
 
 def expected_prefill(
-    row: ListedUpstream,
-    request: RoutingRequest,
-    prefixes: PrefixIndex,
-    *,
-    is_preferred: bool,
+    request: RoutingRequest, cached: int, *, is_preferred: bool
 ) -> int:
-    """Return the prompt tokens that an upstream is expected to read."""
-    cached = prefixes.cached_tokens(row.lifetime, request.parts)
+    """Return the prompt tokens that an upstream is expected to read.
+
+    ``cached`` is the number of leading tokens that it is known to hold.
+    """
     if is_preferred:
         cached = max(cached, _expected_cached(request))
     return max(0, request.prompt_tokens - cached)
--- a/tests/test_gateway_prefix_copies.py
+++ b/tests/test_gateway_prefix_copies.py
@@ -7,13 +7,12 @@
 
 from collections import Counter
 from dataclasses import replace
-from heapq import heappop, heappush
 from random import Random
 
 import pytest
 from gateway_world import SERVICE, in_world
+from running_prompts import RunningPrompts
 from spanfall_core.gateway.known.engine_model import PrefillSpeed
-from spanfall_core.gateway.known.loads import Loads
 from spanfall_core.gateway.known.prefix_heat import MAX_PARTS, PrefixHeat
 from spanfall_core.gateway.known.prefixes import PromptPart
 from spanfall_core.gateway.routing.balance import choose
@@ -46,8 +45,7 @@
     def __init__(self, *, tracked):
         self.prompts = PromptHistory(speeds={'llm': PrefillSpeed(0.03, RATE)})
         self.heat = self.prompts.track_heat('llm', is_on=tracked)
-        self.loads = Loads()
-        self.ends = []
+        self.running = RunningPrompts(RATE)
         self.waits = []
         self.used = Counter()
         self.read_again = 0
@@ -72,25 +70,17 @@
         return self
 
     def send(self, rows, ask, now):
-        """Choose for one request, and begin and end what runs."""
-        while self.ends and self.ends[0][0] <= now:
-            _, lifetime, prefill = heappop(self.ends)
-            if prefill:
-                self.loads.first_token(lifetime, prefill)
-            else:
-                self.loads.end(lifetime)
+        """Choose for one request, and run it."""
+        self.running.end_until(now)
         self.prompts.record_prompt(ask, now)
-        choice = choose(rows, ask, self.loads, self.prompts, now)
+        choice = choose(rows, ask, self.running.loads, self.prompts, now)
         lifetime, prefixes = choice.upstream.lifetime, self.prompts.prefixes
         again = tokens_read_again(prefixes, lifetime, ask)
         if self.heat is not None:
             seconds = choice.prefill / RATE
             record_heat(self.heat, ask, SLOTS, seconds, RATE, now)
         prefixes.record(lifetime, ask.parts)
-        self.loads.begin(lifetime, choice.prefill)
-        wait = self.loads.prefill_at(lifetime) / RATE
-        heappush(self.ends, (now + wait, lifetime, choice.prefill))
-        heappush(self.ends, (now + wait + RUN_SECONDS, lifetime, 0))
+        wait = self.running.begin(choice, now, RUN_SECONDS)
         if now > SECONDS / 2:
             self.read_again += again
             self.waits.append(wait)
--- a/tests/test_gateway_shortlist.py
+++ b/tests/test_gateway_shortlist.py
@@ -6,12 +6,12 @@
 be found by the next one.
 """
 
-from heapq import heappop, heappush
 from random import Random
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from running_prompts import RunningPrompts
 from spanfall_core.gateway.known.directory import Directory
 from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.loads import Loads
@@ -55,33 +55,23 @@
 def expected_seconds(count, requests):
     """Return the mean expected seconds of the chosen upstreams."""
     rows, draw = listed(count), Random(3)
-    loads, prompts = Loads(), PromptHistory()
-    rate = prompts.speed('llm').rate
-    ends, total, now = [], 0, 0
+    prompts = PromptHistory()
+    running = RunningPrompts(prompts.speed('llm').rate)
+    total, now = 0, 0
     for number in range(WARM_UP + requests):
         now += draw.expovariate(RATE * count)
-        while ends and ends[0][0] <= now:
-            _, lifetime, prefill = heappop(ends)
-            if prefill:
-                loads.first_token(lifetime, prefill)
-            else:
-                loads.end(lifetime)
+        running.end_until(now)
         parts = prompt_parts(draw, number)
         tokens = sum(part.tokens for part in parts)
         ask = RoutingRequest(
             str(number), f'z{draw.randrange(6)}', parts, tokens
         )
         prompts.record_prompt(ask, now)
-        choice = choose(rows, ask, loads, prompts, now)
+        choice = choose(rows, ask, running.loads, prompts, now)
         if number >= WARM_UP:
             total += choice.seconds
-        lifetime = choice.upstream.lifetime
-        loads.begin(lifetime, choice.prefill)
-        prompts.prefixes.record(lifetime, parts)
-        read_at = now + loads.prefill_at(lifetime) / rate
-        heappush(ends, (read_at, lifetime, choice.prefill))
-        end = read_at + draw.uniform(0.2, 2.5)
-        heappush(ends, (end, lifetime, 0))
+        prompts.prefixes.record(choice.upstream.lifetime, parts)
+        running.begin(choice, now, draw.uniform(0.2, 2.5))
     return total / requests
 
 
