Bound the wait for want of a copy by a property test

Cause: the bound of 0.25 s on the charge for further copies was only shown on drawn loads.

Test: any load of 30 upstreams, any holders and lengths: the choice with limited copies is expected to take at most 0.25 s more than without, and is the same where nobody holds the part.

--- a/tests/test_gateway_prefix_copies.py
+++ b/tests/test_gateway_prefix_copies.py
@@ -11,6 +11,8 @@
 
 import pytest
 from gateway_world import SERVICE, in_world
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from running_prompts import RunningPrompts
 from spanfall_core.gateway.known.engine_model import PrefillSpeed
 from spanfall_core.gateway.known.prefix_heat import MAX_PARTS, PrefixHeat
@@ -22,7 +24,10 @@
     record_heat,
     tokens_read_again,
 )
-from spanfall_core.gateway.routing.estimates import RoutingRequest
+from spanfall_core.gateway.routing.estimates import (
+    TOLERATED_STALL_SECONDS,
+    RoutingRequest,
+)
 from spanfall_core.gateway.routing.prompt_history import PromptHistory
 from spanfall_node.gateway.links.messages import GrantRequest
 from spanfall_node.gateway.upstreams.granting import decide_grant
@@ -146,6 +151,28 @@
     )
 
 
+@settings(max_examples=60, deadline=None)
+@given(
+    st.lists(st.tuples(st.integers(0, 29), st.integers(0, 9000)), max_size=60),
+    st.sets(st.integers(0, 29)),
+    st.integers(1, 50_000),
+)
+def test_nobody_waits_long_for_want_of_a_copy(sends, holders, tokens):
+    """Load: any; some upstreams hold the shared part, and may be full."""
+    rows, part = listed(30), PromptPart('s', tokens)
+    ask = RoutingRequest('a', 'z', (part, PromptPart('o', 9)), tokens + 9)
+    play = Play(tracked=True)
+    for index, prefill in sends:
+        play.running.loads.begin(rows[index].lifetime, prefill)
+    for index in holders:
+        play.prompts.prefixes.record(rows[index].lifetime, (part,))
+    limited = choose(rows, ask, play.running.loads, play.prompts, 0)
+    play.prompts.track_heat('llm', is_on=False)
+    alone = choose(rows, ask, play.running.loads, play.prompts, 0)
+    assert limited.seconds <= alone.seconds + TOLERATED_STALL_SECONDS
+    assert bool(holders) or limited == alone
+
+
 @pytest.mark.parametrize(
     ('holders', 'heat', 'capacity', 'is_enough'),
     [(1, 0.5, 1, True), (1, 0.5, 0.5, False), (1, 0, 0, False)]
