Tell callers of held requests soon that they can't be served

Cause: a prediction counted of other workspaces only what they had waiting, not what they bring until the request's turn, so one beside a workspace with a larger share was promised too early a start. Nothing looked at a held request again until twice its predicted wait. The work rate followed a second of sends: with few long runs it fell to nothing between two of them, and upstreams that went left their rate to the others for a second.

Change: work that others bring counts, within their shares (incoming.py); the home reviews held requests about every 0.1 s and lets those ask that are known to miss their deadline (review.py); new requests of the own workspace count against a held one only if they go on after its first review; the work rate is that of one upstream over a second or eight sends.

--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/admission.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/admission.py
@@ -14,6 +14,7 @@
     Prediction,
     backlog_seconds,
     find_shares,
+    find_workspace_share,
     predict,
 )
 from spanfall_core.gateway.contention.returns import (
@@ -21,6 +22,7 @@
     ReturnPlan,
     latest_return,
 )
+from spanfall_core.gateway.contention.review import Review
 from spanfall_core.gateway.contention.room import ServiceRoom
 from spanfall_core.gateway.contention.slack import Rank
 from spanfall_core.gateway.contention.waiting import AdmissionTerms, Asker
@@ -74,6 +76,7 @@
 
     queue: HeldQueue = field(default_factory=HeldQueue)
     returns: ReturnPlan = field(default_factory=ReturnPlan)
+    review: Review = field(default_factory=Review)
 
 
 def decide(
@@ -97,8 +100,14 @@
     held = queue.find(asker, terms.ticket)
     if held is None:
         return _decide_first(ask)
-    position = queue.position(held.ticket)
-    prediction = predict(queue, terms, room, now, position)
+    prediction = predict(
+        queue,
+        terms,
+        room,
+        now,
+        queue.position(held.ticket),
+        contention.review.arrivals_since(queue, held, now),
+    )
     return _send_or_hold(ask, held, prediction)
 
 
@@ -184,11 +193,15 @@
     terms, room, now = ask.terms, ask.room, ask.now
     queue = ask.contention.queue
     shares = find_shares(queue, terms, room, now)
+    workspace = find_workspace_share(queue, terms, shares, now)
     backlog = Backlog(
         terms.workspace,
         terms.priority,
-        backlog_seconds(queue, terms, room, shares),
-        max(shares.spare, shares.workspace * RETURN_SHARE),
+        backlog_seconds(queue, terms, room, shares, now),
+        max(
+            workspace.rate - workspace.arrivals,
+            workspace.rate * RETURN_SHARE,
+        ),
     )
     retry_after = ask.contention.returns.plan(
         ask.asker.identity,
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/held.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/held.py
@@ -129,6 +129,7 @@
         level, flow = self.find_flow(terms)
         level.arrivals.add(terms.units, now)
         flow.arrivals.add(terms.units, now)
+        flow.arrived += terms.units
 
     def withdraw(self, asker: Asker, ticket: int) -> bool:
         """Remove a request that is not to be sent; return whether it waited."""
@@ -171,6 +172,14 @@
             return None
         return held
 
+    def waiting(self, ticket: int) -> HeldRequest | None:
+        """Return the request that waits under a ticket, if any."""
+        return self._held.get(ticket)
+
+    def tickets(self) -> list[int]:
+        """Return the tickets of all that wait, the latest first."""
+        return list(reversed(self._held))
+
     def peek(self, now: float) -> HeldRequest | None:
         """Return the request that gets the next turn, if any waits."""
         priority = self.order.next_priority()
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/levels.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/levels.py
@@ -5,6 +5,11 @@
 
 from spanfall_core.fair_queueing import charge_work, join_waiting
 from spanfall_core.gateway.contention.backlog import Backlog
+from spanfall_core.gateway.contention.incoming import (
+    IncomingWork,
+    Inflow,
+    Source,
+)
 from spanfall_core.gateway.contention.rates import DecayingRate
 from spanfall_core.gateway.contention.slack import Position, SlackOrder
 
@@ -24,6 +29,8 @@
     order: SlackOrder = field(default_factory=SlackOrder)
     #: Units of new requests that could be on time.
     arrivals: DecayingRate = field(default_factory=DecayingRate)
+    #: Sum of these units.
+    arrived: float = 0
 
     @property
     def is_waiting(self) -> bool:
@@ -43,6 +50,7 @@
     waiting: dict[str, Flow] = field(default_factory=dict)
     #: Units of new requests that could be on time.
     arrivals: DecayingRate = field(default_factory=DecayingRate)
+    _incoming: IncomingWork = field(default_factory=IncomingWork)
     #: Highest virtual time that a workspace reached.
     _latest_virtual_time: float = 0
     #: Virtual times of the waiting workspaces; those that changed are stale.
@@ -104,6 +112,31 @@
         if flow.is_waiting:
             self._tag(flow)
 
+    def served_beside(self, flow: Flow, progress: float) -> float:
+        """Return the waiting work that is served of other workspaces.
+
+        Each one, also this one, gets that much per weight meanwhile.
+        """
+        beside = self.backlog.served_beside(progress)
+        return max(0, beside - min(flow.units, progress * flow.weight))
+
+    def incoming_beside(
+        self, flow: Flow, progress: float, now: float
+    ) -> list[Inflow]:
+        """Return what other workspaces bring meanwhile."""
+        if self._incoming.is_due(now):
+            sources = (
+                Source(
+                    row.workspace,
+                    row.arrivals.per_second(now),
+                    row.weight,
+                    row.units,
+                )
+                for row in self.flows.values()
+            )
+            self._incoming.refresh(sources, now)
+        return self._incoming.beside(flow.workspace, progress)
+
     def next_flow(self) -> Flow | None:
         """Return the waiting workspace with the lowest virtual time."""
         while self._tags:
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/prediction.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/prediction.py
@@ -3,10 +3,12 @@
 All times are in seconds, work in units, rates in units per second.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from math import inf
 
 from spanfall_core.gateway.contention.held import HeldQueue
+from spanfall_core.gateway.contention.incoming import Inflow, seconds_to_serve
 from spanfall_core.gateway.contention.levels import Flow, Level
 from spanfall_core.gateway.contention.room import ServiceRoom
 from spanfall_core.gateway.contention.slack import Position, Rank
@@ -21,6 +23,9 @@
 RETURN_SHARE = 0.1
 #: Seconds after which to ask again while the rate of a service is unknown.
 UNKNOWN_BACKLOG_SECONDS = 1.0
+#: Seconds of work, at the rate of its level, for which the share of a workspace
+#: is computed: longer than what most workspaces have waiting.
+SHARE_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +49,8 @@
     own: float
     #: Work of other workspaces at its level, by their weight.
     others: float
+    #: What these bring meanwhile.
+    inflows: Sequence[Inflow] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,10 +61,16 @@
     level: float
     #: Rate that its level gets in any case.
     least: float
-    #: Rate that its workspace gets by weight.
-    workspace: float
-    #: Rate of its workspace that requests on time leave.
-    spare: float
+
+
+@dataclass(frozen=True, slots=True)
+class WorkspaceShare:
+    """State the rates that one workspace can count on at its level."""
+
+    #: Rate that it gets by weight.
+    rate: float
+    #: Rate of its new requests that could be on time.
+    arrivals: float
 
 
 def predict(
@@ -66,34 +79,44 @@
     room: ServiceRoom,
     now: float,
     position: Position,
+    arrivals_since: float = inf,
 ) -> Prediction:
     """Predict when a request would be sent.
 
     A request that cannot meet its target waits behind those of its workspace
-    that can, also behind those still to come. While the rate is unknown,
-    nothing speaks against a request.
+    that can, also behind those still to come: at the rate at which they arrive,
+    or have arrived since the request was held if that is less. While the rate
+    is unknown, nothing speaks against a request.
     """
     rank = position[0]
     if not room.work_rate:
         return Prediction(0, rank)
     shares = find_shares(queue, terms, room, now)
-    ahead = find_ahead(queue, terms, position)
+    ahead = find_ahead(queue, terms, position, now)
     start = _start(ahead, shares, terms, room)
     if rank is Rank.RETURNING:
         return Prediction(start, rank, could_be_on_time=False)
     latest = terms.target_in * ON_TIME_FRACTION - room.least_run
-    # Requests that come back meanwhile go ahead.
-    latest *= 1 - RETURN_SHARE
+    if not terms.ticket:
+        # Requests that come back meanwhile go ahead.
+        latest *= 1 - RETURN_SHARE
     if rank is Rank.ON_TIME and start <= latest:
         return Prediction(start, rank)
-    alone = _start(_alone(queue, terms, ahead), shares, terms, room)
+    alone = ahead
+    if ahead.own:
+        level, flow = queue.find_flow(terms)
+        alone = _beside(level, flow, ahead.urgent, 0, now)
+    could_be_on_time = _start(alone, shares, terms, room) <= latest
     late = position
     if rank is not Rank.LATE:
         late = (Rank.LATE, now + terms.deadline_in, position[-1])
-    ahead = find_ahead(queue, terms, late)
+    ahead = find_ahead(queue, terms, late, now)
     start = _start(ahead, shares, terms, room)
-    start = max(start, _seconds(ahead.own, shares.spare))
-    return Prediction(start, Rank.LATE, alone <= latest)
+    if ahead.own:
+        share = find_workspace_share(queue, terms, shares, now)
+        spare = share.rate - min(share.arrivals, arrivals_since)
+        start = max(start, seconds_to_serve(ahead.own, (), spare))
+    return Prediction(start, Rank.LATE, could_be_on_time)
 
 
 def backlog_seconds(
@@ -101,12 +124,14 @@
     terms: AdmissionTerms,
     room: ServiceRoom,
     shares: Shares,
+    now: float,
 ) -> float:
     """Return the seconds until all that precedes a late request is sent."""
     if not room.work_rate:
         return UNKNOWN_BACKLOG_SECONDS
     last = (Rank.LATE, inf, 0)
-    return _start(find_ahead(queue, terms, last), shares, terms, room)
+    ahead = find_ahead(queue, terms, last, now)
+    return _start(ahead, shares, terms, room)
 
 
 def find_shares(
@@ -125,18 +150,30 @@
     )
     least = room.work_rate * LEAST_SHARE / max(1, len(order.waiting))
     level_rate = max(0, room.work_rate - urgent)
-    weights = level.backlog.weights
-    if not flow.is_waiting:
-        weights += flow.weight
-    workspace_rate = max(level_rate, least) * flow.weight / weights
-    spare = workspace_rate - flow.arrivals.per_second(now)
-    return Shares(level_rate, least, workspace_rate, spare)
+    return Shares(level_rate, least)
+
+
+def find_workspace_share(
+    queue: HeldQueue, terms: AdmissionTerms, shares: Shares, now: float
+) -> WorkspaceShare:
+    """Return the rate that a workspace with work for a second gets."""
+    level, flow = queue.find_flow(terms)
+    rate = max(shares.level, shares.least)
+    work = rate * SHARE_SECONDS
+    if not work:
+        return WorkspaceShare(0, flow.arrivals.per_second(now))
+    progress = work / flow.weight
+    beside = level.served_beside(flow, progress)
+    inflows = level.incoming_beside(flow, progress, now)
+    share = work / seconds_to_serve(work + beside, inflows, rate)
+    return WorkspaceShare(share, flow.arrivals.per_second(now))
 
 
 def find_ahead(
     queue: HeldQueue,
     terms: AdmissionTerms,
     position: Position,
+    now: float,
 ) -> Ahead:
     """Return the work that precedes a position."""
     level, flow = queue.find_flow(terms)
@@ -146,23 +183,21 @@
         for priority in queue.order.waiting
         if priority < terms.priority
     )
-    return Ahead(urgent, own, _served_beside(level, flow, own))
+    return _beside(level, flow, urgent, own, now)
 
 
-def _alone(queue: HeldQueue, terms: AdmissionTerms, ahead: Ahead) -> Ahead:
-    """Return the work ahead without that of the own workspace."""
-    level, flow = queue.find_flow(terms)
-    return Ahead(ahead.urgent, 0, _served_beside(level, flow, 0))
-
-
-def _served_beside(level: Level, flow: Flow, own: float) -> float:
-    """Return the work of others that is served before that much own work."""
+def _beside(
+    level: Level, flow: Flow, urgent: float, own: float, now: float
+) -> Ahead:
+    """Return the work that is served before that much own work."""
     lag = max(0, flow.virtual_time - level.virtual_time)
     progress = own / flow.weight + lag
-    if not progress:
-        return 0
-    beside = level.backlog.served_beside(progress)
-    return max(0, beside - min(flow.units, progress * flow.weight))
+    return Ahead(
+        urgent,
+        own,
+        level.served_beside(flow, progress) if progress else 0,
+        level.incoming_beside(flow, progress, now),
+    )
 
 
 def _start(
@@ -176,13 +211,12 @@
     A level is served in its order, or by the share that it gets in any case.
     """
     at_level = ahead.own + ahead.others
-    in_order = _seconds(ahead.urgent + at_level, shares.level)
-    by_share = _seconds(at_level + terms.units, shares.least)
-    first_place = room.least_run / max(1, room.busy)
-    return first_place + min(in_order, by_share)
-
-
-def _seconds(work: float, rate: float) -> float:
-    if not work:
-        return 0
-    return work / rate if rate > 0 else inf
+    seconds = seconds_to_serve(
+        ahead.urgent + at_level, ahead.inflows, shares.level
+    )
+    if ahead.urgent or shares.level < shares.least:
+        by_share = seconds_to_serve(
+            at_level + terms.units, ahead.inflows, shares.least
+        )
+        seconds = min(seconds, by_share)
+    return seconds + room.least_run / max(1, room.busy)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/admitting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/admitting.py
@@ -12,6 +12,7 @@
     give_turn,
 )
 from spanfall_core.gateway.contention.held import HeldRequest
+from spanfall_core.gateway.contention.review import remove_hopeless
 from spanfall_core.gateway.contention.waiting import AdmissionTerms, Asker
 from spanfall_core.gateway.crashes.crashes import Standing
 from spanfall_core.gateway.routing.balance import Choice
@@ -191,13 +192,15 @@
 ) -> list[HeldRequest]:
     """Return the held requests that are to ask again now, as the home.
 
-    These are the ones that get a turn and those that no longer make their
-    deadline.
+    These are the ones that get a turn and those that are known not to make
+    their deadline any more.
     """
     state.record_own_load(now)
     row = state.contention.service(service)
     chosen = row.queue.expired(now)
     room = current_room(state, service, now)
+    review = row.contention.review
+    chosen += remove_hopeless(review, room, row.queue, now)
     while held := give_turn(room, row.queue, now):
         state.counters.turns.inc()
         chosen.append(held)
--- a/tests/test_gateway_work_rate.py
+++ b/tests/test_gateway_work_rate.py
@@ -45,3 +45,24 @@
     now = send_for(rate, 3, 400, 0, 0)
     send_for(rate, 5, 20, now)
     assert rate.per_upstream == pytest.approx(1000, rel=0.1)
+
+
+def test_few_long_runs_show_their_rate():
+    """Each of four upstreams takes 8 s for a request, so one ends each 2 s.
+
+    The rate is the same between two sends, or requests would be rejected that
+    can be served.
+    """
+    rate = WorkRate()
+    now = send_for(rate, 40, 0.5, 0, 0)
+    for passed in (0, 1, 1.9):
+        rate.learn(UPSTREAMS, now + passed, now + passed)
+        assert rate.per_upstream == pytest.approx(UNITS / 8, rel=0.2)
+
+
+def test_lost_upstreams_take_their_rate_along():
+    """Half of the upstreams are reclaimed, the others do what they did."""
+    rate = WorkRate()
+    now = send_for(rate, 3, 400, 0, 0)
+    rate.learn(UPSTREAMS // 2, now, now)
+    assert rate.per_upstream == pytest.approx(1000, rel=0.1)
