Serve a turn at an upstream with room where the best one is full

Cause: a turn is given for the room of any upstream, but the estimate may favour one without a free slot: it has read the prompt, or others failed lately. The request then waited at the engine, and the place that its turn was for stayed free.

Elsewhere choices are the same.

Conclusion: held requests wait at the home as long as a place is free anywhere.

--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/contention.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/contention.py
@@ -94,6 +94,8 @@
     contention: Contention = field(default_factory=Contention)
     work_rate: WorkRate = field(default_factory=WorkRate)
     room: ServiceRoom | None = None
+    #: Requests that each upstream with room may get.
+    openings: dict[Lifetime, int] = field(default_factory=dict)
     #: When the room was computed, and the requests sent since.
     room_at: float = float('-inf')
     sent_since: int = 0
@@ -129,9 +131,12 @@
             self._places = [(row.lifetime, row.slots) for row in listed]
         return self._places
 
-    def record_sent(self, units: float, now: float) -> None:
-        """Count a request that is sent now."""
+    def record_sent(self, units: float, now: float, lifetime: Lifetime) -> None:
+        """Count a request that is sent to an upstream now."""
         self.work_rate.record_sent(units, now)
+        left = self.openings.pop(lifetime, 0) - 1
+        if left > 0:
+            self.openings[lifetime] = left
         self.sent_since += 1
         room = self.room
         if room is not None:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/admitting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/admitting.py
@@ -28,7 +28,10 @@
 from spanfall_node.gateway.tables.contention import ContendedService
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.granting import decide_grant
-from spanfall_node.gateway.upstreams.service_room import current_room
+from spanfall_node.gateway.upstreams.service_room import (
+    current_room,
+    upstreams_with_room,
+)
 
 #: Result of the choice of an entry that decides alone.
 AloneOutcome = Choice | RetryAfter | Standing | None
@@ -70,9 +73,10 @@
     row.update_waiting(now)
     answer = _unsent(state, row, number, request, decision)
     if answer is None:
-        answer = decide_grant(state, entry, number, request)
+        with_room = upstreams_with_room(state, row)
+        answer = decide_grant(state, entry, number, request, with_room)
         if answer.grant is not None:
-            row.record_sent(terms.units, now)
+            row.record_sent(terms.units, now, answer.grant.lifetime)
         if row.is_contended:
             answer = replace(answer, is_contended=True)
     return answer
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
@@ -1,14 +1,15 @@
 """Grant an upstream, as the home, to each request of the fleet."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from collections.abc import Set as AbstractSet
 
 from spanfall_core.gateway.crashes.crashes import Standing
 from spanfall_core.gateway.known.lifetimes import Lifetime
 from spanfall_core.gateway.known.listed import ListedUpstream
-from spanfall_core.gateway.routing.balance import choose
+from spanfall_core.gateway.routing.balance import Choice, choose
 from spanfall_core.gateway.routing.estimates import RoutingRequest
 from spanfall_core.gateway.routing.grants import FleetLoads, Grant
+from spanfall_core.gateway.routing.room_choice import choose_with_room
 
 from spanfall_node.gateway.links.messages import GrantMessage, GrantRequest
 from spanfall_node.gateway.tables.state import GatewayState
@@ -32,10 +33,12 @@
     entry: str,
     number: int,
     request: GrantRequest,
+    with_room: Iterable[ListedUpstream] = (),
 ) -> GrantMessage:
     """Choose an upstream for an entry's request, as the home.
 
-    A request that crashes upstreams, or may have crashed as many, gets none. A
+    If the best one is full, one of those ``with_room`` serves the request. A
+    request that crashes upstreams, or may have crashed as many, gets none. A
     suspect request gets one only while no other suspect is on trial.
     """
     now = state.timers.now()
@@ -57,14 +60,11 @@
         routing_request = request.ask
         excluded = routing_request.tried | routing_request.avoided | withheld
         candidates = _cheapest_to_crash(state, serving, excluded, now)
-    grant = _choose_and_grant(
-        state,
-        entry,
-        number,
-        request,
-        candidates,
-        withheld,
-    )
+    state.granted_prompts.record_prompt(request.ask, now)
+    choice = _choose(state, request, candidates, withheld, with_room)
+    grant = None
+    if choice is not None:
+        grant = _grant(state, entry, number, request, choice)
     wait = 0.0
     if grant is None:
         wait = _seconds_to_permit(state, request, now)
@@ -130,31 +130,36 @@
     return sorted(left, key=cost)[:1]
 
 
-def _choose_and_grant(
+def _choose(
     state: GatewayState,
-    entry: str,
-    number: int,
     request: GrantRequest,
     candidates: Sequence[ListedUpstream],
     withheld: AbstractSet[Lifetime],
-) -> Grant | None:
+    with_room: Iterable[ListedUpstream],
+) -> Choice | None:
     now = state.timers.now()
-    state.granted_prompts.record_prompt(request.ask, now)
     loads = loads_for(
         state, request.service, FleetLoads(state.grant_book, state.loads)
     )
-    choice = choose(
-        candidates,
-        request.ask,
-        loads,
-        state.granted_prompts,
-        now,
-        withheld,
-    )
-    if choice is None:
-        return None
+
+    def choose_among(rows: Sequence[ListedUpstream]) -> Choice | None:
+        return choose(
+            rows, request.ask, loads, state.granted_prompts, now, withheld
+        )
+
+    return choose_with_room(choose_among, candidates, with_room, loads)
+
+
+def _grant(
+    state: GatewayState,
+    entry: str,
+    number: int,
+    request: GrantRequest,
+    choice: Choice,
+) -> Grant:
+    """Grant the chosen upstream and count the request there."""
     lifetime = choice.upstream.lifetime
-    is_permit = state.words.permits.acquire(lifetime, now)
+    is_permit = state.words.permits.acquire(lifetime, state.timers.now())
     prefixes = state.granted_prompts.prefixes
     prefixes.record(lifetime, request.ask.parts)
     grant = Grant(
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/service_room.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/service_room.py
@@ -1,6 +1,7 @@
 """Compute, as the home, what the upstreams of a service can take now."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from functools import partial
 
 from spanfall_core.gateway.contention.room import (
     ServiceRoom,
@@ -8,6 +9,7 @@
     openings,
 )
 from spanfall_core.gateway.known.lifetimes import Lifetime
+from spanfall_core.gateway.known.listed import ListedUpstream
 
 from spanfall_node.gateway.tables.contention import ContendedService, Places
 from spanfall_node.gateway.tables.state import GatewayState
@@ -68,40 +70,71 @@
     state: GatewayState, service: str, now: float, slowdown: Slowdown
 ) -> ServiceRoom:
     """Sum up the loads of the upstreams that may get requests."""
-    configuration = state.configuration
-    served = configuration.services.get(service) if configuration else None
-    reads_prompts = served is not None and served.engine is not None
-    speed = state.granted_prompts.speed(service)
-    target = configuration.tightest_target(service) if configuration else 1
-    running, prefill = state.grant_book.running, state.grant_book.prefill
+    running = state.grant_book.running
     usable = _usable(state, service, now)
-    loads = (
-        UpstreamLoad(
-            slots,
-            running.get(lifetime, 0),
-            max(0, prefill.get(lifetime, 0)) / speed.rate,
-            slowdown(lifetime, now),
-        )
-        for lifetime, slots in usable
-        if not reads_prompts or running.get(lifetime, 0) < slots
-    )
-    calls_per_second = state.contention.service(service).work_rate.per_upstream
+    reads_prompts = _reads_prompts(state, service)
+    found = _find_openings(state, service, usable, now, slowdown)
+    state.contention.service(service).openings = found
     return ServiceRoom(
         len(usable),
         places=sum(slots for _, slots in usable),
         busy=sum(running.get(lifetime, 0) for lifetime, _ in usable),
         work_rate=0,
-        least_run=speed.base if reads_prompts else 0,
-        free=sum(
-            openings(
-                load,
-                target,
-                reads_prompts=reads_prompts,
-                calls_per_second=calls_per_second,
-            )
-            for load in loads
+        least_run=(
+            state.granted_prompts.speed(service).base if reads_prompts else 0
         ),
+        free=sum(found.values()),
+    )
+
+
+def _find_openings(
+    state: GatewayState,
+    service: str,
+    usable: list[Places],
+    now: float,
+    slowdown: Slowdown,
+) -> dict[Lifetime, int]:
+    """Return how many requests each upstream with room may get."""
+    reads_prompts = _reads_prompts(state, service)
+    configuration = state.configuration
+    target = configuration.tightest_target(service) if configuration else 1
+    running, prefill = state.grant_book.running, state.grant_book.prefill
+    rate = state.granted_prompts.speed(service).rate
+    count = partial(
+        openings,
+        tightest_target=target,
+        reads_prompts=reads_prompts,
+        calls_per_second=state.contention.service(
+            service
+        ).work_rate.per_upstream,
     )
+    found = {
+        lifetime: count(
+            UpstreamLoad(
+                slots,
+                running.get(lifetime, 0),
+                max(0, prefill.get(lifetime, 0)) / rate,
+                slowdown(lifetime, now),
+            )
+        )
+        for lifetime, slots in usable
+        if not reads_prompts or running.get(lifetime, 0) < slots
+    }
+    return {lifetime: opened for lifetime, opened in found.items() if opened}
+
+
+def _reads_prompts(state: GatewayState, service: str) -> bool:
+    configuration = state.configuration
+    served = configuration.services.get(service) if configuration else None
+    return served is not None and served.engine is not None
+
+
+def upstreams_with_room(
+    state: GatewayState, row: ContendedService
+) -> Iterator[ListedUpstream]:
+    """Yield the upstreams that may get a request now."""
+    rows = state.directory.rows
+    return (rows[one] for one in row.openings if one in rows)
 
 
 def _usable(state: GatewayState, service: str, now: float) -> list[Places]:
--- a/tests/test_gateway_contention_node.py
+++ b/tests/test_gateway_contention_node.py
@@ -264,3 +264,17 @@
     assert not home.contention.services
     plain = GrantRequest(SERVICE, RoutingRequest('a', 'north'))
     assert b'terms' not in encode(plain)
+
+
+@in_world
+async def test_full_upstream_yields_to_one_with_room(world):
+    """The estimates prefer the first one, whose calls all wait there."""
+    home, _ = await add_fleet(world, 1)
+    for _ in range(2):
+        await world.add_upstream(complete_response())
+    await wait_until(lambda: len(home.directory.serving(SERVICE)) == 2)
+    full, other = home.directory.serving(SERVICE)
+    home.loads.fail(other.lifetime, home.timers.now(), 0.9)
+    home.grant_book.running[full.lifetime] = SLOTS
+    answer = answer_request(home, 'e/1', 1, request_of('a', 0))
+    assert answer.grant.lifetime == other.lifetime
