Count no room at upstreams that asked any entry to back off

Cause: a back-off was known only to the entry that was answered. The home went on to give turns for the room of that upstream, and other entries met the refusal one by one.

While all upstreams back off, the seconds to the end of the first one belong to the predicted start, so what can't be served after it is rejected at once and told that time. Nothing is sent or counted elsewhere.

Conclusion: held requests keep their place until a place really is free.

--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/prediction.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/prediction.py
@@ -90,7 +90,7 @@
     """
     rank = position[0]
     if not room.work_rate:
-        return Prediction(0, rank)
+        return Prediction(room.opens_in, rank)
     shares = find_shares(queue, terms, room, now)
     ahead = find_ahead(queue, terms, position, now)
     start = _start(ahead, shares, terms, room)
@@ -128,7 +128,7 @@
 ) -> float:
     """Return the seconds until all that precedes a late request is sent."""
     if not room.work_rate:
-        return UNKNOWN_BACKLOG_SECONDS
+        return max(UNKNOWN_BACKLOG_SECONDS, room.opens_in)
     last = (Rank.LATE, inf, 0)
     ahead = find_ahead(queue, terms, last, now)
     return _start(ahead, shares, terms, room)
@@ -219,4 +219,4 @@
             at_level + terms.units, ahead.inflows, shares.least
         )
         seconds = min(seconds, by_share)
-    return seconds + room.least_run / max(1, room.busy)
+    return room.opens_in + seconds + room.least_run / max(1, room.busy)
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/room.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/room.py
@@ -40,6 +40,8 @@
     least_run: float
     #: Requests that may be sent before the loads are known again.
     free: int
+    #: Seconds until the first upstream accepts requests, if all back off.
+    opens_in: float = 0
 
 
 def openings(
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
@@ -55,6 +55,7 @@
     answer_request,
     withdraw,
 )
+from spanfall_node.gateway.upstreams.fleet_backoffs import merge_backoffs
 from spanfall_node.gateway.upstreams.hearing import merge_statements
 from spanfall_node.gateway.upstreams.speeds import merge_samples
 
@@ -143,6 +144,7 @@
                 book = self._state.grant_book
                 book.apply_report(message.entry, message.load, now)
                 merge_samples(self._state, message.speeds)
+                merge_backoffs(self._state, message.backoffs, now)
                 self._state.contention.notify_room_changed()
             case WithdrawMessage():
                 withdraw(self._state, message.entry, message.tickets)
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/load_sender.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/load_sender.py
@@ -5,6 +5,10 @@
 
 from spanfall_node.gateway.links.messages import LoadMessage, encode
 from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.fleet_backoffs import (
+    note_all_backoffs,
+    take_backoffs,
+)
 from spanfall_node.gateway.upstreams.grants import GrantClient
 
 #: Seconds for which load changes are collected before they are sent.
@@ -24,6 +28,7 @@
     speeds = state.upstream_speeds
     if state.home is not None:
         speeds.send_again(state.home.epoch)
+    note_all_backoffs(state, state.timers.now())
     sent_changes = -1
     samples_due_at = float('-inf')
     while True:
@@ -38,7 +43,8 @@
         if now >= samples_due_at:
             samples = speeds.take_samples(now)
             samples_due_at = now + speed_period(state.quotas.entries)
-        message = LoadMessage(state.entry_key, grants.load(), samples)
+        backoffs = take_backoffs(state, now)
+        message = LoadMessage(state.entry_key, grants.load(), samples, backoffs)
         await link.send(encode(message))
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/new_tenure.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/new_tenure.py
@@ -10,6 +10,7 @@
 from spanfall_node.gateway.home.claiming import Claim
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.tables.tenure import Tenure
+from spanfall_node.gateway.upstreams.fleet_backoffs import note_all_backoffs
 
 logger = logging.getLogger(__name__)
 
@@ -41,6 +42,7 @@
         is_first=claim.is_first,
     )
     state.home_resigned = False
+    note_all_backoffs(state, began_at)
     _record_own_home(state, claim)
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
@@ -87,6 +87,8 @@
     load: EntryLoad
     #: What the entry learned of upstreams since its last such message.
     speeds: tuple[SpeedSample, ...] = ()
+    #: Seconds for which upstreams asked this entry to back off, if new.
+    backoffs: dict[str, float] = {}
 
 
 class GrantRequest(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/upstream_words.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/upstream_words.py
@@ -35,6 +35,10 @@
     permits: Permits = field(default_factory=Permits)
     #: Back-offs that upstreams request of this node only.
     backoffs: Backoffs = field(default_factory=Backoffs)
+    #: Those of them that the home may not have received yet.
+    unreported_backoffs: dict[Lifetime, None] = field(default_factory=dict)
+    #: On the home: back-offs that upstreams request of any node.
+    fleet_backoffs: Backoffs = field(default_factory=Backoffs)
     #: Upstreams with statements that the home may not have received yet.
     unreported: dict[Lifetime, None] = field(default_factory=dict)
     #: Set and replaced when an upstream is added to ``unreported``.
@@ -87,6 +91,7 @@
     def begin_tenure(self, now: float) -> None:
         """Reset the permits at the start of a tenure as home."""
         self.permits = Permits()
+        self.fleet_backoffs = Backoffs()
         for lifetime, rate in self.table.rates.items():
             self.permits.set_rate(lifetime, rate, now)
 
@@ -94,6 +99,7 @@
         """Drop the statements of an upstream that has ended."""
         self.table.forget(lifetime)
         self.unreported.pop(lifetime, None)
+        self.unreported_backoffs.pop(lifetime, None)
         self.permits.set_rate(lifetime, None, now)
 
     def _update_permit_rate(self, lifetime: Lifetime, now: float) -> None:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
@@ -33,12 +33,12 @@
     entry: str,
     number: int,
     request: GrantRequest,
-    with_room: Iterable[ListedUpstream] = (),
+    with_room: Iterable[ListedUpstream] | None = None,
 ) -> GrantMessage:
     """Choose an upstream for an entry's request, as the home.
 
-    If the best one is full, one of those ``with_room`` serves the request. A
-    request that crashes upstreams, or may have crashed as many, gets none. A
+    If the request competes with others and the best one is full, one of those
+    ``with_room`` serves it. A request that crashes upstreams, or may have crashed as many, gets none. A
     suspect request gets one only while no other suspect is on trial.
     """
     now = state.timers.now()
@@ -50,6 +50,8 @@
         state.grant_book.first_attempts[request.service] += 1
     serving = state.directory.serving(request.service)
     withheld = withheld_upstreams(state, now)
+    if with_room is not None:
+        withheld = withheld | state.words.fleet_backoffs.active(now)
     candidates = serving
     if standing is Standing.SUSPECT:
         trials = state.crashes.trials
@@ -61,7 +63,7 @@
         excluded = routing_request.tried | routing_request.avoided | withheld
         candidates = _cheapest_to_crash(state, serving, excluded, now)
     state.granted_prompts.record_prompt(request.ask, now)
-    choice = _choose(state, request, candidates, withheld, with_room)
+    choice = _choose(state, request, candidates, withheld, with_room or ())
     grant = None
     if choice is not None:
         grant = _grant(state, entry, number, request, choice)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/hearing.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/hearing.py
@@ -11,6 +11,7 @@
 
 from spanfall_node.gateway.net.client import ResponseHead
 from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.fleet_backoffs import note_backoff
 from spanfall_node.gateway.upstreams.speeds import record_slowdown
 
 logger = logging.getLogger(__name__)
@@ -46,6 +47,7 @@
         state.directory.apply_statements((lifetime,))
     if statement.backoff:
         changes.append(StatementChange.BACK_OFF)
+        note_backoff(state, lifetime, state.timers.now())
     for one in changes:
         state.counters.statements.labels(one.value).inc()
     if changes:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/service_room.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/service_room.py
@@ -1,6 +1,7 @@
 """Compute, as the home, what the upstreams of a service can take now."""
 
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 from functools import partial
 
 from spanfall_core.gateway.contention.room import (
@@ -46,13 +47,8 @@
     row.update_waiting(now)
     room = _compute_room(state, service, now, state.upstream_speeds.factor)
     row.work_rate.learn(room.upstreams, row.seconds_waiting(now), now)
-    row.room = ServiceRoom(
-        room.upstreams,
-        room.places,
-        room.busy,
-        row.work_rate.per_upstream * room.upstreams,
-        room.least_run,
-        room.free,
+    row.room = replace(
+        room, work_rate=row.work_rate.per_upstream * room.upstreams
     )
     return row.room
 
@@ -84,6 +80,7 @@
             state.granted_prompts.speed(service).base if reads_prompts else 0
         ),
         free=sum(found.values()),
+        opens_in=_seconds_to_open(state, usable, now),
     )
 
 
@@ -99,6 +96,7 @@
     configuration = state.configuration
     target = configuration.tightest_target(service) if configuration else 1
     running, prefill = state.grant_book.running, state.grant_book.prefill
+    backing_off = state.words.fleet_backoffs.active(now)
     rate = state.granted_prompts.speed(service).rate
     count = partial(
         openings,
@@ -118,11 +116,24 @@
             )
         )
         for lifetime, slots in usable
-        if not reads_prompts or running.get(lifetime, 0) < slots
+        if lifetime not in backing_off
+        and (not reads_prompts or running.get(lifetime, 0) < slots)
     }
     return {lifetime: opened for lifetime, opened in found.items() if opened}
 
 
+def _seconds_to_open(
+    state: GatewayState, usable: list[Places], now: float
+) -> float:
+    """Return the seconds until the first upstream accepts requests."""
+    backoffs = state.words.fleet_backoffs
+    backing_off = backoffs.active(now)
+    if not all(lifetime in backing_off for lifetime, _ in usable):
+        return 0
+    lifetimes = (lifetime for lifetime, _ in usable)
+    return backoffs.seconds_until_first_end(lifetimes, now) or 0
+
+
 def _reads_prompts(state: GatewayState, service: str) -> bool:
     configuration = state.configuration
     served = configuration.services.get(service) if configuration else None
@@ -138,8 +149,12 @@
 
 
 def _usable(state: GatewayState, service: str, now: float) -> list[Places]:
-    """Return the upstreams that get requests: failing ones only if all do."""
+    """Return the upstreams that get requests.
+
+    Those that are failing or backing off count only if all are.
+    """
     withheld = withheld_upstreams(state, now)
+    backing_off = state.words.fleet_backoffs.active(now)
     rows = [
         row
         for row in state.contention.service(service).places_of(
@@ -150,6 +165,7 @@
     sound = [
         row
         for row in rows
-        if state.loads.failures_at(row[0], now) < FAILING_THRESHOLD
+        if row[0] not in backing_off
+        and state.loads.failures_at(row[0], now) < FAILING_THRESHOLD
     ]
     return sound or rows
--- a/tests/test_gateway_contention_promises.py
+++ b/tests/test_gateway_contention_promises.py
@@ -149,3 +149,13 @@
         contention.queue.record_arrival(stated, 0)
         contention.queue.hold(asker(number), stated, 0)
     assert not remove_hopeless(contention.review, slow, contention.queue, 0.1)
+
+
+def test_backoff_beyond_the_deadline_is_told():
+    """All upstreams refuse for longer than the callers have left."""
+    refusing = replace(FULL, opens_in=DEADLINE)
+    decision = decide(asker(), terms(), refusing, Contention(), 0)
+    assert isinstance(decision, Reject)
+    assert decision.retry_after >= DEADLINE
+    soon = replace(FULL, opens_in=0.1)
+    assert isinstance(decide(asker(), terms(), soon, Contention(), 0), Hold)
