--- a/packages/spanfall-node/src/spanfall_node/gateway/settings_watch.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/settings_watch.py
@@ -56,3 +56,4 @@
                 'Changed listen addresses take effect only after a restart'
             )
         self._state.cfg = cfg
+        self._state.scheduling.cfg = cfg.scheduling
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -1,9 +1,13 @@
 """Test that gateway settings are parsed and errors name the setting."""
 
+from types import SimpleNamespace
+
 import pytest
 from click.testing import CliRunner
 from spanfall_api.gateway_settings import GatewaySettingsError, parse_settings
 from spanfall_node.gateway.main import main
+from spanfall_node.gateway.settings_watch import SettingsWatch
+from spanfall_node.gateway.tables.scheduling import Feature, Scheduling
 
 VALID_SETTINGS = """
 // a comment
@@ -45,3 +49,14 @@
     invalid = CliRunner().invoke(main, ['--settings', str(path), '--check'])
     assert (valid.exit_code, invalid.exit_code) == (0, 2)
     assert 'settings:' in invalid.output
+
+
+def test_changed_settings_switch_a_running_node(tmp_path):
+    """A feature that is turned off in the file is off without a restart."""
+    path = tmp_path / 'settings.json'
+    cfg = parse_settings(VALID_SETTINGS)
+    state = SimpleNamespace(cfg=cfg, scheduling=Scheduling(cfg.scheduling))
+    mode = '"scheduling": {"contention": "on"}, "node": "n"'
+    path.write_text(VALID_SETTINGS.replace('"node": "n"', mode), 'utf-8')
+    SettingsWatch(state, path)._reload()
+    assert state.scheduling.is_on(Feature.CONTENTION, 'any')
