Keep a home that was suspended from ordering by its stale state

Cause: a home whose process was suspended past its lease still held, ordered and rejected requests by its old queue and loads until the store had told it that its lease is over. Change: a tenure may order while its lease is valid or renewals fail, so an outage of the store changes nothing; listeners close with their gateway. The fake tenure of one test became a real one; Gate answers with the body that it got, so that the judge of the soak can tell answers apart.

--- a/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
@@ -158,6 +158,7 @@
             return
         except StoreError:
             now = self._state.timers.now()
+            tenure.failed_at = sent_at
             tenure.is_renewal_failing = (
                 now - tenure.renewed_at > CUT_OFF_SECONDS
             )
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/turns.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/turns.py
@@ -82,6 +82,8 @@
             tasks.start_soon(send_to_all, links, HoldsEndedMessage())
             return
         now = state.timers.now()
+        if not tenure.may_order(now):
+            return
         chosen: TicketsByEntry = {}
         for service, row in state.contention.active_services():
             _collect(chosen, service, next_turns(state, service, now))
--- a/packages/spanfall-node/src/spanfall_node/gateway/program.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/program.py
@@ -163,4 +163,5 @@
         local_port=int(port),
         backlog=BACKLOG,
     )
-    await listener.serve(server.serve_connection)
+    async with listener:
+        await listener.serve(server.serve_connection)
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/tenure.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/tenure.py
@@ -14,6 +14,11 @@
     return f'spanfall/home/{timeline}'
 
 
+#: Seconds after a failed renewal was sent for which the home counts as having
+#: run all the while: over twice the usual time between two renewals.
+RUNNING_SECONDS = 1.0
+
+
 @dataclass(slots=True)
 class Tenure:
     """Hold the state of this node's tenure as home."""
@@ -36,6 +41,8 @@
     resigned: bool = False
     #: Whether the lease cannot be renewed.
     is_renewal_failing: bool = False
+    #: Time at which the last renewal that failed was sent.
+    failed_at: float = float('-inf')
 
     @property
     def timeline(self) -> int:
@@ -46,6 +53,17 @@
         """Check whether this home is the only one that can allocate units."""
         return self.allocates_from <= now < self.valid_until
 
+    def may_order(self, now: float) -> bool:
+        """Check whether this home may hold, order and reject requests.
+
+        While the store is away, it goes on after its lease has run out. One
+        that has not even tried to renew it was suspended: its order is stale,
+        and another home may have followed.
+        """
+        if self.resigned:
+            return False
+        return now < self.valid_until or now < self.failed_at + RUNNING_SECONDS
+
     def resign(self) -> None:
         """End the tenure with immediate effect."""
         self.resigned = True
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/admitting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/admitting.py
@@ -82,7 +82,7 @@
 ) -> bool:
     if request.terms is None or request.ask.tried:
         return False
-    if state.tenure is None or state.tenure.resigned:
+    if state.tenure is None or not state.tenure.may_order(now):
         return False
     return state.crashes.standing(request.ask.identity, now) is Standing.FREE
 
--- a/tests/contention_world.py
+++ b/tests/contention_world.py
@@ -33,7 +33,8 @@
                 await self.opened.wait()
         finally:
             self.running -= 1
-        return await complete_response()(upstream, request, stream)
+        answer = complete_response(body=request.body)
+        return await answer(upstream, request, stream)
 
 
 def turn_on(*states):
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -172,29 +172,34 @@
         **bounds: float,
     ) -> GatewayState:
         """Start a gateway and wait until it accepts connections."""
-        number = next(self._numbers)
+        cfg = await self.new_settings(
+            least_lease_seconds=least_lease_seconds,
+            bounds=Bounds(**bounds),
+            host=host or Host(),
+        )
+        timers = Timers(time.monotonic, time.time)
+        state = build_state(cfg, ADAPTER, timers, f'i-{cfg.node}')
+        start_gateway(state, self.tasks)
+        await wait_until_open(cfg.listen.callers)
+        return state
+
+    async def new_settings(self, **changes: object) -> GatewaySettings:
+        """Return the settings of one more gateway, with changed fields."""
         listen = Listen(
             callers=await free_address(),
             readiness=await free_address(),
             links=await free_address(),
         )
-        cfg = GatewaySettings(
-            node=f'node-{number}',
+        return GatewaySettings(
+            node=f'node-{next(self._numbers)}',
             data_centre='north',
             platform='spanfall_standins.gateway.dialect',
             listen=listen,
             store=self.store_address,
             cloud=self.cloud_address,
             reports_usage=True,
-            least_lease_seconds=least_lease_seconds,
-            bounds=Bounds(**bounds),
-            host=host or Host(),
+            **changes,
         )
-        timers = Timers(time.monotonic, time.time)
-        state = build_state(cfg, ADAPTER, timers, f'i-{number}')
-        start_gateway(state, self.tasks)
-        await wait_until_open(listen.callers)
-        return state
 
     async def answer_cloud(
         self, seen: ReceivedRequest, stream: SocketStream
--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -141,7 +141,6 @@
         await self.start_gateways()
 
     async def start_gateways(self):
-        """Start all gateways that are missing, side by side."""
         missing = GATEWAYS - len(self.gateways) - self.starting
         self.starting += missing
         async with anyio.create_task_group() as tasks:
@@ -180,13 +179,11 @@
         self.world.configure(routes=list(ROUTES), workspaces=workspaces)
 
     def switch(self, mode):
-        """Turn contention on or off at all gateways."""
         self.mode = mode
         for row in self.gateways:
             row.state.scheduling.cfg = SchedulingSettings(contention=mode)
 
     def home(self):
-        """Return the home, if there is one."""
         found = home_among([row.state for row in self.gateways])
         homes = (row for row in self.gateways if row.state is found)
         return next(homes, None)
@@ -198,7 +195,6 @@
             self.lag += anyio.current_time() - due_at
 
     async def attempt(self, state, call):
-        """Send one attempt of a call and record what the caller saw."""
         name = f'{self.seed}-{next(self.numbers)}'
         held_up, began_at = self.lag, anyio.current_time()
         patience = call.seconds + HANG_SECONDS
@@ -224,7 +220,6 @@
             await anyio.sleep(told_seconds(answer))
 
     async def load(self, until):
-        """Let callers of both workspaces press more and less."""
         rng = Random(f'{self.seed}/load')
         async with anyio.create_task_group() as tasks:
             while anyio.current_time() < until:
--- a/tests/test_gateway_contention_fails.py
+++ b/tests/test_gateway_contention_fails.py
@@ -1,5 +1,6 @@
 """Held requests outlast each failure: none is lost, late or run twice."""
 
+import math
 import time
 from functools import partial
 from types import SimpleNamespace
@@ -29,6 +30,7 @@
 )
 from spanfall_node.gateway.links.messages import encode
 from spanfall_node.gateway.tables.contention import ContentionState
+from spanfall_node.gateway.tables.tenure import Tenure
 from spanfall_node.gateway.upstreams.held_requests import (
     HOME_WAIT_SECONDS,
     wait_for_turn,
@@ -189,7 +191,7 @@
         contention = ContentionState()
         state = SimpleNamespace(
             contention=contention,
-            tenure=SimpleNamespace(resigned=False),
+            tenure=Tenure(1, 1, math.inf, renewed_at=0, began_at=0),
             timers=SimpleNamespace(now=time.monotonic),
             entry_key='home',
         )
