--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/copies.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/copies.py
@@ -6,7 +6,7 @@
 alone does not show, and is charged for that.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Container, Sequence
 from dataclasses import dataclass
 from itertools import accumulate, islice
 
@@ -21,6 +21,7 @@
     UpstreamLoads,
 )
 from spanfall_core.gateway.routing.prompt_history import PromptHistory
+from spanfall_core.gateway.routing.shortlist import FULL_SEARCH_LIMIT
 
 #: Utilisation up to which a copy counts as enough for the requests of a part.
 #: Above it the wait at one upstream grows faster than its throughput.
@@ -61,7 +62,7 @@
     heat = prompts.heats.get(candidates[0].service)
     if heat is None:
         return ()
-    listed = prompts.shortlist(candidates).index_by_lifetime
+    listed = _lifetimes(candidates, prompts)
 
     def capacity(lifetime: Lifetime) -> float:
         return 1 / loads.factor_at(lifetime, now) if lifetime in listed else 0
@@ -79,6 +80,15 @@
     )
 
 
+def _lifetimes(
+    candidates: Sequence[ListedUpstream], prompts: PromptHistory
+) -> Container[Lifetime]:
+    """Return the lifetimes of the candidates, in a large service known ones."""
+    if len(candidates) > FULL_SEARCH_LIMIT:
+        return prompts.shortlist(candidates).index_by_lifetime
+    return {row.lifetime for row in candidates}
+
+
 def has_enough_copies(
     holders: Holders,
     heat: float,
