Decide on rejections in less time

Cause: the work that others bring, and asking for the same sums several times, made a rejection at 1,000 held requests take 52 us instead of 39 us of the home (least of 12 parts of 400 decisions, 16 workspaces), and where nothing had arrived as the sums were first computed this did not show.

Change: one loop over the incoming work without named tuples; a workspace's flow and the work of more urgent levels are looked up once a prediction; nothing further is computed for a request that new ones of its workspace always precede. Reviews take 32 requests each 20 ms instead of 64.

--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/admission.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/admission.py
@@ -193,7 +193,7 @@
     terms, room, now = ask.terms, ask.room, ask.now
     queue = ask.contention.queue
     shares = find_shares(queue, terms, room, now)
-    workspace = find_workspace_share(queue, terms, shares, now)
+    workspace = find_workspace_share(*queue.find_flow(terms), shares, now)
     backlog = Backlog(
         terms.workspace,
         terms.priority,
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/incoming.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/incoming.py
@@ -3,7 +3,7 @@
 All times are in seconds, work in units, rates in units per second.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from math import frexp, inf
 from typing import NamedTuple
@@ -30,26 +30,24 @@
 BinKey = tuple[int, int]
 
 
+#: Rate and limit of what some workspaces bring: the units of it that are served
+#: in the time that is looked at.
+Inflow = tuple[float, float]
+
+
 @dataclass(slots=True)
 class _Bin:
     """Sum up workspaces that bring, and have waiting, about as much."""
 
+    key: BinKey
     rate: float = 0
     weight: float = 0
     waiting: float = 0
 
-    def add(self, source: Source, sign: int = 1) -> None:
-        self.rate += sign * source.rate
-        self.weight += sign * source.weight
-        self.waiting += sign * source.waiting
-
-
-class Inflow(NamedTuple):
-    """State what some workspaces bring."""
-
-    rate: float
-    #: Units of it that are served in the time that is looked at.
-    limit: float
+    def add(self, source: Source) -> None:
+        self.rate += source.rate
+        self.weight += source.weight
+        self.waiting += source.waiting
 
 
 @dataclass(slots=True)
@@ -58,7 +56,8 @@
 
     _computed_at: float = -inf
     _bins: dict[BinKey, _Bin] = field(default_factory=dict)
-    _sources: dict[str, Source] = field(default_factory=dict)
+    #: What each workspace adds to its bin.
+    _sources: dict[str, tuple[BinKey, Source]] = field(default_factory=dict)
 
     def is_due(self, now: float) -> bool:
         """Return whether the sums are to be computed again."""
@@ -71,50 +70,53 @@
         self._sources = {}
         for source in sources:
             if source.rate > 0:
-                self._sources[source.workspace] = source
-                self._bins.setdefault(_key(source), _Bin()).add(source)
+                key = _key(source)
+                self._sources[source.workspace] = (key, source)
+                self._bins.setdefault(key, _Bin(key)).add(source)
 
     def beside(self, workspace: str, progress: float) -> list[Inflow]:
         """Return what others bring while each gets that much per weight.
 
         What they have waiting is served first, and is no part of it.
         """
-        if progress <= 0:
-            return []
-        own = self._sources.get(workspace)
-        own_key = None if own is None else _key(own)
+        own_key, own = self._sources.get(workspace, (None, None))
         inflows = []
-        for key, one in self._bins.items():
-            if own is not None and key == own_key:
-                one = _Bin(one.rate, one.weight, one.waiting)
-                one.add(own, -1)
-            limit = progress * one.weight - one.waiting
+        for one in self._bins.values():
+            rate, limit = one.rate, progress * one.weight - one.waiting
+            if own is not None and one.key == own_key:
+                rate -= own.rate
+                limit -= progress * own.weight - own.waiting
             if limit > 0:
-                inflows.append(Inflow(one.rate, limit))
+                inflows.append((rate, limit))
         return inflows
 
 
 def seconds_to_serve(
-    work: float, inflows: Iterable[Inflow], rate: float
+    work: float, inflows: Sequence[Inflow], rate: float
 ) -> float:
     """Return the seconds until work is served, and what comes beside it."""
     if not work:
         return 0
     if rate <= 0:
         return inf
-    rising = tuple(inflows)
-    total = work + sum(one.limit for one in rising)
-    left = rate
-    seconds = total / left
+    if not inflows:
+        return work / rate
+    total = work + sum(limit for _, limit in inflows)
+    seconds = total / rate
+    rising = inflows
     for _ in range(MAX_STEPS):
-        # These bring less in that time than what could be served of it.
-        slower = [one for one in rising if one.rate * seconds < one.limit]
-        if not slower:
+        left = []
+        for inflow in rising:
+            if inflow[0] * seconds >= inflow[1]:
+                left.append(inflow)
+            else:
+                # It brings less in that time than what could be served of it.
+                rate -= inflow[0]
+                total -= inflow[1]
+        if len(left) == len(rising):
             break
-        rising = tuple(one for one in rising if one.rate * seconds >= one.limit)
-        total -= sum(one.limit for one in slower)
-        left -= sum(one.rate for one in slower)
-        seconds = total / left
+        rising = left
+        seconds = total / rate
     return seconds
 
 
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/prediction.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/prediction.py
@@ -43,8 +43,6 @@
 class Ahead:
     """State the work that precedes a request."""
 
-    #: Work of more urgent levels.
-    urgent: float
     #: Work of its own workspace.
     own: float
     #: Work of other workspaces at its level, by their weight.
@@ -61,6 +59,8 @@
     level: float
     #: Rate that its level gets in any case.
     least: float
+    #: Work of more urgent requests that waits.
+    urgent_work: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,8 +92,9 @@
     if not room.work_rate:
         return Prediction(room.opens_in, rank)
     shares = find_shares(queue, terms, room, now)
-    ahead = find_ahead(queue, terms, position, now)
-    start = _start(ahead, shares, terms, room)
+    level, flow = queue.find_flow(terms)
+    own = flow.order.before(position)
+    start = _start(_find_ahead(level, flow, own, now), shares, terms, room)
     if rank is Rank.RETURNING:
         return Prediction(start, rank, could_be_on_time=False)
     latest = terms.target_in * ON_TIME_FRACTION - room.least_run
@@ -102,21 +103,21 @@
         latest *= 1 - RETURN_SHARE
     if rank is Rank.ON_TIME and start <= latest:
         return Prediction(start, rank)
-    alone = ahead
-    if ahead.own:
-        level, flow = queue.find_flow(terms)
-        alone = _beside(level, flow, ahead.urgent, 0, now)
-    could_be_on_time = _start(alone, shares, terms, room) <= latest
-    late = position
+    alone = start
+    if own:
+        alone = _start(_find_ahead(level, flow, 0, now), shares, terms, room)
     if rank is not Rank.LATE:
         late = (Rank.LATE, now + terms.deadline_in, position[-1])
-    ahead = find_ahead(queue, terms, late, now)
-    start = _start(ahead, shares, terms, room)
-    if ahead.own:
-        share = find_workspace_share(queue, terms, shares, now)
+        own = flow.order.before(late)
+    start = 0
+    if own:
+        share = find_workspace_share(level, flow, shares, now)
         spare = share.rate - min(share.arrivals, arrivals_since)
-        start = max(start, seconds_to_serve(ahead.own, (), spare))
-    return Prediction(start, Rank.LATE, could_be_on_time)
+        start = seconds_to_serve(own, (), spare)
+    if start < inf:
+        ahead = _find_ahead(level, flow, own, now)
+        start = max(start, _start(ahead, shares, terms, room))
+    return Prediction(start, Rank.LATE, alone <= latest)
 
 
 def backlog_seconds(
@@ -129,8 +130,8 @@
     """Return the seconds until all that precedes a late request is sent."""
     if not room.work_rate:
         return max(UNKNOWN_BACKLOG_SECONDS, room.opens_in)
-    last = (Rank.LATE, inf, 0)
-    ahead = find_ahead(queue, terms, last, now)
+    level, flow = queue.find_flow(terms)
+    ahead = _find_ahead(level, flow, flow.units, now)
     return _start(ahead, shares, terms, room)
 
 
@@ -141,61 +142,41 @@
     now: float,
 ) -> Shares:
     """Return the rates that a request can count on."""
-    level, flow = queue.find_flow(terms)
     order = queue.order
-    urgent = sum(
-        row.arrivals.per_second(now)
-        for priority, row in order.levels.items()
-        if priority < terms.priority
-    )
+    urgent_rate, urgent_work = 0.0, 0.0
+    for priority, level in order.levels.items():
+        if priority < terms.priority:
+            urgent_rate += level.arrivals.per_second(now)
+            urgent_work += level.backlog.units
     least = room.work_rate * LEAST_SHARE / max(1, len(order.waiting))
-    level_rate = max(0, room.work_rate - urgent)
-    return Shares(level_rate, least)
+    return Shares(max(0, room.work_rate - urgent_rate), least, urgent_work)
 
 
 def find_workspace_share(
-    queue: HeldQueue, terms: AdmissionTerms, shares: Shares, now: float
+    level: Level, flow: Flow, shares: Shares, now: float
 ) -> WorkspaceShare:
     """Return the rate that a workspace with work for a second gets."""
-    level, flow = queue.find_flow(terms)
+    arrivals = flow.arrivals.per_second(now)
     rate = max(shares.level, shares.least)
     work = rate * SHARE_SECONDS
     if not work:
-        return WorkspaceShare(0, flow.arrivals.per_second(now))
+        return WorkspaceShare(0, arrivals)
     progress = work / flow.weight
     beside = level.served_beside(flow, progress)
     inflows = level.incoming_beside(flow, progress, now)
-    share = work / seconds_to_serve(work + beside, inflows, rate)
-    return WorkspaceShare(share, flow.arrivals.per_second(now))
-
-
-def find_ahead(
-    queue: HeldQueue,
-    terms: AdmissionTerms,
-    position: Position,
-    now: float,
-) -> Ahead:
-    """Return the work that precedes a position."""
-    level, flow = queue.find_flow(terms)
-    own = flow.order.before(position)
-    urgent = sum(
-        queue.order.levels[priority].backlog.units
-        for priority in queue.order.waiting
-        if priority < terms.priority
-    )
-    return _beside(level, flow, urgent, own, now)
+    seconds = seconds_to_serve(work + beside, inflows, rate)
+    return WorkspaceShare(work / seconds, arrivals)
 
 
-def _beside(
-    level: Level, flow: Flow, urgent: float, own: float, now: float
-) -> Ahead:
-    """Return the work that is served before that much own work."""
+def _find_ahead(level: Level, flow: Flow, own: float, now: float) -> Ahead:
+    """Return the work at its level that is served before that much own work."""
     lag = max(0, flow.virtual_time - level.virtual_time)
     progress = own / flow.weight + lag
+    if not progress:
+        return Ahead(own, 0)
     return Ahead(
-        urgent,
         own,
-        level.served_beside(flow, progress) if progress else 0,
+        level.served_beside(flow, progress),
         level.incoming_beside(flow, progress, now),
     )
 
@@ -211,10 +192,9 @@
     A level is served in its order, or by the share that it gets in any case.
     """
     at_level = ahead.own + ahead.others
-    seconds = seconds_to_serve(
-        ahead.urgent + at_level, ahead.inflows, shares.level
-    )
-    if ahead.urgent or shares.level < shares.least:
+    urgent = shares.urgent_work
+    seconds = seconds_to_serve(urgent + at_level, ahead.inflows, shares.level)
+    if urgent or shares.level < shares.least:
         by_share = seconds_to_serve(
             at_level + terms.units, ahead.inflows, shares.least
         )
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/review.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/review.py
@@ -17,7 +17,7 @@
 REVIEW_SECONDS = 0.1
 #: Requests that are reviewed at once, and seconds between two such batches, so
 #: that reviews take a small part of the home's time also where many wait.
-BATCH_SIZE = 64
+BATCH_SIZE = 32
 BATCH_SECONDS = 0.02
 
 
