Count held requests that can no longer be served, and say what they mean

Cause: an operator saw held requests being refused, but not whether the promise was wrong or the load had changed.

--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
@@ -79,6 +79,12 @@
             'Turns that this node gave, as the home, to held requests',
             registry=self.registry,
         )
+        self.hopeless_holds = Counter(
+            'spanfall_hopeless_holds',
+            'Held requests that this node, as the home, let ask again as they'
+            ' no longer make their deadline',
+            registry=self.registry,
+        )
         self.returns = self._labelled(
             'spanfall_returns',
             'Callers that came back after a rejection, kept or too early',
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/admitting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/admitting.py
@@ -205,6 +205,7 @@
     room = current_room(state, service, now)
     review = row.contention.review
     chosen += remove_hopeless(review, room, row.queue, now)
+    state.counters.hopeless_holds.inc(len(chosen))
     while held := give_turn(room, row.queue, now):
         state.counters.turns.inc()
         chosen.append(held)
