Count a held request not as work that precedes it

Cause: for a held request that would miss its target, the work of its workspace before its later position included the request itself, so the only one that waited was taken to be behind new ones for good, and was let go at its review.

Failing test: test_only_held_call_is_not_behind_itself.

Change: the sum before a position leaves out the request's own one.

Conclusion: who has the next turn keeps it until its target has passed.

--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/prediction.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/prediction.py
@@ -108,7 +108,7 @@
         alone = _start(_find_ahead(level, flow, 0, now), shares, terms, room)
     if rank is not Rank.LATE:
         late = (Rank.LATE, now + terms.deadline_in, position[-1])
-        own = flow.order.before(late)
+        own = flow.order.before(late, position)
     start = 0
     if own:
         share = find_workspace_share(level, flow, shares, now)
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/slack.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/slack.py
@@ -1,6 +1,6 @@
 """Order the held requests of one workspace by the time they have left."""
 
-from bisect import bisect_left
+from bisect import bisect_left, bisect_right
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import IntEnum, unique
@@ -45,9 +45,19 @@
         self.positions.pop(index)
         return self._units.pop(index)
 
-    def before(self, position: Position) -> float:
-        """Return the units of all requests before a position."""
-        return sum(self._units[: bisect_left(self.positions, position)])
+    def before(
+        self, position: Position, skipped: Position | None = None
+    ) -> float:
+        """Return the units of all requests before a position.
+
+        The one at the ``skipped`` position, if any, does not count.
+        """
+        index = bisect_left(self.positions, position)
+        if skipped is None or skipped >= position:
+            return sum(self._units[:index])
+        at = bisect_left(self.positions, skipped)
+        next_at = bisect_right(self.positions, skipped)
+        return sum(self._units[:at]) + sum(self._units[next_at:index])
 
     def demote_missed(
         self,
--- a/tests/test_gateway_contention_promises.py
+++ b/tests/test_gateway_contention_promises.py
@@ -167,3 +167,16 @@
     assert decision.retry_after >= DEADLINE
     soon = replace(FULL, opens_in=0.1)
     assert isinstance(decide(asker(), terms(), soon, Contention(), 0), Hold)
+
+
+def test_only_held_call_is_not_behind_itself():
+    """It may miss its target; new calls would fill the share of its workspace.
+
+    None of them waits, so it has the next turn.
+    """
+    contention = Contention()
+    queue = contention.queue
+    queue.hold(asker(), terms(target_in=RUN_SECONDS), 0)
+    for step in range(1, 10):
+        queue.record_arrival(terms(units=RATE), step / 20)
+        assert not remove_hopeless(contention.review, FULL, queue, step / 20)
