Hold the metrics of the scheduling features in a class of their own

Change: what admission, speeds and orders count stands in scheduling_counters.py; names outside are the same.

--- a/packages/spanfall-node/src/spanfall_node/gateway/duties/valuations.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/duties/valuations.py
@@ -122,9 +122,13 @@
             'after-loss': need.after_loss,
         }
         for figure, value in figures.items():
-            state.counters.capacity.labels(service, figure).set(value)
+            state.counters.scheduling.capacity.labels(service, figure).set(
+                value
+            )
         for seen_in, count in valuation.reclaims.counts.items():
-            state.counters.reclaims.labels(service, seen_in).set(count)
+            state.counters.scheduling.reclaims.labels(service, seen_in).set(
+                count
+            )
         if not planned:
             return
         logger.info(
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
@@ -4,6 +4,9 @@
 from spanfall_core.gateway.known.statements import StatementChange
 from spanfall_core.reasons import RefusalReason, RetryReason
 
+from spanfall_node.gateway.tables.scheduling_counters import (
+    SchedulingCounters,
+)
 from spanfall_node.metric_kinds import labelled_counter, reason_counter
 
 #: Histogram buckets in seconds around the latency targets of 0.1 to 1.2 s.
@@ -16,6 +19,7 @@
     def __init__(self) -> None:
         """Create all metrics, with an initial 0 for each known reason."""
         self.registry = CollectorRegistry()
+        self.scheduling = SchedulingCounters(self.registry)
         self.refusals = reason_counter(
             self.registry,
             'spanfall_refusals',
@@ -69,45 +73,6 @@
             'Loads stated by upstreams that could not be parsed',
             registry=self.registry,
         )
-        self.held_requests = Counter(
-            'spanfall_held_requests',
-            'Requests that the home held until there was room',
-            registry=self.registry,
-        )
-        self.turns = Counter(
-            'spanfall_turns',
-            'Turns that this node gave, as the home, to held requests',
-            registry=self.registry,
-        )
-        self.hopeless_holds = Counter(
-            'spanfall_hopeless_holds',
-            'Held requests that this node, as the home, let ask again as they'
-            ' no longer make their deadline',
-            registry=self.registry,
-        )
-        self.returns = self._labelled(
-            'spanfall_returns',
-            'Callers that came back after a rejection, kept or too early',
-            'outcome',
-        )
-        self.speed_samples = self._labelled(
-            'spanfall_upstream_speed_samples',
-            'Samples of the speed of single upstreams, by source',
-            'source',
-        )
-        self.upstream_factors = Gauge(
-            'spanfall_upstream_factor',
-            'Duration of work at the slowest and the fastest upstream, relative'
-            ' to the usual; on the home',
-            ('which',),
-            registry=self.registry,
-        )
-        self.shared_tokens_read_again = self._labelled(
-            'spanfall_shared_tokens_read_again',
-            'Tokens of shared prompt parts read again as granted by the home, by'
-            ' whether the heat of the part pays for it',
-            'kind',
-        )
         self.cut_answers = self._labelled(
             'spanfall_cut_answers',
             'Answers that ended early, by reason',
@@ -148,28 +113,6 @@
             'Requests that callers wait for',
             registry=self.registry,
         )
-        self.held_now = Gauge(
-            'spanfall_held_requests_now',
-            'Requests of this node that wait for their turn',
-            registry=self.registry,
-        )
-        self.longest_hold = Gauge(
-            'spanfall_longest_hold_seconds',
-            'Time for which the longest held request of this node waits',
-            registry=self.registry,
-        )
-        self.capacity = Gauge(
-            'spanfall_capacity',
-            'Upstreams that the work of a service keeps busy and is worth',
-            ['service', 'figure'],
-            registry=self.registry,
-        )
-        self.reclaims = Gauge(
-            'spanfall_reclaims_seen',
-            'Reclaims of data centres that this home has seen',
-            ['service', 'data_centre'],
-            registry=self.registry,
-        )
         self.first_part = Histogram(
             'spanfall_first_part_seconds',
             'Time from request to the first part of its answer',
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/new_state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/new_state.py
@@ -58,7 +58,7 @@
     """Let gauges show the requests of this node that are held."""
     rows = (state.contention.held, state.contention.own_held)
     counters = state.counters
-    counters.held_now.set_function(lambda: sum(map(len, rows)))
-    counters.longest_hold.set_function(
+    counters.scheduling.held_now.set_function(lambda: sum(map(len, rows)))
+    counters.scheduling.longest_hold.set_function(
         lambda: max(row.longest_wait(state.timers.now()) for row in rows)
     )
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/admitting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/admitting.py
@@ -145,9 +145,9 @@
         return
     returns = row.contention.returns
     if returns.is_expected(asker.identity, now):
-        state.counters.returns.labels(KEPT).inc()
+        state.counters.scheduling.returns.labels(KEPT).inc()
     elif returns.seconds_early(asker.identity, now):
-        state.counters.returns.labels(TOO_EARLY).inc()
+        state.counters.scheduling.returns.labels(TOO_EARLY).inc()
 
 
 def _withdraw_changed(
@@ -205,9 +205,9 @@
     room = current_room(state, service, now)
     review = row.contention.review
     chosen += remove_hopeless(review, room, row.queue, now)
-    state.counters.hopeless_holds.inc(len(chosen))
+    state.counters.scheduling.hopeless_holds.inc(len(chosen))
     while held := give_turn(room, row.queue, now):
-        state.counters.turns.inc()
+        state.counters.scheduling.turns.inc()
         chosen.append(held)
     row.update_waiting(now)
     return chosen
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/held_requests.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/held_requests.py
@@ -87,7 +87,7 @@
 ) -> None:
     """Wait until a held request is to ask again; withdraw it if cancelled."""
     if not exchange.held_seconds:
-        state.counters.held_requests.inc()
+        state.counters.scheduling.held_requests.inc()
     exchange.ticket = wait.ticket.number
     began_at = state.timers.now()
     wait.held_at -= exchange.held_seconds
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/prefix_copies.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/prefix_copies.py
@@ -46,7 +46,7 @@
     now = state.timers.now()
     record_heat(heat, request, upstream.slots, seconds, rate, now)
     again = tokens_read_again(prompts.prefixes, upstream.lifetime, request)
-    counter = state.counters.shared_tokens_read_again
+    counter = state.counters.scheduling.shared_tokens_read_again
     counter.labels(EXCESS).inc(choice.excess)
     counter.labels(PAID).inc(max(0, again - choice.excess))
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/speeds.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/speeds.py
@@ -54,7 +54,7 @@
     """Record the slowdown that a response stated."""
     if not is_on(state, upstream.service):
         return
-    state.counters.speed_samples.labels(STATED).inc()
+    state.counters.scheduling.speed_samples.labels(STATED).inc()
     state.upstream_speeds.record_slowdown(
         upstream.service, upstream.lifetime, slowdown, state.timers.now()
     )
@@ -124,7 +124,7 @@
         return
     if state.loads.running_at(upstream.lifetime) > upstream.slots:
         return
-    state.counters.speed_samples.labels(MEASURED).inc()
+    state.counters.scheduling.speed_samples.labels(MEASURED).inc()
     state.upstream_speeds.record_duration(
         upstream.service,
         upstream.lifetime,
@@ -140,7 +140,7 @@
     for sample in samples:
         row = state.directory.rows.get(sample.lifetime)
         if row is not None and is_on(state, row.service):
-            state.counters.speed_samples.labels(RECEIVED).inc()
+            state.counters.scheduling.speed_samples.labels(RECEIVED).inc()
             state.upstream_speeds.merge(row.service, sample, now)
 
 
@@ -151,7 +151,7 @@
         return
     speeds.logged_at = now
     factors = speeds.factors_to_report(now)
-    gauge = state.counters.upstream_factors
+    gauge = state.counters.scheduling.upstream_factors
     gauge.labels('slowest').set(max(factors.values(), default=1))
     gauge.labels('fastest').set(min(factors.values(), default=1))
     if factors:
--- a/tests/test_gateway_prefix_copies.py
+++ b/tests/test_gateway_prefix_copies.py
@@ -222,7 +222,7 @@
     def excess_after(request):
         answer = decide_grant(state, 'e', 1, GrantRequest(SERVICE, request))
         assert answer.grant
-        counter = state.counters.shared_tokens_read_again
+        counter = state.counters.scheduling.shared_tokens_read_again
         return counter.labels(EXCESS)._value.get()
 
     for is_on, expected in ((False, 0), (True, SHARED), (False, SHARED)):
