Spread returns also while the work rate of a service is unknown

Cause: whoever was rejected at a new home, beyond the bound on held requests, was told one second, so all came back as fast as they had come.

Failing test: test_returns_are_spread_at_an_unknown_rate (16 in 0.1 s, before).

Change: while the rate is unknown, returns are spaced by the rate at which the requests of the workspace that could be held have arrived.

Result: pure tests of contention pass, lint is green.

Conclusion: the first is still told one second, the others later.

--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/admission.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/admission.py
@@ -12,6 +12,7 @@
 from spanfall_core.gateway.contention.prediction import (
     RETURN_SHARE,
     Prediction,
+    WorkspaceShare,
     backlog_seconds,
     find_shares,
     find_workspace_share,
@@ -198,10 +199,7 @@
         terms.workspace,
         terms.priority,
         backlog_seconds(queue, terms, room, shares, now),
-        max(
-            workspace.rate - workspace.arrivals,
-            workspace.rate * RETURN_SHARE,
-        ),
+        _return_rate(workspace),
     )
     retry_after = ask.contention.returns.plan(
         ask.asker.identity,
@@ -211,3 +209,15 @@
         now,
     )
     return Reject(retry_after, reason)
+
+
+def _return_rate(workspace: WorkspaceShare) -> float:
+    """Return the units per second that returns of a workspace can expect.
+
+    While the rate of the service is unknown, they are spread as its requests
+    have arrived.
+    """
+    if not workspace.rate:
+        return workspace.arrivals
+    spare = workspace.rate - workspace.arrivals
+    return max(spare, workspace.rate * RETURN_SHARE)
--- a/tests/test_gateway_contention_returns.py
+++ b/tests/test_gateway_contention_returns.py
@@ -7,9 +7,22 @@
 from dataclasses import dataclass, field, replace
 
 import pytest
+from spanfall_core.gateway.contention.admission import (
+    Contention,
+    Reject,
+    decide,
+)
 from spanfall_core.gateway.contention.prediction import RETURN_SHARE
 from spanfall_core.gateway.contention.returns import latest_return
-from test_gateway_contention import FULL, OPEN, RATE, RUN_SECONDS
+from test_gateway_contention import (
+    FULL,
+    HELD,
+    OPEN,
+    RATE,
+    RUN_SECONDS,
+    asker,
+    terms,
+)
 from test_gateway_contention_promises import BRISK, SLOW, Load
 
 SECONDS = 12
@@ -70,3 +83,26 @@
     spans = Counter(int(at / SPAN) for at in late.values())
     assert max(spans.values()) <= 2 * kept * SPAN
     assert len(load.served) >= 0.98 * SECONDS * RATE
+
+
+def test_returns_are_spread_at_an_unknown_rate(monkeypatch):
+    """A workspace floods a new home, which doesn't know what upstreams do.
+
+    160 a second are rejected, beyond the bound on held requests. They come back
+    at most half as fast, so that they don't meet the same bound again.
+    """
+    monkeypatch.setattr(f'{HELD}.MAX_HELD_PER_WORKSPACE', 40)
+    contention = Contention()
+    unknown = replace(FULL, work_rate=0)
+    stated = terms(target_in=6, deadline_in=9)
+    decisions = [
+        decide(asker(number), stated, unknown, contention, number / 160)
+        for number in range(80)
+    ]
+    told = [
+        number / 160 + one.retry_after
+        for number, one in enumerate(decisions)
+        if isinstance(one, Reject)
+    ]
+    assert len(told) == 40
+    assert max(Counter(int(at * 10) for at in told).values()) <= 8
