--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/prediction.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/prediction.py
@@ -3,10 +3,12 @@
 All times are in seconds, work in units, rates in units per second.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from math import inf
 
 from spanfall_core.gateway.contention.held import HeldQueue
+from spanfall_core.gateway.contention.incoming import Inflow, seconds_to_serve
 from spanfall_core.gateway.contention.levels import Flow, Level
 from spanfall_core.gateway.contention.room import ServiceRoom
 from spanfall_core.gateway.contention.slack import Position, Rank
@@ -21,6 +23,9 @@
 RETURN_SHARE = 0.1
 #: Seconds after which to ask again while the rate of a service is unknown.
 UNKNOWN_BACKLOG_SECONDS = 1.0
+#: Seconds of work, at the rate of its level, for which the share of a workspace
+#: is computed: longer than what most workspaces have waiting.
+SHARE_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,12 +43,12 @@
 class Ahead:
     """State the work that precedes a request."""
 
-    #: Work of more urgent levels.
-    urgent: float
     #: Work of its own workspace.
     own: float
     #: Work of other workspaces at its level, by their weight.
     others: float
+    #: What these bring meanwhile.
+    inflows: Sequence[Inflow] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,10 +59,18 @@
     level: float
     #: Rate that its level gets in any case.
     least: float
-    #: Rate that its workspace gets by weight.
-    workspace: float
-    #: Rate of its workspace that requests on time leave.
-    spare: float
+    #: Work of more urgent requests that waits.
+    urgent_work: float
+
+
+@dataclass(frozen=True, slots=True)
+class WorkspaceShare:
+    """State the rates that one workspace can count on at its level."""
+
+    #: Rate that it gets by weight.
+    rate: float
+    #: Rate of its new requests that could be on time.
+    arrivals: float
 
 
 def predict(
@@ -66,33 +79,44 @@
     room: ServiceRoom,
     now: float,
     position: Position,
+    arrivals_since: float = inf,
 ) -> Prediction:
     """Predict when a request would be sent.
 
     A request that cannot meet its target waits behind those of its workspace
-    that can, also behind those still to come. While the rate is unknown,
-    nothing speaks against a request.
+    that can, also behind those still to come: at the rate at which they arrive,
+    or have arrived since the request was held if that is less. While the rate
+    is unknown, nothing speaks against a request.
     """
     rank = position[0]
     if not room.work_rate:
-        return Prediction(0, rank)
+        return Prediction(room.opens_in, rank)
     shares = find_shares(queue, terms, room, now)
-    ahead = find_ahead(queue, terms, position)
-    start = _start(ahead, shares, terms, room)
+    level, flow = queue.find_flow(terms)
+    own = flow.order.before(position)
+    start = _start(_find_ahead(level, flow, own, now), shares, terms, room)
     if rank is Rank.RETURNING:
         return Prediction(start, rank, could_be_on_time=False)
     latest = terms.target_in * ON_TIME_FRACTION - room.least_run
-    # Requests that come back meanwhile go ahead.
-    latest *= 1 - RETURN_SHARE
+    if not terms.ticket:
+        # Requests that come back meanwhile go ahead.
+        latest *= 1 - RETURN_SHARE
     if rank is Rank.ON_TIME and start <= latest:
         return Prediction(start, rank)
-    alone = _start(_alone(queue, terms, ahead), shares, terms, room)
-    late = position
+    alone = start
+    if own:
+        alone = _start(_find_ahead(level, flow, 0, now), shares, terms, room)
     if rank is not Rank.LATE:
         late = (Rank.LATE, now + terms.deadline_in, position[-1])
-    ahead = find_ahead(queue, terms, late)
-    start = _start(ahead, shares, terms, room)
-    start = max(start, _seconds(ahead.own, shares.spare))
+        own = flow.order.before(late, position)
+    start = 0
+    if own:
+        share = find_workspace_share(level, flow, shares, now)
+        spare = share.rate - min(share.arrivals, arrivals_since)
+        start = seconds_to_serve(own, (), spare)
+    if start < inf:
+        ahead = _find_ahead(level, flow, own, now)
+        start = max(start, _start(ahead, shares, terms, room))
     return Prediction(start, Rank.LATE, alone <= latest)
 
 
@@ -101,12 +125,14 @@
     terms: AdmissionTerms,
     room: ServiceRoom,
     shares: Shares,
+    now: float,
 ) -> float:
     """Return the seconds until all that precedes a late request is sent."""
     if not room.work_rate:
-        return UNKNOWN_BACKLOG_SECONDS
-    last = (Rank.LATE, inf, 0)
-    return _start(find_ahead(queue, terms, last), shares, terms, room)
+        return max(UNKNOWN_BACKLOG_SECONDS, room.opens_in)
+    level, flow = queue.find_flow(terms)
+    ahead = _find_ahead(level, flow, flow.units, now)
+    return _start(ahead, shares, terms, room)
 
 
 def find_shares(
@@ -116,53 +142,43 @@
     now: float,
 ) -> Shares:
     """Return the rates that a request can count on."""
-    level, flow = queue.find_flow(terms)
     order = queue.order
-    urgent = sum(
-        row.arrivals.per_second(now)
-        for priority, row in order.levels.items()
-        if priority < terms.priority
-    )
+    urgent_rate, urgent_work = 0.0, 0.0
+    for priority, level in order.levels.items():
+        if priority < terms.priority:
+            urgent_rate += level.arrivals.per_second(now)
+            urgent_work += level.backlog.units
     least = room.work_rate * LEAST_SHARE / max(1, len(order.waiting))
-    level_rate = max(0, room.work_rate - urgent)
-    weights = level.backlog.weights
-    if not flow.is_waiting:
-        weights += flow.weight
-    workspace_rate = max(level_rate, least) * flow.weight / weights
-    spare = workspace_rate - flow.arrivals.per_second(now)
-    return Shares(level_rate, least, workspace_rate, spare)
-
-
-def find_ahead(
-    queue: HeldQueue,
-    terms: AdmissionTerms,
-    position: Position,
-) -> Ahead:
-    """Return the work that precedes a position."""
-    level, flow = queue.find_flow(terms)
-    own = flow.order.before(position)
-    urgent = sum(
-        queue.order.levels[priority].backlog.units
-        for priority in queue.order.waiting
-        if priority < terms.priority
-    )
-    return Ahead(urgent, own, _served_beside(level, flow, own))
+    return Shares(max(0, room.work_rate - urgent_rate), least, urgent_work)
 
 
-def _alone(queue: HeldQueue, terms: AdmissionTerms, ahead: Ahead) -> Ahead:
-    """Return the work ahead without that of the own workspace."""
-    level, flow = queue.find_flow(terms)
-    return Ahead(ahead.urgent, 0, _served_beside(level, flow, 0))
+def find_workspace_share(
+    level: Level, flow: Flow, shares: Shares, now: float
+) -> WorkspaceShare:
+    """Return the rate that a workspace with work for a second gets."""
+    arrivals = flow.arrivals.per_second(now)
+    rate = max(shares.level, shares.least)
+    work = rate * SHARE_SECONDS
+    if not work:
+        return WorkspaceShare(0, arrivals)
+    progress = work / flow.weight
+    beside = level.served_beside(flow, progress)
+    inflows = level.incoming_beside(flow, progress, now)
+    seconds = seconds_to_serve(work + beside, inflows, rate)
+    return WorkspaceShare(work / seconds, arrivals)
 
 
-def _served_beside(level: Level, flow: Flow, own: float) -> float:
-    """Return the work of others that is served before that much own work."""
+def _find_ahead(level: Level, flow: Flow, own: float, now: float) -> Ahead:
+    """Return the work at its level that is served before that much own work."""
     lag = max(0, flow.virtual_time - level.virtual_time)
     progress = own / flow.weight + lag
     if not progress:
-        return 0
-    beside = level.backlog.served_beside(progress)
-    return max(0, beside - min(flow.units, progress * flow.weight))
+        return Ahead(own, 0)
+    return Ahead(
+        own,
+        level.served_beside(flow, progress),
+        level.incoming_beside(flow, progress, now),
+    )
 
 
 def _start(
@@ -176,13 +192,11 @@
     A level is served in its order, or by the share that it gets in any case.
     """
     at_level = ahead.own + ahead.others
-    in_order = _seconds(ahead.urgent + at_level, shares.level)
-    by_share = _seconds(at_level + terms.units, shares.least)
-    first_place = room.least_run / max(1, room.busy)
-    return first_place + min(in_order, by_share)
-
-
-def _seconds(work: float, rate: float) -> float:
-    if not work:
-        return 0
-    return work / rate if rate > 0 else inf
+    urgent = shares.urgent_work
+    seconds = seconds_to_serve(urgent + at_level, ahead.inflows, shares.level)
+    if urgent or shares.level < shares.least:
+        by_share = seconds_to_serve(
+            at_level + terms.units, ahead.inflows, shares.least
+        )
+        seconds = min(seconds, by_share)
+    return room.opens_in + seconds + room.least_run / max(1, room.busy)
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
@@ -6,29 +6,33 @@
 
 from collections.abc import Iterable, Sequence
 from collections.abc import Set as AbstractSet
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from xxhash import xxh3_64_intdigest
 
-from spanfall_core.gateway.known.directory import ring_position
-from spanfall_core.gateway.known.engine_model import PrefillSpeed
 from spanfall_core.gateway.known.lifetimes import Lifetime
 from spanfall_core.gateway.known.listed import ListedUpstream
-from spanfall_core.gateway.known.prefixes import PrefixIndex
+from spanfall_core.gateway.routing.copies import (
+    CopiedParts,
+    copied_parts,
+    excess_read_seconds,
+    excess_tokens,
+)
 from spanfall_core.gateway.routing.estimates import (
     FAILURE_PENALTY_SECONDS,
     FULL_BATCH_SECONDS,
     QUEUED_BATCH_SECONDS,
     STALL_WEIGHT,
     TOLERATED_STALL_SECONDS,
+    PrefillCosts,
     RoutingRequest,
     UpstreamLoads,
     estimate,
     excess_seconds,
 )
 from spanfall_core.gateway.routing.expected_prefill import expected_prefill
+from spanfall_core.gateway.routing.prompt_history import PromptHistory
 from spanfall_core.gateway.routing.shortlist import FULL_SEARCH_LIMIT, Shortlist
-from spanfall_core.gateway.routing.sizes import PromptSizes
 
 #: Seconds of difference within which the hash decides between upstreams.
 HASH_TIE_SECONDS = 0.01
@@ -47,42 +51,6 @@
 NONE_WITHHELD: AbstractSet[Lifetime] = frozenset()
 
 
-@dataclass(slots=True)
-class PromptHistory:
-    """Hold which upstream has read which prompts, and the prompts' lengths."""
-
-    prefixes: PrefixIndex = field(default_factory=PrefixIndex)
-    sizes: PromptSizes = field(default_factory=PromptSizes)
-    #: Prefill speed of the engines of each service, as measured by the home.
-    speeds: dict[str, PrefillSpeed] = field(default_factory=dict)
-    _shortlists: dict[str, Shortlist[ListedUpstream]] = field(
-        default_factory=dict,
-    )
-
-    def record_prompt(self, request: RoutingRequest, now: float) -> None:
-        """Count the length of a prompt that is about to be read."""
-        if request.prompt_tokens:
-            self.sizes.record_prompt(request.prompt_tokens, now)
-
-    def speed(self, service: str) -> PrefillSpeed:
-        """Return the prefill speed of a service, or a default if unmeasured."""
-        return self.speeds.get(service, PrefillSpeed())
-
-    def shortlist(
-        self,
-        rows: Sequence[ListedUpstream],
-    ) -> Shortlist[ListedUpstream]:
-        """Return the shortlist of these upstreams, new if they have changed."""
-        service = rows[0].service
-        known = self._shortlists.get(service)
-        if known is None or known.rows is not rows:
-            digests = [ring_position(row.lifetime) for row in rows]
-            indices = {row.lifetime: at for at, row in enumerate(rows)}
-            known = Shortlist(rows, digests, indices)
-            self._shortlists[service] = known
-        return known
-
-
 @dataclass(frozen=True, slots=True)
 class Choice:
     """Hold the chosen upstream and the estimates behind the choice."""
@@ -94,6 +62,8 @@
     ahead: int = 0
     #: Whether an upstream has crashed under the request before.
     is_watched: bool = False
+    #: Prompt tokens to be read for the request of which there are enough copies.
+    excess: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,32 +79,36 @@
     seed: int
     #: Position in the row for prompts of this length, from 0 to 1.
     position: float
-    #: Prefill speed in tokens per second.
-    rate: float
+    #: Requests wait where the parts of their prompt are while copies of them
+    #: are limited. Each is then only charged for its own stall.
+    costs: PrefillCosts
     #: Upstreams that may not be sent anything now.
     withheld: AbstractSet[Lifetime] = NONE_WITHHELD
+    #: Parts of the prompt that need no further copy.
+    copied: CopiedParts = ()
 
     def best(self, indices: Iterable[int], preferred: int) -> Choice | None:
         """Return the best eligible one of some candidates, if any."""
-        best: tuple[float, int, int] | None = None
+        best: tuple[float, int, int, int] | None = None
         for index in indices:
             row = self.candidates[index]
             if not self.is_eligible(row.lifetime):
                 continue
+            cached = self.prompts.prefixes.cached_tokens(
+                row.lifetime, self.request.parts
+            )
             prefill = expected_prefill(
-                row,
-                self.request,
-                self.prompts.prefixes,
-                is_preferred=index == preferred,
+                self.request, cached, is_preferred=index == preferred
             )
-            seconds = self._expected_seconds(row, index, prefill)
+            excess = excess_tokens(cached, self.copied)
+            seconds = self._expected_seconds(row, index, prefill, excess)
             if best is None or seconds < best[0]:
-                best = (seconds, index, prefill)
+                best = (seconds, index, prefill, excess)
         if best is None:
             return None
         chosen = self.candidates[best[1]]
         ahead = self.loads.prefill_at(chosen.lifetime)
-        return Choice(chosen, best[0], best[2], ahead)
+        return Choice(chosen, best[0], best[2], ahead, excess=best[3])
 
     def is_eligible(self, lifetime: Lifetime) -> bool:
         """Return whether the request may be sent to an upstream."""
@@ -153,6 +127,7 @@
         row: ListedUpstream,
         index: int,
         prefill: int,
+        excess: int,
     ) -> float:
         request = self.request
         seconds = estimate(
@@ -160,13 +135,16 @@
             request,
             self.loads,
             prefill,
-            self.rate,
+            self.costs,
             self.now,
         )
         seconds -= HASH_TIE_SECONDS * self.hash_fraction(index)
         if request.prompt_tokens:
             position = (index + 0.5) / len(self.candidates)
             seconds += LENGTH_MISMATCH_SECONDS * abs(position - self.position)
+        if excess:
+            factor = self.loads.factor_at(row.lifetime, self.now)
+            seconds += excess_read_seconds(excess, self.costs.rate) * factor
         return seconds
 
 
@@ -186,7 +164,8 @@
     if _is_all_withheld(candidates, withheld):
         return None
     position = prompts.sizes.position(request.prompt_tokens)
-    rate = prompts.speed(candidates[0].service).rate if candidates else 1
+    service = candidates[0].service
+    costs = PrefillCosts(prompts.speed(service).rate, service in prompts.heats)
     search = Search(
         candidates,
         request,
@@ -195,8 +174,9 @@
         now,
         _seed(request),
         position,
-        rate,
+        costs,
         withheld,
+        copied_parts(candidates, request, loads, prompts, now),
     )
     if len(candidates) > FULL_SEARCH_LIMIT:
         found = _choose_from_shortlist(search)
@@ -233,14 +213,15 @@
         search.position,
         LENGTH_MISMATCH_SECONDS if request.prompt_tokens else 0,
         search.prompts.prefixes.holders(request.parts),
-        is_long=request.prompt_tokens / search.rate > TOLERATED_STALL_SECONDS,
+        is_long=request.prompt_tokens / search.costs.rate
+        > TOLERATED_STALL_SECONDS,
     )
     indices.add(preferred)
     found = search.best(indices, preferred)
     if found is not None:
         lifetime = found.upstream.lifetime
         slots = max(1, found.upstream.slots)
-        added = FULL_BATCH_SECONDS / slots + found.prefill / search.rate
+        added = FULL_BATCH_SECONDS / slots + found.prefill / search.costs.rate
         factor = search.loads.factor_at(lifetime, search.now)
         shortlist.record_choice(lifetime, added * factor)
     return found
@@ -251,7 +232,7 @@
     search: Search,
 ) -> None:
     """Recompute the cost of a short and a long prompt at each upstream."""
-    loads, now, rate = search.loads, search.now, search.rate
+    loads, now, rate = search.loads, search.now, search.costs.rate
     long_stall = LONG_PREFILL_SECONDS - TOLERATED_STALL_SECONDS
 
     def weigh(lifetime: Lifetime, row: ListedUpstream) -> tuple[float, float]:
@@ -273,9 +254,10 @@
             short += row.warm_up / 10
         if lifetime in search.withheld:
             short += WITHHELD_PENALTY_SECONDS
-        return short, short + running * STALL_WEIGHT * (
-            prefill_seconds + long_stall
-        )
+        stall = prefill_seconds + long_stall
+        if search.costs.is_own_stall:
+            stall = min(LONG_PREFILL_SECONDS, stall)
+        return short, short + running * STALL_WEIGHT * stall
 
     shortlist.refresh(weigh, now)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/new_tenure.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/new_tenure.py
@@ -4,12 +4,13 @@
 from dataclasses import replace
 
 from spanfall_core.gateway.known.fleet import ASSUMED_SIZE_SECONDS, FleetState
-from spanfall_core.gateway.routing.balance import PromptHistory
 from spanfall_core.gateway.routing.grants import GrantBook
+from spanfall_core.gateway.routing.prompt_history import PromptHistory
 
 from spanfall_node.gateway.home.claiming import Claim
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.tables.tenure import Tenure
+from spanfall_node.gateway.upstreams.fleet_backoffs import note_all_backoffs
 
 logger = logging.getLogger(__name__)
 
@@ -41,6 +42,7 @@
         is_first=claim.is_first,
     )
     state.home_resigned = False
+    note_all_backoffs(state, began_at)
     _record_own_home(state, claim)
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/admitting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/admitting.py
@@ -12,6 +12,7 @@
     give_turn,
 )
 from spanfall_core.gateway.contention.held import HeldRequest
+from spanfall_core.gateway.contention.review import remove_hopeless
 from spanfall_core.gateway.contention.waiting import AdmissionTerms, Asker
 from spanfall_core.gateway.crashes.crashes import Standing
 from spanfall_core.gateway.routing.balance import Choice
@@ -27,7 +28,10 @@
 from spanfall_node.gateway.tables.contention import ContendedService
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.granting import decide_grant
-from spanfall_node.gateway.upstreams.service_room import current_room
+from spanfall_node.gateway.upstreams.service_room import (
+    current_room,
+    upstreams_with_room,
+)
 
 #: Result of the choice of an entry that decides alone.
 AloneOutcome = Choice | RetryAfter | Standing | None
@@ -69,9 +73,10 @@
     row.update_waiting(now)
     answer = _unsent(state, row, number, request, decision)
     if answer is None:
-        answer = decide_grant(state, entry, number, request)
+        with_room = upstreams_with_room(state, row)
+        answer = decide_grant(state, entry, number, request, with_room)
         if answer.grant is not None:
-            row.record_sent(terms.units, now)
+            row.record_sent(terms.units, now, answer.grant.lifetime)
         if row.is_contended:
             answer = replace(answer, is_contended=True)
     return answer
@@ -82,7 +87,7 @@
 ) -> bool:
     if request.terms is None or request.ask.tried:
         return False
-    if state.tenure is None or state.tenure.resigned:
+    if state.tenure is None or not state.tenure.may_order(now):
         return False
     return state.crashes.standing(request.ask.identity, now) is Standing.FREE
 
@@ -140,9 +145,9 @@
         return
     returns = row.contention.returns
     if returns.is_expected(asker.identity, now):
-        state.counters.returns.labels(KEPT).inc()
+        state.counters.scheduling.returns.labels(KEPT).inc()
     elif returns.seconds_early(asker.identity, now):
-        state.counters.returns.labels(TOO_EARLY).inc()
+        state.counters.scheduling.returns.labels(TOO_EARLY).inc()
 
 
 def _withdraw_changed(
@@ -191,15 +196,18 @@
 ) -> list[HeldRequest]:
     """Return the held requests that are to ask again now, as the home.
 
-    These are the ones that get a turn and those that no longer make their
-    deadline.
+    These are the ones that get a turn and those that are known not to make
+    their deadline any more.
     """
     state.record_own_load(now)
     row = state.contention.service(service)
     chosen = row.queue.expired(now)
     room = current_room(state, service, now)
+    review = row.contention.review
+    chosen += remove_hopeless(review, room, row.queue, now)
+    state.counters.scheduling.hopeless_holds.inc(len(chosen))
     while held := give_turn(room, row.queue, now):
-        state.counters.turns.inc()
+        state.counters.scheduling.turns.inc()
         chosen.append(held)
     row.update_waiting(now)
     return chosen
