--- a/tests/test_gateway_contention_fails.py
+++ b/tests/test_gateway_contention_fails.py
@@ -243,7 +243,9 @@
     state = SimpleNamespace(
         contention=contention,
         counters=SimpleNamespace(
-            held_requests=Counter('held', 'Held.', registry=None)
+            scheduling=SimpleNamespace(
+                held_requests=Counter('held', 'Held.', registry=None)
+            )
         ),
         timers=SimpleNamespace(now=time.monotonic),
     )
