Pass on no more proof of a response's end than the upstream gave

Cause: the end of a response was the absence of a next part. The parser reports a closed connection as the end of a body that has neither a length nor chunks, and the relay then wrote the bytes left over and a last chunk.

Evidence: courses cut at each byte, by each framing, closed and reset, at a real gateway.

Why this works: how a body ended is a value that one place makes. A response that ends with its connection is relayed with the same framing and its cut marked by a reset, also where this process ends; ends inside an event, or with an upstream that accepts no connection any more, are broken, so the stream is resumed or cut. The caller's connection is reset by the kernel from the head of such a response on, until its end.

In the fakes of test_gateway_relay.py arguments follow; read_answer of the tests now tells a reset from an end, which makes it stricter.

--- a/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
@@ -85,7 +85,7 @@
                 await caller.abort()
 
     async def _close(self, caller: CallerConnection) -> None:
-        if caller.gone:
+        if caller.gone or caller.is_responding:
             await caller.abort()
         else:
             await caller.close_gracefully()
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
@@ -13,6 +13,12 @@
 import h11
 from anyio.abc import ByteStream
 
+from spanfall_node.gateway.net.body_ends import (
+    FRAMING_ENDS,
+    BodyEnd,
+    BodyFraming,
+    body_framing,
+)
 from spanfall_node.gateway.net.errors import BrokenCallError
 from spanfall_node.gateway.net.ports import Headers, HttpCall
 from spanfall_node.gateway.net.sockets import READ_BYTES, SOCKET_ERRORS
@@ -59,6 +65,11 @@
     #: Whether the connection can be reused after the last response.
     reusable: bool = False
     is_closed: bool = False
+    #: What delimits the body of the current response.
+    framing: BodyFraming = BodyFraming.NO_BODY
+    #: How the body of the current response ended, once it has.
+    body_end: BodyEnd | None = None
+    _at_eof: bool = False
     _sent_request: h11.Request | None = None
     _body_sent: bool = True
 
@@ -143,6 +154,9 @@
             )
             if is_matching(head):
                 self._record_keep_alive(head)
+                self.framing = body_framing(
+                    self._sent_request.method, head.status, head.headers
+                )
                 return head
             logger.warning(
                 'Discarded a response of %s to another request',
@@ -204,9 +218,11 @@
         return False
 
     def start_next(self) -> None:
-        """Prepare the connection for another request."""
-        self.protocol.start_next_cycle()
+        """Prepare the connection for another request, or its first one."""
+        if self._sent_request is not None:
+            self.protocol.start_next_cycle()
         self.reusable = False
+        self.body_end = None
 
     async def _skip_response(self) -> None:
         while True:
@@ -228,6 +244,7 @@
             self.idle_seconds = int(found.group(1)) * IDLE_FRACTION
 
     def _finish_response(self) -> None:
+        self.body_end = FRAMING_ENDS[self.framing]
         rest, closed = self.protocol.trailing_data
         clean = not rest and not closed and self._body_sent
         done = self.protocol.our_state is h11.DONE
@@ -238,6 +255,8 @@
             try:
                 event = self.protocol.next_event()
             except h11.RemoteProtocolError as exc:
+                is_cut = self._at_eof
+                self.body_end = BodyEnd.TRUNCATED if is_cut else BodyEnd.INVALID
                 raise BrokenCallError(f'not an answer: {exc}') from exc
             if event is not h11.NEED_DATA:
                 return self._check_event(event)
@@ -253,7 +272,9 @@
             received = await self.stream.receive(READ_BYTES)
         except anyio.EndOfStream:
             received = b''
+            self._at_eof = True
         except SOCKET_ERRORS as exc:
+            self.body_end = BodyEnd.RESET
             raise BrokenCallError('reset by the server') from exc
         self.protocol.receive_data(received)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/pool.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/pool.py
@@ -1,5 +1,6 @@
 """Pool idle connections to servers and make single calls over them."""
 
+import logging
 from dataclasses import dataclass, field
 
 import anyio
@@ -7,9 +8,11 @@
 
 from spanfall_node.gateway.net.client import Connection
 from spanfall_node.gateway.net.connecting import connect
-from spanfall_node.gateway.net.errors import BrokenCallError
+from spanfall_node.gateway.net.errors import BrokenCallError, NotSentError
 from spanfall_node.gateway.net.ports import HttpCall, HttpReply
 
+logger = logging.getLogger(__name__)
+
 
 @dataclass(slots=True)
 class IdleConnection:
@@ -73,6 +76,24 @@
         if not conn.reusable or conn.is_closed:
             await conn.close()
             return
+        self._keep_idle(key, conn)
+
+    async def replace_closed(
+        self, key: str, address: str, timeout: float
+    ) -> bool:
+        """Open a connection for one that the server closed, and keep it idle.
+
+        Returns False if the server accepts none.
+        """
+        try:
+            conn = await connect(address, timeout)
+        except NotSentError as exc:
+            logger.info('%s accepts no connection: %s', address, exc.reason)
+            return False
+        self._keep_idle(key, conn)
+        return True
+
+    def _keep_idle(self, key: str, conn: Connection) -> None:
         idle_conn = IdleConnection(conn)
         self._idle.setdefault(key, []).append(idle_conn)
         self._tasks.start_soon(self._watch, key, idle_conn)
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/sockets.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/sockets.py
@@ -1,6 +1,7 @@
 """Configure sockets and name the errors that end a connection."""
 
 import socket
+import struct
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
@@ -45,3 +46,10 @@
     raw = stream.extra(SocketAttribute.raw_socket)
     for level, option, setting in _SOCKET_OPTIONS:
         raw.setsockopt(level, option, setting)
+
+
+def reset_on_close(stream: SocketStream, *, enabled: bool) -> None:
+    """Choose whether a close, also by the end of this process, sends RST."""
+    raw = stream.extra(SocketAttribute.raw_socket)
+    linger = struct.pack('ii', int(enabled), 0)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/packages/spanfall-node/src/spanfall_node/gateway/requests/caller_connection.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/requests/caller_connection.py
@@ -9,12 +9,16 @@
 
 import anyio
 import h11
-from anyio.abc import ByteStream
+from anyio.abc import SocketStream
 from spanfall_core.gateway.known.configuration import CallerLimits
 
 from spanfall_node.gateway.net.errors import BadRequestError, CallerGoneError
 from spanfall_node.gateway.net.ports import Headers
-from spanfall_node.gateway.net.sockets import READ_BYTES, SOCKET_ERRORS
+from spanfall_node.gateway.net.sockets import (
+    READ_BYTES,
+    SOCKET_ERRORS,
+    reset_on_close,
+)
 
 #: Maximum bytes that a caller may pipeline before the response is complete.
 MAX_PIPELINED_BYTES = 65536
@@ -54,13 +58,15 @@
 class CallerConnection:
     """Hold the protocol state of one caller's connection."""
 
-    stream: ByteStream
+    stream: SocketStream
     limits: CallerLimits
     protocol: h11.Connection = field(init=False)
     #: Whether the connection closes after the current response.
     closing: bool = False
     #: Whether the caller disconnected, or the connection has to be aborted.
     gone: bool = False
+    #: Whether the end of the connection delimits the current response.
+    ends_with_connection: bool = False
     #: Bytes that the caller pipelined during the current request.
     _pipelined_bytes: int = 0
 
@@ -68,6 +74,11 @@
         """Start the protocol with the configured header size limit."""
         self.protocol = h11.Connection(h11.SERVER, self.limits.header_bytes)
 
+    @property
+    def is_responding(self) -> bool:
+        """Return whether a response has begun and is not complete."""
+        return self.protocol.our_state is h11.SEND_BODY
+
     async def read_request(self) -> CallerRequest | None:
         """Return the next request's head, or None if the caller disconnected.
 
@@ -118,16 +129,18 @@
             self.protocol.receive_data(received)
         await anyio.sleep_forever()
 
-    async def send_head(self, status: int, headers: Headers) -> None:
-        """Send the head of a response.
+    async def send_head(
+        self, status: int, headers: Headers, *, is_delimited: bool = True
+    ) -> None:
+        """Send the head of a response whose body is sent in parts.
+
+        Unless ``is_delimited``, or to an HTTP/1.0 caller, the body ends with
+        the connection: an incomplete one is then marked by a reset.
 
         Raises:
             CallerGoneError: the caller disconnected.
         """
-        if self.closing:
-            headers = [*headers, (b'connection', b'close')]
-        response = h11.Response(status_code=status, headers=headers)
-        await self._write(self.protocol.send(response))
+        await self._write(self._head(status, headers, is_delimited))
 
     async def send_part(self, part: bytes) -> None:
         """Send a part of the response body.
@@ -144,26 +157,23 @@
             CallerGoneError: the caller disconnected.
         """
         await self._write(self.protocol.send(h11.EndOfMessage()))
+        self._mark_complete()
 
     async def send_response(
         self,
         status: int,
         headers: Headers,
         body: bytes,
+        *,
+        is_delimited: bool = True,
     ) -> None:
-        """Send a complete response.
-
-        Raises:
-            CallerGoneError: the caller disconnected.
-        """
-        if self.closing:
-            headers = [*headers, (b'connection', b'close')]
-        response = h11.Response(status_code=status, headers=headers)
-        pieces = [self.protocol.send(response)]
+        """Send a complete response, as ``send_head`` and its parts do."""
+        pieces = [self._head(status, headers, is_delimited)]
         if body:
             pieces.append(self.protocol.send(h11.Data(data=body)))
         pieces.append(self.protocol.send(h11.EndOfMessage()))
         await self._write(b''.join(pieces))
+        self._mark_complete()
 
     def start_next(self) -> bool:
         """Prepare for the next request; return False if the connection ends."""
@@ -191,6 +201,24 @@
         with anyio.CancelScope(shield=True):
             await anyio.aclose_forcefully(self.stream)
 
+    def _head(self, status: int, headers: Headers, is_delimited: bool) -> bytes:
+        if not is_delimited:
+            # Makes h11 delimit the body by the end of the connection.
+            self.protocol.their_http_version = b'1.0'
+        if self.closing:
+            headers = [*headers, (b'connection', b'close')]
+        response = h11.Response(status_code=status, headers=headers)
+        has_length = any(name == b'content-length' for name, _ in headers)
+        if not has_length and self.protocol.their_http_version == b'1.0':
+            self.ends_with_connection = True
+            reset_on_close(self.stream, enabled=True)
+        return self.protocol.send(response)
+
+    def _mark_complete(self) -> None:
+        if self.ends_with_connection:
+            self.closing = True
+            reset_on_close(self.stream, enabled=False)
+
     async def _linger(self) -> None:
         await self.stream.send_eof()
         dropped = 0
@@ -254,10 +282,8 @@
         )
 
     def _continue(self) -> bytes:
-        interim_response = h11.InformationalResponse(
-            status_code=100, headers=[]
-        )
-        return self.protocol.send(interim_response)
+        interim = h11.InformationalResponse(status_code=100, headers=[])
+        return self.protocol.send(interim)
 
     async def _write(self, outgoing: bytes) -> None:
         if self.gone:
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
@@ -4,6 +4,7 @@
 from spanfall_core.gateway.known.statements import StatementChange
 from spanfall_core.reasons import RefusalReason, RetryReason
 
+from spanfall_node.gateway.net.body_ends import BodyEnd
 from spanfall_node.gateway.tables.scheduling_counters import (
     SchedulingCounters,
 )
@@ -78,6 +79,12 @@
             'Answers that ended early, by reason',
             'reason',
         )
+        self.response_ends = reason_counter(
+            self.registry,
+            'spanfall_upstream_response_ends',
+            'Bodies of upstream responses, by how they ended',
+            BodyEnd,
+        )
         self.store_calls = self._labelled(
             'spanfall_store_calls',
             'Calls to the store, by outcome',
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
@@ -9,6 +9,7 @@
 from spanfall_core.gateway.known.lifetimes import Lifetime
 from spanfall_core.gateway.routing.sends import SendOutcome, SendState
 
+from spanfall_node.gateway.net.body_ends import PROVEN_ENDS, BodyEnd
 from spanfall_node.gateway.net.client import ResponseHead
 from spanfall_node.gateway.requests.admission import AdmittedRequest
 from spanfall_node.gateway.requests.caller_connection import CallerConnection
@@ -27,14 +28,22 @@
     """Mark a send whose response has been relayed to the caller."""
 
 
+@dataclass(frozen=True, slots=True)
+class BufferedResponse:
+    """Hold a response that was read to its end."""
+
+    head: ResponseHead
+    body: bytes
+    end: BodyEnd
+
+
 @dataclass(slots=True)
 class Failed:
-    """Hold how a send failed, with the upstream's response if complete."""
+    """Hold how a send failed, with the upstream's response if it ended."""
 
     outcome: SendOutcome
     reason: str
-    head: ResponseHead | None = None
-    body: bytes = b''
+    response: BufferedResponse | None = None
 
 
 @dataclass(slots=True)
@@ -65,6 +74,8 @@
     #: Seconds for which the home held it, and the ticket under which it does.
     held_seconds: float = 0
     ticket: int = 0
+    #: Time of the steady clock at the last send.
+    sent_at: float = 0
     events: EventSplitter = field(default_factory=EventSplitter)
     #: Whether a response to the caller has begun.
     started: bool = False
@@ -73,19 +84,28 @@
     timings: PartTimings = field(default_factory=PartTimings)
     #: Called when the response starts, if the request is watched for crashes.
     on_response_start: Callable[[], Awaitable[None]] | None = None
+    #: Checks whether the upstream still runs after it closed a connection.
+    check_still_runs: Callable[[], Awaitable[bool]] | None = None
 
 
 async def relay_buffered(
     state: GatewayState,
     exchange: Exchange,
-    head: ResponseHead,
-    body: bytes,
+    response: BufferedResponse,
 ) -> None:
-    """Send the caller a response that was read completely beforehand."""
-    headers = response_headers(head, len(body), exchange.admitted.req.method)
+    """Send the caller a response that was read to its end beforehand.
+
+    A response without proof of its end is sent without proof, too.
+    """
+    is_proven = response.end in PROVEN_ENDS
+    size = len(response.body) if is_proven else None
+    head = response.head
+    headers = response_headers(head, size, exchange.admitted.req.method)
     exchange.started = True
     exchange.scope.deadline += RESPONSE_MARGIN_SECONDS
-    await exchange.caller.send_response(head.status, headers, body)
+    await exchange.caller.send_response(
+        head.status, headers, response.body, is_delimited=is_proven
+    )
     record_response(state, exchange, head.status)
 
 
@@ -94,12 +114,14 @@
     exchange: Exchange,
     lifetime: Lifetime,
     status: int,
+    end: BodyEnd | None,
 ) -> None:
-    """Log a completed response with the figures behind its latency."""
+    """Log a response with its end and the figures behind its latency."""
     admitted = exchange.admitted
     now = state.timers.now()
     logger.info(
-        'Request %s of %s: %s from %s, send %s, first part after %.3f s, '
+        'Request %s of %s: %s from %s, send %s, ended by %s, '
+        'first part after %.3f s, '
         'longest pause %.3f s, total %.3f s, '
         '%s prompt tokens, %s requests running there, configuration %s, '
         '%.0f units of workspace %s, identity %s%s',
@@ -108,6 +130,7 @@
         status,
         lifetime,
         exchange.sends.sends,
+        end,
         max(0, exchange.timings.first_at - admitted.began_at),
         exchange.timings.longest_pause,
         now - admitted.began_at,
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/crash_watch.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/crash_watch.py
@@ -90,6 +90,18 @@
             return
         await self._record(identity, upstream, probe_result)
 
+    async def still_runs(self, upstream: ListedUpstream) -> bool:
+        """Tell whether an upstream accepts connections after it closed one.
+
+        One that is leaving may exit right after its last response.
+        """
+        row = self.state.directory.rows.get(upstream.lifetime)
+        if row is None or row.is_leaving:
+            return True
+        return await self.pool.replace_closed(
+            upstream.lifetime, upstream.address, PROBE_TIMEOUT_SECONDS
+        )
+
     def queue_unanswered(
         self,
         identity: RequestIdentity,
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/event_parts.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/event_parts.py
@@ -11,7 +11,9 @@
 #: Maximum bytes of one event.
 MAX_EVENT_BYTES = 1_048_576
 
-_EVENT_END = re.compile(rb'\r?\n\r?\n')
+_EVENT_END = re.compile(rb'\r?\n\r?\n|\r\r')
+#: Last event of a stream of the OpenAI interface.
+_FINAL_EVENT = b'data: [DONE]'
 _EVENT_ID = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
 
 
@@ -26,6 +28,13 @@
     partial_event: bytes = b''
     last_id: bytes = b''
     events: int = 0
+    #: Whether the last complete event says that it is the last.
+    is_final: bool = False
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether an event has begun that is not complete."""
+        return bool(self.partial_event.strip(b'\r\n'))
 
     def feed(self, received: bytes) -> bytes:
         """Add received bytes and return the events that are now complete.
@@ -42,6 +51,8 @@
         self.partial_event = joined[end:]
         if len(self.partial_event) > MAX_EVENT_BYTES:
             raise EventTooLargeError
+        if whole:
+            self.is_final = whole.rstrip().endswith(_FINAL_EVENT)
         ids = _EVENT_ID.findall(whole)
         if ids:
             self.last_id = ids[-1]
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -171,15 +171,17 @@
     identity = exchange.admitted.identity
     standing = state.crashes.standing(identity, state.timers.now())
     is_watched = choice.is_watched or standing is not Standing.FREE
-    report_run = partial(access.crash_detector.report_run, identity)
+    detector = access.crash_detector
+    report_run = partial(detector.report_run, identity)
     if is_watched:
         exchange.on_response_start = partial(report_run, RunStage.BEGAN)
+    exchange.check_still_runs = partial(detector.still_runs, choice.upstream)
     send_result = await _send_or_queue_probe(state, access, exchange, choice)
     if (
         isinstance(send_result, Failed)
         and send_result.outcome is SendOutcome.BROKEN
     ):
-        await access.crash_detector.check_broken_send(identity, choice.upstream)
+        await detector.check_broken_send(identity, choice.upstream)
     elif is_watched:
         is_complete = isinstance(send_result, Answered)
         await report_run(
@@ -281,8 +283,8 @@
     if exchange.started:
         await _abort_response(state, exchange, failed.reason)
         return
-    if step is NextStep.RELAY and failed.head is not None:
-        await relay_buffered(state, exchange, failed.head, failed.body)
+    if step is NextStep.RELAY and failed.response is not None:
+        await relay_buffered(state, exchange, failed.response)
         return
     backoff = seconds_until_backoff_ends(state, exchange.admitted.service)
     if step is NextStep.ANSWER_NOT_RUN and backoff is not None:
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/response_ends.py
@@ -0,0 +1,129 @@
+"""Relay event streams and decide what the end of a response proves.
+
+This is the only place that decides whether a response is complete. A response
+that ended with its connection reaches the caller with no more proof than the
+upstream gave.
+"""
+
+from collections.abc import Callable
+
+from spanfall_core.gateway.routing.sends import SendOutcome
+
+from spanfall_node.gateway.net.body_ends import (
+    PROVEN_ENDS,
+    BodyEnd,
+    BodyFraming,
+)
+from spanfall_node.gateway.net.client import Connection, ResponseHead
+from spanfall_node.gateway.net.errors import BrokenCallError
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.attempt import (
+    Answered,
+    Exchange,
+    Failed,
+    count_run,
+    record_response,
+)
+from spanfall_node.gateway.upstreams.forwarded import response_headers
+
+#: Ends after which a response is complete for all that its framing shows.
+COMPLETE_ENDS = PROVEN_ENDS | {BodyEnd.CLOSED}
+
+
+async def checked_end(exchange: Exchange, conn: Connection) -> BodyEnd:
+    """Return how a body that was read to its end ended.
+
+    Raises:
+        BrokenCallError: the body may be incomplete: its connection ended with
+            its upstream.
+    """
+    if conn.body_end is BodyEnd.CLOSED and not await _still_runs(exchange):
+        conn.body_end = BodyEnd.SERVER_GONE
+        raise BrokenCallError('closed without a length by a server that ended')
+    return conn.body_end
+
+
+async def relay_stream(
+    state: GatewayState,
+    exchange: Exchange,
+    head: ResponseHead,
+    conn: Connection,
+    on_token: Callable[[], None],
+) -> Answered | Failed:
+    """Relay an event stream event by event.
+
+    Raises:
+        BrokenCallError: the stream ended without proof of its end, and is
+            probably incomplete.
+    """
+    if not head.header(state.platform.names.signature):
+        return Failed(SendOutcome.BROKEN, 'a stream without a signature')
+    events = exchange.events
+    events.discard_partial()
+    is_delimited = conn.framing is not BodyFraming.CONNECTION
+    while True:
+        part = await conn.read_chunk()
+        if part is None:
+            break
+        on_token()
+        count_run(state, exchange.admitted)
+        whole = events.feed(part)
+        if whole:
+            exchange.timings.record(state.timers.now())
+            await _start_response(state, exchange, head, is_delimited)
+            await exchange.caller.send_part(whole)
+    await _check_stream_end(exchange, conn)
+    await _start_response(state, exchange, head, is_delimited)
+    if events.partial_event:
+        await exchange.caller.send_part(events.partial_event)
+    await exchange.caller.send_end()
+    return Answered()
+
+
+async def _check_stream_end(exchange: Exchange, conn: Connection) -> None:
+    """Raise BrokenCallError unless the stream may be called complete."""
+    if conn.body_end is BodyEnd.CLOSED:
+        conn.body_end = _closed_stream_end(exchange)
+    if conn.body_end is BodyEnd.CLOSED and not await _still_runs(exchange):
+        conn.body_end = BodyEnd.SERVER_GONE
+    if conn.body_end not in COMPLETE_ENDS:
+        raise BrokenCallError(
+            f'stream ended after {exchange.events.events} events: '
+            f'{conn.body_end}'
+        )
+
+
+def _closed_stream_end(exchange: Exchange) -> BodyEnd:
+    """Return what the events show of a stream that ended with its connection."""
+    events = exchange.events
+    if events.is_inside_event or not events.events:
+        return BodyEnd.INSIDE_EVENT
+    if events.is_final:
+        return BodyEnd.FINAL_EVENT
+    if exchange.started and not exchange.caller.ends_with_connection:
+        return BodyEnd.UNPROVEN
+    return BodyEnd.CLOSED
+
+
+async def _still_runs(exchange: Exchange) -> bool:
+    if exchange.check_still_runs is None:
+        return True
+    return await exchange.check_still_runs()
+
+
+async def _start_response(
+    state: GatewayState,
+    exchange: Exchange,
+    head: ResponseHead,
+    is_delimited: bool,
+) -> None:
+    if exchange.started:
+        return
+    if exchange.on_response_start is not None:
+        await exchange.on_response_start()
+    headers = response_headers(head, None, exchange.admitted.req.method)
+    exchange.started = True
+    await exchange.caller.send_head(
+        head.status, headers, is_delimited=is_delimited
+    )
+    record_response(state, exchange, head.status)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
@@ -19,23 +19,26 @@
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.attempt import (
     Answered,
+    BufferedResponse,
     Exchange,
     Failed,
     count_run,
     log_response,
-    record_response,
     relay_buffered,
 )
 from spanfall_node.gateway.upstreams.event_parts import EventTooLargeError
 from spanfall_node.gateway.upstreams.forwarded import (
     is_event_stream,
-    response_headers,
     upstream_call,
 )
 from spanfall_node.gateway.upstreams.hearing import (
     OTHER_LIFETIME_STATUS,
     record_statement,
 )
+from spanfall_node.gateway.upstreams.response_ends import (
+    checked_end,
+    relay_stream,
+)
 from spanfall_node.gateway.upstreams.speeds import (
     record_call,
     record_first_token,
@@ -130,6 +133,8 @@
         _record_failure(state, choice, 1)
         return Failed(SendOutcome.BROKEN, _reason(exc))
     finally:
+        if conn.body_end is not None:
+            state.counters.response_ends.labels(conn.body_end.value).inc()
         with anyio.CancelScope(shield=True):
             await pool.release(upstream.lifetime, conn)
 
@@ -174,6 +179,7 @@
     expected_id = admitted.attempt_id.encode('latin-1')
     lifetime = choice.upstream.lifetime
     sent_at = state.timers.now()
+    exchange.sent_at = sent_at
 
     def is_for_request(head: ResponseHead) -> bool:
         # A response to another request still comes from this upstream.
@@ -186,31 +192,55 @@
     host = admitted.req.header(b'host')
     head = await conn.send_and_read_head(call, host, is_for_request)
     if is_event_stream(head) and head.status == 200:
-        send_result = await _relay_stream(state, exchange, head, conn, pending)
-        if isinstance(send_result, Answered):
-            log_response(state, exchange, lifetime, head.status)
-        return send_result
+        send_result = await relay_stream(
+            state, exchange, head, conn, pending.first_token
+        )
+    else:
+        send_result = await _relay_body(state, exchange, choice, conn, head)
+    if isinstance(send_result, Answered):
+        log_response(state, exchange, lifetime, head.status, conn.body_end)
+    return send_result
+
+
+async def _relay_body(
+    state: GatewayState,
+    exchange: Exchange,
+    choice: Choice,
+    conn: Connection,
+    head: ResponseHead,
+) -> Answered | Failed:
+    """Read a body to its end and relay it, unless the response is a failure."""
     body = await conn.read_body(MAX_BUFFERED_BYTES)
-    failed = _classify_failure(state, choice, head, body)
+    end = await checked_end(exchange, conn)
+    response = BufferedResponse(head, body, end)
+    failed = _classify_failure(state, choice, response)
     if failed is not None:
         return failed
-    count_run(state, admitted)
-    if not admitted.prompt_tokens and head.status < 300:
-        seconds = state.timers.now() - sent_at
-        record_call(state, choice.upstream, admitted.route.name, seconds)
-    await relay_buffered(state, exchange, head, body)
-    log_response(state, exchange, lifetime, head.status)
+    count_run(state, exchange.admitted)
+    if head.status < 300:
+        _record_call(state, exchange, choice)
+    await relay_buffered(state, exchange, response)
     return Answered()
 
 
+def _record_call(
+    state: GatewayState, exchange: Exchange, choice: Choice
+) -> None:
+    """Record the duration of a successful call of an application."""
+    admitted = exchange.admitted
+    if not admitted.prompt_tokens:
+        seconds = state.timers.now() - exchange.sent_at
+        record_call(state, choice.upstream, admitted.route.name, seconds)
+
+
 def _classify_failure(
     state: GatewayState,
     choice: Choice,
-    head: ResponseHead,
-    body: bytes,
+    response: BufferedResponse,
 ) -> Failed | None:
-    """Return how a complete response failed, or None if it is relayed."""
+    """Return how a response failed, or None if it is relayed."""
     names = state.platform.names
+    head = response.head
     if head.status == OTHER_LIFETIME_STATUS:
         state.directory.end(choice.upstream.lifetime)
         return Failed(
@@ -227,52 +257,9 @@
     if head.status >= 500:
         _record_failure(state, choice, 1)
         return Failed(
-            SendOutcome.FAILED, f'failed with {head.status}', head, body
+            SendOutcome.FAILED, f'failed with {head.status}', response
         )
     if head.status < 300 and not head.header(names.signature):
         _record_failure(state, choice, 1)
         return Failed(SendOutcome.BROKEN, 'success without a signature')
     return None
-
-
-async def _relay_stream(
-    state: GatewayState,
-    exchange: Exchange,
-    head: ResponseHead,
-    conn: Connection,
-    pending: PendingPrefill,
-) -> Answered | Failed:
-    if not head.header(state.platform.names.signature):
-        return Failed(SendOutcome.BROKEN, 'a stream without a signature')
-    exchange.events.discard_partial()
-    while True:
-        part = await conn.read_chunk()
-        if part is None:
-            break
-        pending.first_token()
-        count_run(state, exchange.admitted)
-        whole = exchange.events.feed(part)
-        if whole:
-            exchange.timings.record(state.timers.now())
-            await _start_response(state, exchange, head)
-            await exchange.caller.send_part(whole)
-    await _start_response(state, exchange, head)
-    if exchange.events.partial_event:
-        await exchange.caller.send_part(exchange.events.partial_event)
-    await exchange.caller.send_end()
-    return Answered()
-
-
-async def _start_response(
-    state: GatewayState,
-    exchange: Exchange,
-    head: ResponseHead,
-) -> None:
-    if exchange.started:
-        return
-    if exchange.on_response_start is not None:
-        await exchange.on_response_start()
-    headers = response_headers(head, None, exchange.admitted.req.method)
-    exchange.started = True
-    await exchange.caller.send_head(head.status, headers)
-    record_response(state, exchange, head.status)
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/upstream.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/upstream.py
@@ -1,10 +1,12 @@
 """Simulate an upstream with configurable responses."""
 
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import anyio
-from anyio.abc import SocketStream
+from anyio.abc import SocketAttribute, SocketStream
 
 from spanfall_standins.gateway.server import ReceivedRequest, encode_response
 
@@ -103,10 +105,10 @@
     return run
 
 
-def raw(*pieces: bytes, keep: bool = False) -> Behaviour:
+def raw(*pieces: bytes, keep: bool = False, resets: bool = False) -> Behaviour:
     """Send raw bytes, replacing ``{id}`` by the id of the attempt.
 
-    ``keep`` keeps the connection open afterwards.
+    ``keep`` keeps the connection open afterwards; ``resets`` resets it.
     """
 
     async def run(
@@ -117,11 +119,20 @@
         attempt = request.headers.get('attempt', '').encode()
         for piece in pieces:
             await stream.send(piece.replace(b'{id}', attempt))
+        if resets:
+            _reset(stream)
         return keep
 
     return run
 
 
+def _reset(stream: SocketStream) -> None:
+    """Make the close of a connection send RST."""
+    raw_socket = stream.extra(SocketAttribute.raw_socket)
+    linger = struct.pack('ii', 1, 0)
+    raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def silent() -> Behaviour:
     """Never answer; record the request when its client disconnects."""
 
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -69,6 +69,12 @@
     #: Whether the response is complete by the rules of HTTP.
     complete: bool
 
+    @property
+    def is_proven(self) -> bool:
+        """Return whether its framing proves that it is complete."""
+        delimiters = {'content-length', 'transfer-encoding'}
+        return self.complete and not delimiters.isdisjoint(self.headers)
+
     def accept_event(self, event: object) -> bool:
         """Process an event; return whether more events are expected."""
         if isinstance(event, h11.Response):
@@ -277,16 +283,22 @@
         except h11.RemoteProtocolError:
             return answer
         if event is h11.NEED_DATA:
-            protocol.receive_data(await _receive(stream))
+            received = await _receive(stream)
+            if received is None:
+                return answer
+            protocol.receive_data(received)
         elif not answer.accept_event(event):
             return answer
 
 
-async def _receive(stream: SocketStream) -> bytes:
+async def _receive(stream: SocketStream) -> bytes | None:
+    """Return received bytes, b'' at the end, or None after a reset."""
     try:
         return await stream.receive()
-    except (anyio.EndOfStream, anyio.BrokenResourceError):
+    except anyio.EndOfStream:
         return b''
+    except anyio.BrokenResourceError:
+        return None
 
 
 async def ask(state: GatewayState, path: str, **fields: object) -> Answer:
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -6,9 +6,11 @@
 import h11
 from anyio.lowlevel import checkpoint
 from gateway_world import World, ask, dial, in_world, read_answer, request_bytes
+from spanfall_node.gateway.net.body_ends import BodyEnd
 from spanfall_node.gateway.requests.caller_connection import CallerConnection
 from spanfall_node.gateway.upstreams.attempt import (
     RESPONSE_MARGIN_SECONDS,
+    BufferedResponse,
     Exchange,
     relay_buffered,
 )
@@ -268,13 +270,13 @@
     """It is cut as a timeout, not answered a second time."""
     send_response = CallerConnection.send_response
 
-    async def send_late(caller, status, headers, body):
+    async def send_late(caller, status, headers, body, **framing):
         if status == 200:
             caller.protocol.send(
                 h11.Response(status_code=status, headers=headers)
             )
             await anyio.sleep_forever()
-        await send_response(caller, status, headers, body)
+        await send_response(caller, status, headers, body, **framing)
 
     @in_world
     async def play(world):
@@ -294,7 +296,7 @@
 def test_an_answer_may_use_its_margin(monkeypatch):
     """One that is complete in time is not cancelled before its deadline."""
 
-    async def send_response(*answer):
+    async def send_response(*answer, **framing):
         await checkpoint()
 
     async def play():
@@ -306,7 +308,8 @@
         deadline = exchange.scope.deadline
         with exchange.scope:
             head = SimpleNamespace(status=200, headers=[])
-            await relay_buffered(None, exchange, head, b'')
+            response = BufferedResponse(head, b'', BodyEnd.LENGTH)
+            await relay_buffered(None, exchange, response)
         assert exchange.scope.deadline == deadline + RESPONSE_MARGIN_SECONDS
         assert not exchange.scope.cancelled_caught
 
