Refuse an application's response whose end nothing proves

Cause: the HTTP client ends such a body without an error when the connection closes, and the call was reported as whole.

Why this works: the call ends as broken, so one that may run again does, and another is cut. The HTTP server on the callers' side can't send a body without a length or chunks, so the lack of proof can't be passed on there.

--- a/packages/spanfall-node/src/spanfall_node/upstream_calls.py
+++ b/packages/spanfall-node/src/spanfall_node/upstream_calls.py
@@ -49,6 +49,8 @@
     ),
 )
 
+_DELIMITERS = frozenset(('content-length', 'transfer-encoding'))
+
 _NOT_SENT = (
     httpx.ConnectError,
     httpx.ConnectTimeout,
@@ -172,9 +174,9 @@
                 take_head(reply.status_code, pass_headers(reply))
                 async for chunk in reply.aiter_raw():
                     await take((chunk,))
+                return read_end(reply)
         except httpx.HTTPError as exc:
             return classify(exc)
-        return RunOutcome()
 
     async def export(self, address: str, request_id: str) -> str | None:
         """Ask an engine to export a run; return the handle, or None."""
@@ -228,6 +230,17 @@
         return RunOutcome(finish_reason=finish)
 
 
+def read_end(reply: httpx.Response) -> RunOutcome:
+    """Return whether the framing of a response proves that it is complete."""
+    has_body = reply.status_code not in {204, 304}
+    if reply.request.method == 'HEAD' or not has_body:
+        return RunOutcome()
+    if _DELIMITERS.isdisjoint(reply.headers):
+        detail = 'the response has neither a length nor chunks'
+        return RunOutcome(Failure.BROKEN, detail=detail)
+    return RunOutcome()
+
+
 async def read_error(reply: httpx.Response) -> RunOutcome:
     """Return the outcome of an answer with an error status."""
     raw = await reply.aread()
