--- a/packages/spanfall-api/src/spanfall_api/gateway_settings.py
+++ b/packages/spanfall-api/src/spanfall_api/gateway_settings.py
@@ -27,6 +27,15 @@
     #: Address for the links between nodes.
     links: str
     metrics: str = ''
+    #: Whether this node connects to upstreams for nodes that do not reach them,
+    #: at the port after that of ``links``.
+    serves_tunnels: bool = False
+
+    @property
+    def tunnels(self) -> str:
+        """Return the address for tunnels, or '' if this node serves none."""
+        host, _, port = self.links.rpartition(':')
+        return f'{host}:{int(port) + 1}' if self.serves_tunnels else ''
 
 
 class Bounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/spanfall-core/src/spanfall_core/gateway/crashes/crashes.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/crashes/crashes.py
@@ -71,6 +71,8 @@
     ACCEPTS_CONNECTIONS = 'takes-connections'
     #: An earlier connection to it is still open.
     ALIVE = 'lives'
+    #: Only a peer reaches it, or no node does: the path broke.
+    NO_PATH = 'no-path'
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
@@ -71,7 +71,7 @@
         self._latest_start: dict[str, int] = {}
         self._by_service: dict[str, list[ListedUpstream]] = {}
         #: Number of listed lifetimes at each address.
-        self._address_counts: Counter[str] = Counter()
+        self.address_counts: Counter[str] = Counter()
         #: When a new upstream of each service was last listed.
         self._last_added_at: dict[str, float] = {}
         #: Revision of the listing that changed or removed each row.
@@ -212,7 +212,7 @@
 
     def is_replaced(self, row: ListedUpstream) -> bool:
         """Return whether another lifetime is listed at the address of a row."""
-        return self._address_counts[row.address] > 1
+        return self.address_counts[row.address] > 1
 
     def last_added_at(self, service: str) -> float:
         """Return when a new upstream of a service was last listed."""
@@ -283,7 +283,7 @@
                 by_service.setdefault(row.service, []).append(row)
         self._by_service = by_service
         listed = self.rows.values()
-        self._address_counts = Counter(known.address for known in listed)
+        self.address_counts = Counter(known.address for known in listed)
         self.digest = directory_digest(self.rows.values())
 
 
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/sends.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/sends.py
@@ -106,6 +106,11 @@
         return True
     if state.may_have_run >= route.max_upstreams:
         return False
+    return may_run_again(route)
+
+
+def may_run_again(route: Route) -> bool:
+    """Return whether requests of a route may run more than once."""
     if route.kind is RouteKind.STREAM:
         return route.resumable
     return route.kind is RouteKind.IDEMPOTENT
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/entry_link.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/entry_link.py
@@ -18,6 +18,7 @@
 from spanfall_node.gateway.home.home_pace import strength
 from spanfall_node.gateway.home.load_sender import send_load
 from spanfall_node.gateway.home.lost_home import HomeReconnect
+from spanfall_node.gateway.home.peer_links import own_peer, refuses_tunnels
 from spanfall_node.gateway.home.telling_words import send_statements
 from spanfall_node.gateway.home.totals import follow_own_table
 from spanfall_node.gateway.home.withdrawals import send_withdrawals
@@ -275,6 +276,9 @@
             strength=strength(state.cfg.host),
             words_version=self._table.words_version,
             shared_host_services=tuple(state.scheduling.shared_host_services),
+            peer=own_peer(state) if to_new_home else None,
+            refuses_tunnels=refuses_tunnels(state),
+            peers_version=self._table.peers_version,
         )
         self._table_received = anyio.Event()
         await link.send(encode(message))
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
@@ -31,6 +31,8 @@
         self.report_after = REPORT_PERIOD
         #: Version of the home's upstream statements that was received last.
         self.words_version = 0
+        #: Version of the home's peers that was received last.
+        self.peers_version = 0
 
     def apply(self, table: TableMessage, sent_at: float) -> None:
         """Apply a table that answers a report sent at ``sent_at``."""
@@ -60,6 +62,9 @@
         if table.words is not None:
             merge_statements(state, table.words.words)
             self.words_version = table.words.version
+        if table.peers is not None:
+            state.reach.peers = table.peers.peers
+            self.peers_version = table.peers.version
         state.scheduling.add_shared_host_services(table.shared_host_services)
         if table.totals is not None:
             self._totals_received_at = now
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
@@ -14,13 +14,13 @@
 from websockets.asyncio.server import ServerConnection, serve
 from websockets.exceptions import WebSocketException
 
+from spanfall_node.gateway.home.peer_links import PeerLinks
 from spanfall_node.gateway.home.quarantine_links import QuarantineLinks
 from spanfall_node.gateway.home.succession import Succession
 from spanfall_node.gateway.home.turns import Turns
 from spanfall_node.gateway.links.contention_messages import WithdrawMessage
 from spanfall_node.gateway.links.crash_messages import (
     CrashReport,
-    QuarantineMessage,
     WatchedRun,
 )
 from spanfall_node.gateway.links.messages import (
@@ -74,6 +74,7 @@
         self._succession = Succession(state)
         self._quarantine = QuarantineLinks(state)
         self._turns = Turns(state)
+        self._peers = PeerLinks(state)
         self._configuration_sender = ConfigurationSender(
             state.cfg.host.link_megabits
         )
@@ -124,6 +125,7 @@
             self._succession.remove(link)
             self._quarantine.remove(link)
             self._turns.remove(link)
+            self._peers.remove(link)
 
     async def _redirect(self, link: ServerConnection) -> None:
         """Send the current home to an entry that has linked to this node."""
@@ -172,20 +174,10 @@
             case UnitsRequest():
                 return encode(self._units(message, now))
             case CrashReport():
-                return self._apply_crash_report(message, now)
+                return self._quarantine.answer(message, now)
         self._succession.set_strength(link, message.strength)
-        return encode(self._table(message, now))
-
-    def _apply_crash_report(
-        self,
-        report: CrashReport,
-        now: float,
-    ) -> bytes | None:
-        crashes = self._state.crashes
-        crashes.apply_report(report, now)
-        if not report.is_first:
-            return None
-        return encode(QuarantineMessage(crashes.quarantined(now)))
+        self._peers.record(link, message)
+        return encode(self._table(message, link, now))
 
     def _grant(
         self,
@@ -210,7 +202,12 @@
         )
         return UnitsMessage(message.number, message.workspace, units)
 
-    def _table(self, message: ReportMessage, now: float) -> TableMessage:
+    def _table(
+        self,
+        message: ReportMessage,
+        link: ServerConnection | None,
+        now: float,
+    ) -> TableMessage:
         state = self._state
         report = message.report
         state.quota_allocator.set_paced(
@@ -248,6 +245,7 @@
             configuration=self._configuration(message),
             upstreams=self._upstreams(message),
             words=self._words(message, now),
+            peers=self._peers.part(link, message),
             shared_host_services=tuple(state.scheduling.shared_host_services),
             upstream_factors=factors,
         )
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/new_tenure.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/new_tenure.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from spanfall_core.gateway.known.fleet import ASSUMED_SIZE_SECONDS, FleetState
+from spanfall_core.gateway.known.peers import PeerTable
 from spanfall_core.gateway.routing.grants import GrantBook
 from spanfall_core.gateway.routing.prompt_history import PromptHistory
 
@@ -29,6 +30,8 @@
         assumed_until=began_at + ASSUMED_SIZE_SECONDS,
     )
     state.grant_book = GrantBook()
+    state.reach.table = PeerTable()
+    state.reach.peers_version = 0
     state.granted_prompts = PromptHistory(speeds=state.prompts.speeds)
     state.words.begin_tenure(max(began_at, gives_at))
     state.contention.begin_tenure()
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/quarantine_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/quarantine_links.py
@@ -2,8 +2,12 @@
 
 from websockets.asyncio.server import ServerConnection
 
-from spanfall_node.gateway.links.crash_messages import QuarantineMessage
+from spanfall_node.gateway.links.crash_messages import (
+    CrashReport,
+    QuarantineMessage,
+)
 from spanfall_node.gateway.links.link_sends import send_to_all
+from spanfall_node.gateway.links.messages import encode
 from spanfall_node.gateway.tables.state import GatewayState
 
 
@@ -36,3 +40,11 @@
                 now = self._state.timers.now()
                 message = QuarantineMessage(crashes.quarantined(now))
                 await send_to_all(list(self._links), message)
+
+    def answer(self, report: CrashReport, now: float) -> bytes | None:
+        """Apply a crash report; answer the first one with what is known."""
+        crashes = self._state.crashes
+        crashes.apply_report(report, now)
+        if not report.is_first:
+            return None
+        return encode(QuarantineMessage(crashes.quarantined(now)))
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/totals.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/totals.py
@@ -2,6 +2,7 @@
 
 from spanfall_core.gateway.known.fleet import FleetTotals
 
+from spanfall_node.gateway.home.peer_links import follow_own_peers
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.prefix_copies import log_hot_parts
 from spanfall_node.gateway.upstreams.speeds import log_factors
@@ -28,5 +29,6 @@
     state.set_entry_count(state.fleet.size(now))
     state.set_prefill_speeds(state.fleet.speeds())
     apply_totals(state, state.fleet.totals_except(report.key, now), now)
+    follow_own_peers(state)
     log_factors(state, now)
     log_hot_parts(state, now)
--- a/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
@@ -11,6 +11,7 @@
 from spanfall_core.gateway.known.engine_model import PrefillSpeed
 from spanfall_core.gateway.known.fleet import EntryReport, FleetTotals
 from spanfall_core.gateway.known.listed import ListedUpstream
+from spanfall_core.gateway.known.peers import Peer
 from spanfall_core.gateway.known.reporting import REPORT_PERIOD
 from spanfall_core.gateway.known.unit_reports import AllocatedUnits
 from spanfall_core.gateway.known.upstream_speeds import Factors, SpeedSample
@@ -30,6 +31,7 @@
     QuarantineMessage,
     WatchedRun,
 )
+from spanfall_node.gateway.links.peer_messages import PeersPart
 from spanfall_node.gateway.links.succession_messages import (
     FarewellMessage,
     ResignMessage,
@@ -74,6 +76,12 @@
     words_version: int = 0
     #: Services whose upstreams share hosts with others.
     shared_host_services: tuple[str, ...] = ()
+    #: Where the entry connects to upstreams for others; sent once on a link.
+    peer: Peer | None = None
+    #: Whether it does not, because it reaches none or is stopping.
+    refuses_tunnels: bool = False
+    #: Version of the home's peers that the entry has.
+    peers_version: int = 0
 
 
 class LoadMessage(
@@ -208,6 +216,7 @@
     configuration: ConfigurationPart | None = None
     upstreams: UpstreamsPart | None = None
     words: StatementsPart | None = None
+    peers: PeersPart | None = None
     #: Services whose upstreams share hosts with others.
     shared_host_services: tuple[str, ...] = ()
     #: Duration of work at upstreams, relative to the usual, where it differs;
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
@@ -62,6 +62,12 @@
         default_factory=lambda: h11.Connection(h11.CLIENT, MAX_HEAD_BYTES),
     )
     idle_seconds: float = DEFAULT_IDLE_SECONDS
+    #: Whether no peer stands between this node and the server.
+    is_direct: bool = True
+    #: Whether the current request may be processed only once.
+    runs_once: bool = False
+    #: Time of the event loop at which data was received or a request began.
+    active_at: float = field(default_factory=anyio.current_time)
     #: Whether the connection can be reused after the last response.
     reusable: bool = False
     is_closed: bool = False
@@ -83,7 +89,7 @@
         request = h11.Request(
             method=call.method,
             target=call.target,
-            headers=_framed_headers(call, host),
+            headers=call.framed_headers(host),
         )
         head = self.protocol.send(request)
         body = self.protocol.send(h11.Data(data=call.body))
@@ -276,6 +282,7 @@
         except SOCKET_ERRORS as exc:
             self.body_end = BodyEnd.RESET
             raise BrokenCallError('reset by the server') from exc
+        self.active_at = anyio.current_time()
         self.protocol.receive_data(received)
 
     async def _write(self, outgoing: bytes) -> None:
@@ -283,12 +290,3 @@
             await self.stream.send(outgoing)
         except SOCKET_ERRORS as exc:
             raise BrokenCallError('reset while sending') from exc
-
-
-def _framed_headers(call: HttpCall, host: str) -> Headers:
-    headers = list(call.headers)
-    if not any(name == b'host' for name, _ in headers):
-        headers.insert(0, (b'host', host.encode()))
-    if call.body or call.method in {'POST', 'PUT', 'PATCH'}:
-        headers.append((b'content-length', b'%d' % len(call.body)))
-    return headers
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/errors.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/errors.py
@@ -18,6 +18,14 @@
     """Report that the host is up but no process listens at the address."""
 
 
+class PeerUnavailableError(NotSentError):
+    """Report that a peer opened no connection and says nothing of the host."""
+
+
+class PathUnknownError(NotSentError):
+    """Report that neither this node nor a peer knows whether a host is up."""
+
+
 class BrokenCallError(CallError):
     """Report that a call was sent but its response was not complete."""
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/pool.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/pool.py
@@ -1,7 +1,9 @@
 """Pool idle connections to servers and make single calls over them."""
 
 import logging
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from itertools import chain
 
 import anyio
 from anyio.abc import TaskGroup
@@ -13,6 +15,13 @@
 
 logger = logging.getLogger(__name__)
 
+#: Seconds after the last data within which an idle connection is taken to lead
+#: to its server.
+TRUSTED_IDLE_SECONDS = 1.0
+
+#: Opens a connection to an address within a timeout in seconds.
+Dial = Callable[[str, float], Awaitable[Connection]]
+
 
 @dataclass(slots=True)
 class IdleConnection:
@@ -31,9 +40,20 @@
 class ConnectionPool:
     """Pool idle connections to servers, each watched by a task."""
 
-    def __init__(self, tasks: TaskGroup) -> None:
-        """Use the task group for the watchers of idle connections."""
+    def __init__(
+        self,
+        tasks: TaskGroup,
+        dial: Dial = connect,
+        may_reuse: Callable[[str], bool] = bool,
+    ) -> None:
+        """Use the task group for the watchers of idle connections.
+
+        ``dial`` opens connections; ``may_reuse`` tells whether idle ones to an
+        address may be used.
+        """
         self._tasks = tasks
+        self._dial = dial
+        self._may_reuse = may_reuse
         self._idle: dict[str, list[IdleConnection]] = {}
         self._in_use: dict[str, set[Connection]] = {}
 
@@ -48,22 +68,45 @@
         key: str,
         address: str,
         timeout: float,
+        *,
+        runs_once: bool = False,
     ) -> Connection:
         """Return an idle connection to one lifetime of a server, or a new one.
 
+        A request that may be processed only once (``runs_once``) gets a new one
+        if nothing was received for a while: an idle connection may lead
+        nowhere.
+
         Raises:
             NotSentError: the connection was not established in time.
         """
         idle = self._idle.get(key, [])
-        while idle:
+        while idle and self._may_reuse(address):
+            if runs_once and _is_stale(idle[-1].conn):
+                break
             idle_conn = idle.pop()
             await idle_conn.stop_watching()
             if not idle_conn.conn.is_closed:
                 idle_conn.conn.start_next()
-                return self._mark_in_use(key, idle_conn.conn)
-        return self._mark_in_use(key, await connect(address, timeout))
-
-    def _mark_in_use(self, key: str, conn: Connection) -> Connection:
+                return self._mark_in_use(key, idle_conn.conn, runs_once)
+        conn = await self._dial(address, timeout)
+        return self._mark_in_use(key, conn, runs_once)
+
+    async def drop_idle(self) -> None:
+        """Close all idle connections."""
+        for idle_conn in chain.from_iterable(list(self._idle.values())):
+            await idle_conn.conn.close()
+
+    def direct_in_use(self) -> list[Connection]:
+        """Return the connections in use that lead through no peer."""
+        in_use = chain.from_iterable(self._in_use.values())
+        return [conn for conn in in_use if conn.is_direct]
+
+    def _mark_in_use(
+        self, key: str, conn: Connection, runs_once: bool
+    ) -> Connection:
+        conn.runs_once = runs_once
+        conn.active_at = anyio.current_time()
         self._in_use.setdefault(key, set()).add(conn)
         return conn
 
@@ -73,7 +116,7 @@
         in_use.discard(conn)
         if not in_use:
             self._in_use.pop(key, None)
-        if not conn.reusable or conn.is_closed:
+        if not (conn.reusable and conn.is_direct) or conn.is_closed:
             await conn.close()
             return
         self._keep_idle(key, conn)
@@ -86,11 +129,14 @@
         Returns False if the server accepts none.
         """
         try:
-            conn = await connect(address, timeout)
+            conn = await self._dial(address, timeout)
         except NotSentError as exc:
             logger.info('%s accepts no connection: %s', address, exc.reason)
             return False
-        self._keep_idle(key, conn)
+        if conn.is_direct:
+            self._keep_idle(key, conn)
+        else:
+            await conn.close()
         return True
 
     def _keep_idle(self, key: str, conn: Connection) -> None:
@@ -112,6 +158,10 @@
         await idle_conn.conn.close()
 
 
+def _is_stale(conn: Connection) -> bool:
+    return anyio.current_time() - conn.active_at > TRUSTED_IDLE_SECONDS
+
+
 async def call_once(
     pool: ConnectionPool,
     address: str,
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/ports.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/ports.py
@@ -28,6 +28,15 @@
     headers: Headers = field(default_factory=list)
     body: bytes = b''
 
+    def framed_headers(self, host: str) -> Headers:
+        """Return the headers with the host and the length of the body."""
+        headers = list(self.headers)
+        if not any(name == b'host' for name, _ in headers):
+            headers.insert(0, (b'host', host.encode()))
+        if self.body or self.method in {'POST', 'PUT', 'PATCH'}:
+            headers.append((b'content-length', b'%d' % len(self.body)))
+        return headers
+
 
 @dataclass(frozen=True, slots=True)
 class HttpReply:
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/tunnels.py
@@ -0,0 +1,118 @@
+"""Connect to upstreams through a peer (CONNECT, RFC 9110, section 9.3.6).
+
+The entry keeps the request: the peer opens a connection and copies bytes both
+ways, with their end. So the tunnel of a peer that ends is reset, which is never
+the end of a response.
+"""
+
+import anyio
+from anyio.abc import SocketStream
+
+from spanfall_node.gateway.net.client import Connection, ResponseHead
+from spanfall_node.gateway.net.connecting import connect
+from spanfall_node.gateway.net.errors import (
+    BrokenCallError,
+    NobodyListensError,
+    NotSentError,
+    PeerUnavailableError,
+)
+from spanfall_node.gateway.net.ports import HttpCall
+from spanfall_node.gateway.net.sockets import (
+    READ_BYTES,
+    SOCKET_ERRORS,
+    reset_on_close,
+)
+
+#: Statuses with which a peer states what it found at the upstream's address.
+REFUSED_STATUS = 502
+NO_ANSWER_STATUS = 504
+
+
+async def connect_through(
+    peer_address: str, address: str, timeout: float
+) -> Connection:
+    """Open a connection to an address through a peer.
+
+    Raises:
+        NobodyListensError: the peer found that the host refuses connections.
+        NotSentError: the peer found that the host accepts none in time.
+        PeerUnavailableError: the peer does not say.
+    """
+    try:
+        conn = await connect(peer_address, timeout)
+    except NotSentError as exc:
+        raise PeerUnavailableError(
+            f'no connection to peer {peer_address}: {exc.reason}'
+        ) from exc
+    is_open = False
+    try:
+        head = await _request_tunnel(conn, address, timeout)
+        is_open = _check(head, peer_address)
+    finally:
+        if not is_open:
+            await conn.close()
+    return Connection(conn.stream, address, is_direct=False)
+
+
+async def _request_tunnel(
+    conn: Connection, address: str, timeout: float
+) -> ResponseHead:
+    try:
+        with anyio.fail_after(timeout):
+            await conn.send(HttpCall('CONNECT', address), address)
+            return await conn.read_head(lambda _: True)
+    except (BrokenCallError, TimeoutError) as exc:
+        raise PeerUnavailableError(
+            f'no tunnel through {conn.address}: {exc!r}'
+        ) from exc
+
+
+def _check(head: ResponseHead, peer_address: str) -> bool:
+    """Return True if the tunnel is open; raise what the peer found if not."""
+    if head.status < 300:
+        return True
+    if head.status == REFUSED_STATUS:
+        raise NobodyListensError('nobody listens there, as a peer found too')
+    if head.status == NO_ANSWER_STATUS:
+        raise NotSentError('no connection, as a peer found too')
+    raise PeerUnavailableError(
+        f'peer {peer_address} opened no tunnel: status {head.status}'
+    )
+
+
+async def copy_both_ways(near: SocketStream, far: SocketStream) -> None:
+    """Copy bytes until either side ends; the near side learns how far ended."""
+    reset_on_close(near, enabled=True)
+    try:
+        async with anyio.create_task_group() as tasks:
+
+            async def copy_requests() -> None:
+                await _copy(near, far)
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(copy_requests)
+            if await _copy(far, near):
+                reset_on_close(near, enabled=False)
+                await near.send_eof()
+            tasks.cancel_scope.cancel()
+    except SOCKET_ERRORS:
+        return
+    finally:
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(far)
+            await anyio.aclose_forcefully(near)
+
+
+async def _copy(source: SocketStream, sink: SocketStream) -> bool:
+    """Copy bytes; return whether the source ended without a reset."""
+    while True:
+        try:
+            received = await source.receive(READ_BYTES)
+        except anyio.EndOfStream:
+            return True
+        except SOCKET_ERRORS:
+            return False
+        try:
+            await sink.send(received)
+        except SOCKET_ERRORS:
+            return False
--- a/packages/spanfall-node/src/spanfall_node/gateway/program.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/program.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
 import anyio
@@ -20,8 +21,9 @@
 from spanfall_node.gateway.home.leadership import Leadership
 from spanfall_node.gateway.lifecycle import StatusServer, stop_on_signal
 from spanfall_node.gateway.limits.unit_requests import UnitClient
+from spanfall_node.gateway.net.connecting import connect
 from spanfall_node.gateway.net.logs import LogRateLimiter, set_up_logging
-from spanfall_node.gateway.net.pool import ConnectionPool
+from spanfall_node.gateway.net.pool import ConnectionPool, Dial
 from spanfall_node.gateway.net.ports import PlatformAdapter
 from spanfall_node.gateway.net.sockets import BACKLOG
 from spanfall_node.gateway.settings_watch import SettingsWatch
@@ -35,7 +37,9 @@
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.crash_watch import CrashDetector
 from spanfall_node.gateway.upstreams.grants import GrantClient
+from spanfall_node.gateway.upstreams.paths import UpstreamPaths
 from spanfall_node.gateway.upstreams.relay import UpstreamAccess
+from spanfall_node.gateway.upstreams.tunnel_server import TunnelServer
 from spanfall_node.steady_clock import SteadyLoop, steady_seconds
 from spanfall_node.timers import Timers
 
@@ -95,23 +99,28 @@
     logger.info('Gateway has stopped')
 
 
-def start_gateway(state: GatewayState, tasks: TaskGroup) -> Gateway:
-    """Start all components of the gateway in a task group of the caller."""
+def start_gateway(
+    state: GatewayState, tasks: TaskGroup, dial: Dial = connect
+) -> Gateway:
+    """Start all components of the gateway in a task group of the caller.
+
+    ``dial`` opens connections to upstreams.
+    """
     pool = ConnectionPool(tasks)
     store = StoreClient(state, pool)
     sync = Sync(state, store)
     grants = GrantClient(state)
     units = UnitClient(state)
-    watch = CrashDetector(state, pool)
-    callers = Callers(state, UpstreamAccess(pool, grants, watch), units)
+    paths = UpstreamPaths(state, dial)
+    access = _reach_upstreams(state, paths, grants, tasks)
+    callers = Callers(state, access, units)
     records = HomeRecords(
         QuotaRecord(state, store),
         NeedsRecord(state, store),
         CrashRecord(state, store),
     )
     leadership = Leadership(state, store, records)
-    cloud = CloudClient(state, pool)
-    _start_listening(state, callers, tasks)
+    _start_listening(state, callers, TunnelServer(state, dial), tasks)
     parts = [
         HomeLinks(state).run,
         state.timers.run,
@@ -120,22 +129,35 @@
         records.spending.run,
         records.needs.run,
         records.crashes.run,
-        watch.probe_unanswered,
-        watch.resolve_suspected_crashes,
-        EntryLink(state, sync, grants, units, watch).run,
+        access.crash_detector.probe_unanswered,
+        access.crash_detector.resolve_suspected_crashes,
+        partial(paths.check_paths, access.pool),
+        EntryLink(state, sync, grants, units, access.crash_detector).run,
     ]
     if state.cfg.reports_usage:
-        parts.append(UsageReporter(state, store, cloud).run)
+        parts.append(UsageReporter(state, store, CloudClient(state, pool)).run)
     if state.cfg.orders_upstreams:
-        parts.append(CapacityPlanner(state, cloud).run)
+        parts.append(CapacityPlanner(state, CloudClient(state, pool)).run)
     for part in parts:
         tasks.start_soon(_restart_on_failure, part)
     return Gateway(state, callers, leadership)
 
 
+def _reach_upstreams(
+    state: GatewayState,
+    paths: UpstreamPaths,
+    grants: GrantClient,
+    tasks: TaskGroup,
+) -> UpstreamAccess:
+    pool = ConnectionPool(tasks, paths.open, paths.may_reuse)
+    watch = CrashDetector(state, pool, paths.open)
+    return UpstreamAccess(pool, grants, watch)
+
+
 def _start_listening(
     state: GatewayState,
     callers: Callers,
+    tunnels: TunnelServer,
     tasks: TaskGroup,
 ) -> None:
     listen = state.cfg.listen
@@ -143,6 +165,8 @@
     tasks.start_soon(_listen, listen.readiness, status_server)
     if listen.metrics:
         tasks.start_soon(_listen, listen.metrics, status_server)
+    if listen.tunnels:
+        tasks.start_soon(_listen, listen.tunnels, tunnels)
     tasks.start_soon(_listen, listen.callers, callers)
 
 
@@ -156,7 +180,9 @@
         await anyio.sleep(RESTART_SECONDS)
 
 
-async def _listen(address: str, server: Callers | StatusServer) -> None:
+async def _listen(
+    address: str, server: Callers | StatusServer | TunnelServer
+) -> None:
     host, _, port = address.rpartition(':')
     listener = await anyio.create_tcp_listener(
         local_host=host,
--- a/packages/spanfall-node/src/spanfall_node/gateway/requests/refusals.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/requests/refusals.py
@@ -5,12 +5,15 @@
 
 import msgspec
 from spanfall_core.gateway.known.identity import RequestIdentity
+from spanfall_core.gateway.routing.sends import NextStep
 from spanfall_core.reasons import RefusalReason
 
 from spanfall_node.gateway.net.ports import Headers
 
 #: Statuses that guarantee that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+#: Retry-After seconds where the request has not run.
+NOT_RUN_RETRY_SECONDS = 0.2
 
 
 class RefusedError(Exception):
@@ -105,3 +108,12 @@
     if refusal.retry_after and refusal.status in NOT_RUN_STATUSES:
         headers.append((b'retry-after', b'%.3f' % refusal.retry_after))
     return headers
+
+
+def final_refusal(step: NextStep) -> RefusedError:
+    """Return the refusal that ends a request after a failed send."""
+    if step is NextStep.ANSWER_NOT_RUN:
+        return RefusedError(
+            503, RefusalReason.NO_UPSTREAM, NOT_RUN_RETRY_SECONDS
+        )
+    return RefusedError(502, RefusalReason.OUTCOME_UNKNOWN)
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
@@ -1,5 +1,7 @@
 """Define the metrics of a gateway, with a counter for each reason."""
 
+from enum import StrEnum, unique
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from spanfall_core.gateway.known.statements import StatementChange
 from spanfall_core.reasons import RefusalReason, RetryReason
@@ -14,6 +16,14 @@
 LATENCY_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 5, 15)
 
 
+@unique
+class PathKind(StrEnum):
+    """Name how a node connects to an upstream."""
+
+    DIRECT = 'direct'
+    PEER = 'peer'
+
+
 class Counters:
     """Hold the metrics of one gateway."""
 
@@ -85,6 +95,17 @@
             'Bodies of upstream responses, by how they ended',
             BodyEnd,
         )
+        self.upstream_paths = reason_counter(
+            self.registry,
+            'spanfall_upstream_paths',
+            'Connections opened to upstreams, by path',
+            PathKind,
+        )
+        self.tunnels = Counter(
+            'spanfall_tunnels',
+            'Connections to upstreams that this node opened for peers',
+            registry=self.registry,
+        )
         self.store_calls = self._labelled(
             'spanfall_store_calls',
             'Calls to the store, by outcome',
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
@@ -33,13 +33,12 @@
 from spanfall_core.gateway.routing.prompt_history import PromptHistory
 from spanfall_core.gateway.routing.retry_budget import RetryBudget
 
-from spanfall_node.gateway.links.succession_messages import (
-    HomeRecord,
-)
+from spanfall_node.gateway.links.succession_messages import HomeRecord
 from spanfall_node.gateway.net.ports import PlatformAdapter
 from spanfall_node.gateway.tables.contention import ContentionState
 from spanfall_node.gateway.tables.counters import Counters
 from spanfall_node.gateway.tables.crash_knowledge import CrashState
+from spanfall_node.gateway.tables.reach import Reach
 from spanfall_node.gateway.tables.scheduling import Scheduling
 from spanfall_node.gateway.tables.tenure import Tenure, can_allocate
 from spanfall_node.gateway.tables.upstream_words import UpstreamStatements
@@ -77,6 +76,7 @@
     #: Prompts that this node has sent, and prompts that it granted as the home.
     prompts: PromptHistory = field(default_factory=PromptHistory)
     granted_prompts: PromptHistory = field(default_factory=PromptHistory)
+    reach: Reach = field(default_factory=Reach)
     fleet: FleetState = field(default_factory=FleetState)
     crashes: CrashState = field(default_factory=CrashState)
     effective_limits: EffectiveLimits = field(default_factory=EffectiveLimits)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
@@ -44,6 +44,8 @@
     outcome: SendOutcome
     reason: str
     response: BufferedResponse | None = None
+    #: What it says against the upstream, relative to 1 for a failed request.
+    weight: float = 0
 
 
 @dataclass(slots=True)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/crash_watch.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/crash_watch.py
@@ -22,9 +22,12 @@
     WatchedRun,
 )
 from spanfall_node.gateway.links.pending_requests import Send
-from spanfall_node.gateway.net.connecting import connect
-from spanfall_node.gateway.net.errors import NobodyListensError, NotSentError
-from spanfall_node.gateway.net.pool import ConnectionPool
+from spanfall_node.gateway.net.errors import (
+    NobodyListensError,
+    NotSentError,
+    PathUnknownError,
+)
+from spanfall_node.gateway.net.pool import ConnectionPool, Dial
 from spanfall_node.gateway.tables.state import GatewayState
 
 #: Timeout in seconds of a probe connection to a host that was just reachable.
@@ -58,6 +61,8 @@
 
     state: GatewayState
     pool: ConnectionPool
+    #: Opens a connection to an upstream, directly or through a peer.
+    dial: Dial
     _send: Send | None = field(default=None)
     #: Time and result of the last probe of each upstream.
     _probe_results: dict[Lifetime, tuple[float, ProbeResult]] = field(
@@ -79,16 +84,19 @@
         self,
         identity: RequestIdentity,
         upstream: ListedUpstream,
-    ) -> None:
+    ) -> bool:
         """Probe an upstream whose send broke, and record a crash if it ended.
 
         The home receives the report before a request for another upstream.
+        Returns whether the break says something of the upstream, and not only
+        of the path to it.
         """
         probe_result = await self._probe_after_break(upstream)
-        if probe_result is ProbeResult.ALIVE:
+        if probe_result in {ProbeResult.ALIVE, ProbeResult.NO_PATH}:
             await self.report_run(identity, RunStage.INCOMPLETE)
-            return
-        await self._record(identity, upstream, probe_result)
+        else:
+            await self._record(identity, upstream, probe_result)
+        return probe_result is not ProbeResult.NO_PATH
 
     async def still_runs(self, upstream: ListedUpstream) -> bool:
         """Tell whether an upstream accepts connections after it closed one.
@@ -180,7 +188,7 @@
     async def _probe_after_break(self, upstream: ListedUpstream) -> ProbeResult:
         """Probe an upstream just after a send to it broke."""
         before = self.pool.open_connections(upstream.lifetime)
-        probe_result = await _probe(upstream.address)
+        probe_result = await self._probe(upstream.address)
         if probe_result is not ProbeResult.ACCEPTS_CONNECTIONS:
             return probe_result
         after = self.pool.open_connections(upstream.lifetime)
@@ -196,7 +204,7 @@
         )
         if now - probed_at < PROBE_PERIOD:
             return probe_result
-        probe_result = await _probe(upstream.address)
+        probe_result = await self._probe(upstream.address)
         self._probe_results = {
             key: row
             for key, row in self._probe_results.items()
@@ -205,18 +213,21 @@
         self._probe_results[lifetime] = (now, probe_result)
         return probe_result
 
-
-async def _probe(address: str) -> ProbeResult:
-    try:
-        conn = await connect(address, PROBE_TIMEOUT_SECONDS)
-    except NobodyListensError:
-        return ProbeResult.ENDED
-    except NotSentError:
-        return ProbeResult.NO_ANSWER
-    try:
-        is_closed = await conn.closes_within(CLOSE_WAIT_SECONDS)
-    finally:
-        await conn.close()
-    return (
-        ProbeResult.NO_ANSWER if is_closed else ProbeResult.ACCEPTS_CONNECTIONS
-    )
+    async def _probe(self, address: str) -> ProbeResult:
+        try:
+            conn = await self.dial(address, PROBE_TIMEOUT_SECONDS)
+        except NobodyListensError:
+            return ProbeResult.ENDED
+        except PathUnknownError:
+            return ProbeResult.NO_PATH
+        except NotSentError:
+            return ProbeResult.NO_ANSWER
+        try:
+            is_closed = await conn.closes_within(CLOSE_WAIT_SECONDS)
+        finally:
+            await conn.close()
+        if not conn.is_direct:
+            return ProbeResult.NO_PATH
+        if is_closed:
+            return ProbeResult.NO_ANSWER
+        return ProbeResult.ACCEPTS_CONNECTIONS
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -27,8 +27,10 @@
 from spanfall_node.gateway.requests.admission import AdmittedRequest
 from spanfall_node.gateway.requests.caller_connection import CallerConnection
 from spanfall_node.gateway.requests.refusals import (
+    NOT_RUN_RETRY_SECONDS,
     EndsUpstreamsError,
     RefusedError,
+    final_refusal,
 )
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.attempt import (
@@ -50,8 +52,6 @@
 
 logger = logging.getLogger(__name__)
 
-#: Retry-After seconds where the request has not run.
-NOT_RUN_RETRY_SECONDS = 0.2
 #: Retry-After seconds for a suspect request that waited for its trial.
 TRIAL_RETRY_SECONDS = 0.5
 #: Retry-After seconds for a held request: before that, the platform's list can
@@ -154,7 +154,7 @@
     if standing is Standing.QUARANTINED:
         raise EndsUpstreamsError(exchange.admitted.identity)
     if exchange.sends.may_have_run:
-        raise _final_refusal(NextStep.ANSWER_UNKNOWN)
+        raise final_refusal(NextStep.ANSWER_UNKNOWN)
     seconds = TRIAL_RETRY_SECONDS
     if standing is Standing.HELD:
         seconds = HELD_RETRY_SECONDS
@@ -181,7 +181,8 @@
         isinstance(send_result, Failed)
         and send_result.outcome is SendOutcome.BROKEN
     ):
-        await detector.check_broken_send(identity, choice.upstream)
+        if not await detector.check_broken_send(identity, choice.upstream):
+            send_result.weight = 0
     elif is_watched:
         is_complete = isinstance(send_result, Answered)
         await report_run(
@@ -219,9 +220,9 @@
     if exchange.started:
         await _abort_response(state, exchange, 'no upstream is left')
     elif exchange.sends.may_have_run:
-        raise _final_refusal(NextStep.ANSWER_UNKNOWN)
+        raise final_refusal(NextStep.ANSWER_UNKNOWN)
     elif retry_after is None:
-        raise _final_refusal(NextStep.ANSWER_NOT_RUN)
+        raise final_refusal(NextStep.ANSWER_NOT_RUN)
     else:
         raise RefusedError(
             503,
@@ -239,6 +240,9 @@
     """Record a failed send; return whether to send the request again."""
     admitted = exchange.admitted
     exchange.tried.add(choice.upstream.lifetime)
+    if failed.weight:
+        now = state.timers.now()
+        state.loads.fail(choice.upstream.lifetime, now, failed.weight)
     step = next_step(
         failed.outcome,
         admitted.route,
@@ -289,12 +293,4 @@
     backoff = seconds_until_backoff_ends(state, exchange.admitted.service)
     if step is NextStep.ANSWER_NOT_RUN and backoff is not None:
         raise RefusedError(503, RefusalReason.UPSTREAMS_LIMITED, backoff)
-    raise _final_refusal(step)
-
-
-def _final_refusal(step: NextStep) -> RefusedError:
-    if step is NextStep.ANSWER_NOT_RUN:
-        return RefusedError(
-            503, RefusalReason.NO_UPSTREAM, NOT_RUN_RETRY_SECONDS
-        )
-    return RefusedError(502, RefusalReason.OUTCOME_UNKNOWN)
+    raise final_refusal(step)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
@@ -5,7 +5,7 @@
 
 import anyio
 from spanfall_core.gateway.routing.balance import Choice
-from spanfall_core.gateway.routing.sends import SendOutcome
+from spanfall_core.gateway.routing.sends import SendOutcome, may_run_again
 
 from spanfall_node.gateway.net.client import Connection, ResponseHead
 from spanfall_node.gateway.net.errors import (
@@ -13,6 +13,7 @@
     CallerGoneError,
     CallError,
     NotSentError,
+    PathUnknownError,
 )
 from spanfall_node.gateway.net.pool import ConnectionPool
 from spanfall_node.gateway.requests.refusals import NOT_RUN_STATUSES
@@ -74,8 +75,9 @@
     try:
         return await _send_over(state, pool, exchange, choice, pending)
     except NotSentError as exc:
-        _record_failure(state, choice, UNREACHABLE_WEIGHT)
-        return Failed(SendOutcome.NOT_SENT, exc.reason)
+        is_known = not isinstance(exc, PathUnknownError)
+        weight = UNREACHABLE_WEIGHT if is_known else 0
+        return Failed(SendOutcome.NOT_SENT, exc.reason, weight=weight)
     finally:
         pending.done()
         state.loads.end(upstream.lifetime)
@@ -122,6 +124,7 @@
         upstream.lifetime,
         upstream.address,
         CONNECT_TIMEOUT_SECONDS,
+        runs_once=not may_run_again(exchange.admitted.route),
     )
     exchange.sends.sends += 1
     try:
@@ -130,8 +133,7 @@
         await conn.close()
         raise
     except (BrokenCallError, EventTooLargeError) as exc:
-        _record_failure(state, choice, 1)
-        return Failed(SendOutcome.BROKEN, _reason(exc))
+        return Failed(SendOutcome.BROKEN, _reason(exc), weight=1)
     finally:
         if conn.body_end is not None:
             state.counters.response_ends.labels(conn.body_end.value).inc()
@@ -145,19 +147,13 @@
     return type(exc).__name__
 
 
-def _record_failure(state: GatewayState, choice: Choice, weight: float) -> None:
-    now = state.timers.now()
-    state.loads.fail(choice.upstream.lifetime, now, weight)
-
-
-def _record_refusal(state: GatewayState, choice: Choice) -> None:
-    """Count a refusal as a failure, unless it came with a back-off.
+def _refusal_weight(state: GatewayState, choice: Choice) -> float:
+    """Return the weight of a refusal: 0 if it came with a back-off.
 
     A back-off is no failure: after it the upstream gets requests as before.
     """
     avoided = state.words.backoffs.active(state.timers.now())
-    if choice.upstream.lifetime not in avoided:
-        _record_failure(state, choice, REFUSED_WEIGHT)
+    return 0 if choice.upstream.lifetime in avoided else REFUSED_WEIGHT
 
 
 async def _send_and_receive(
@@ -248,18 +244,19 @@
         )
     if head.header(names.not_run):
         if head.status in NOT_RUN_STATUSES:
-            _record_refusal(state, choice)
-            return Failed(SendOutcome.REFUSED, f'refused with {head.status}')
+            return Failed(
+                SendOutcome.REFUSED,
+                f'refused with {head.status}',
+                weight=_refusal_weight(state, choice),
+            )
         return None
     if head.status in NOT_RUN_STATUSES:
-        _record_failure(state, choice, 1)
-        return Failed(SendOutcome.BROKEN, f'{head.status} but may have run')
+        reason = f'{head.status} but may have run'
+        return Failed(SendOutcome.BROKEN, reason, weight=1)
     if head.status >= 500:
-        _record_failure(state, choice, 1)
-        return Failed(
-            SendOutcome.FAILED, f'failed with {head.status}', response
-        )
+        reason = f'failed with {head.status}'
+        return Failed(SendOutcome.FAILED, reason, response, weight=1)
     if head.status < 300 and not head.header(names.signature):
-        _record_failure(state, choice, 1)
-        return Failed(SendOutcome.BROKEN, 'success without a signature')
+        reason = 'success without a signature'
+        return Failed(SendOutcome.BROKEN, reason, weight=1)
     return None
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/tunnel_server.py
@@ -0,0 +1,115 @@
+"""Connect to upstreams for peers that do not reach them."""
+
+import logging
+
+import anyio
+from anyio.abc import SocketStream
+
+from spanfall_node.gateway.net.errors import (
+    BadRequestError,
+    CallerGoneError,
+    NobodyListensError,
+    NotSentError,
+)
+from spanfall_node.gateway.net.pool import Dial
+from spanfall_node.gateway.net.sockets import enable_keepalive
+from spanfall_node.gateway.net.tunnels import (
+    NO_ANSWER_STATUS,
+    REFUSED_STATUS,
+    copy_both_ways,
+)
+from spanfall_node.gateway.requests.caller_connection import (
+    CallerConnection,
+    CallerRequest,
+)
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.vouching import reaches_another
+
+logger = logging.getLogger(__name__)
+
+#: Maximum number of requests that this node carries for peers at once; each
+#: takes two descriptors.
+MAX_TUNNELS = 256
+#: Timeout in seconds of a connection to an upstream: less than the peer waits.
+CONNECT_TIMEOUT_SECONDS = 0.1
+#: Status of a node that cannot connect for peers.
+UNABLE_STATUS = 503
+_NO_BODY = [(b'content-length', b'0')]
+
+
+class TunnelServer:
+    """Accept tunnels of peers to listed upstreams."""
+
+    def __init__(self, state: GatewayState, dial: Dial) -> None:
+        """Connect to upstreams with ``dial``, never through a peer."""
+        self._state = state
+        self._dial = dial
+        self._open = 0
+
+    async def serve_connection(self, stream: SocketStream) -> None:
+        """Serve one tunnel until either side closes it."""
+        peer = CallerConnection(stream, self._state.limits)
+        self._open += 1
+        self._state.open_requests += 1
+        try:
+            await self._serve(peer)
+        except (BadRequestError, CallerGoneError) as exc:
+            logger.info('A peer gave up a tunnel: %r', exc)
+        finally:
+            self._open -= 1
+            self._state.open_requests -= 1
+            await peer.abort()
+
+    async def _serve(self, peer: CallerConnection) -> None:
+        req = await peer.read_request()
+        if req is None:
+            return
+        status = self._refusal(req)
+        if status is not None:
+            await peer.send_response(status, _NO_BODY, b'')
+            return
+        try:
+            conn = await self._dial(req.target, CONNECT_TIMEOUT_SECONDS)
+        except NotSentError as exc:
+            status = await self._verdict(req.target, exc)
+            await peer.send_response(status, _NO_BODY, b'')
+            return
+        self._state.reach.own.record_reached(
+            req.target, self._state.timers.now()
+        )
+        try:
+            await self._carry(peer, conn.stream)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await conn.close()
+
+    async def _carry(
+        self, peer: CallerConnection, upstream: SocketStream
+    ) -> None:
+        await peer.read_body()
+        enable_keepalive(peer.stream)
+        await peer.send_head(200, [])
+        self._state.counters.tunnels.inc()
+        await copy_both_ways(peer.stream, upstream)
+
+    async def _verdict(self, address: str, exc: NotSentError) -> int:
+        """Return the status for a failed connection.
+
+        It says nothing of the upstream unless this node reaches another one.
+        """
+        if not await reaches_another(self._state, self._dial, address):
+            return UNABLE_STATUS
+        is_refused = isinstance(exc, NobodyListensError)
+        return REFUSED_STATUS if is_refused else NO_ANSWER_STATUS
+
+    def _refusal(self, req: CallerRequest) -> int | None:
+        """Return the status of a refused tunnel, or None."""
+        state = self._state
+        if req.method != 'CONNECT':
+            return 405
+        if req.target not in state.directory.address_counts:
+            return 403
+        is_unable = state.reach.own.is_cut or state.draining_since is not None
+        if is_unable or self._open > MAX_TUNNELS:
+            return UNABLE_STATUS
+        return None
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/vouching.py
@@ -0,0 +1,44 @@
+"""Check whether a node reaches upstreams at all before it judges one."""
+
+import random
+
+import anyio
+
+from spanfall_node.gateway.net.errors import NotSentError
+from spanfall_node.gateway.net.pool import Dial
+from spanfall_node.gateway.tables.state import GatewayState
+
+#: Other upstreams that are tried, and the timeout in seconds.
+MAX_VOUCHERS = 3
+TIMEOUT_SECONDS = 0.1
+
+
+async def reaches_another(
+    state: GatewayState, dial: Dial, address: str
+) -> bool:
+    """Return whether a failed connection to an address may be believed.
+
+    It may if this node reaches another listed upstream right now, or if there
+    is none.
+    """
+    others = list(state.directory.address_counts)
+    if address in others:
+        others.remove(address)
+    if not others:
+        return True
+    reached: list[str] = []
+
+    async def check(other: str) -> None:
+        try:
+            conn = await dial(other, TIMEOUT_SECONDS)
+        except NotSentError:
+            return
+        await conn.close()
+        reached.append(other)
+        tasks.cancel_scope.cancel()
+
+    chosen = random.sample(others, min(MAX_VOUCHERS, len(others)))
+    async with anyio.create_task_group() as tasks:
+        for other in chosen:
+            tasks.start_soon(check, other)
+    return bool(reached)
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -14,6 +14,7 @@
 from spanfall_api.gateway_settings import Bounds, GatewaySettings, Host, Listen
 from spanfall_core.gateway.known.configuration import RouteKind
 from spanfall_core.gateway.known.listed import ListedUpstream
+from spanfall_node.gateway.net.connecting import connect
 from spanfall_node.gateway.program import start_gateway
 from spanfall_node.gateway.tables.new_state import build_state
 from spanfall_node.gateway.tables.state import GatewayState
@@ -27,6 +28,7 @@
     PlainService,
     PlainShare,
 )
+from spanfall_standins.gateway.network import Network
 from spanfall_standins.gateway.server import (
     AfterExit,
     ReceivedRequest,
@@ -142,9 +144,11 @@
         """Remove the entry of an upstream that has stopped writing it."""
         self.store.remove(f'{UPSTREAM_PREFIX}{upstream.lifetime}')
 
-    async def add_gateway(self, **bounds: float) -> GatewayState:
+    async def add_gateway(
+        self, network: Network | None = None, **bounds: float
+    ) -> GatewayState:
         """Start a gateway and wait until it is ready."""
-        state = await self.add_unready_gateway(**bounds)
+        state = await self.add_unready_gateway(network=network, **bounds)
         await wait_until(lambda: state.is_ready(state.timers.now()))
         listed = [key for key in self.store.items if UPSTREAM_PREFIX in key]
         await wait_until(lambda: len(state.directory.rows) >= len(listed))
@@ -175,6 +179,7 @@
         self,
         least_lease_seconds: float = 0,
         host: Host | None = None,
+        network: Network | None = None,
         **bounds: float,
     ) -> GatewayState:
         """Start a gateway and wait until it accepts connections."""
@@ -185,7 +190,8 @@
         )
         timers = Timers(time.monotonic, time.time)
         state = build_state(cfg, ADAPTER, timers, f'i-{cfg.node}')
-        start_gateway(state, self.tasks)
+        dial = network.dial if network else connect
+        start_gateway(state, self.tasks, dial)
         await wait_until_open(cfg.listen.callers)
         return state
 
@@ -194,7 +200,8 @@
         listen = Listen(
             callers=await free_address(),
             readiness=await free_address(),
-            links=await free_address(),
+            links=await free_address(ports=2),
+            serves_tunnels=True,
         )
         return GatewaySettings(
             node=f'node-{next(self._numbers)}',
@@ -216,23 +223,30 @@
         return True
 
 
-async def free_address() -> str:
+async def free_address(ports: int = 1) -> str:
     """Return a loopback address that no process listens on.
 
+    The following ``ports`` - 1 ports are free, too.
+
     Its port is below the ephemeral port range: an outgoing connection once
     took the port of a gateway before the gateway could listen there.
     """
     while True:
         port = secrets.choice(PORTS)
-        try:
-            listener = await anyio.create_tcp_listener(
-                local_host='127.0.0.1',
-                local_port=port,
-            )
-        except OSError:
-            continue
-        await listener.aclose()
-        return f'127.0.0.1:{port}'
+        if all([await _is_free(port + step) for step in range(ports)]):
+            return f'127.0.0.1:{port}'
+
+
+async def _is_free(port: int) -> bool:
+    try:
+        listener = await anyio.create_tcp_listener(
+            local_host='127.0.0.1',
+            local_port=port,
+        )
+    except OSError:
+        return False
+    await listener.aclose()
+    return True
 
 
 async def wait_until_open(address: str) -> None:
--- /dev/null
+++ b/tests/test_gateway_cut_entries.py
@@ -0,0 +1,210 @@
+"""An entry without a path to upstreams serves its callers through peers."""
+
+import anyio
+import pytest
+from gateway_world import ask, in_world
+from spanfall_node.gateway.upstreams.paths import SILENCE_SECONDS
+from spanfall_standins.gateway.network import Network, Path
+from spanfall_standins.gateway.upstream import (
+    complete_response,
+    events,
+    silent,
+)
+from support import wait_until
+
+CUTS = [Path.REFUSES, Path.RESETS, Path.SILENT]
+
+
+def in_cut_world(entries, cut, *behaviours):
+    """Run a test with upstreams and entries, the first ``cut`` of them cut."""
+
+    def wrap(test):
+        @in_world
+        async def run(world):
+            for behaviour in behaviours:
+                await world.add_upstream(behaviour)
+            networks = [Network() for _ in range(entries)]
+            states = [await world.add_gateway(one) for one in networks]
+            await wait_until(
+                lambda: all(
+                    len(row.reach.peers) == entries - 1 for row in states
+                )
+            )
+            await test(world, states, networks[:cut])
+
+        return run
+
+    return wrap
+
+
+async def ask_often(state, path, count=8):
+    """Return the statuses of requests asked one after the other."""
+    return [
+        (await ask(state, f'{path}{number}', attempt=f'a{number}')).status
+        for number in range(count)
+    ]
+
+
+# Guards against callers that are refused because their entry is cut off.
+@pytest.mark.parametrize('cut', CUTS)
+@pytest.mark.parametrize('path', ['/once/', '/any/', '/stream/'])
+def test_cut_entry_serves_first_tries(cut, path):
+    behaviour = events(1, 3) if path == '/stream/' else complete_response()
+
+    @in_cut_world(3, 1, behaviour, behaviour)
+    async def run(world, states, networks):
+        await networks[0].cut(cut)
+        assert set(await ask_often(states[0], path)) == {200}
+        assert set(await ask_often(states[1], path)) == {200}
+        counted = [row.loads.failed for row in states]
+        assert not any(map(dict, counted)), counted
+
+    run()
+
+
+# Guards against requests on idle connections that hang.
+@pytest.mark.parametrize('path', ['/any/', '/resume/'])
+def test_idle_connections_of_a_cut_entry(path):
+    behaviour = events(1, 3) if path == '/resume/' else complete_response()
+
+    @in_cut_world(3, 1, behaviour, behaviour)
+    async def run(world, states, networks):
+        await ask_often(states[0], path)
+        await networks[0].cut(Path.SILENT)
+        began = anyio.current_time()
+        assert set(await ask_often(states[0], path)) == {200}
+        assert anyio.current_time() - began < 2 * SILENCE_SECONDS + 2
+
+    run()
+
+
+# Guards against a request that may run once and is swallowed by such a one.
+def test_stale_idle_connections_of_a_cut_entry():
+    @in_cut_world(3, 1, complete_response(), complete_response())
+    async def run(world, states, networks):
+        await ask_often(states[0], '/once/')
+        await networks[0].cut(Path.SILENT)
+        await anyio.sleep(1.1)
+        assert set(await ask_often(states[0], '/once/')) == {200}
+        ran = [len(one.received_requests) for one in world.upstreams.values()]
+        assert sum(ran) == 16
+
+    run()
+
+
+# Guards against a cut that outlives itself.
+@pytest.mark.parametrize('cut', CUTS)
+def test_entry_goes_back_to_direct_connections(cut):
+    @in_cut_world(3, 1, complete_response(), complete_response())
+    async def run(world, states, networks):
+        def is_healed():
+            return not states[0].reach.own.blocked
+
+        for _ in '12':
+            await networks[0].cut(cut)
+            await ask_often(states[0], '/any/')
+            await networks[0].cut(Path.OPEN)
+            await wait_until(is_healed)
+            before = sum(tunnels(row) for row in states)
+            await ask_often(states[0], '/any/')
+            assert sum(tunnels(row) for row in states) == before
+
+    run()
+
+
+# Guards against most entries of a data centre that find no peer.
+def test_one_peer_is_left():
+    @in_cut_world(4, 3, complete_response(), complete_response())
+    async def run(world, states, networks):
+        for network in networks:
+            await network.cut(Path.REFUSES)
+        for state in states:
+            assert set(await ask_often(state, '/once/')) == {200}
+        assert not any(row.loads.failed for row in states)
+
+    run()
+
+
+# Guards against verdicts of cut entries on upstreams, and against silence.
+def test_all_entries_are_cut():
+    @in_cut_world(3, 3, complete_response(), complete_response())
+    async def run(world, states, networks):
+        for network in networks:
+            await network.cut(Path.REFUSES)
+        began = anyio.current_time()
+        for state in states:
+            assert set(await ask_often(state, '/once/', 3)) == {503}
+        assert anyio.current_time() - began < 9 * 0.5
+        assert not any(row.loads.failed for row in states)
+        assert not any(has_crashes(row) for row in states)
+        for network in networks:
+            await network.cut(Path.OPEN)
+        await wait_until(
+            lambda: not any(row.reach.own.blocked for row in states)
+        )
+        for state in states:
+            assert set(await ask_often(state, '/once/', 3)) == {200}
+
+    run()
+
+
+# Guards against a crash that is read from a broken path.
+@pytest.mark.parametrize('cut', [Path.RESETS, Path.SILENT])
+def test_broken_paths_are_no_crashes(cut):
+    @in_cut_world(3, 1, silent(), silent(), silent())
+    async def run(world, states, networks):
+        async def ask_once():
+            await ask(states[0], '/any/7')
+
+        def received(lifetime):
+            return len(world.upstreams[lifetime].received_requests)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask_once)
+            await wait_until(lambda: sum(map(received, world.upstreams)) == 1)
+            await networks[0].cut(cut)
+            await wait_until(lambda: sum(map(received, world.upstreams)) >= 2)
+            tasks.cancel_scope.cancel()
+        assert not any(has_crashes(row) for row in states)
+        assert not any(row.loads.failed for row in states)
+
+    run()
+
+
+# Guards against an upstream whose end no entry believes any more.
+def test_an_ended_upstream_still_counts():
+    @in_cut_world(3, 0, complete_response(), complete_response())
+    async def run(world, states, networks):
+        gone = next(iter(world.upstreams.values()))
+        gone.process_scope.cancel()
+        assert set(await ask_often(states[0], '/once/')) == {200}
+        assert states[0].loads.failed[gone.lifetime]
+        assert not states[0].reach.own.blocked
+
+    run()
+
+
+# Guards against work that goes on for a caller that has left.
+def test_cancel_through_a_peer():
+    @in_cut_world(2, 1, silent(), silent())
+    async def run(world, states, networks):
+        await networks[0].cut(Path.REFUSES)
+        with anyio.move_on_after(0.4):
+            await ask(states[0], '/once/7')
+        abandoned = [one.abandoned_requests for one in world.upstreams.values()]
+        with anyio.fail_after(0.5):
+            while not any(abandoned):
+                await anyio.sleep(0.01)
+
+    run()
+
+
+def has_crashes(state):
+    """Return whether a node counts any crash, also a suspected one."""
+    report = state.crashes.report(state.timers.now())
+    return bool(report.ends or report.doubts)
+
+
+def tunnels(state):
+    read = state.counters.registry.get_sample_value
+    return read('spanfall_tunnels_total')
