--- a/packages/spanfall-node/src/spanfall_node/gateway/net/sockets.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/sockets.py
@@ -21,8 +21,11 @@
 #: probes reveal it.
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
-#: Number of unanswered probes after which a connection is closed.
+#: Number of unanswered probes after which a connection is closed. On Linux the
+#: user timeout decides instead where it is set, so both give the same time.
 MAX_KEEPALIVE_PROBES = 2
+#: Seconds for which a sound server may be silent.
+MIN_SILENCE_SECONDS = 1.5
 
 #: Errors that a socket raises when its connection has ended.
 SOCKET_ERRORS = (
--- a/tests/test_gateway_client.py
+++ b/tests/test_gateway_client.py
@@ -11,7 +11,13 @@
 from spanfall_node.gateway.net.connecting import connect
 from spanfall_node.gateway.net.errors import NotSentError
 from spanfall_node.gateway.net.ports import HttpCall
-from spanfall_node.gateway.net.sockets import TCP_USER_TIMEOUT_MS
+from spanfall_node.gateway.net.sockets import (
+    KEEPALIVE_IDLE_SECONDS,
+    KEEPALIVE_INTERVAL_SECONDS,
+    MAX_KEEPALIVE_PROBES,
+    MIN_SILENCE_SECONDS,
+    TCP_USER_TIMEOUT_MS,
+)
 from support import run_async
 
 #: Exceeds the socket buffers of both ends.
@@ -106,3 +112,15 @@
         assert (probed, bound) == (1, TCP_USER_TIMEOUT_MS)
 
     run_with_unreading_server(check)
+
+
+# Guards against a server that is silent for a second and is given up, and
+# against a number of probes that has no effect.
+def test_keepalive_agrees_with_the_user_timeout():
+    """The user timeout also decides when probes give up, whatever their count."""
+    by_probes = (
+        KEEPALIVE_IDLE_SECONDS
+        + KEEPALIVE_INTERVAL_SECONDS * MAX_KEEPALIVE_PROBES
+    )
+    assert by_probes * 1000 == TCP_USER_TIMEOUT_MS
+    assert by_probes >= 2 * MIN_SILENCE_SECONDS
--- a/tests/test_gateway_cut_entries.py
+++ b/tests/test_gateway_cut_entries.py
@@ -5,7 +5,10 @@
 from gateway_world import ask, in_world
 from spanfall_node.gateway.upstreams.paths import SILENCE_SECONDS
 from spanfall_standins.gateway.network import Network, Path
+from spanfall_standins.gateway.server import encode_response
 from spanfall_standins.gateway.upstream import (
+    EVENT_STREAM,
+    chunk,
     complete_response,
     events,
     silent,
@@ -199,6 +202,54 @@
     run()
 
 
+# Guards against a stream that stops in the middle with its path.
+@pytest.mark.parametrize('cut', [Path.RESETS, Path.SILENT])
+def test_stream_goes_on_through_a_peer(cut):
+    async def send_slowly(upstream, request, stream):
+        last = int(request.headers.get('last-event-id', '0'))
+        head = encode_response(
+            200, b'', {**upstream.response_headers(request), **EVENT_STREAM}
+        )
+        await stream.send(head.replace(b'content-length: 0\r\n', b''))
+        for number in range(last + 1, 21):
+            await stream.send(chunk(b'id: %d\ndata: x\n\n' % number))
+            await anyio.sleep(0.03)
+        await stream.send(b'0\r\n\r\n')
+        return True
+
+    @in_cut_world(3, 1, send_slowly, send_slowly)
+    async def run(world, states, networks):
+        async def cut_soon():
+            await anyio.sleep(0.2)
+            await networks[0].cut(cut)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(cut_soon)
+            answer = await ask(states[0], '/resume/7')
+        assert answer.complete
+        assert answer.body.count(b'id:') == 20
+        assert not any(has_crashes(row) for row in states)
+
+    run()
+
+
+# Guards against peers that only a living home or store can name.
+@pytest.mark.parametrize('number', [0, 1])
+def test_cut_without_home_and_store(number):
+    """The cut entry is the home (0) or another one."""
+
+    @in_cut_world(3, 3, complete_response(), complete_response())
+    async def run(world, states, networks):
+        home = next(row for row in states if row.tenure)
+        entry = states[(states.index(home) + number) % len(states)]
+        world.store.error_status = 503
+        home.tenure.resign()
+        await networks[states.index(entry)].cut(Path.REFUSES)
+        assert set(await ask_often(entry, '/once/')) == {200}
+
+    run()
+
+
 def has_crashes(state):
     """Return whether a node counts any crash, also a suspected one."""
     report = state.crashes.report(state.timers.now())
