Send to brittle upstreams only what they have room for

Cause: nobody read that word, and the home grants upstreams beyond their slots, which their queues take until they reject.

Evidence: bursts at three entries and two or three upstreams that survive one or three rejections a second.

Why this works: the home counts what runs there and what it has granted since, grants no more than the listed slots, and less after a rejection, which comes with the retry that it causes. Entries without a home use their share and pause after a rejection. A new home uses a quarter until it knows what runs.

Open: above 3.2 entries for each rejection a second, the first rejections of entries without a home may pass N (design/upstream-words.md).

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/statements.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/statements.py
@@ -1,8 +1,8 @@
 """Store what upstreams state about themselves in their answers.
 
-An upstream may state a limit for all entries together, which applies until it
-states another limit or none, and may state that it is leaving, which applies
-to its lifetime. Nodes exchange statements with their age; of two statements on
+An upstream may state a rate limit for all entries together, and how many
+rejections in a second it survives. Both apply until it states another value or
+none. It may state that it is leaving, which applies to its lifetime. Nodes exchange statements with their age; of two statements on
 the same limit the later one applies.
 """
 
@@ -13,6 +13,7 @@
 from itertools import takewhile
 
 from spanfall_core.gateway.known.lifetimes import Lifetime
+from spanfall_core.gateway.known.stated_values import StatedValue, StatedValues
 
 #: Maximum number of lifetimes kept; those with the oldest change go first.
 MAX_LIFETIMES = 16_384
@@ -31,6 +32,10 @@
     rate: float | None = None
     #: Whether it stated a limit that cannot be parsed, which is ignored.
     is_rate_invalid: bool = False
+    #: Rejections in a second, over all entries, above which it ends.
+    rejections: float | None = None
+    #: Whether it stated such a number that cannot be parsed, which is ignored.
+    is_rejections_invalid: bool = False
     leaves: bool = False
     #: Seconds for which it accepts no requests from the entry that it
     #: answered.
@@ -46,6 +51,9 @@
     #: Seconds since the rate was received; None if never.
     rate_age: float | None = None
     leaves: bool = False
+    #: The same of the rejections that it survives.
+    rejections: float | None = None
+    rejections_age: float | None = None
 
 
 @unique
@@ -55,17 +63,15 @@
     LIMIT = 'limit'
     NO_LIMIT = 'no-limit'
     INVALID_LIMIT = 'unread-limit'
+    BRITTLE = 'brittle'
+    NOT_BRITTLE = 'not-brittle'
     LEAVES = 'leaves'
     BACK_OFF = 'back-off'
 
 
-@dataclass(frozen=True, slots=True)
-class StatedLimit:
-    """Store the latest limit that an upstream stated."""
-
-    rate: float | None
-    received_at: float
-
+#: Changes of a value, stated and withdrawn.
+RATE_CHANGES = (StatementChange.LIMIT, StatementChange.NO_LIMIT)
+BRITTLE_CHANGES = (StatementChange.BRITTLE, StatementChange.NOT_BRITTLE)
 
 KnownStatements = dict[Lifetime, KnownStatement]
 
@@ -76,14 +82,23 @@
 
     #: Incremented with each change, so that others can request later ones.
     version: int = 0
-    #: Requests per second of the upstreams that state a limit now.
-    rates: dict[Lifetime, float] = field(default_factory=dict)
     #: Upstreams that stated that they are leaving.
     leaving: set[Lifetime] = field(default_factory=set)
-    _limits: dict[Lifetime, StatedLimit] = field(default_factory=dict)
+    _rates: StatedValues = field(default_factory=StatedValues)
+    _rejections: StatedValues = field(default_factory=StatedValues)
     #: Version of the last change of each upstream, oldest first.
     _changed: dict[Lifetime, int] = field(default_factory=dict)
 
+    @property
+    def rates(self) -> dict[Lifetime, float]:
+        """Return the requests per second of upstreams that state a limit now."""
+        return self._rates.current
+
+    @property
+    def rejections(self) -> dict[Lifetime, float]:
+        """Return the rejections in a second that brittle upstreams survive."""
+        return self._rejections.current
+
     def record(
         self,
         lifetime: Lifetime,
@@ -102,14 +117,29 @@
         changes: list[StatementChange] = []
         if statement.leaves and self._learn_leaving(lifetime):
             changes.append(StatementChange.LEAVES)
-        if statement.is_rate_invalid:
-            return [*changes, StatementChange.INVALID_LIMIT]
-        if statement.rate is not None:
-            if self._learn_rate(lifetime, StatedLimit(statement.rate, now)):
-                changes.append(StatementChange.LIMIT)
-        elif is_signed and self._is_withdrawn(lifetime, sent_at):
-            self._learn_rate(lifetime, StatedLimit(None, now))
-            changes.append(StatementChange.NO_LIMIT)
+        received = (
+            (
+                self._rates,
+                statement.rate,
+                statement.is_rate_invalid,
+                RATE_CHANGES,
+            ),
+            (
+                self._rejections,
+                statement.rejections,
+                statement.is_rejections_invalid,
+                BRITTLE_CHANGES,
+            ),
+        )
+        for known, stated, is_invalid, kinds in received:
+            if is_invalid:
+                changes.append(StatementChange.INVALID_LIMIT)
+                continue
+            is_withdrawn = is_signed and known.is_withdrawn(lifetime, sent_at)
+            if stated is None and not is_withdrawn:
+                continue
+            if self._learn(known, lifetime, StatedValue(stated, now)):
+                changes.append(kinds[stated is None])
         return changes
 
     def merge(self, statements: KnownStatements, now: float) -> list[Lifetime]:
@@ -134,17 +164,11 @@
 
     def forget(self, lifetime: Lifetime) -> None:
         """Drop the statements of a lifetime that has ended."""
-        self.rates.pop(lifetime, None)
-        self._limits.pop(lifetime, None)
+        self._rates.forget(lifetime)
+        self._rejections.forget(lifetime)
         self.leaving.discard(lifetime)
         self._changed.pop(lifetime, None)
 
-    def _is_withdrawn(self, lifetime: Lifetime, sent_at: float) -> bool:
-        known = self._limits.get(lifetime)
-        if known is None or known.rate is None:
-            return False
-        return sent_at >= known.received_at
-
     def _learn_statement(
         self,
         lifetime: Lifetime,
@@ -152,10 +176,19 @@
         now: float,
     ) -> bool:
         is_new = statement.leaves and self._learn_leaving(lifetime)
-        if statement.rate_age is None:
-            return is_new
-        limit = StatedLimit(statement.rate, now - statement.rate_age)
-        return self._learn_rate(lifetime, limit) or is_new
+        pairs = (
+            (self._rates, statement.rate, statement.rate_age),
+            (
+                self._rejections,
+                statement.rejections,
+                statement.rejections_age,
+            ),
+        )
+        for known, stated, age in pairs:
+            if age is not None:
+                newer = StatedValue(stated, now - age)
+                is_new = self._learn(known, lifetime, newer) or is_new
+        return is_new
 
     def _learn_leaving(self, lifetime: Lifetime) -> bool:
         if lifetime in self.leaving:
@@ -164,25 +197,13 @@
         self._note_changed(lifetime)
         return True
 
-    def _learn_rate(self, lifetime: Lifetime, limit: StatedLimit) -> bool:
-        """Apply a later limit; return whether its rate is new."""
-        known = self._limits.get(lifetime)
-        if known is not None and limit.received_at <= known.received_at:
-            return False
-        if known is None and limit.rate is None:
-            return False
-        is_new = known is None or known.rate != limit.rate
-        if not is_new:
-            # Only the first statement of a rate sets its time, so that the
-            # copies that nodes have of each other's statements agree.
-            return False
-        self._limits[lifetime] = limit
-        if limit.rate is None:
-            self.rates.pop(lifetime, None)
-        else:
-            self.rates[lifetime] = limit.rate
-        self._note_changed(lifetime)
-        return True
+    def _learn(
+        self, known: StatedValues, lifetime: Lifetime, stated: StatedValue
+    ) -> bool:
+        is_new = known.learn(lifetime, stated)
+        if is_new:
+            self._note_changed(lifetime)
+        return is_new
 
     def _note_changed(self, lifetime: Lifetime) -> None:
         self.version += 1
@@ -194,11 +215,15 @@
     def _known_statement(
         self, lifetime: Lifetime, now: float
     ) -> KnownStatement:
-        limit = self._limits.get(lifetime)
-        leaves = lifetime in self.leaving
-        if limit is None:
-            return KnownStatement(leaves=leaves)
-        return KnownStatement(limit.rate, now - limit.received_at, leaves)
+        rate, rate_age = self._rates.known(lifetime, now)
+        rejections, rejections_age = self._rejections.known(lifetime, now)
+        return KnownStatement(
+            rate,
+            rate_age,
+            lifetime in self.leaving,
+            rejections,
+            rejections_age,
+        )
 
 
 def read_decimal(text: bytes) -> float | None:
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
@@ -55,6 +55,9 @@
     answer_request,
     withdraw,
 )
+from spanfall_node.gateway.upstreams.brittle_upstreams import (
+    merge_rejections,
+)
 from spanfall_node.gateway.upstreams.fleet_backoffs import merge_backoffs
 from spanfall_node.gateway.upstreams.hearing import merge_statements
 from spanfall_node.gateway.upstreams.speeds import merge_samples
@@ -147,6 +150,7 @@
                 book.apply_report(message.entry, message.load, now)
                 merge_samples(self._state, message.speeds)
                 merge_backoffs(self._state, message.backoffs, now)
+                merge_rejections(self._state, message.rejections)
                 self._state.contention.notify_room_changed()
             case WithdrawMessage():
                 withdraw(self._state, message.entry, message.tickets)
@@ -186,6 +190,7 @@
         now: float,
     ) -> GrantMessage:
         state = self._state
+        merge_rejections(state, message.rejections)
         state.grant_book.apply_report(message.entry, message.load, now)
         if message.request.terms is not None:
             self._turns.add(message.entry, link)
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/load_sender.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/load_sender.py
@@ -5,6 +5,7 @@
 
 from spanfall_node.gateway.links.messages import LoadMessage, encode
 from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.brittle_upstreams import take_rejections
 from spanfall_node.gateway.upstreams.fleet_backoffs import (
     note_all_backoffs,
     take_backoffs,
@@ -44,7 +45,13 @@
             samples = speeds.take_samples(now)
             samples_due_at = now + speed_period(state.quotas.entries)
         backoffs = take_backoffs(state, now)
-        message = LoadMessage(state.entry_key, grants.load(), samples, backoffs)
+        message = LoadMessage(
+            state.entry_key,
+            grants.load(),
+            samples,
+            backoffs,
+            take_rejections(state),
+        )
         await link.send(encode(message))
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
@@ -98,6 +98,8 @@
     speeds: tuple[SpeedSample, ...] = ()
     #: Seconds for which upstreams asked this entry to back off, if new.
     backoffs: dict[str, float] = {}
+    #: Brittle upstreams that rejected requests since its last such message.
+    rejections: tuple[str, ...] = ()
 
 
 class GrantRequest(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -109,13 +111,17 @@
     terms: AdmissionTerms | None = None
 
 
-class GrantRequestMessage(msgspec.Struct, frozen=True, tag='ask'):
+class GrantRequestMessage(
+    msgspec.Struct, frozen=True, omit_defaults=True, tag='ask'
+):
     """Ask the home which upstream is to serve a request."""
 
     entry: str
     number: int
     request: GrantRequest
     load: EntryLoad
+    #: As in LoadMessage: a retry must not precede what its rejection shows.
+    rejections: tuple[str, ...] = ()
 
 
 class GrantMessage(
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/upstream_words.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/upstream_words.py
@@ -17,13 +17,20 @@
     StatementChange,
     Statements,
 )
+from spanfall_core.gateway.limits.brittle import BrittleRooms
 from spanfall_core.gateway.limits.permits import Permits
 
 logger = logging.getLogger(__name__)
 
 #: Changes that are reported to the other nodes.
 REPORTED_CHANGES = frozenset(
-    (StatementChange.LIMIT, StatementChange.NO_LIMIT, StatementChange.LEAVES),
+    (
+        StatementChange.LIMIT,
+        StatementChange.NO_LIMIT,
+        StatementChange.BRITTLE,
+        StatementChange.NOT_BRITTLE,
+        StatementChange.LEAVES,
+    ),
 )
 
 
@@ -33,6 +40,10 @@
 
     table: Statements = field(default_factory=Statements)
     permits: Permits = field(default_factory=Permits)
+    #: On the home: room of brittle upstreams that rejected requests.
+    brittle_rooms: BrittleRooms = field(default_factory=BrittleRooms)
+    #: Brittle upstreams that rejected requests since the last message.
+    unreported_rejections: dict[Lifetime, None] = field(default_factory=dict)
     #: Back-offs that upstreams request of this node only.
     backoffs: Backoffs = field(default_factory=Backoffs)
     #: Those of them that the home may not have received yet.
@@ -92,6 +103,7 @@
         """Reset the permits at the start of a tenure as home."""
         self.permits = Permits()
         self.fleet_backoffs = Backoffs()
+        self.brittle_rooms = BrittleRooms()
         for lifetime, rate in self.table.rates.items():
             self.permits.set_rate(lifetime, rate, now)
 
@@ -100,6 +112,8 @@
         self.table.forget(lifetime)
         self.unreported.pop(lifetime, None)
         self.unreported_backoffs.pop(lifetime, None)
+        self.unreported_rejections.pop(lifetime, None)
+        self.brittle_rooms.forget(lifetime)
         self.permits.set_rate(lifetime, None, now)
 
     def _update_permit_rate(self, lifetime: Lifetime, now: float) -> None:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
@@ -14,6 +14,11 @@
 from spanfall_node.gateway.links.messages import GrantMessage, GrantRequest
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.tables.tenure import can_allocate
+from spanfall_node.gateway.upstreams.brittle_upstreams import (
+    FULL_WAIT_SECONDS,
+    full_for_fleet,
+    has_brittle,
+)
 from spanfall_node.gateway.upstreams.prefix_copies import (
     record_choice,
     tracked_heat,
@@ -54,7 +59,7 @@
     if not request.ask.tried:
         state.grant_book.first_attempts[request.service] += 1
     serving = state.directory.serving(request.service)
-    withheld = withheld_upstreams(state, now)
+    withheld = withheld_upstreams(state, request.service, now)
     if with_room is not None:
         withheld = withheld | state.words.fleet_backoffs.active(now)
     candidates = serving
@@ -79,16 +84,17 @@
 
 
 def withheld_upstreams(
-    state: GatewayState, now: float
+    state: GatewayState, service: str, now: float
 ) -> AbstractSet[Lifetime]:
-    """Return the upstreams that get no requests now.
+    """Return the upstreams of a service that get no requests now.
 
     A home that may not be the only one withholds all rate-limited upstreams:
     permits from two homes could together exceed a limit.
     """
+    limited: AbstractSet[Lifetime] = state.words.table.rates.keys()
     if can_allocate(state.tenure, now):
-        return state.words.permits.withheld(now)
-    return state.words.table.rates.keys()
+        limited = state.words.permits.withheld(now)
+    return limited | full_for_fleet(state, service, now)
 
 
 def _seconds_to_permit(
@@ -97,7 +103,8 @@
     """Return the seconds to a permit of a rate-limited upstream, or 0."""
     has_candidate = has_limited_candidate(state, request.service, request.ask)
     if not has_candidate:
-        return 0
+        is_full = has_brittle(state, request.service)
+        return FULL_WAIT_SECONDS if is_full else 0
     if can_allocate(state.tenure, now):
         rows = state.directory.serving(request.service)
         return state.words.permits.wait(request.service, rows, now)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
@@ -31,6 +31,12 @@
     answer_request,
     reject_unservable,
 )
+from spanfall_node.gateway.upstreams.brittle_upstreams import (
+    FULL_WAIT_SECONDS,
+    full_for_entry,
+    has_brittle,
+    take_rejections,
+)
 from spanfall_node.gateway.upstreams.granting import (
     NO_HOME_RETRY_SECONDS,
     has_limited_candidate,
@@ -185,6 +191,7 @@
                 number,
                 request,
                 self.load(),
+                take_rejections(state),
             ),
             seconds,
         )
@@ -243,10 +250,14 @@
             loads_for(state, service, state.loads),
             state.prompts,
             now,
-            words.table.rates.keys() | words.backoffs.active(now),
+            words.table.rates.keys()
+            | words.backoffs.active(now)
+            | full_for_entry(state, service),
         )
-        if choice is None and has_limited_candidate(
-            state, service, routing_request
-        ):
+        if choice is not None:
+            return choice
+        if has_limited_candidate(state, service, routing_request):
             return RetryAfter(NO_HOME_RETRY_SECONDS)
-        return choice
+        if has_brittle(state, service):
+            return RetryAfter(FULL_WAIT_SECONDS)
+        return None
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
@@ -27,6 +27,7 @@
     log_response,
     relay_buffered,
 )
+from spanfall_node.gateway.upstreams.brittle_upstreams import note_rejection
 from spanfall_node.gateway.upstreams.event_parts import EventTooLargeError
 from spanfall_node.gateway.upstreams.forwarded import (
     is_event_stream,
@@ -244,6 +245,7 @@
         )
     if head.header(names.not_run):
         if head.status in NOT_RUN_STATUSES:
+            note_rejection(state, choice.upstream.lifetime)
             return Failed(
                 SendOutcome.REFUSED,
                 f'refused with {head.status}',
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/service_room.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/service_room.py
@@ -153,7 +153,7 @@
 
     Those that are failing or backing off count only if all are.
     """
-    withheld = withheld_upstreams(state, now)
+    withheld = withheld_upstreams(state, service, now)
     backing_off = state.words.fleet_backoffs.active(now)
     rows = [
         row
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
@@ -191,6 +191,7 @@
     return Statement(
         rate=rate,
         is_rate_invalid=b'takes-a-second' in fields and rate is None,
+        rejections=read_decimal(fields.get(b'survives', b'')),
         leaves=b'leaves' in fields,
         backoff=read_decimal(fields.get(b'back-off', b'')) or 0,
     )
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/upstream.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/upstream.py
@@ -215,3 +215,47 @@
         return await behaviour(upstream, request, stream)
 
     return run
+
+
+@dataclass(slots=True)
+class BrittlePlaces:
+    """Run some requests at once; end after too many rejections in a second."""
+
+    slots: int
+    #: Rejections in a second that the upstream survives.
+    survives: int
+    seconds: float
+    #: Requests that run now, and times of the rejections.
+    running: int = 0
+    rejected_at: list[float] = field(default_factory=list)
+
+    @property
+    def has_fallen(self) -> bool:
+        """Return whether it has rejected too many requests in some second."""
+        window = self.survives + 1
+        pairs = zip(
+            self.rejected_at, self.rejected_at[window - 1 :], strict=False
+        )
+        return any(last - first <= 1 for first, last in pairs)
+
+    async def respond(
+        self,
+        upstream: StandInUpstream,
+        request: ReceivedRequest,
+        stream: SocketStream,
+    ) -> bool:
+        """Run a request, or reject it if all places are taken."""
+        states = {'survives': str(self.survives)}
+        if self.running >= self.slots:
+            self.rejected_at.append(anyio.current_time())
+            headers = {'not-run': '1', **states}
+            await stream.send(encode_response(503, b'', headers))
+            return True
+        self.running += 1
+        try:
+            await anyio.sleep(self.seconds)
+        finally:
+            self.running -= 1
+        headers = {**upstream.response_headers(request), **states}
+        await stream.send(encode_response(200, b'done', headers))
+        return True
