--- a/tests/test_gateway_cut_entries.py
+++ b/tests/test_gateway_cut_entries.py
@@ -250,6 +250,28 @@
     run()
 
 
+# Guards against a sound upstream that is given up for a second of silence.
+def test_a_short_silence_is_no_cut():
+    async def pause_in_the_middle(upstream, request, stream):
+        head = encode_response(
+            200, b'', {**upstream.response_headers(request), **EVENT_STREAM}
+        )
+        await stream.send(head.replace(b'content-length: 0\r\n', b''))
+        await stream.send(chunk(b'id: 1\ndata: x\n\n'))
+        await anyio.sleep(1.5)
+        await stream.send(chunk(b'id: 2\ndata: x\n\n') + b'0\r\n\r\n')
+        return True
+
+    @in_cut_world(2, 0, pause_in_the_middle)
+    async def run(world, states, networks):
+        answer = await ask(states[0], '/stream/7')
+        assert (answer.complete, answer.body.count(b'id:')) == (True, 2)
+        assert not states[0].loads.failed
+        assert not states[0].reach.own.blocked
+
+    run()
+
+
 def has_crashes(state):
     """Return whether a node counts any crash, also a suspected one."""
     report = state.crashes.report(state.timers.now())
