Notice a silent path while requests keep arriving

Cause: a silence was measured from the last data or the last begin of a request, so an entry that got requests more often than each 0.5 s never saw that none was answered.

Evidence: test_steady_requests_of_a_cut_entry, requests each 0.1 s over connections that hang: failed before.

Why this works: what the servers were last heard to send and when a request began are two times; paths are checked if a request waits for 0.5 s and nobody was heard for as long. A connection that loses the race of two paths is closed also if its caller leaves; a log line says when this node closed a connection.

Ports of a gateway in tests are four consecutive ones: picked one by one, they were the same once (Address already in use, one of some 80 tests).

--- a/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
@@ -66,8 +66,10 @@
     is_direct: bool = True
     #: Whether the current request may be processed only once.
     runs_once: bool = False
-    #: Time of the event loop at which data was received or a request began.
-    active_at: float = field(default_factory=anyio.current_time)
+    #: Times of the event loop at which the server was last heard and at which
+    #: the current request began.
+    heard_at: float = field(default_factory=anyio.current_time)
+    began_at: float = field(default_factory=anyio.current_time)
     #: Whether the connection can be reused after the last response.
     reusable: bool = False
     is_closed: bool = False
@@ -281,8 +283,9 @@
             self._at_eof = True
         except SOCKET_ERRORS as exc:
             self.body_end = BodyEnd.RESET
-            raise BrokenCallError('reset by the server') from exc
-        self.active_at = anyio.current_time()
+            cause = 'closed here' if self.is_closed else 'reset by the server'
+            raise BrokenCallError(cause) from exc
+        self.heard_at = anyio.current_time()
         self.protocol.receive_data(received)
 
     async def _write(self, outgoing: bytes) -> None:
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/pool.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/pool.py
@@ -56,6 +56,8 @@
         self._may_reuse = may_reuse
         self._idle: dict[str, list[IdleConnection]] = {}
         self._in_use: dict[str, set[Connection]] = {}
+        #: When any server was last heard over a connection that was released.
+        self._heard_at = float('-inf')
 
     def open_connections(self, key: str) -> set[Connection]:
         """Return the open connections to one lifetime of a server."""
@@ -102,11 +104,17 @@
         in_use = chain.from_iterable(self._in_use.values())
         return [conn for conn in in_use if conn.is_direct]
 
+    @property
+    def heard_at(self) -> float:
+        """Return when any server was last heard over a direct connection."""
+        heard = [conn.heard_at for conn in self.direct_in_use()]
+        return max([self._heard_at, *heard])
+
     def _mark_in_use(
         self, key: str, conn: Connection, runs_once: bool
     ) -> Connection:
         conn.runs_once = runs_once
-        conn.active_at = anyio.current_time()
+        conn.began_at = anyio.current_time()
         self._in_use.setdefault(key, set()).add(conn)
         return conn
 
@@ -114,6 +122,8 @@
         """Return a connection to the pool, or close it if it is not reusable."""
         in_use = self._in_use.get(key, set())
         in_use.discard(conn)
+        if conn.is_direct:
+            self._heard_at = max(self._heard_at, conn.heard_at)
         if not in_use:
             self._in_use.pop(key, None)
         if not (conn.reusable and conn.is_direct) or conn.is_closed:
@@ -159,7 +169,7 @@
 
 
 def _is_stale(conn: Connection) -> bool:
-    return anyio.current_time() - conn.active_at > TRUSTED_IDLE_SECONDS
+    return anyio.current_time() - conn.heard_at > TRUSTED_IDLE_SECONDS
 
 
 async def call_once(
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/paths.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/paths.py
@@ -127,11 +127,14 @@
             else:
                 tasks.cancel_scope.cancel()
 
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(go_directly)
-            tasks.start_soon(go_through_peer)
-        for extra in opened[1:]:
-            await extra.close()
+        is_over = False
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(go_directly)
+                tasks.start_soon(go_through_peer)
+            is_over = True
+        finally:
+            await _close_all(opened[1:] if is_over else opened)
         if not opened:
             raise await self._verdict(address, errors)
         if not opened[0].is_direct:
@@ -211,9 +214,14 @@
     async def _check_silence(self, pool: ConnectionPool) -> None:
         """Check paths while all requests wait and no upstream sends data."""
         now = anyio.current_time()
-        waiting = pool.direct_in_use()
-        last_active_at = max((conn.active_at for conn in waiting), default=now)
-        if now - last_active_at < SILENCE_SECONDS:
+        if now - pool.heard_at < SILENCE_SECONDS:
+            return
+        waiting = [
+            conn
+            for conn in pool.direct_in_use()
+            if now - conn.began_at >= SILENCE_SECONDS
+        ]
+        if not waiting:
             return
         if now - self._silence_checked_at < SILENCE_CHECK_PERIOD:
             return
@@ -239,9 +247,7 @@
         await conn.close()
         self.state.reach.own.record_blocked(address, self.state.timers.now())
         for waiting in pool.direct_in_use():
-            silent_for = anyio.current_time() - waiting.active_at
-            is_blocked = self.state.reach.own.is_blocked(waiting.address)
-            if is_blocked and silent_for >= SILENCE_SECONDS:
+            if self.state.reach.own.is_blocked(waiting.address):
                 await _break(waiting)
 
     async def _reaches(self, address: str) -> bool:
@@ -273,6 +279,11 @@
             self._cut_since = None
 
 
+async def _close_all(connections: Iterable[Connection]) -> None:
+    for conn in connections:
+        await conn.close()
+
+
 async def _break(conn: Connection) -> None:
     """Close a connection whose request may be sent again."""
     if not conn.runs_once:
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -184,12 +184,9 @@
 
     async def new_settings(self, **changes: object) -> GatewaySettings:
         """Return the settings of one more gateway, with changed fields."""
-        listen = Listen(
-            callers=await free_address(),
-            readiness=await free_address(),
-            links=await free_address(ports=2),
-            serves_tunnels=True,
-        )
+        # The last port is that of the tunnels.
+        callers, readiness, links, _ = await free_addresses(4)
+        listen = Listen(callers, readiness, links, serves_tunnels=True)
         return GatewaySettings(
             node=f'node-{next(self._numbers)}',
             data_centre='north',
@@ -210,18 +207,17 @@
         return True
 
 
-async def free_address(ports: int = 1) -> str:
-    """Return a loopback address that no process listens on.
-
-    The following ``ports`` - 1 ports are free, too.
+async def free_addresses(count: int) -> list[str]:
+    """Return consecutive loopback addresses that no process listens on.
 
-    Its port is below the ephemeral port range: an outgoing connection once
+    Their ports are below the ephemeral port range: an outgoing connection once
     took the port of a gateway before the gateway could listen there.
     """
     while True:
-        port = secrets.choice(PORTS)
-        if all([await _is_free(port + step) for step in range(ports)]):
-            return f'127.0.0.1:{port}'
+        first = secrets.choice(PORTS)
+        ports = range(first, first + count)
+        if all([await _is_free(port) for port in ports]):
+            return [f'127.0.0.1:{port}' for port in ports]
 
 
 async def _is_free(port: int) -> bool:
--- a/tests/test_gateway_cut_entries.py
+++ b/tests/test_gateway_cut_entries.py
@@ -2,9 +2,10 @@
 
 import anyio
 import pytest
-from gateway_world import ask, in_world
+from cut_world import ask_often, in_cut_world
+from gateway_world import ask
 from spanfall_node.gateway.upstreams.paths import SILENCE_SECONDS
-from spanfall_standins.gateway.network import Network, Path
+from spanfall_standins.gateway.network import Path
 from spanfall_standins.gateway.server import encode_response
 from spanfall_standins.gateway.upstream import (
     EVENT_STREAM,
@@ -18,36 +19,6 @@
 CUTS = [Path.REFUSES, Path.RESETS, Path.SILENT]
 
 
-def in_cut_world(entries, cut, *behaviours):
-    """Run a test with upstreams and entries, the first ``cut`` of them cut."""
-
-    def wrap(test):
-        @in_world
-        async def run(world):
-            for behaviour in behaviours:
-                await world.add_upstream(behaviour)
-            networks = [Network() for _ in range(entries)]
-            states = [await world.add_gateway(one) for one in networks]
-            await wait_until(
-                lambda: all(
-                    len(row.reach.peers) == entries - 1 for row in states
-                )
-            )
-            await test(world, states, networks[:cut])
-
-        return run
-
-    return wrap
-
-
-async def ask_often(state, path, count=8):
-    """Return the statuses of requests asked one after the other."""
-    return [
-        (await ask(state, f'{path}{number}', attempt=f'a{number}')).status
-        for number in range(count)
-    ]
-
-
 # Guards against callers that are refused because their entry is cut off.
 @pytest.mark.parametrize('cut', CUTS)
 @pytest.mark.parametrize('path', ['/once/', '/any/', '/stream/'])
@@ -81,6 +52,38 @@
     run()
 
 
+# Guards against requests that keep arriving and hide that none is answered.
+def test_steady_requests_of_a_cut_entry():
+    async def run_slowly(upstream, request, stream):
+        await anyio.sleep(0.05)
+        return await complete_response()(upstream, request, stream)
+
+    @in_cut_world(3, 1, run_slowly, run_slowly)
+    async def run(world, states, networks):
+        statuses = []
+
+        async def ask_after(number, seconds):
+            await anyio.sleep(seconds)
+            answer = await ask(
+                states[0], f'/any/{number}', attempt=f'a{number}'
+            )
+            statuses.append(answer.status)
+
+        async def ask_all(gap):
+            async with anyio.create_task_group() as tasks:
+                for number in range(16):
+                    tasks.start_soon(ask_after, number, number * gap)
+
+        await ask_all(0)
+        await networks[0].cut(Path.SILENT)
+        began = anyio.current_time()
+        await ask_all(0.1)
+        assert set(statuses) == {200}
+        assert anyio.current_time() - began < 16 * 0.1 + 1.5
+
+    run()
+
+
 # Guards against a request that may run once and is swallowed by such a one.
 def test_stale_idle_connections_of_a_cut_entry():
     @in_cut_world(3, 1, complete_response(), complete_response())
