Trust idle connections while any upstream is heard

Cause: a request that may run once got a new connection if its upstream had not been heard for 1 s, though the path was known to work by others.

A path to one upstream only that hangs is then found by the request that it swallows, as before this issue.

--- a/packages/spanfall-node/src/spanfall_node/gateway/net/pool.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/pool.py
@@ -15,8 +15,8 @@
 
 logger = logging.getLogger(__name__)
 
-#: Seconds after the last data within which an idle connection is taken to lead
-#: to its server.
+#: Seconds after the last data of any server within which idle connections are
+#: taken to lead to their servers.
 TRUSTED_IDLE_SECONDS = 1.0
 
 #: Opens a connection to an address within a timeout in seconds.
@@ -76,15 +76,14 @@
         """Return an idle connection to one lifetime of a server, or a new one.
 
         A request that may be processed only once (``runs_once``) gets a new one
-        if nothing was received for a while: an idle connection may lead
-        nowhere.
+        if no server was heard for a while: idle connections may lead nowhere.
 
         Raises:
             NotSentError: the connection was not established in time.
         """
         idle = self._idle.get(key, [])
         while idle and self._may_reuse(address):
-            if runs_once and _is_stale(idle[-1].conn):
+            if runs_once and not self._heard_lately():
                 break
             idle_conn = idle.pop()
             await idle_conn.stop_watching()
@@ -110,6 +109,9 @@
         heard = [conn.heard_at for conn in self.direct_in_use()]
         return max([self._heard_at, *heard])
 
+    def _heard_lately(self) -> bool:
+        return anyio.current_time() - self.heard_at <= TRUSTED_IDLE_SECONDS
+
     def _mark_in_use(
         self, key: str, conn: Connection, runs_once: bool
     ) -> Connection:
@@ -168,10 +170,6 @@
         await idle_conn.conn.close()
 
 
-def _is_stale(conn: Connection) -> bool:
-    return anyio.current_time() - conn.heard_at > TRUSTED_IDLE_SECONDS
-
-
 async def call_once(
     pool: ConnectionPool,
     address: str,
