--- a/tests/test_gateway_response_ends.py
+++ b/tests/test_gateway_response_ends.py
@@ -230,3 +230,35 @@
         await stream.send(old)
         answer = await read_answer(stream)
     assert not answer.complete
+
+
+# Guards against a last chunk behind a resumed stream that has no proof.
+@in_world
+async def test_no_last_chunk_for_unframed_rest(world):
+    async def respond(this, request, stream):
+        behaviour = raw(UNFRAMED, b'id: 3\ndata: x\n\n')
+        if 'last-event-id' not in request.headers:
+            behaviour = resumable(4, breaks_after=2)
+        return await behaviour(this, request, stream)
+
+    for _ in '12':
+        await world.add_upstream(respond)
+    state = await world.add_gateway()
+    answer = await ask(state, '/resume/7')
+    assert (answer.complete, answer.body.count(b'id:')) == (False, 3)
+
+
+# Guards against a finished stream that is cut since its upstream exits.
+@in_world
+async def test_final_event_proves_the_end(world):
+    whole = EVENTS + b'data: [DONE]\n\n'
+
+    async def respond(this, request, stream):
+        await stream.send(UNFRAMED.replace(b'{id}', b'a1') + whole)
+        this.process_scope.cancel()
+        return False
+
+    await world.add_upstream(respond)
+    state = await world.add_gateway()
+    answer = await ask(state, '/stream/7')
+    assert (answer.complete, answer.body) == (True, whole)
