Check a silent path only where no connection was opened lately

Cause: each second in which all requests of an entry waited for a first token cost two connections, though new ones had just been opened.

Change: a connection that was opened within 0.5 s proves the path as well as data; one upstream is checked, and further ones only if it is blocked.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/reachability.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/reachability.py
@@ -20,19 +20,20 @@
     #: Time of the steady clock at which each address was found blocked, oldest
     #: first.
     blocked: dict[str, float] = field(default_factory=dict)
-    _reached_at: float = -inf
+    #: Time at which this entry last opened a connection to any upstream.
+    reached_at: float = -inf
 
     @property
     def is_suspect(self) -> bool:
         """Return whether no connection was opened since a path was blocked."""
-        return self._reached_at < max(self.blocked.values(), default=-inf)
+        return self.reached_at < max(self.blocked.values(), default=-inf)
 
     @property
     def is_cut(self) -> bool:
         """Return whether this entry seems to reach no upstream directly."""
         if len(self.blocked) < MIN_BLOCKED:
             return False
-        return self._reached_at < min(self.blocked.values())
+        return self.reached_at < min(self.blocked.values())
 
     def is_blocked(self, address: str) -> bool:
         """Return whether connections to an address should use a peer."""
@@ -43,7 +44,7 @@
 
         A path that is back makes all others worth another try.
         """
-        self._reached_at = now
+        self.reached_at = now
         if address in self.blocked:
             self.blocked.clear()
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/paths.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/paths.py
@@ -7,6 +7,7 @@
 import logging
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from itertools import islice
 from math import inf
 
 import anyio
@@ -42,8 +43,8 @@
 SILENCE_SECONDS = 0.5
 #: Seconds between two checks because of such a silence.
 SILENCE_CHECK_PERIOD = 1.0
-#: Upstreams that are checked because of a silence.
-SILENCE_CHECKS = 2
+#: Further upstreams that are checked once one turns out to be blocked.
+SILENCE_CHECKS = 4
 #: Seconds for which a peer that did not answer is tried last.
 PEER_PAUSE_SECONDS = 1.0
 
@@ -212,43 +213,48 @@
             reach.record_blocked(address, self.state.timers.now())
 
     async def _check_silence(self, pool: ConnectionPool) -> None:
-        """Check paths while all requests wait and no upstream sends data."""
+        """Check paths while all requests wait and no upstream is heard."""
         now = anyio.current_time()
-        if now - pool.heard_at < SILENCE_SECONDS:
+        reached_at = self.state.reach.own.reached_at
+        if now - max(pool.heard_at, reached_at) < SILENCE_SECONDS:
             return
-        waiting = [
-            conn
+        waiting = {
+            conn.address
             for conn in pool.direct_in_use()
             if now - conn.began_at >= SILENCE_SECONDS
-        ]
-        if not waiting:
-            return
-        if now - self._silence_checked_at < SILENCE_CHECK_PERIOD:
+        }
+        if not waiting or now - self._silence_checked_at < SILENCE_CHECK_PERIOD:
             return
         self._silence_checked_at = now
-        addresses = list(dict.fromkeys(conn.address for conn in waiting))
-        async with anyio.create_task_group() as tasks:
-            for address in addresses[:SILENCE_CHECKS]:
-                tasks.start_soon(self._check_silent, pool, address)
-
-    async def _check_silent(self, pool: ConnectionPool, address: str) -> None:
-        """Break requests to a host that only a peer reaches.
+        if await self._is_path_silent(waiting.pop()):
+            async with anyio.create_task_group() as tasks:
+                for address in islice(waiting, SILENCE_CHECKS):
+                    tasks.start_soon(self._is_path_silent, address)
+            await self._break_blocked(pool)
 
-        They are sent again; one that may run only once goes on waiting, since
-        its response may still arrive.
-        """
+    async def _is_path_silent(self, address: str) -> bool:
+        """Return whether a peer reaches a silent upstream and this node not."""
         if await self._reaches(address):
-            return
+            return False
         try:
             conn = await self._open_through(self._ranked_peers(), address)
         except NotSentError as exc:
             logger.info('Silent upstream %s: %s', address, exc.reason)
-            return
+            return False
         await conn.close()
         self.state.reach.own.record_blocked(address, self.state.timers.now())
-        for waiting in pool.direct_in_use():
-            if self.state.reach.own.is_blocked(waiting.address):
-                await _break(waiting)
+        return True
+
+    async def _break_blocked(self, pool: ConnectionPool) -> None:
+        """Break requests on blocked paths, so that they are sent again.
+
+        One that may run only once goes on waiting: its response may still
+        arrive.
+        """
+        for conn in pool.direct_in_use():
+            is_blocked = self.state.reach.own.is_blocked(conn.address)
+            if is_blocked and not conn.runs_once:
+                await conn.close()
 
     async def _reaches(self, address: str) -> bool:
         try:
@@ -282,9 +288,3 @@
 async def _close_all(connections: Iterable[Connection]) -> None:
     for conn in connections:
         await conn.close()
-
-
-async def _break(conn: Connection) -> None:
-    """Close a connection whose request may be sent again."""
-    if not conn.runs_once:
-        await conn.close()
