Vouch for a failed connection by one other upstream at a time

Cause: a node that could not connect to an upstream for a peer tried three others at once, to show that it reaches upstreams at all.

Change: one after the other, until one accepts.

--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/vouching.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/vouching.py
@@ -2,13 +2,12 @@
 
 import random
 
-import anyio
-
 from spanfall_node.gateway.net.errors import NotSentError
 from spanfall_node.gateway.net.pool import Dial
 from spanfall_node.gateway.tables.state import GatewayState
 
-#: Other upstreams that are tried, and the timeout in seconds.
+#: Other upstreams that are tried one after the other, and the timeout of each
+#: in seconds.
 MAX_VOUCHERS = 3
 TIMEOUT_SECONDS = 0.1
 
@@ -26,19 +25,11 @@
         others.remove(address)
     if not others:
         return True
-    reached: list[str] = []
-
-    async def check(other: str) -> None:
+    for other in random.sample(others, min(MAX_VOUCHERS, len(others))):
         try:
             conn = await dial(other, TIMEOUT_SECONDS)
         except NotSentError:
-            return
+            continue
         await conn.close()
-        reached.append(other)
-        tasks.cancel_scope.cancel()
-
-    chosen = random.sample(others, min(MAX_VOUCHERS, len(others)))
-    async with anyio.create_task_group() as tasks:
-        for other in chosen:
-            tasks.start_soon(check, other)
-    return bool(reached)
+        return True
+    return False
