--- a/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
@@ -66,9 +66,9 @@
     is_direct: bool = True
     #: Whether the current request may be processed only once.
     runs_once: bool = False
-    #: Times of the event loop at which the server was last heard and at which
-    #: the current request began.
-    heard_at: float = field(default_factory=anyio.current_time)
+    #: Times of the event loop at which data was last received and at which the
+    #: current request began.
+    received_at: float = field(default_factory=anyio.current_time)
     began_at: float = field(default_factory=anyio.current_time)
     #: Whether the connection can be reused after the last response.
     reusable: bool = False
@@ -285,7 +285,7 @@
             self.body_end = BodyEnd.RESET
             cause = 'closed here' if self.is_closed else 'reset by the server'
             raise BrokenCallError(cause) from exc
-        self.heard_at = anyio.current_time()
+        self.received_at = anyio.current_time()
         self.protocol.receive_data(received)
 
     async def _write(self, outgoing: bytes) -> None:
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/pool.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/pool.py
@@ -56,8 +56,8 @@
         self._may_reuse = may_reuse
         self._idle: dict[str, list[IdleConnection]] = {}
         self._in_use: dict[str, set[Connection]] = {}
-        #: When any server was last heard over a connection that was released.
-        self._heard_at = float('-inf')
+        #: When data was last received over a connection that was released.
+        self._received_at = float('-inf')
 
     def open_connections(self, key: str) -> set[Connection]:
         """Return the open connections to one lifetime of a server."""
@@ -76,14 +76,14 @@
         """Return an idle connection to one lifetime of a server, or a new one.
 
         A request that may be processed only once (``runs_once``) gets a new one
-        if no server was heard for a while: idle connections may lead nowhere.
+        if no server sent data for a while: idle connections may lead nowhere.
 
         Raises:
             NotSentError: the connection was not established in time.
         """
         idle = self._idle.get(key, [])
         while idle and self._may_reuse(address):
-            if runs_once and not self._heard_lately():
+            if runs_once and not self._received_lately():
                 break
             idle_conn = idle.pop()
             await idle_conn.stop_watching()
@@ -104,13 +104,13 @@
         return [conn for conn in in_use if conn.is_direct]
 
     @property
-    def heard_at(self) -> float:
-        """Return when any server was last heard over a direct connection."""
-        heard = [conn.heard_at for conn in self.direct_in_use()]
-        return max([self._heard_at, *heard])
+    def received_at(self) -> float:
+        """Return when data was last received over a direct connection."""
+        times = [conn.received_at for conn in self.direct_in_use()]
+        return max([self._received_at, *times])
 
-    def _heard_lately(self) -> bool:
-        return anyio.current_time() - self.heard_at <= TRUSTED_IDLE_SECONDS
+    def _received_lately(self) -> bool:
+        return anyio.current_time() - self.received_at <= TRUSTED_IDLE_SECONDS
 
     def _mark_in_use(
         self, key: str, conn: Connection, runs_once: bool
@@ -125,7 +125,7 @@
         in_use = self._in_use.get(key, set())
         in_use.discard(conn)
         if conn.is_direct:
-            self._heard_at = max(self._heard_at, conn.heard_at)
+            self._received_at = max(self._received_at, conn.received_at)
         if not in_use:
             self._in_use.pop(key, None)
         if not (conn.reusable and conn.is_direct) or conn.is_closed:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/paths.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/paths.py
@@ -24,7 +24,7 @@
 from spanfall_node.gateway.net.tunnels import connect_through
 from spanfall_node.gateway.tables.counters import PathKind
 from spanfall_node.gateway.tables.state import GatewayState
-from spanfall_node.gateway.upstreams.vouching import reaches_another
+from spanfall_node.gateway.upstreams.reach_check import reaches_another
 
 logger = logging.getLogger(__name__)
 
@@ -167,7 +167,7 @@
         """Open a connection through the first peer that reaches an upstream.
 
         Raises:
-            PeerUnavailableError: no peer tells whether the host is up.
+            PathUnknownError: no peer tells whether the host is up.
             NotSentError: a peer does not reach it either, and no other does.
         """
         failure: NotSentError | None = None
@@ -213,10 +213,10 @@
             reach.record_blocked(address, self.state.timers.now())
 
     async def _check_silence(self, pool: ConnectionPool) -> None:
-        """Check paths while all requests wait and no upstream is heard."""
+        """Check paths while all requests wait and no upstream sends data."""
         now = anyio.current_time()
         reached_at = self.state.reach.own.reached_at
-        if now - max(pool.heard_at, reached_at) < SILENCE_SECONDS:
+        if now - max(pool.received_at, reached_at) < SILENCE_SECONDS:
             return
         waiting = {
             conn.address
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/vouching.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/reach_check.py
@@ -8,7 +8,7 @@
 
 #: Other upstreams that are tried one after the other, and the timeout of each
 #: in seconds.
-MAX_VOUCHERS = 3
+MAX_CHECKED = 3
 TIMEOUT_SECONDS = 0.1
 
 
@@ -25,7 +25,7 @@
         others.remove(address)
     if not others:
         return True
-    for other in random.sample(others, min(MAX_VOUCHERS, len(others))):
+    for other in random.sample(others, min(MAX_CHECKED, len(others))):
         try:
             conn = await dial(other, TIMEOUT_SECONDS)
         except NotSentError:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/tunnel_server.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/tunnel_server.py
@@ -23,7 +23,7 @@
     CallerRequest,
 )
 from spanfall_node.gateway.tables.state import GatewayState
-from spanfall_node.gateway.upstreams.vouching import reaches_another
+from spanfall_node.gateway.upstreams.reach_check import reaches_another
 
 logger = logging.getLogger(__name__)
 
