Hold the end of a peer that carries a response by a test

The peer is killed in the middle of a stream that ends with its connection: the caller must see it as cut.

--- a/tests/test_gateway_response_ends.py
+++ b/tests/test_gateway_response_ends.py
@@ -6,7 +6,9 @@
 import anyio
 import pytest
 from gateway_world import ask, dial, in_world, read_answer, request_bytes
+from spanfall_standins.gateway.network import Network, Path
 from spanfall_standins.gateway.upstream import chunk, raw, resumable
+from support import wait_until
 
 EVENTS = b''.join(b'id: %d\ndata: abc\n\n' % number for number in (1, 2, 3))
 HEAD = b'HTTP/1.1 200 X\r\nattempt: {id}\r\nsigned: s\r\n'
@@ -262,3 +264,25 @@
     state = await world.add_gateway()
     answer = await ask(state, '/stream/7')
     assert (answer.complete, answer.body) == (True, whole)
+
+
+# Guards against the end of a peer that looks like the end of a response.
+@in_world
+async def test_killed_peer_is_no_end(world):
+    async def respond(this, request, stream):
+        await stream.send(UNFRAMED.replace(b'{id}', b'a1') + EVENTS)
+        await anyio.sleep_forever()
+
+    await world.add_upstream(respond)
+    life = anyio.CancelScope()
+    await world.add_killable_gateway(life)
+    network = Network()
+    state = await world.add_gateway(network)
+    await wait_until(lambda: bool(state.reach.peers))
+    await network.cut(Path.REFUSES)
+    async with await dial(state.cfg.listen.callers) as stream:
+        await stream.send(request_bytes('/stream/7'))
+        await anyio.sleep(0.4)
+        life.cancel()
+        answer = await read_answer(stream)
+    assert (answer.complete, answer.body) == (False, EVENTS)
