Survive a peer that resets its tunnel

What would be seen: a node ended, with all its callers, when a peer reset its tunnel before the node had connected to the upstream.

Cause: options of a socket that is already closed raise OSError, and nothing on the way of a tunnel caught it, so it ended the task group of the whole node. The same call on a caller's connection was logged as unexpected.

Why this works: errors of a tunnel end that tunnel; on a caller's connection they mean that the caller has gone. A tunnel counts as an open request only once it carries one, so an idle connection of a peer does not hold up a stop.

--- a/packages/spanfall-node/src/spanfall_node/gateway/requests/caller_connection.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/requests/caller_connection.py
@@ -134,8 +134,8 @@
     ) -> None:
         """Send the head of a response whose body is sent in parts.
 
-        Unless ``is_delimited``, or to an HTTP/1.0 caller, the body ends with
-        the connection: an incomplete one is then marked by a reset.
+        Unless ``is_delimited``, the body ends with the connection, and a reset
+        marks an incomplete one. Bodies for HTTP/1.0 callers always do.
 
         Raises:
             CallerGoneError: the caller disconnected.
@@ -177,9 +177,7 @@
 
     def start_next(self) -> bool:
         """Prepare for the next request; return False if the connection ends."""
-        if self.closing or self.gone:
-            return False
-        if self.protocol.our_state is not h11.DONE:
+        if self.closing or self.gone or self.protocol.our_state is not h11.DONE:
             return False
         if self.protocol.their_state is not h11.DONE:
             return False
@@ -208,16 +206,23 @@
         if self.closing:
             headers = [*headers, (b'connection', b'close')]
         response = h11.Response(status_code=status, headers=headers)
-        has_length = any(name == b'content-length' for name, _ in headers)
+        has_length = b'content-length' in dict(headers)
         if not has_length and self.protocol.their_http_version == b'1.0':
             self.ends_with_connection = True
-            reset_on_close(self.stream, enabled=True)
+            self._reset_on_close(enabled=True)
         return self.protocol.send(response)
 
     def _mark_complete(self) -> None:
         if self.ends_with_connection:
             self.closing = True
-            reset_on_close(self.stream, enabled=False)
+            self._reset_on_close(enabled=False)
+
+    def _reset_on_close(self, *, enabled: bool) -> None:
+        try:
+            reset_on_close(self.stream, enabled=enabled)
+        except OSError as exc:
+            self.gone = True
+            raise CallerGoneError from exc
 
     async def _linger(self) -> None:
         await self.stream.send_eof()
@@ -282,8 +287,9 @@
         )
 
     def _continue(self) -> bytes:
-        interim = h11.InformationalResponse(status_code=100, headers=[])
-        return self.protocol.send(interim)
+        return self.protocol.send(
+            h11.InformationalResponse(status_code=100, headers=[])
+        )
 
     async def _write(self, outgoing: bytes) -> None:
         if self.gone:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/tunnel_server.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/tunnel_server.py
@@ -12,7 +12,7 @@
     NotSentError,
 )
 from spanfall_node.gateway.net.pool import Dial
-from spanfall_node.gateway.net.sockets import enable_keepalive
+from spanfall_node.gateway.net.sockets import SOCKET_ERRORS, enable_keepalive
 from spanfall_node.gateway.net.tunnels import (
     NO_ANSWER_STATUS,
     REFUSED_STATUS,
@@ -50,14 +50,16 @@
         """Serve one tunnel until either side closes it."""
         peer = CallerConnection(stream, self._state.limits)
         self._open += 1
-        self._state.open_requests += 1
         try:
             await self._serve(peer)
+        except SOCKET_ERRORS as exc:
+            logger.info('The connection of a peer ended: %r', exc)
         except (BadRequestError, CallerGoneError) as exc:
             logger.info('A peer gave up a tunnel: %r', exc)
+        except Exception:
+            logger.exception('Unexpected error on a tunnel; closing it')
         finally:
             self._open -= 1
-            self._state.open_requests -= 1
             await peer.abort()
 
     async def _serve(self, peer: CallerConnection) -> None:
@@ -77,9 +79,11 @@
         self._state.reach.own.record_reached(
             req.target, self._state.timers.now()
         )
+        self._state.open_requests += 1
         try:
             await self._carry(peer, conn.stream)
         finally:
+            self._state.open_requests -= 1
             with anyio.CancelScope(shield=True):
                 await conn.close()
 
