Check a silent path also without peers

What would be seen: a node that knows no peer logged a failed component, and stopped checking paths for half a second, each time an upstream that it does not reach was silent.

Cause: with no peer to ask there was no failure to raise, and None was raised.

Evidence: test_silent_path_without_peers failed before with TypeError.

Why this works: the failure begins as that no peer is known, and the first word of a peer replaces it. Two comments are worded anew.

--- a/packages/spanfall-node/src/spanfall_node/gateway/requests/caller_connection.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/requests/caller_connection.py
@@ -287,9 +287,8 @@
         )
 
     def _continue(self) -> bytes:
-        return self.protocol.send(
-            h11.InformationalResponse(status_code=100, headers=[])
-        )
+        interim = h11.InformationalResponse(status_code=100, headers=[])
+        return self.protocol.send(interim)
 
     async def _write(self, outgoing: bytes) -> None:
         if self.gone:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/paths.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/paths.py
@@ -45,7 +45,7 @@
 SILENCE_CHECK_PERIOD = 1.0
 #: Further upstreams that are checked once one turns out to be blocked.
 SILENCE_CHECKS = 4
-#: Seconds for which a peer that did not answer is tried last.
+#: Seconds for which a peer that did not answer is asked after the others.
 PEER_PAUSE_SECONDS = 1.0
 
 
@@ -57,7 +57,7 @@
     dial: Dial = connect
     #: Addresses that a peer reached before this node did.
     _doubted: dict[str, None] = field(default_factory=dict)
-    #: Until when peers that did not answer are tried last.
+    #: Until when peers that did not answer are asked after the others.
     _paused: dict[Peer, float] = field(default_factory=dict)
     _silence_checked_at: float = -inf
     _cut_since: float | None = None
@@ -170,7 +170,7 @@
             PathUnknownError: no peer tells whether the host is up.
             NotSentError: a peer does not reach it either, and no other does.
         """
-        failure: NotSentError | None = None
+        failure: NotSentError = PeerUnavailableError('no peer is known')
         for peer in peers:
             try:
                 return await connect_through(
@@ -180,7 +180,8 @@
                 until = self.state.timers.now() + PEER_PAUSE_SECONDS
                 self._paused[peer] = until
                 logger.info('%s', exc.reason)
-                failure = failure or exc
+                if isinstance(failure, PeerUnavailableError):
+                    failure = exc
             except NotSentError as exc:
                 failure = exc
         if isinstance(failure, PeerUnavailableError):
@@ -189,7 +190,7 @@
         raise failure
 
     def _ranked_peers(self) -> tuple[Peer, ...]:
-        """Return the peers, those that did not answer lately last."""
+        """Return the peers, those that did not answer lately at the end."""
         now = self.state.timers.now()
         self._paused = {
             peer: until for peer, until in self._paused.items() if until > now
--- a/tests/test_gateway_tunnels.py
+++ b/tests/test_gateway_tunnels.py
@@ -6,7 +6,9 @@
 import anyio
 from anyio.abc import SocketAttribute
 from gateway_world import ask, dial, in_world
-from spanfall_standins.gateway.upstream import complete_response
+from spanfall_standins.gateway.network import Network, Path
+from spanfall_standins.gateway.upstream import complete_response, silent
+from support import wait_until
 
 
 # Guards against a peer that resets its tunnel and so ends the whole node.
@@ -26,3 +28,25 @@
     await anyio.sleep(0.2)
     assert (await ask(state, '/any/7')).status == 200
     assert not state.open_requests
+
+
+# Guards against an entry without peers that fails over a silent path.
+def test_silent_path_without_peers(caplog):
+    @in_world
+    async def run(world):
+        await world.add_upstream(silent())
+        network = Network()
+        state = await world.add_gateway(network)
+
+        async def ask_once():
+            await ask(state, '/any/7')
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask_once)
+            await wait_until(lambda: bool(state.loads.running))
+            await network.cut(Path.SILENT)
+            await anyio.sleep(1.6)
+            tasks.cancel_scope.cancel()
+
+    run()
+    assert 'A component failed' not in caplog.text
