Ask a peer about an upstream only after a probe of our own failed

What would be seen: failures of upstreams in another region, where a connection takes 0.06 s, counted for nothing, and neither did their crashes.

Cause: a probe, with 0.1 s, was raced by a peer after 0.05 s. The peer won, which was read as a broken path, so the break said nothing of the upstream.

Why this works: a peer races only connections that take over 0.1 s, and a probe has no longer, so its own failure comes first.

--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/paths.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/paths.py
@@ -29,9 +29,9 @@
 logger = logging.getLogger(__name__)
 
 #: Seconds after which a direct connection that is not established is raced by
-#: one through a peer, as a fraction of its timeout and at most.
-HEDGE_FRACTION = 0.5
-MAX_HEDGE_SECONDS = 0.1
+#: one through a peer. Connections between regions take less. A probe has no
+#: longer timeout, so it asks a peer only after its own failure.
+HEDGE_SECONDS = 0.1
 #: Timeout in seconds of a connection through a peer.
 PEER_TIMEOUT_SECONDS = 0.25
 #: Timeout in seconds of a direct connection that only checks a path.
@@ -117,9 +117,7 @@
                 tasks.cancel_scope.cancel()
 
         async def go_through_peer() -> None:
-            with anyio.move_on_after(
-                min(MAX_HEDGE_SECONDS, timeout * HEDGE_FRACTION)
-            ):
+            with anyio.move_on_after(HEDGE_SECONDS):
                 await direct_failed.wait()
             try:
                 opened.append(await self._open_through(peers, address))
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/network.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/network.py
@@ -29,6 +29,8 @@
     """Hold the path of one node to the upstreams."""
 
     path: Path = Path.OPEN
+    #: Seconds that a connection takes.
+    delay: float = 0
     #: Set and replaced when the path changes.
     changed: anyio.Event = field(default_factory=anyio.Event)
     streams: set['CuttableStream'] = field(default_factory=set)
@@ -55,6 +57,10 @@
         if self.path is Path.SILENT:
             await anyio.sleep(timeout)
             raise NotSentError(f'no connection within {timeout} s')
+        if self.delay >= timeout:
+            await anyio.sleep(timeout)
+            raise NotSentError(f'no connection within {timeout} s')
+        await anyio.sleep(self.delay)
         conn = await connect(address, timeout)
         conn.stream = CuttableStream(conn.stream, self)
         return conn
--- a/tests/test_gateway_tunnels.py
+++ b/tests/test_gateway_tunnels.py
@@ -5,9 +5,10 @@
 
 import anyio
 from anyio.abc import SocketAttribute
+from cut_world import in_cut_world
 from gateway_world import ask, dial, in_world
 from spanfall_standins.gateway.network import Network, Path
-from spanfall_standins.gateway.upstream import complete_response, silent
+from spanfall_standins.gateway.upstream import complete_response, raw, silent
 from support import wait_until
 
 
@@ -50,3 +51,19 @@
 
     run()
     assert 'A component failed' not in caplog.text
+
+
+# Guards against failures of distant upstreams that count for nothing, since a
+# peer connects to them before this node does.
+def test_failures_of_distant_upstreams_count():
+    @in_cut_world(3, 1, raw(b'no answer'))
+    async def run(world, states, networks):
+        networks[0].delay = 0.06
+        for number in range(3):
+            await ask(states[0], f'/once/{number}', attempt=f'a{number}')
+        assert sum(states[0].loads.failed.values()) == 3
+        assert not states[0].reach.own.blocked
+        read = states[0].counters.registry.get_sample_value
+        assert not read('spanfall_upstream_paths_total', {'reason': 'peer'})
+
+    run()
