--- a/packages/spanfall-core/src/spanfall_core/gateway/limits/brittle.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/limits/brittle.py
@@ -9,7 +9,7 @@
 
 from spanfall_core.gateway.known.lifetimes import Lifetime
 
-#: Seconds after which a place that a rejection took is tried again.
+#: Seconds after which a place that a rejection took is used again.
 REGROWTH_SECONDS = 2.0
 #: Factor of pauses that keeps rejections inside what the upstream survives
 #: also when they arrive late.
@@ -57,7 +57,7 @@
         return running >= min(slots, self._places(lifetime, now))
 
     def forget(self, lifetime: Lifetime) -> None:
-        """Drop the room of an upstream that has ended or is brittle no more."""
+        """Drop the room of an upstream that has ended."""
         self._rooms.pop(lifetime, None)
 
     def _places(self, lifetime: Lifetime, now: float) -> float:
--- a/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
@@ -62,9 +62,8 @@
 
     report: EntryReport
     configuration_version: int = 0
-    #: Digest of the entry's directory of upstreams.
+    #: Digest and revision of the upstream listing that the entry has.
     upstreams_digest: int = 0
-    #: Revision of the upstream listing that the entry has.
     upstreams_revision: int = 0
     #: Whether the totals over the other entries are requested.
     wants_totals: bool = True
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/reach_check.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/reach_check.py
@@ -6,8 +6,7 @@
 from spanfall_node.gateway.net.pool import Dial
 from spanfall_node.gateway.tables.state import GatewayState
 
-#: Other upstreams that are tried one after the other, and the timeout of each
-#: in seconds.
+#: Other upstreams to connect to in turn, and the timeout of each in seconds.
 MAX_CHECKED = 3
 TIMEOUT_SECONDS = 0.1
 
