Keep requests on connections that still work

What would be seen: a request that may run again was sent a second time, and its first run thrown away, at an entry whose new connections are refused while the open ones work, if its response took over half a second.

Cause: a silence was checked by a new connection, and its refusal was taken for a word on the open ones.

Evidence: test_slow_responses_on_living_connections: two runs before, one now.

Why this works: only a connection that hangs shows that open ones hang, too; a refused one leaves them alone, and their end tells the rest.

--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/paths.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/paths.py
@@ -16,6 +16,7 @@
 from spanfall_node.gateway.net.client import Connection
 from spanfall_node.gateway.net.connecting import connect
 from spanfall_node.gateway.net.errors import (
+    NobodyListensError,
     NotSentError,
     PathUnknownError,
     PeerUnavailableError,
@@ -232,8 +233,18 @@
             await self._break_blocked(pool)
 
     async def _is_path_silent(self, address: str) -> bool:
-        """Return whether a peer reaches a silent upstream and this node not."""
-        if await self._reaches(address):
+        """Return whether a peer reaches a silent upstream and this node not.
+
+        A refused connection says nothing of those that are open.
+        """
+        try:
+            conn = await self._open_directly(address, CHECK_TIMEOUT_SECONDS)
+        except NobodyListensError:
+            return False
+        except NotSentError as exc:
+            logger.info('No direct path to %s: %s', address, exc.reason)
+        else:
+            await conn.close()
             return False
         try:
             conn = await self._open_through(self._ranked_peers(), address)
--- a/tests/test_gateway_tunnels.py
+++ b/tests/test_gateway_tunnels.py
@@ -67,3 +67,22 @@
         assert not read('spanfall_upstream_paths_total', {'reason': 'peer'})
 
     run()
+
+
+# Guards against requests that are broken on connections that still work.
+def test_slow_responses_on_living_connections():
+    async def respond_late(upstream, request, stream):
+        await anyio.sleep(1.2)
+        return await complete_response()(upstream, request, stream)
+
+    @in_cut_world(3, 1, respond_late, respond_late)
+    async def run(world, states, networks):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask, states[0], '/any/7')
+            await wait_until(lambda: bool(states[0].loads.running))
+            await anyio.sleep(0.05)
+            await networks[0].cut(Path.REFUSES)
+        sent = [one.received_requests for one in world.upstreams.values()]
+        assert sum(map(len, sent)) == 1
+
+    run()
