--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -111,8 +111,12 @@
         self,
         behaviour: Behaviour,
         after_end: AfterExit = AfterExit.REFUSES,
+        **fields: object,
     ) -> StandInUpstream:
-        """Start an upstream and add its entry to the store."""
+        """Start an upstream and add its entry to the store.
+
+        ``fields`` are further ones of the entry, or other values of the usual.
+        """
         lifetime = f'u-{next(self._numbers)}'
         upstream = StandInUpstream(lifetime, behaviour)
         address = await start_server(
@@ -122,7 +126,12 @@
             after_end,
         )
         row = ListedUpstream(lifetime, SERVICE, address, 'north', slots=4)
-        encoded = msgspec.json.encode(row).decode()
+        entry = {
+            **msgspec.to_builtins(row),
+            'software_version': 'v1',
+            **fields,
+        }
+        encoded = msgspec.json.encode(entry).decode()
         self.store.put(f'{UPSTREAM_PREFIX}{lifetime}', encoded)
         self.upstreams[lifetime] = upstream
         return upstream
--- /dev/null
+++ b/tests/versions_world.py
@@ -0,0 +1,121 @@
+"""Let upstreams of several software versions stream, and read what came."""
+
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import anyio
+from gateway_world import SERVICE, ask, dial, request_bytes
+from spanfall_standins.gateway.server import encode_response
+from spanfall_standins.gateway.upstream import EVENT_STREAM, chunk
+from support import wait_until
+
+#: Events of a whole stream.
+EVENTS = 6
+OLD, NEW = 'v1', 'v2'
+
+
+@dataclass(slots=True)
+class VersionedEvents:
+    """Stream events that hold the version of the upstream's software.
+
+    A run goes on after the event that its request names.
+    """
+
+    version: str | None
+    #: Events after which each run that begins a stream breaks off inside the
+    #: next one; None lets all runs end.
+    breaks_after: int | None = None
+    #: Set to let runs pass their first event.
+    goes_on: anyio.Event = field(default_factory=anyio.Event)
+
+    async def run(self, upstream, request, stream):
+        first = int(request.headers.get('last-event-id', '0')) + 1
+        head = encode_response(
+            200, b'', {**upstream.response_headers(request), **EVENT_STREAM}
+        )
+        await stream.send(head.replace(b'content-length: 0\r\n', b''))
+        last = EVENTS
+        if first == 1 and self.breaks_after is not None:
+            last = self.breaks_after
+        for number in range(first, last + 1):
+            await stream.send(chunk(self.event(number)))
+            if number == 1:
+                await self.goes_on.wait()
+        if last < EVENTS:
+            await stream.send(chunk(self.event(last + 1)[:-4]))
+            return False
+        await stream.send(b'0\r\n\r\n')
+        return True
+
+    def event(self, number):
+        return b'id: %d\ndata: %s\n\n' % (number, str(self.version).encode())
+
+
+async def add_upstreams(world, version, count=1, breaks_after=None, **fields):
+    """Add upstreams of a version whose runs don't wait."""
+    events = VersionedEvents(version, breaks_after)
+    events.goes_on.set()
+    for _ in range(count):
+        await world.add_upstream(events.run, software_version=version, **fields)
+    return events
+
+
+def versions_of(body):
+    """Return the versions whose events a caller has, in order."""
+    lines = body.decode().splitlines()
+    found = [line for line in lines if line.startswith('data: ')]
+    return list(dict.fromkeys(line.removeprefix('data: ') for line in found))
+
+
+def ids_of(body):
+    """Return the numbers of the events that a caller has."""
+    lines = body.decode().splitlines()
+    found = [line for line in lines if line.startswith('id: ')]
+    return [int(line.removeprefix('id: ')) for line in found]
+
+
+async def all_listed(world, *states):
+    """Wait until gateways list all upstreams."""
+    await wait_until(
+        lambda: all(
+            len(state.directory.serving(SERVICE)) == len(world.upstreams)
+            for state in states
+        )
+    )
+
+
+@asynccontextmanager
+async def first_event_of(state, attempt):
+    """Begin a stream; yield its connection once its first event came."""
+    stream = await dial(state.cfg.listen.callers)
+    async with stream:
+        await stream.send(request_bytes('/resume/7', attempt))
+        seen = b''
+        while b'id: 1\n' not in seen:
+            seen += await stream.receive()
+        yield ReadAgain(stream, seen)
+
+
+@dataclass(slots=True)
+class ReadAgain:
+    """Read a connection from its begin although a part was read before."""
+
+    stream: object
+    seen: bytes
+
+    async def receive(self):
+        if self.seen:
+            seen, self.seen = self.seen, b''
+            return seen
+        return await self.stream.receive()
+
+
+async def take_up(state, first_attempt, last_id, **fields):
+    """Take a stream up as a caller does that has events of it."""
+    return await ask(
+        state,
+        '/resume/7',
+        resumes=first_attempt,
+        last_event_id=str(last_id),
+        **fields,
+    )
