Take streams up at other entries, in eight tests that fail

Callers that have the first event name their first try in Resumes, at the same entry, another, the home, with the first entry, the home or both ended, and on a third try.

--- /dev/null
+++ b/tests/test_gateway_resumed_streams.py
@@ -0,0 +1,213 @@
+"""A caller that takes a stream up gets it from the version that began it."""
+
+import anyio
+import pytest
+from contention_world import home_among, is_linked
+from gateway_world import ask, in_world
+from support import wait_until
+from versions_world import (
+    EVENTS,
+    NEW,
+    OLD,
+    VersionedEvents,
+    add_upstreams,
+    all_listed,
+    first_event_of,
+    ids_of,
+    take_up,
+    versions_of,
+)
+
+REST = list(range(2, EVENTS + 1))
+#: Callers that begin a stream at the entry.
+CALLERS = 6
+
+
+class Fleet:
+    """Hold gateways that can be ended, the home among them."""
+
+    def __init__(self, world):
+        self.world = world
+        self.lives = {}
+
+    async def start(self, size):
+        for _ in range(size):
+            life = anyio.CancelScope()
+            state = await self.world.add_killable_gateway(life)
+            self.lives[state.entry_key] = (state, life)
+        await wait_until(lambda: self.home() is not None)
+        home = self.home()
+        await wait_until(
+            lambda: all(
+                is_linked(state) for state in self.states() if state is not home
+            )
+        )
+
+    def states(self):
+        return [state for state, _ in self.lives.values()]
+
+    def home(self):
+        return home_among(self.states())
+
+    def entries(self):
+        return [state for state in self.states() if state is not self.home()]
+
+    async def end(self, *ended):
+        """End gateways abruptly."""
+        for state in ended:
+            _, life = self.lives.pop(state.entry_key)
+            life.cancel()
+        await anyio.sleep(0.01)
+
+
+async def fleet_of_two_versions(world, size):
+    """Start a fleet whose upstreams stop after their first event."""
+    begun = VersionedEvents(OLD)
+    await world.add_upstream(begun.run)
+    fleet = Fleet(world)
+    await fleet.start(size)
+    await all_listed(world, *fleet.states())
+    return fleet
+
+
+async def begin_streams(state, prefix='a'):
+    """Let callers have the first event of a stream each, and lose the rest."""
+    attempts = [f'{prefix}{number}' for number in range(CALLERS)]
+    for attempt in attempts:
+        async with first_event_of(state, attempt):
+            await anyio.sleep(0)
+    return attempts
+
+
+async def serve_both(world, *states):
+    """Let upstreams of both versions serve whole streams, most of them new."""
+    for upstream in world.upstreams.values():
+        upstream.behaviour.__self__.goes_on.set()
+    await add_upstreams(world, NEW, count=5)
+    await all_listed(world, *states)
+
+
+async def check_taken_up(state, attempts):
+    answers = [
+        await take_up(state, attempt, 1, attempt=f'{attempt}-second')
+        for attempt in attempts
+    ]
+    assert [answer.status for answer in answers] == [200] * len(answers)
+    assert all(ids_of(answer.body) == REST for answer in answers)
+    assert all(versions_of(answer.body) == [OLD] for answer in answers)
+
+
+# Guards against a second try at another version while all nodes run.
+@pytest.mark.parametrize('where', ['same', 'other', 'home'])
+def test_a_second_try_goes_on_at_the_version_of_the_first(where):
+    @in_world
+    async def play(world):
+        fleet = await fleet_of_two_versions(world, 3)
+        first, other = fleet.entries()
+        second = {'same': first, 'other': other, 'home': fleet.home()}[where]
+        attempts = await begin_streams(first)
+        await serve_both(world, *fleet.states())
+        await check_taken_up(second, attempts)
+
+    play()
+
+
+# Guards against losing the version with the entry that sent the stream.
+@in_world
+async def test_a_second_try_after_the_entry_ended(world):
+    fleet = await fleet_of_two_versions(world, 3)
+    first, other = fleet.entries()
+    attempts = await begin_streams(first)
+    await serve_both(world, *fleet.states())
+    await fleet.end(first)
+    await check_taken_up(other, attempts)
+
+
+# Guards against losing the version with the home that granted the stream.
+@in_world
+async def test_a_second_try_after_the_home_ended(world):
+    fleet = await fleet_of_two_versions(world, 3)
+    first, other = fleet.entries()
+    attempts = await begin_streams(first)
+    await serve_both(world, *fleet.states())
+    await fleet.end(fleet.home())
+    await check_taken_up(other, attempts)
+
+
+# Guards against losing the version with the entry and the home at once.
+@in_world
+async def test_a_second_try_after_the_entry_and_the_home_ended(world):
+    fleet = await fleet_of_two_versions(world, 4)
+    first, other, _ = fleet.entries()
+    attempts = await begin_streams(first)
+    await serve_both(world, *fleet.states())
+    await anyio.sleep(0.3)
+    await fleet.end(first, fleet.home())
+    await check_taken_up(other, attempts)
+
+
+# Guards against losing the version of a stream that the home itself sent.
+@in_world
+async def test_a_second_try_after_the_home_that_sent_it_ended(world):
+    fleet = await fleet_of_two_versions(world, 3)
+    home, (other, _) = fleet.home(), fleet.entries()
+    attempts = await begin_streams(home)
+    await serve_both(world, *fleet.states())
+    await anyio.sleep(0.3)
+    await fleet.end(home)
+    await check_taken_up(other, attempts)
+
+
+# Guards against a third try that takes the second one's version for the first.
+@in_world
+async def test_a_third_try_names_the_first(world):
+    fleet = await fleet_of_two_versions(world, 3)
+    first, other = fleet.entries()
+    attempts = await begin_streams(first)
+    await serve_both(world, *fleet.states())
+    for attempt in attempts:
+        await take_up(other, attempt, 1, attempt=f'{attempt}-second')
+    await check_taken_up(fleet.home(), attempts)
+
+
+# Guards against a guess where nobody knows the version.
+@pytest.mark.parametrize(
+    'headers',
+    [
+        {'resumes': 'nobody'},
+        {'resumes': ''},
+        {'resumes': 'own'},
+        {'resumes': 'x' * 4096},
+        {},
+    ],
+)
+def test_an_unknown_stream_is_refused_while_versions_differ(headers):
+    @in_world
+    async def play(world):
+        fleet = await fleet_of_two_versions(world, 2)
+        await serve_both(world, *fleet.states())
+        for state in fleet.states():
+            answer = await ask(
+                state, '/resume/7', attempt='own', last_event_id='1', **headers
+            )
+            assert answer.status == 503
+        seen = [row.received_requests for row in world.upstreams.values()]
+        assert not any(seen)
+
+    play()
+
+
+# Guards against sending a caller elsewhere once its version is gone.
+@in_world
+async def test_a_second_try_is_refused_once_the_version_is_gone(world):
+    fleet = await fleet_of_two_versions(world, 3)
+    first, other = fleet.entries()
+    attempts = await begin_streams(first)
+    old = next(iter(world.upstreams.values()))
+    await serve_both(world, *fleet.states())
+    world.remove_entry(old)
+    world.upstreams.pop(old.lifetime)
+    await all_listed(world, *fleet.states())
+    for attempt in attempts:
+        answer = await take_up(other, attempt, 1, attempt=f'{attempt}-second')
+        assert answer.status == 503
