Continue a stream only at the software version that began it

Cause: all upstreams of a service were taken as equal. Nothing read the version in an upstream's entry, so the next upstream of a broken stream was the least loaded one of any version. Change: an entry's version is part of its row, and a response is bound to that of the upstream that sends its first event. The request for the next upstream says which version it needs, so the home, the trial of a suspect, an entry that decides alone, the check before a retry is spent and the waits for back-offs and permits all leave out others. A missing or unreadable version equals nothing. A start under the same id with other software, before the first event, makes the origin unknown. Where none is left the response ends visibly. Why it works: no event is relayed before the response is bound, and each later choice passes RoutingRequest.may_reach.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/digests.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/digests.py
@@ -13,6 +13,13 @@
 def directory_digest(rows: Iterable[ListedUpstream]) -> int:
     """Return a digest that is equal on nodes with the same upstreams."""
     known = sorted(
-        (row.lifetime, row.address, row.leaving, row.paused) for row in rows
+        (
+            row.lifetime,
+            row.address,
+            row.leaving,
+            row.paused,
+            row.software_version or '',
+        )
+        for row in rows
     )
     return xxh3_64_intdigest(repr(known).encode()) & DIGEST_MASK
--- a/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
@@ -12,15 +12,16 @@
 from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, replace
 
-from xxhash import xxh3_64_intdigest
-
 from spanfall_core.gateway.known.digests import directory_digest
 from spanfall_core.gateway.known.lifetimes import (
     Lifetime,
     is_earlier,
     name_lifetime,
 )
-from spanfall_core.gateway.known.listed import ListedUpstream
+from spanfall_core.gateway.known.listed import (
+    ListedUpstream,
+    ring_position,
+)
 from spanfall_core.gateway.known.timelines import REWRITE_SECONDS
 
 #: Maximum number of ended lifetimes that are remembered; an outdated listing
@@ -218,6 +219,13 @@
         """Return when a new upstream of a service was last listed."""
         return self._last_added_at.get(service, float('-inf'))
 
+    def later_lifetime(self, row: ListedUpstream) -> ListedUpstream | None:
+        """Return the listed later lifetime of the same upstream, if any."""
+        latest = self._latest_start.get(row.upstream_id)
+        if not is_earlier(row.born, latest):
+            return None
+        return self.rows.get(name_lifetime(row.upstream_id, latest))
+
     def apply_statements(self, lifetimes: Iterable[Lifetime]) -> None:
         """Apply new statements of upstreams that they are leaving."""
         services: set[str] = set()
@@ -278,19 +286,10 @@
 
     def _index(self) -> None:
         by_service: dict[str, list[ListedUpstream]] = {}
-        for row in sorted(self.rows.values(), key=_ring_position):
+        for row in sorted(self.rows.values(), key=ring_position):
             if row.is_serving:
                 by_service.setdefault(row.service, []).append(row)
         self._by_service = by_service
         listed = self.rows.values()
         self.address_counts = Counter(known.address for known in listed)
         self.digest = directory_digest(self.rows.values())
-
-
-def ring_position(lifetime: Lifetime) -> int:
-    """Return the position of a lifetime on the hash ring of all nodes."""
-    return xxh3_64_intdigest(lifetime.encode())
-
-
-def _ring_position(row: ListedUpstream) -> int:
-    return ring_position(row.lifetime)
--- a/packages/spanfall-core/src/spanfall_core/gateway/known/listed.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/listed.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from xxhash import xxh3_64_intdigest
+
 from spanfall_core.gateway.known.lifetimes import Lifetime, name_lifetime
 
 
@@ -21,6 +23,8 @@
     leaves_in: float | None = None
     #: Start time in milliseconds since 1970, if the platform reports it.
     born: int | None = None
+    #: Version of its software, or None if its record states none.
+    software_version: str | None = None
     #: Whether its current record is unusable.
     paused: bool = False
     #: Whether it stated in an answer that it is leaving, whatever its record
@@ -43,6 +47,11 @@
         return self.leaving or self.said_leaving
 
 
+def ring_position(row: ListedUpstream) -> int:
+    """Return the position of a lifetime on the hash ring of all nodes."""
+    return xxh3_64_intdigest(row.lifetime.encode())
+
+
 @dataclass(frozen=True, slots=True)
 class UnusableRecord:
     """State why a record in the platform's list cannot be used."""
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
@@ -92,7 +92,7 @@
         best: tuple[float, int, int, int] | None = None
         for index in indices:
             row = self.candidates[index]
-            if not self.is_eligible(row.lifetime):
+            if not self.is_eligible(row):
                 continue
             cached = self.prompts.prefixes.cached_tokens(
                 row.lifetime, self.request.parts
@@ -110,12 +110,9 @@
         ahead = self.loads.prefill_at(chosen.lifetime)
         return Choice(chosen, best[0], best[2], ahead, excess=best[3])
 
-    def is_eligible(self, lifetime: Lifetime) -> bool:
+    def is_eligible(self, row: ListedUpstream) -> bool:
         """Return whether the request may be sent to an upstream."""
-        request = self.request
-        if lifetime in request.tried or lifetime in request.avoided:
-            return False
-        return lifetime not in self.withheld
+        return self.request.allows(row) and row.lifetime not in self.withheld
 
     def hash_fraction(self, index: int) -> float:
         """Return the hash of a candidate, scaled to a fraction from 0 to 1."""
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/estimates.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/estimates.py
@@ -60,6 +60,19 @@
     identity: RequestIdentity = RequestIdentity('')
     #: Upstreams that asked this entry to back off.
     avoided: frozenset[Lifetime] = frozenset()
+    #: Software version that the upstream must have, if only one can serve the
+    #: request.
+    software_version: str | None = None
+
+    def may_reach(self, row: ListedUpstream) -> bool:
+        """Return whether an upstream can serve the request, now or later."""
+        if row.lifetime in self.tried:
+            return False
+        return self.software_version in {None, row.software_version}
+
+    def allows(self, row: ListedUpstream) -> bool:
+        """Return whether the request may be sent to an upstream now."""
+        return row.lifetime not in self.avoided and self.may_reach(row)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/prompt_history.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/prompt_history.py
@@ -3,9 +3,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.known.directory import ring_position
 from spanfall_core.gateway.known.engine_model import PrefillSpeed
-from spanfall_core.gateway.known.listed import ListedUpstream
+from spanfall_core.gateway.known.listed import ListedUpstream, ring_position
 from spanfall_core.gateway.known.prefix_heat import PrefixHeat
 from spanfall_core.gateway.known.prefixes import PrefixIndex
 from spanfall_core.gateway.routing.estimates import RoutingRequest
@@ -44,7 +43,7 @@
         service = rows[0].service
         known = self._shortlists.get(service)
         if known is None or known.rows is not rows:
-            digests = [ring_position(row.lifetime) for row in rows]
+            digests = [ring_position(row) for row in rows]
             indices = {row.lifetime: at for at, row in enumerate(rows)}
             known = Shortlist(rows, digests, indices)
             self._shortlists[service] = known
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
@@ -7,6 +7,7 @@
 import anyio
 from spanfall_core.gateway.known.configuration import RouteKind
 from spanfall_core.gateway.known.lifetimes import Lifetime
+from spanfall_core.gateway.known.origins import Origin
 from spanfall_core.gateway.routing.sends import SendOutcome, SendState
 
 from spanfall_node.gateway.net.body_ends import PROVEN_ENDS, BodyEnd
@@ -79,6 +80,8 @@
     #: Time of the steady clock at the last send.
     sent_at: float = 0
     events: EventSplitter = field(default_factory=EventSplitter)
+    #: What sent the first event that was relayed; None before.
+    origin: Origin | None = None
     #: Whether a response to the caller has begun.
     started: bool = False
     #: Ends the exchange by its deadline, less the time for the response.
@@ -89,6 +92,11 @@
     #: Checks whether the upstream still runs after it closed a connection.
     check_still_runs: Callable[[], Awaitable[bool]] | None = None
 
+    @property
+    def is_continuable(self) -> bool:
+        """Return whether an upstream can be known to continue the response."""
+        return self.origin is None or self.origin.is_known
+
 
 async def relay_buffered(
     state: GatewayState,
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/choosing.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/choosing.py
@@ -47,8 +47,8 @@
     permit_wait_until = (
         admitted.began_at + admitted.route.target * PERMIT_WAIT_FRACTION
     )
-    while True:
-        routing_request = _routing_request(state, exchange)
+    while exchange.is_continuable:
+        routing_request = routing_request_of(state, exchange)
         terms = admission_terms(state, exchange)
         choice = await grants.choose(admitted.service, routing_request, terms)
         choice = _retry_after_backoff(
@@ -68,10 +68,14 @@
         if now + seconds > until:
             return choice
         await anyio.sleep(seconds)
+    return None
 
 
-def _routing_request(state: GatewayState, exchange: Exchange) -> RoutingRequest:
-    admitted = exchange.admitted
+def routing_request_of(
+    state: GatewayState, exchange: Exchange
+) -> RoutingRequest:
+    """Return what the choice of the next upstream depends on."""
+    admitted, origin = exchange.admitted, exchange.origin
     return RoutingRequest(
         admitted.attempt_id,
         state.cfg.data_centre,
@@ -80,6 +84,19 @@
         frozenset(exchange.tried),
         admitted.identity,
         state.words.backoffs.newest(state.timers.now()),
+        origin.software_version if origin else None,
+    )
+
+
+def has_untried(state: GatewayState, exchange: Exchange) -> bool:
+    """Return whether an upstream is left that may be sent the request now."""
+    if not exchange.is_continuable:
+        return False
+    routing_request = routing_request_of(state, exchange)
+    backing_off = state.words.backoffs.active(state.timers.now())
+    return any(
+        routing_request.may_reach(row) and row.lifetime not in backing_off
+        for row in state.directory.serving(exchange.admitted.service)
     )
 
 
@@ -93,11 +110,7 @@
     if choice is not None and not isinstance(choice, RetryAfter):
         return choice
     rows = state.directory.serving(service)
-    untried = (
-        row.lifetime
-        for row in rows
-        if row.lifetime not in routing_request.tried
-    )
+    untried = (row.lifetime for row in rows if routing_request.may_reach(row))
     backoff = state.words.backoffs.seconds_until_first_end(
         untried, state.timers.now()
     )
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
@@ -69,9 +69,12 @@
         if not trials.try_begin(request.service, identity, now):
             return GrantMessage(number, standing=standing)
     if standing is not Standing.FREE:
-        routing_request = request.ask
-        excluded = routing_request.tried | routing_request.avoided | withheld
-        candidates = _cheapest_to_crash(state, serving, excluded, now)
+        allowed = [
+            row
+            for row in serving
+            if request.ask.allows(row) and row.lifetime not in withheld
+        ]
+        candidates = _cheapest_to_crash(state, allowed, now)
     state.granted_prompts.record_prompt(request.ask, now)
     choice = _choose(state, request, candidates, withheld, with_room or ())
     grant = None
@@ -101,8 +104,9 @@
     state: GatewayState, request: GrantRequest, now: float
 ) -> float:
     """Return the seconds to a permit of a rate-limited upstream, or 0."""
-    has_candidate = has_limited_candidate(state, request.service, request.ask)
-    if not has_candidate:
+    if not has_candidate(state, request.service, request.ask):
+        return 0
+    if not has_limited_candidate(state, request.service, request.ask):
         is_full = has_brittle(state, request.service)
         return FULL_WAIT_SECONDS if is_full else 0
     if can_allocate(state.tenure, now):
@@ -111,14 +115,21 @@
     return NO_HOME_RETRY_SECONDS
 
 
+def has_candidate(
+    state: GatewayState, service: str, routing_request: RoutingRequest
+) -> bool:
+    """Tell whether any upstream could serve a request, now or later."""
+    rows = state.directory.serving(service)
+    return any(map(routing_request.may_reach, rows))
+
+
 def has_limited_candidate(
     state: GatewayState, service: str, routing_request: RoutingRequest
 ) -> bool:
     """Tell whether a rate-limited upstream could serve a request."""
     limited = state.words.table.rates
-    excluded = routing_request.tried | routing_request.avoided
     return bool(limited) and any(
-        row.lifetime in limited and row.lifetime not in excluded
+        row.lifetime in limited and routing_request.allows(row)
         for row in state.directory.serving(service)
     )
 
@@ -126,10 +137,9 @@
 def _cheapest_to_crash(
     state: GatewayState,
     candidates: Sequence[ListedUpstream],
-    excluded: AbstractSet[Lifetime],
     now: float,
 ) -> Sequence[ListedUpstream]:
-    """Return the upstream whose crash would cost least, if one is left.
+    """Return the upstream whose crash would cost least, if there is one.
 
     Those that failed recently come last: they run few requests, and a trial
     there would show nothing about the request.
@@ -140,8 +150,7 @@
         failures = state.loads.failures_at(row.lifetime, now)
         return failures >= FAILING_THRESHOLD, running[row.lifetime]
 
-    left = [row for row in candidates if row.lifetime not in excluded]
-    return sorted(left, key=cost)[:1]
+    return sorted(candidates, key=cost)[:1]
 
 
 def _choose(
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
@@ -39,6 +39,7 @@
 )
 from spanfall_node.gateway.upstreams.granting import (
     NO_HOME_RETRY_SECONDS,
+    has_candidate,
     has_limited_candidate,
 )
 from spanfall_node.gateway.upstreams.speeds import loads_for
@@ -136,7 +137,7 @@
             if answer.held is not None:
                 now = state.timers.now()
                 return state.contention.own_held.add(answer.held, now)
-            return self._accept_grant(answer)
+            return self._accept_grant(answer, routing_request)
         if self._should_ask():
             choice = await self._request_grant(request)
             if choice is not None:
@@ -204,9 +205,11 @@
         answer = question.answer
         if answer is None or isinstance(answer, HeldWait):
             return answer
-        return self._accept_grant(answer)
+        return self._accept_grant(answer, request.ask)
 
-    def _accept_grant(self, answer: GrantMessage) -> ChoiceOutcome:
+    def _accept_grant(
+        self, answer: GrantMessage, routing_request: RoutingRequest
+    ) -> ChoiceOutcome:
         """Return the granted choice unless newer local state rules it out."""
         if answer.rejected is not None:
             return answer.rejected
@@ -223,7 +226,8 @@
         if is_limited and not grant.is_permit:
             # The home had not yet received the upstream's rate limit.
             return None
-        if grant.lifetime in words.backoffs.active(self.state.timers.now()):
+        backing_off = words.backoffs.active(self.state.timers.now())
+        if grant.lifetime in backing_off or not routing_request.may_reach(row):
             return None
         is_watched = answer.standing is not Standing.FREE
         return Choice(row, 0, grant.prefill, grant.ahead, is_watched)
@@ -256,6 +260,8 @@
         )
         if choice is not None:
             return choice
+        if not has_candidate(state, service, routing_request):
+            return None
         if has_limited_candidate(state, service, routing_request):
             return RetryAfter(NO_HOME_RETRY_SECONDS)
         if has_brittle(state, service):
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -44,12 +44,16 @@
 )
 from spanfall_node.gateway.upstreams.choosing import (
     choose_or_wait,
+    has_untried,
     seconds_until_backoff_ends,
 )
 from spanfall_node.gateway.upstreams.crash_watch import CrashDetector
 from spanfall_node.gateway.upstreams.grants import GrantClient
 from spanfall_node.gateway.upstreams.held_requests import refusal_of
-from spanfall_node.gateway.upstreams.resuming import record_resumption
+from spanfall_node.gateway.upstreams.resuming import (
+    check_origin,
+    record_resumption,
+)
 from spanfall_node.gateway.upstreams.sending import send
 
 logger = logging.getLogger(__name__)
@@ -243,6 +247,7 @@
     """Record a failed send; return whether to send the request again."""
     admitted = exchange.admitted
     exchange.tried.add(choice.upstream.lifetime)
+    check_origin(state, exchange, choice.upstream)
     if failed.weight:
         now = state.timers.now()
         state.loads.fail(choice.upstream.lifetime, now, failed.weight)
@@ -272,13 +277,11 @@
 
 
 def _spend_retry(state: GatewayState, exchange: Exchange) -> bool:
-    now = state.timers.now()
-    serving = state.directory.serving(exchange.admitted.service)
-    excluded = exchange.tried | state.words.backoffs.active(now)
-    if all(row.lifetime in excluded for row in serving):
+    if not has_untried(state, exchange):
         return False
     if not exchange.sends.sends:
         return len(exchange.tried) < MAX_UNSENT
+    now = state.timers.now()
     return state.retries.try_spend(exchange.admitted.service, now)
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/response_ends.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/response_ends.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 
+from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.routing.sends import SendOutcome
 
 from spanfall_node.gateway.net.body_ends import (
@@ -25,6 +26,7 @@
     record_response,
 )
 from spanfall_node.gateway.upstreams.forwarded import response_headers
+from spanfall_node.gateway.upstreams.resuming import bind_origin
 
 #: Ends after which a response is complete for all that its framing shows.
 COMPLETE_ENDS = PROVEN_ENDS | {BodyEnd.CLOSED}
@@ -46,6 +48,7 @@
 async def relay_stream(
     state: GatewayState,
     exchange: Exchange,
+    upstream: ListedUpstream,
     head: ResponseHead,
     conn: Connection,
     on_token: Callable[[], None],
@@ -70,6 +73,7 @@
         whole = events.feed(part)
         if whole:
             exchange.timings.record(state.timers.now())
+            bind_origin(state, exchange, upstream)
             await _start_response(state, exchange, head, is_delimited)
             await exchange.caller.send_part(whole)
     await _check_stream_end(exchange, conn)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
@@ -190,7 +190,12 @@
     head = await conn.send_and_read_head(call, host, is_for_request)
     if is_event_stream(head) and head.status == 200:
         send_result = await relay_stream(
-            state, exchange, head, conn, pending.first_token
+            state,
+            exchange,
+            choice.upstream,
+            head,
+            conn,
+            pending.first_token,
         )
     else:
         send_result = await _relay_body(state, exchange, choice, conn, head)
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
@@ -1,5 +1,6 @@
 """Adapt the test platform, which uses plain JSON with short names."""
 
+from dataclasses import replace
 from urllib.parse import urlencode
 
 import msgspec
@@ -14,6 +15,7 @@
     ServiceShare,
 )
 from spanfall_core.gateway.known.listed import ListedUpstream, UnusableRecord
+from spanfall_core.gateway.known.origins import read_software_version
 from spanfall_core.gateway.known.statements import Statement, read_decimal
 from spanfall_core.gateway.known.timelines import read_timeline
 from spanfall_node.gateway.net.ports import (
@@ -181,7 +183,10 @@
 
 def _read_upstream(key: str, source: bytes) -> ListedUpstream | UnusableRecord:
     try:
-        return msgspec.json.decode(source, type=ListedUpstream)
+        fields = msgspec.json.decode(source, type=dict[str, object])
+        stated = fields.pop('software_version', None)
+        row = msgspec.convert(fields, ListedUpstream)
+        return replace(row, software_version=read_software_version(stated))
     except ValueError as exc:
         return UnusableRecord(key.removeprefix(UPSTREAM_PREFIX), str(exc))
 
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -89,6 +89,8 @@
     cloud_address: str
     cloud_calls: list[dict[str, object]] = field(default_factory=list)
     upstreams: dict[str, StandInUpstream] = field(default_factory=dict)
+    #: What the upstreams wrote into the store, by id.
+    entries: dict[str, dict[str, object]] = field(default_factory=dict)
     configuration: PlainConfiguration = field(
         default_factory=lambda: PlainConfiguration(
             list(ROUTES),
@@ -134,8 +136,15 @@
         encoded = msgspec.json.encode(entry).decode()
         self.store.put(f'{UPSTREAM_PREFIX}{lifetime}', encoded)
         self.upstreams[lifetime] = upstream
+        self.entries[lifetime] = entry
         return upstream
 
+    def change_entry(self, upstream: StandInUpstream, **fields: object) -> None:
+        """Write the entry of an upstream again with changed fields."""
+        entry = {**self.entries[upstream.lifetime], **fields}
+        encoded = msgspec.json.encode(entry).decode()
+        self.store.put(f'{UPSTREAM_PREFIX}{upstream.lifetime}', encoded)
+
     def remove_entry(self, upstream: StandInUpstream) -> None:
         """Remove the entry of an upstream that has stopped writing it."""
         self.store.remove(f'{UPSTREAM_PREFIX}{upstream.lifetime}')
--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -247,8 +247,14 @@
             with anyio.fail_after(RECOVERY_SECONDS):
                 await wait_until(self._is_calm)
         except TimeoutError:
-            left = [memory_of(row.state) for row in self.gateways]
-            self.broken.append(f'not calm again: {left}, home {self.home()}')
+            rows = [row.state for row in self.gateways]
+            left = [
+                (row.cfg.node, memory_of(row), row.version, is_linked(row))
+                for row in rows
+            ]
+            home = home_among(rows)
+            name = home.cfg.node if home else None
+            self.broken.append(f'not calm again: {left}, home {name}')
             return
         first = len(self.sent)
         for row in self.gateways:
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -1,7 +1,11 @@
 """A stream goes on only at the software version that began it."""
 
+import time
+
 import pytest
 from gateway_world import ask, in_world, read_answer
+from spanfall_core.gateway.known.origins import MAX_VERSION_CHARS
+from support import wait_until
 from versions_world import (
     EVENTS,
     NEW,
@@ -18,6 +22,10 @@
 ATTEMPTS = 8
 
 
+def listed_versions(state):
+    return {row.software_version for row in state.directory.rows.values()}
+
+
 # Guards against events of two versions in one response.
 @in_world
 async def test_a_broken_stream_goes_on_at_its_version(world):
@@ -63,7 +71,9 @@
 
 
 # Guards against taking an entry without a readable version for any other.
-@pytest.mark.parametrize('version', [None, '', 7])
+@pytest.mark.parametrize(
+    'version', [None, '', 7, 'v' * (MAX_VERSION_CHARS + 1)]
+)
 def test_an_unknown_version_equals_nothing(version):
     @in_world
     async def play(world):
@@ -74,3 +84,27 @@
         assert ids_of(answer.body) == [1, 2]
 
     play()
+
+
+# Guards against taking the version of a process that had ended already.
+@pytest.mark.parametrize('seconds_before', [0.5, -60])
+def test_a_start_under_the_same_id(seconds_before):
+    @in_world
+    async def play(world):
+        began_ms = round(time.time() * 1000)
+        begun = VersionedEvents(OLD, breaks_after=2)
+        upstream = await world.add_upstream(begun.run, born=began_ms - 60_000)
+        state = await world.add_gateway()
+        async with first_event_of(state, 'a1') as stream:
+            await add_upstreams(world, OLD)
+            world.change_entry(
+                upstream,
+                software_version=NEW,
+                born=began_ms - round(seconds_before * 1000),
+            )
+            await wait_until(lambda: len(listed_versions(state)) == 2)
+            begun.goes_on.set()
+            answer = await read_answer(stream)
+        assert answer.complete is (seconds_before < 0)
+
+    play()
