--- a/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
@@ -23,6 +23,7 @@
     ring_position,
 )
 from spanfall_core.gateway.known.timelines import REWRITE_SECONDS
+from spanfall_core.gateway.known.version_history import VersionHistory
 
 #: Maximum number of ended lifetimes that are remembered; an outdated listing
 #: from before the oldest of them is not recognised.
@@ -60,6 +61,7 @@
         #: Digest of the rows, equal on nodes that have the same upstreams.
         self.digest = 0
         self.rows: dict[Lifetime, ListedUpstream] = {}
+        self.versions = VersionHistory()
         #: Whether these rows differ from those of the node that sends deltas,
         #: so that the node has to send all rows.
         self.has_diverged = False
@@ -118,6 +120,7 @@
             if key not in before:
                 self._last_added_at[row.service] = now
         self._index()
+        self.versions.apply(self.rows.values(), now)
         return changed
 
     def _current_rows(
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
@@ -64,6 +64,8 @@
     is_watched: bool = False
     #: Prompt tokens to be read for the request of which there are enough copies.
     excess: int = 0
+    #: Whether the home made the choice.
+    is_granted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/spanfall-core/src/spanfall_core/reasons.py
+++ b/packages/spanfall-core/src/spanfall_core/reasons.py
@@ -30,6 +30,10 @@
     #: Every eligible upstream has reached the rate limit it announced, or has
     #: asked for a backoff.
     UPSTREAMS_LIMITED = 'upstreams-limited'
+    #: It is not known which software began the stream to be resumed.
+    ORIGIN_UNKNOWN = 'origin-unknown'
+    #: No upstream of the software that began the stream can continue it.
+    VERSION_GONE = 'version-gone'
     NO_HOME = 'no-home'
     NODE_DRAINING = 'node-draining'
     NODE_NOT_READY = 'node-not-ready'
--- a/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
@@ -20,7 +20,8 @@
     refusal_headers,
 )
 from spanfall_node.gateway.tables.state import GatewayState
-from spanfall_node.gateway.upstreams.relay import UpstreamAccess, serve
+from spanfall_node.gateway.upstreams.relay import serve
+from spanfall_node.gateway.upstreams.watched_sends import UpstreamAccess
 
 logger = logging.getLogger(__name__)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/entry_link.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/entry_link.py
@@ -11,44 +11,37 @@
 
 import anyio
 import msgspec
-from websockets.asyncio.client import ClientConnection, connect
+from websockets.asyncio.client import ClientConnection
 from websockets.exceptions import WebSocketException
 
 from spanfall_node.gateway.home.followed_table import FollowedTable
+from spanfall_node.gateway.home.home_messages import apply_message
 from spanfall_node.gateway.home.home_pace import strength
 from spanfall_node.gateway.home.load_sender import send_load
 from spanfall_node.gateway.home.lost_home import HomeReconnect
 from spanfall_node.gateway.home.peer_links import own_peer, refuses_tunnels
+from spanfall_node.gateway.home.request_clients import RequestClients
 from spanfall_node.gateway.home.telling_words import send_statements
 from spanfall_node.gateway.home.totals import follow_own_table
 from spanfall_node.gateway.home.withdrawals import send_withdrawals
-from spanfall_node.gateway.limits.unit_requests import UnitClient
-from spanfall_node.gateway.links.contention_messages import (
-    HoldsEndedMessage,
-    TurnMessage,
-)
-from spanfall_node.gateway.links.crash_messages import QuarantineMessage
 from spanfall_node.gateway.links.messages import (
-    MESSAGE_BYTES,
     FromHome,
-    GrantMessage,
     ReportMessage,
     TableMessage,
-    UnitsMessage,
     decode_from_home,
     encode,
 )
 from spanfall_node.gateway.links.succession_messages import (
     FarewellMessage,
-    ResignMessage,
     StoreQuestion,
     StoreReached,
-    SuccessorMessage,
 )
+from spanfall_node.gateway.net.open_links import open_link
 from spanfall_node.gateway.store.sync import Sync
 from spanfall_node.gateway.tables.state import GatewayState
-from spanfall_node.gateway.upstreams.crash_watch import CrashDetector
-from spanfall_node.gateway.upstreams.grants import GrantClient
+from spanfall_node.gateway.upstreams.stream_lookup import (
+    known_origins,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -73,17 +66,12 @@
         self,
         state: GatewayState,
         sync: Sync,
-        grants: GrantClient,
-        units: UnitClient,
-        watch: CrashDetector,
+        clients: RequestClients,
     ) -> None:
         """Use the state of the node, its sync and its request clients."""
         self._state = state
         self._sync = sync
-        self._grants = grants
-        self._units = units
-        #: Components that send messages about single requests to the home.
-        self._request_clients = (grants, units, watch)
+        self._clients = clients
         self._tables: list[TableMessage] = []
         self._table_received = anyio.Event()
         #: Set when a home that cannot reach the store asks whether this node
@@ -114,26 +102,17 @@
         home = self._state.home
         try:
             with anyio.fail_after(ANSWER_TIMEOUT_SECONDS):
-                link = await self._connect(home.address)
+                link = await open_link(home.address)
         except (OSError, TimeoutError, WebSocketException) as exc:
             self._mark_home_lost(f'connection failed: {exc!r}')
             return
         try:
             await self._run_link(link)
         finally:
-            for request_client in self._request_clients:
+            for request_client in self._clients:
                 request_client.disconnect()
             link.transport.abort()
 
-    async def _connect(self, address: str) -> ClientConnection:
-        return await connect(
-            f'ws://{address}/',
-            max_size=MESSAGE_BYTES,
-            compression=None,
-            proxy=None,
-            user_agent_header=None,
-        )
-
     async def _run_link(self, link: ClientConnection) -> None:
         """Run the tasks of a link until it fails or the home changes."""
         self._state.loads.reset_others()
@@ -149,7 +128,7 @@
             link_tasks = (
                 self._receive,
                 self._report_periodically,
-                partial(send_load, self._state, self._grants),
+                partial(send_load, self._state, self._clients.grants),
                 self._answer_store_questions,
                 partial(send_statements, self._state),
                 partial(send_withdrawals, self._state),
@@ -182,7 +161,8 @@
                 logger.info('Could not send a message to the home: %r', exc)
 
         await ask(self._state.crashes.report(self._state.timers.now()))
-        for request_client in self._request_clients:
+        await ask(known_origins(self._state))
+        for request_client in self._clients:
             request_client.connect(ask)
         self._reconnect.last_home = self._state.home
         epoch = self._state.home.epoch
@@ -190,27 +170,14 @@
             self._handle(decode_from_home(await link.recv()))
 
     def _handle(self, message: FromHome) -> None:
-        now = self._state.timers.now()
         match message:
-            case GrantMessage():
-                self._grants.accept_answer(message)
-            case TurnMessage():
-                self._state.contention.held.end(message.tickets)
-            case HoldsEndedMessage():
-                self._state.contention.lose_home()
-            case UnitsMessage():
-                self._units.accept_answer(message)
             case TableMessage():
                 self._tables.append(message)
                 self._table_received.set()
             case StoreQuestion():
                 self._store_check_requested.set()
-            case ResignMessage():
-                self._state.record_vacant_home(message.epoch)
-            case QuarantineMessage():
-                self._state.crashes.merge_quarantined(message.quarantined, now)
-            case SuccessorMessage():
-                self._state.follow_home(message.home, now)
+            case _:
+                apply_message(self._state, self._clients, message)
 
     async def _answer_store_questions(self, link: ClientConnection) -> None:
         """Answer a home that asks whether this node reaches the store."""
@@ -272,13 +239,14 @@
             state.directory.digest,
             state.directory.delta_base,
             wants_totals=self._table.wants_totals(sent_at),
-            seen=self._grants.load().seen,
+            seen=self._clients.grants.load().seen,
             strength=strength(state.cfg.host),
             words_version=self._table.words_version,
             shared_host_services=tuple(state.scheduling.shared_host_services),
             peer=own_peer(state) if to_new_home else None,
             refuses_tunnels=refuses_tunnels(state),
             peers_version=self._table.peers_version,
+            links_address=state.cfg.listen.links if to_new_home else '',
         )
         self._table_received = anyio.Event()
         await link.send(encode(message))
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
@@ -5,11 +5,10 @@
 from spanfall_core.gateway.known.directory import DirectoryChange
 from spanfall_core.gateway.known.reporting import REPORT_PERIOD
 
-from spanfall_node.gateway.home.totals import apply_totals
+from spanfall_node.gateway.home.totals import apply_totals, totals_period
 from spanfall_node.gateway.links.messages import (
     TableMessage,
     UpstreamsPart,
-    totals_period,
 )
 from spanfall_node.gateway.links.passing_on import unpack
 from spanfall_node.gateway.store.sync import Sync
@@ -65,6 +64,7 @@
         if table.peers is not None:
             state.reach.peers = table.peers.peers
             self.peers_version = table.peers.version
+        state.streams.keepers = table.origin_keepers
         state.scheduling.add_shared_host_services(table.shared_host_services)
         if table.totals is not None:
             self._totals_received_at = now
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
@@ -8,23 +8,20 @@
 
 import logging
 
-import anyio
 from spanfall_core.gateway.known.reporting import load_expires_after
 from spanfall_core.gateway.routing.grants import EntryLoad
 from websockets.asyncio.server import ServerConnection, serve
 from websockets.exceptions import WebSocketException
 
-from spanfall_node.gateway.home.peer_links import PeerLinks
-from spanfall_node.gateway.home.quarantine_links import QuarantineLinks
-from spanfall_node.gateway.home.succession import Succession
-from spanfall_node.gateway.home.turns import Turns
+from spanfall_node.gateway.home.entry_loads import apply_load
+from spanfall_node.gateway.home.link_tables import LinkTables
+from spanfall_node.gateway.home.upstreams_part import upstreams_part
 from spanfall_node.gateway.links.contention_messages import WithdrawMessage
 from spanfall_node.gateway.links.crash_messages import (
     CrashReport,
     WatchedRun,
 )
 from spanfall_node.gateway.links.messages import (
-    MESSAGE_BYTES,
     ConfigurationPart,
     FromEntry,
     GrantMessage,
@@ -32,22 +29,25 @@
     LoadMessage,
     ReportMessage,
     TableMessage,
-    UnitsMessage,
-    UnitsRequest,
-    UpstreamsPart,
     decode_from_entry,
     encode,
 )
+from spanfall_node.gateway.links.origin_messages import (
+    OriginQuestion,
+    OriginsMessage,
+)
 from spanfall_node.gateway.links.passing_on import ConfigurationSender
 from spanfall_node.gateway.links.succession_messages import (
     FarewellMessage,
     StoreReached,
     SuccessorMessage,
 )
+from spanfall_node.gateway.links.unit_messages import UnitsMessage, UnitsRequest
 from spanfall_node.gateway.links.word_messages import (
     StatementsPart,
     StatementsReport,
 )
+from spanfall_node.gateway.net.open_links import MESSAGE_BYTES
 from spanfall_node.gateway.net.sockets import BACKLOG
 from spanfall_node.gateway.tables.scheduling import Feature
 from spanfall_node.gateway.tables.state import GatewayState
@@ -58,9 +58,11 @@
 from spanfall_node.gateway.upstreams.brittle_upstreams import (
     merge_rejections,
 )
-from spanfall_node.gateway.upstreams.fleet_backoffs import merge_backoffs
 from spanfall_node.gateway.upstreams.hearing import merge_statements
-from spanfall_node.gateway.upstreams.speeds import merge_samples
+from spanfall_node.gateway.upstreams.stream_lookup import (
+    answer_question,
+    merge_origins,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -74,10 +76,7 @@
     def __init__(self, state: GatewayState) -> None:
         """Use the state of the node."""
         self._state = state
-        self._succession = Succession(state)
-        self._quarantine = QuarantineLinks(state)
-        self._turns = Turns(state)
-        self._peers = PeerLinks(state)
+        self._tables = LinkTables(state)
         self._configuration_sender = ConfigurationSender(
             state.cfg.host.link_megabits
         )
@@ -95,10 +94,7 @@
             backlog=BACKLOG,
         ):
             try:
-                async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(self._quarantine.run)
-                    tasks.start_soon(self._turns.run)
-                    await self._succession.run()
+                await self._tables.run()
             finally:
                 self._resign()
 
@@ -108,11 +104,10 @@
             self._state.tenure.resign()
 
     async def _serve_link(self, link: ServerConnection) -> None:
-        self._succession.add(link)
-        self._quarantine.add(link)
+        self._tables.add(link)
         try:
             async for data in link:
-                if self._state.tenure is None:
+                if self._state.tenure is None and not _is_lookup(data):
                     await self._redirect(link)
                     return
                 answer = self._answer(data, link)
@@ -125,10 +120,7 @@
                 'An entry sent an invalid message; check its version',
             )
         finally:
-            self._succession.remove(link)
-            self._quarantine.remove(link)
-            self._turns.remove(link)
-            self._peers.remove(link)
+            self._tables.remove(link)
 
     async def _redirect(self, link: ServerConnection) -> None:
         """Send the current home to an entry that has linked to this node."""
@@ -146,18 +138,15 @@
             case FarewellMessage():
                 self._state.follow_home(message.home, now)
             case LoadMessage():
-                book = self._state.grant_book
-                book.apply_report(message.entry, message.load, now)
-                merge_samples(self._state, message.speeds)
-                merge_backoffs(self._state, message.backoffs, now)
-                merge_rejections(self._state, message.rejections)
-                self._state.contention.notify_room_changed()
+                apply_load(self._state, message, now)
             case WithdrawMessage():
                 withdraw(self._state, message.entry, message.tickets)
             case WatchedRun():
                 self._state.crashes.record_run(message, now)
             case StatementsReport():
                 merge_statements(self._state, message.words)
+            case OriginsMessage():
+                merge_origins(self._state, message)
             case _:
                 return self._reply(message, link, now)
         return None
@@ -171,16 +160,17 @@
         """Return the answer to a message that expects one."""
         match message:
             case StoreReached():
-                resigned = self._succession.hand_over(message.epoch)
+                resigned = self._tables.succession.hand_over(message.epoch)
                 return None if resigned is None else encode(resigned)
             case GrantRequestMessage():
                 return encode(self._grant(message, link, now))
             case UnitsRequest():
                 return encode(self._units(message, now))
             case CrashReport():
-                return self._quarantine.answer(message, now)
-        self._succession.set_strength(link, message.strength)
-        self._peers.record(link, message)
+                return self._tables.quarantine.answer(message, now)
+            case OriginQuestion():
+                return encode(answer_question(self._state, message))
+        self._tables.record(link, message)
         return encode(self._table(message, link, now))
 
     def _grant(
@@ -193,7 +183,7 @@
         merge_rejections(state, message.rejections)
         state.grant_book.apply_report(message.entry, message.load, now)
         if message.request.terms is not None:
-            self._turns.add(message.entry, link)
+            self._tables.turns.add(message.entry, link)
         return answer_request(
             state, message.entry, message.number, message.request
         )
@@ -248,9 +238,10 @@
             given=state.allocate_units(report.key, now),
             resigned=not state.is_home(now),
             configuration=self._configuration(message),
-            upstreams=self._upstreams(message),
+            upstreams=upstreams_part(state.directory, message),
             words=self._words(message, now),
-            peers=self._peers.part(link, message),
+            peers=self._tables.peers.part(link, message),
+            origin_keepers=self._tables.origins.addresses(),
             shared_host_services=tuple(state.scheduling.shared_host_services),
             upstream_factors=factors,
         )
@@ -277,23 +268,7 @@
             self._state.timers.now(),
         )
 
-    def _upstreams(self, message: ReportMessage) -> UpstreamsPart | None:
-        directory = self._state.directory
-        if message.upstreams_digest == directory.digest:
-            return None
-        known_revision = message.upstreams_revision
-        if not 0 < known_revision < directory.revision:
-            rows = tuple(directory.rows.values())
-            return UpstreamsPart(
-                directory.revision,
-                rows,
-                digest=directory.digest,
-            )
-        change = directory.changes_since(known_revision)
-        return UpstreamsPart(
-            directory.revision,
-            change.rows,
-            change.removed,
-            is_change=True,
-            digest=directory.digest,
-        )
+
+def _is_lookup(data: bytes) -> bool:
+    """Return whether a message asks what any node may know."""
+    return isinstance(decode_from_entry(data), OriginQuestion)
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
@@ -265,6 +265,7 @@
         state.needs = known.needs
         state.reclaims = known.reclaims
         await self._records.crashes.read()
+        await self._records.versions.read()
         claim = await self._claim(known_revision)
         if claim is None:
             state.lookup_requested.set()
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/new_tenure.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/new_tenure.py
@@ -44,6 +44,10 @@
         allocates_from=max(began_at, gives_at),
         is_first=claim.is_first,
     )
+    if claim.is_first:
+        # No stream is older than the fleet.
+        state.directory.versions.known_since = float('-inf')
+        state.streams.routes.known_since = float('-inf')
     state.home_resigned = False
     note_all_backoffs(state, began_at)
     _record_own_home(state, claim)
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/totals.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/totals.py
@@ -7,6 +7,16 @@
 from spanfall_node.gateway.upstreams.prefix_copies import log_hot_parts
 from spanfall_node.gateway.upstreams.speeds import log_factors
 
+#: Tables per second that contain totals over the entries. The totals are the
+#: largest part of a table, and more of them would fill the link of a small
+#: host.
+MAX_TOTALS_PER_SECOND = 80
+
+
+def totals_period(entries: int) -> float:
+    """Return the seconds after which an entry requests new totals."""
+    return entries / MAX_TOTALS_PER_SECOND
+
 
 def apply_totals(
     state: GatewayState,
--- a/packages/spanfall-node/src/spanfall_node/gateway/limits/unit_requests.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/limits/unit_requests.py
@@ -7,8 +7,11 @@
 
 from dataclasses import dataclass, field
 
-from spanfall_node.gateway.links.messages import UnitsMessage, UnitsRequest
 from spanfall_node.gateway.links.pending_requests import PendingRequests, Send
+from spanfall_node.gateway.links.unit_messages import (
+    UnitsMessage,
+    UnitsRequest,
+)
 from spanfall_node.gateway.tables.state import GatewayState
 
 #: Timeout for the home's answer in seconds: half of the maximum admission wait
--- a/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
@@ -13,6 +13,7 @@
 from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.peers import Peer
 from spanfall_core.gateway.known.reporting import REPORT_PERIOD
+from spanfall_core.gateway.known.stream_origins import StreamKey
 from spanfall_core.gateway.known.unit_reports import AllocatedUnits
 from spanfall_core.gateway.known.upstream_speeds import Factors, SpeedSample
 from spanfall_core.gateway.orders.reclaims import SeenReclaims
@@ -31,6 +32,11 @@
     QuarantineMessage,
     WatchedRun,
 )
+from spanfall_node.gateway.links.origin_messages import (
+    OriginAnswer,
+    OriginQuestion,
+    OriginsMessage,
+)
 from spanfall_node.gateway.links.peer_messages import PeersPart
 from spanfall_node.gateway.links.succession_messages import (
     FarewellMessage,
@@ -39,18 +45,15 @@
     StoreReached,
     SuccessorMessage,
 )
+from spanfall_node.gateway.links.unit_messages import (
+    UnitsMessage,
+    UnitsRequest,
+)
 from spanfall_node.gateway.links.word_messages import (
     StatementsPart,
     StatementsReport,
 )
 
-#: Maximum size of one message in bytes.
-MESSAGE_BYTES = 4_194_304
-#: Tables per second that contain totals over the entries. The totals are the
-#: largest part of a table, and more of them would fill the link of a small
-#: host.
-MAX_TOTALS_PER_SECOND = 80
-
 
 class ReportMessage(
     msgspec.Struct,
@@ -81,6 +84,8 @@
     refuses_tunnels: bool = False
     #: Version of the home's peers that the entry has.
     peers_version: int = 0
+    #: Where the entry accepts links; sent once on a link.
+    links_address: str = ''
 
 
 class LoadMessage(
@@ -108,6 +113,9 @@
     ask: RoutingRequest
     #: Terms on which it competes with others; None if it does not.
     terms: AdmissionTerms | None = None
+    #: Key of the stream that it begins, if a caller may resume it, and the
+    #: seconds for which it may.
+    stream: tuple[StreamKey, float] | None = None
 
 
 class GrantRequestMessage(
@@ -147,24 +155,6 @@
     is_contended: bool = False
 
 
-class UnitsRequest(msgspec.Struct, frozen=True, tag='units-request'):
-    """Ask the home for units of a workspace that an entry lacks."""
-
-    entry: str
-    number: int
-    workspace: str
-    units: float
-
-
-class UnitsMessage(msgspec.Struct, frozen=True, tag='units'):
-    """Grant an entry units of a workspace in addition to its table's."""
-
-    number: int
-    workspace: str
-    #: 0 if the home has none available.
-    units: float = 0
-
-
 class ConfigurationPart(msgspec.Struct, frozen=True):
     """Carry a compressed configuration."""
 
@@ -222,6 +212,8 @@
     upstreams: UpstreamsPart | None = None
     words: StatementsPart | None = None
     peers: PeersPart | None = None
+    #: Addresses of the entries that know what began streams, if not all do.
+    origin_keepers: tuple[str, ...] = ()
     #: Services whose upstreams share hosts with others.
     shared_host_services: tuple[str, ...] = ()
     #: Duration of work at upstreams, relative to the usual, where it differs;
@@ -229,11 +221,6 @@
     upstream_factors: Factors = {}
 
 
-def totals_period(entries: int) -> float:
-    """Return the seconds after which an entry requests new totals."""
-    return entries / MAX_TOTALS_PER_SECOND
-
-
 def encode(message: msgspec.Struct) -> bytes:
     """Return the CBOR encoding of a message."""
     return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
@@ -261,6 +248,8 @@
     | WatchedRun
     | StatementsReport
     | WithdrawMessage
+    | OriginsMessage
+    | OriginQuestion
 )
 FromHome = (
     TableMessage
@@ -272,6 +261,8 @@
     | QuarantineMessage
     | TurnMessage
     | HoldsEndedMessage
+    | OriginsMessage
+    | OriginAnswer
 )
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/program.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/program.py
@@ -19,6 +19,7 @@
 from spanfall_node.gateway.home.entry_link import EntryLink
 from spanfall_node.gateway.home.home_links import HomeLinks
 from spanfall_node.gateway.home.leadership import Leadership
+from spanfall_node.gateway.home.request_clients import RequestClients
 from spanfall_node.gateway.lifecycle import StatusServer, stop_on_signal
 from spanfall_node.gateway.limits.unit_requests import UnitClient
 from spanfall_node.gateway.net.connecting import connect
@@ -33,13 +34,15 @@
 from spanfall_node.gateway.store.quota_record import QuotaRecord
 from spanfall_node.gateway.store.store_client import StoreClient
 from spanfall_node.gateway.store.sync import Sync
+from spanfall_node.gateway.store.version_record import VersionRecord
 from spanfall_node.gateway.tables.new_state import build_state
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.crash_watch import CrashDetector
 from spanfall_node.gateway.upstreams.grants import GrantClient
 from spanfall_node.gateway.upstreams.paths import UpstreamPaths
-from spanfall_node.gateway.upstreams.relay import UpstreamAccess
+from spanfall_node.gateway.upstreams.stream_lookup import OriginClient
 from spanfall_node.gateway.upstreams.tunnel_server import TunnelServer
+from spanfall_node.gateway.upstreams.watched_sends import UpstreamAccess
 from spanfall_node.steady_clock import SteadyLoop, steady_seconds
 from spanfall_node.timers import Timers
 
@@ -109,15 +112,15 @@
     pool = ConnectionPool(tasks)
     store = StoreClient(state, pool)
     sync = Sync(state, store)
-    grants = GrantClient(state)
     units = UnitClient(state)
     paths = UpstreamPaths(state, dial)
-    access = _reach_upstreams(state, paths, grants, tasks)
+    access = _reach_upstreams(state, paths, tasks)
     callers = Callers(state, access, units)
     records = HomeRecords(
         QuotaRecord(state, store),
         NeedsRecord(state, store),
         CrashRecord(state, store),
+        VersionRecord(state, store),
     )
     leadership = Leadership(state, store, records)
     _start_listening(state, callers, TunnelServer(state, dial), tasks)
@@ -129,10 +132,17 @@
         records.spending.run,
         records.needs.run,
         records.crashes.run,
+        records.versions.run,
         access.crash_detector.probe_unanswered,
         access.crash_detector.resolve_suspected_crashes,
         partial(paths.check_paths, access.pool),
-        EntryLink(state, sync, grants, units, access.crash_detector).run,
+        EntryLink(
+            state,
+            sync,
+            RequestClients(
+                access.grants, units, access.crash_detector, access.origins
+            ),
+        ).run,
     ]
     if state.cfg.reports_usage:
         parts.append(UsageReporter(state, store, CloudClient(state, pool)).run)
@@ -146,12 +156,11 @@
 def _reach_upstreams(
     state: GatewayState,
     paths: UpstreamPaths,
-    grants: GrantClient,
     tasks: TaskGroup,
 ) -> UpstreamAccess:
     pool = ConnectionPool(tasks, paths.open, paths.may_reuse)
     watch = CrashDetector(state, pool, paths.open)
-    return UpstreamAccess(pool, grants, watch)
+    return UpstreamAccess(pool, GrantClient(state), watch, OriginClient(state))
 
 
 def _start_listening(
--- a/packages/spanfall-node/src/spanfall_node/gateway/requests/admission.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/requests/admission.py
@@ -5,6 +5,7 @@
 from spanfall_core.gateway.crashes.crashes import Standing
 from spanfall_core.gateway.known.configuration import (
     Route,
+    RouteKind,
     ServedConfiguration,
     ServedWorkspace,
 )
@@ -13,6 +14,7 @@
     request_identity,
 )
 from spanfall_core.gateway.known.prefixes import PromptPart
+from spanfall_core.gateway.known.stream_origins import StreamKey, stream_key
 from spanfall_core.reasons import RefusalReason
 
 from spanfall_node.gateway.net.ports import HeaderNames
@@ -25,6 +27,7 @@
 from spanfall_node.gateway.requests.resumption import (
     Resumption,
     read_resumption,
+    resumable_seconds,
 )
 from spanfall_node.gateway.tables.state import GatewayState
 
@@ -57,9 +60,18 @@
     deadline: float
     #: The stream that the request resumes, if it does.
     resumption: Resumption | None = None
+    #: Key of its own stream, if its caller may resume that, and the time until
+    #: which it may.
+    stream: StreamKey | None = None
+    resumable_until: float = 0
     #: Whether the request was counted for the usage report.
     counted: bool = False
 
+    def stream_of(self, attempt_id: str) -> StreamKey:
+        """Return the key of an attempt's stream of this caller and route."""
+        caller = self.workspace.name if self.workspace else ''
+        return stream_key(caller, self.route.name, attempt_id)
+
 
 def admit(
     state: GatewayState,
@@ -86,28 +98,34 @@
     names = state.platform.names
     workspace = _workspace(state, configuration, route, req, began_at)
     identity = _identity(req, body, workspace)
-    standing = state.crashes.standing(identity, began_at)
-    if standing is Standing.QUARANTINED:
-        raise EndsUpstreamsError(identity)
+    _check_quarantine(state, identity, began_at)
     prompt, max_output = token_counts(req, names)
     units = _units(workspace, prompt + max_output)
     _spend_quota(state, workspace, units, began_at)
     attempt_id = req.header(names.attempt_id)
-    return AdmittedRequest(
+    resumption = read_resumption(req, names, route)
+    stated = _stated_patience(req, names)
+    admitted = AdmittedRequest(
         req=req,
         body=body,
         attempt_id=attempt_id,
         identity=identity,
         route=route,
-        service=route.service_for(attempt_id),
+        service=route.service_for(
+            resumption.first_attempt if resumption else attempt_id
+        ),
         workspace=workspace,
         parts=prompt_parts(req, names),
         prompt_tokens=prompt,
         units=units,
         began_at=began_at,
-        deadline=began_at + _request_timeout(req, names, route),
-        resumption=read_resumption(req, names, route),
+        deadline=began_at + _request_timeout(route, stated),
+        resumption=resumption,
+        resumable_until=began_at + resumable_seconds(route, stated),
     )
+    if attempt_id and route.kind is RouteKind.STREAM and route.resumable:
+        admitted.stream = admitted.stream_of(attempt_id)
+    return admitted
 
 
 def token_counts(req: CallerRequest, names: HeaderNames) -> tuple[int, int]:
@@ -145,18 +163,26 @@
     return request_identity(caller, req.host, req.method, req.target, body)
 
 
+def _check_quarantine(
+    state: GatewayState, identity: RequestIdentity, now: float
+) -> None:
+    if state.crashes.standing(identity, now) is Standing.QUARANTINED:
+        raise EndsUpstreamsError(identity)
+
+
 def _is_number(text: str) -> bool:
     stripped = text.strip()
     return stripped.isdecimal() and len(stripped) <= MAX_NUMBER_DIGITS
 
 
-def _request_timeout(
-    req: CallerRequest, names: HeaderNames, route: Route
-) -> float:
+def _stated_patience(req: CallerRequest, names: HeaderNames) -> float | None:
+    """Return the seconds for which the caller waits, if it states them."""
     text = req.header(names.deadline_ms)
-    if not _is_number(text):
-        return route.timeout
-    return min(route.timeout, int(text) / 1000)
+    return int(text) / 1000 if _is_number(text) else None
+
+
+def _request_timeout(route: Route, stated: float | None) -> float:
+    return route.timeout if stated is None else min(route.timeout, stated)
 
 
 def _workspace(
--- a/packages/spanfall-node/src/spanfall_node/gateway/requests/resumption.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/requests/resumption.py
@@ -7,6 +7,10 @@
 from spanfall_node.gateway.net.ports import HeaderNames
 from spanfall_node.gateway.requests.caller_connection import CallerRequest
 
+#: Timeouts of a route for which a caller waits at most, over all attempts.
+MAX_PATIENCE_TIMEOUTS = 2
+#: Seconds by which a caller's last attempt may arrive after that.
+ARRIVAL_MARGIN_SECONDS = 2.0
 #: Maximum length of the attempt id that a caller names; a longer one is
 #: treated as missing.
 MAX_ATTEMPT_ID_CHARS = 128
@@ -34,3 +38,20 @@
     if len(first_attempt) > MAX_ATTEMPT_ID_CHARS:
         first_attempt = ''
     return Resumption(first_attempt, last_event_id)
+
+
+def max_stream_age(route: Route) -> float:
+    """Return for how many seconds after its begin a stream may be resumed."""
+    return MAX_PATIENCE_TIMEOUTS * route.timeout + ARRIVAL_MARGIN_SECONDS
+
+
+def resumable_seconds(route: Route, stated_patience: float | None) -> float:
+    """Return for how long the caller of a request may resume its stream.
+
+    ``stated_patience`` holds the seconds for which the caller waits in all, if
+    it states them.
+    """
+    longest = max_stream_age(route)
+    if stated_patience is None:
+        return longest
+    return min(longest, stated_patience + ARRIVAL_MARGIN_SECONDS)
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/configuration_sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/configuration_sync.py
@@ -77,6 +77,9 @@
             self._log_older(read.version, known.version)
             return False
         state.configuration = read
+        state.streams.routes.apply(
+            read.routes, read.version, state.timers.now()
+        )
         state.scheduling.apply_configuration(read)
         state.configuration_source = source
         logger.info(
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/home_records.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/home_records.py
@@ -5,15 +5,17 @@
 from spanfall_node.gateway.store.crash_record import CrashRecord
 from spanfall_node.gateway.store.needs_record import NeedsRecord
 from spanfall_node.gateway.store.quota_record import QuotaRecord
+from spanfall_node.gateway.store.version_record import VersionRecord
 
 
 @dataclass(frozen=True, slots=True)
 class HomeRecords:
-    """Hold the records of spending, needs with reclaims, and crashes."""
+    """Hold the records of spending, needs, crashes and software versions."""
 
     spending: QuotaRecord
     needs: NeedsRecord
     crashes: CrashRecord
+    versions: VersionRecord
 
     async def reload(self) -> None:
         """Read all records again, so that lost contents are rewritten.
@@ -24,3 +26,4 @@
         await self.spending.read()
         await self.needs.read()
         await self.crashes.read()
+        await self.versions.read()
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
@@ -25,11 +25,19 @@
 
 
 @unique
-class ResumedBy(StrEnum):
-    """Name who resumes a stream at another upstream."""
+class ResumeOutcome(StrEnum):
+    """Name what became of a stream that broke off after its first event."""
 
-    ENTRY = 'entry'
-    CALLER = 'caller'
+    #: The entry sent it on within the response.
+    WITHIN_RESPONSE = 'within-response'
+    #: The caller resumed it, and what began it was found.
+    FOUND = 'found'
+    #: Nobody knows what began it.
+    UNKNOWN = 'unknown'
+    #: No node that may know what began it answered.
+    NO_HOME = 'no-home'
+    #: What began it serves no more, or not on this route.
+    VERSION_GONE = 'version-gone'
 
 
 class Counters:
@@ -106,8 +114,8 @@
         self.resumed_streams = reason_counter(
             self.registry,
             'spanfall_resumed_streams',
-            'Streams that another upstream was to continue, by who resumed',
-            ResumedBy,
+            'Broken streams that were to continue, by what became of them',
+            ResumeOutcome,
         )
         self.upstream_paths = reason_counter(
             self.registry,
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
@@ -38,6 +38,7 @@
 from spanfall_node.gateway.tables.contention import ContentionState
 from spanfall_node.gateway.tables.counters import Counters
 from spanfall_node.gateway.tables.crash_knowledge import CrashState
+from spanfall_node.gateway.tables.known_streams import KnownStreams
 from spanfall_node.gateway.tables.reach import Reach
 from spanfall_node.gateway.tables.scheduling import Scheduling
 from spanfall_node.gateway.tables.tenure import Tenure, can_allocate
@@ -79,6 +80,7 @@
     reach: Reach = field(default_factory=Reach)
     fleet: FleetState = field(default_factory=FleetState)
     crashes: CrashState = field(default_factory=CrashState)
+    streams: KnownStreams = field(default_factory=KnownStreams)
     effective_limits: EffectiveLimits = field(default_factory=EffectiveLimits)
     quota_allocator: QuotaAllocator = field(default_factory=QuotaAllocator)
     #: On the home: running requests of the whole fleet.
@@ -86,8 +88,7 @@
     home: HomeRecord | None = None
     #: Set and replaced when the known home changes or is lost.
     home_changed: anyio.Event = field(default_factory=anyio.Event)
-    #: Set and replaced when the load of this node or the home changes, so that
-    #: an idle node does not have to poll twenty times per second.
+    #: Set and replaced when the load of this node or the home changes.
     load_changed: anyio.Event = field(default_factory=anyio.Event)
     tenure: Tenure | None = None
     #: Epoch of a home that reported its own resignation: its record may be
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
@@ -8,6 +8,7 @@
 from spanfall_core.gateway.known.configuration import RouteKind
 from spanfall_core.gateway.known.lifetimes import Lifetime
 from spanfall_core.gateway.known.origins import Origin
+from spanfall_core.gateway.known.stream_origins import StreamRecord
 from spanfall_core.gateway.routing.sends import SendOutcome, SendState
 
 from spanfall_node.gateway.net.body_ends import PROVEN_ENDS, BodyEnd
@@ -91,6 +92,8 @@
     on_response_start: Callable[[], Awaitable[None]] | None = None
     #: Checks whether the upstream still runs after it closed a connection.
     check_still_runs: Callable[[], Awaitable[bool]] | None = None
+    #: Tells the home what began the stream, if it does not know yet.
+    announce_origin: Callable[[StreamRecord], Awaitable[None]] | None = None
 
     @property
     def is_continuable(self) -> bool:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/choosing.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/choosing.py
@@ -2,11 +2,14 @@
 
 import anyio
 from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.known.stream_origins import StreamKey
 from spanfall_core.gateway.routing.balance import Choice
 from spanfall_core.gateway.routing.estimates import RoutingRequest
 from spanfall_core.gateway.routing.grants import RetryAfter
+from spanfall_core.gateway.routing.sends import MAX_UNSENT
 
 from spanfall_node.gateway.links.contention_messages import Rejection
+from spanfall_node.gateway.requests.admission import AdmittedRequest
 from spanfall_node.gateway.tables.contention import HeldWait
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.attempt import Exchange
@@ -50,7 +53,12 @@
     while exchange.is_continuable:
         routing_request = routing_request_of(state, exchange)
         terms = admission_terms(state, exchange)
-        choice = await grants.choose(admitted.service, routing_request, terms)
+        choice = await grants.choose(
+            admitted.service,
+            routing_request,
+            terms,
+            _own_stream(state, admitted),
+        )
         choice = _retry_after_backoff(
             state, admitted.service, routing_request, choice
         )
@@ -71,6 +79,16 @@
     return None
 
 
+def _own_stream(
+    state: GatewayState, admitted: AdmittedRequest
+) -> tuple[StreamKey, float] | None:
+    """Return the key of a request's stream and for how long it is resumable."""
+    if admitted.stream is None:
+        return None
+    seconds = admitted.resumable_until - state.timers.now()
+    return admitted.stream, max(1, round(seconds))
+
+
 def routing_request_of(
     state: GatewayState, exchange: Exchange
 ) -> RoutingRequest:
@@ -88,7 +106,17 @@
     )
 
 
-def has_untried(state: GatewayState, exchange: Exchange) -> bool:
+def spend_retry(state: GatewayState, exchange: Exchange) -> bool:
+    """Take a retry if an upstream is left; return whether there was one."""
+    if not _has_untried(state, exchange):
+        return False
+    if not exchange.sends.sends:
+        return len(exchange.tried) < MAX_UNSENT
+    now = state.timers.now()
+    return state.retries.try_spend(exchange.admitted.service, now)
+
+
+def _has_untried(state: GatewayState, exchange: Exchange) -> bool:
     """Return whether an upstream is left that may be sent the request now."""
     if not exchange.is_continuable:
         return False
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
@@ -24,6 +24,7 @@
     tracked_heat,
 )
 from spanfall_node.gateway.upstreams.speeds import loads_for
+from spanfall_node.gateway.upstreams.stream_lookup import record_grant
 
 #: Retry-After seconds for a request that only rate-limited upstreams could
 #: serve while no home grants permits: by then most failed homes have a
@@ -195,6 +196,8 @@
         choice.ahead,
         is_permit,
     )
+    if request.stream is not None:
+        record_grant(state, request.stream, choice.upstream)
     if entry != state.entry_key:
         # The home's own counts include its own requests at once.
         state.grant_book.grant(entry, grant)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
@@ -11,6 +11,7 @@
 
 from spanfall_core.gateway.contention.waiting import AdmissionTerms
 from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.known.stream_origins import StreamKey
 from spanfall_core.gateway.routing.balance import Choice, choose
 from spanfall_core.gateway.routing.estimates import RoutingRequest
 from spanfall_core.gateway.routing.grants import EntryLoad, RetryAfter
@@ -119,18 +120,20 @@
         service: str,
         routing_request: RoutingRequest,
         terms: AdmissionTerms | None = None,
+        stream: tuple[StreamKey, float] | None = None,
     ) -> ChoiceOutcome:
         """Return the upstream for a request, if any can serve it.
 
         Return the request's standing if it may not be sent, or not now. With
-        terms, it may be held or rejected instead. The calling code has to count
-        the request as running before it next waits.
+        terms, it may be held or rejected instead. ``stream`` is the key of its
+        stream and the seconds for which that may be resumed. The calling code
+        has to count the request as running before it next waits.
         """
         state = self.state
         if terms is None or not terms.waited:
             now = state.timers.now()
             state.prompts.record_prompt(routing_request, now)
-        request = GrantRequest(service, routing_request, terms)
+        request = GrantRequest(service, routing_request, terms, stream)
         if state.tenure is not None:
             state.counters.grants.labels(AS_HOME).inc()
             answer = answer_request(state, state.entry_key, 0, request)
@@ -230,7 +233,14 @@
         if grant.lifetime in backing_off or not routing_request.may_reach(row):
             return None
         is_watched = answer.standing is not Standing.FREE
-        return Choice(row, 0, grant.prefill, grant.ahead, is_watched)
+        return Choice(
+            row,
+            0,
+            grant.prefill,
+            grant.ahead,
+            is_watched,
+            is_granted=True,
+        )
 
     def _choose_locally(
         self,
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -5,7 +5,6 @@
 """
 
 import logging
-from dataclasses import dataclass
 from functools import partial
 
 import anyio
@@ -13,17 +12,13 @@
 from spanfall_core.gateway.routing.balance import Choice
 from spanfall_core.gateway.routing.grants import RetryAfter
 from spanfall_core.gateway.routing.sends import (
-    MAX_UNSENT,
     RETRY_REASONS,
     NextStep,
-    SendOutcome,
     next_step,
 )
 from spanfall_core.reasons import RefusalReason
 
 from spanfall_node.gateway.links.contention_messages import Rejection
-from spanfall_node.gateway.links.crash_messages import RunStage
-from spanfall_node.gateway.net.pool import ConnectionPool
 from spanfall_node.gateway.requests.admission import AdmittedRequest
 from spanfall_node.gateway.requests.caller_connection import CallerConnection
 from spanfall_node.gateway.requests.refusals import (
@@ -32,7 +27,7 @@
     RefusedError,
     final_refusal,
 )
-from spanfall_node.gateway.tables.counters import ResumedBy
+from spanfall_node.gateway.tables.counters import ResumeOutcome
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.attempt import (
     RESPONSE_MARGIN_SECONDS,
@@ -44,17 +39,19 @@
 )
 from spanfall_node.gateway.upstreams.choosing import (
     choose_or_wait,
-    has_untried,
     seconds_until_backoff_ends,
+    spend_retry,
 )
-from spanfall_node.gateway.upstreams.crash_watch import CrashDetector
-from spanfall_node.gateway.upstreams.grants import GrantClient
 from spanfall_node.gateway.upstreams.held_requests import refusal_of
 from spanfall_node.gateway.upstreams.resuming import (
     check_origin,
-    record_resumption,
+    refusal_without_upstream,
+    resolve_origin,
+)
+from spanfall_node.gateway.upstreams.watched_sends import (
+    UpstreamAccess,
+    send_and_check_crash,
 )
-from spanfall_node.gateway.upstreams.sending import send
 
 logger = logging.getLogger(__name__)
 
@@ -65,15 +62,6 @@
 HELD_RETRY_SECONDS = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamAccess:
-    """Hold what this node needs to reach upstreams."""
-
-    pool: ConnectionPool
-    grants: GrantClient
-    crash_detector: CrashDetector
-
-
 async def serve(
     state: GatewayState,
     access: UpstreamAccess,
@@ -88,12 +76,12 @@
         CallerGoneError: the caller disconnected.
     """
     exchange = Exchange(admitted, caller)
-    record_resumption(state, admitted)
     seconds_left = (
         admitted.deadline - state.timers.now() - RESPONSE_MARGIN_SECONDS
     )
     exchange.scope.deadline = anyio.current_time() + max(0, seconds_left)
     with exchange.scope:
+        await resolve_origin(state, access.origins, exchange)
         await _send_until_answered(state, access, exchange)
     if exchange.scope.cancelled_caught:
         await _handle_deadline(state, exchange)
@@ -138,7 +126,7 @@
         if isinstance(choice, Standing):
             await _end_unsendable(state, exchange, choice)
             return
-        send_result = await _send_and_check_crash(
+        send_result = await send_and_check_crash(
             state, access, exchange, choice
         )
         if isinstance(send_result, Answered):
@@ -168,57 +156,6 @@
     raise RefusedError(503, RefusalReason.TRIED_LATER, seconds)
 
 
-async def _send_and_check_crash(
-    state: GatewayState,
-    access: UpstreamAccess,
-    exchange: Exchange,
-    choice: Choice,
-) -> Answered | Failed:
-    """Send a request; check for a crash if the connection breaks."""
-    identity = exchange.admitted.identity
-    standing = state.crashes.standing(identity, state.timers.now())
-    is_watched = choice.is_watched or standing is not Standing.FREE
-    detector = access.crash_detector
-    report_run = partial(detector.report_run, identity)
-    if is_watched:
-        exchange.on_response_start = partial(report_run, RunStage.BEGAN)
-    exchange.check_still_runs = partial(detector.still_runs, choice.upstream)
-    send_result = await _send_or_queue_probe(state, access, exchange, choice)
-    if (
-        isinstance(send_result, Failed)
-        and send_result.outcome is SendOutcome.BROKEN
-    ):
-        if not await detector.check_broken_send(identity, choice.upstream):
-            send_result.weight = 0
-    elif is_watched:
-        is_complete = isinstance(send_result, Answered)
-        await report_run(
-            RunStage.COMPLETE if is_complete else RunStage.INCOMPLETE
-        )
-    return send_result
-
-
-async def _send_or_queue_probe(
-    state: GatewayState,
-    access: UpstreamAccess,
-    exchange: Exchange,
-    choice: Choice,
-) -> Answered | Failed:
-    """Send a request; queue a probe of its upstream if it is cancelled."""
-    send_result: Answered | Failed | None = None
-    began_at = state.timers.now()
-    try:
-        send_result = await send(state, access.pool, exchange, choice)
-    finally:
-        if send_result is None:
-            access.crash_detector.queue_unanswered(
-                exchange.admitted.identity,
-                choice.upstream,
-                max(began_at, exchange.timings.last_at),
-            )
-    return send_result
-
-
 async def _end_without_upstream(
     state: GatewayState,
     exchange: Exchange,
@@ -229,7 +166,7 @@
     elif exchange.sends.may_have_run:
         raise final_refusal(NextStep.ANSWER_UNKNOWN)
     elif retry_after is None:
-        raise final_refusal(NextStep.ANSWER_NOT_RUN)
+        raise refusal_without_upstream(state, exchange)
     else:
         raise RefusedError(
             503,
@@ -255,7 +192,7 @@
         failed.outcome,
         admitted.route,
         exchange.sends,
-        partial(_spend_retry, state, exchange),
+        partial(spend_retry, state, exchange),
     )
     logger.info(
         'Request %s at %s ended %s after %s events: %s; next: %s; identity %s',
@@ -270,21 +207,14 @@
     if step is NextStep.SEND_AGAIN:
         state.counters.retries.labels(RETRY_REASONS[failed.outcome]).inc()
         if exchange.started:
-            state.counters.resumed_streams.labels(ResumedBy.ENTRY).inc()
+            state.counters.resumed_streams.labels(
+                ResumeOutcome.WITHIN_RESPONSE
+            ).inc()
         return True
     await _end_failed(state, exchange, failed, step)
     return False
 
 
-def _spend_retry(state: GatewayState, exchange: Exchange) -> bool:
-    if not has_untried(state, exchange):
-        return False
-    if not exchange.sends.sends:
-        return len(exchange.tried) < MAX_UNSENT
-    now = state.timers.now()
-    return state.retries.try_spend(exchange.admitted.service, now)
-
-
 async def _end_failed(
     state: GatewayState,
     exchange: Exchange,
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/response_ends.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/response_ends.py
@@ -73,7 +73,7 @@
         whole = events.feed(part)
         if whole:
             exchange.timings.record(state.timers.now())
-            bind_origin(state, exchange, upstream)
+            await bind_origin(state, exchange, upstream)
             await _start_response(state, exchange, head, is_delimited)
             await exchange.caller.send_part(whole)
     await _check_stream_end(exchange, conn)
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/stream_lookup.py
@@ -0,0 +1,222 @@
+"""Find what began a stream that a caller resumes at this node.
+
+The home records each grant of a stream, and entries keep copies, so that the
+origin outlives the entry that sent the stream, the home, and usually both.
+"""
+
+import logging
+from dataclasses import dataclass, field
+
+import anyio
+from spanfall_core.gateway.known.listed import ListedUpstream
+from spanfall_core.gateway.known.origins import Origin
+from spanfall_core.gateway.known.stream_origins import (
+    StreamKey,
+    StreamRecord,
+    group_records,
+    ungroup_records,
+)
+from websockets.exceptions import WebSocketException
+
+from spanfall_node.gateway.links.messages import decode_from_home, encode
+from spanfall_node.gateway.links.origin_messages import (
+    OriginAnswer,
+    OriginQuestion,
+    OriginsMessage,
+)
+from spanfall_node.gateway.links.pending_requests import PendingRequests, Send
+from spanfall_node.gateway.net.open_links import open_link
+from spanfall_node.gateway.store.sync import max_confirmation_age
+from spanfall_node.gateway.tables.counters import ResumeOutcome
+from spanfall_node.gateway.tables.state import GatewayState
+
+logger = logging.getLogger(__name__)
+
+#: Seconds of a tenure after which all entries have told the home what they
+#: know: they look for a home ten times a second.
+SETTLE_SECONDS = 1.0
+#: Timeout in seconds for an answer of the home or of a node with a copy.
+ANSWER_TIMEOUT_SECONDS = 0.15
+#: Seconds for which a caller waits while nobody who may know answers.
+LOOKUP_SECONDS = 0.5
+#: Exceptions of a question to a node that is gone or of another build.
+LOOKUP_ERRORS = (OSError, TimeoutError, ValueError, WebSocketException)
+#: Seconds between two attempts.
+LOOKUP_PERIOD = 0.05
+
+
+def record_grant(
+    state: GatewayState,
+    stream: tuple[StreamKey, float],
+    upstream: ListedUpstream,
+) -> None:
+    """Record, as the home, where a stream is going to begin."""
+    key, seconds = stream
+    now = state.timers.now()
+    origin = Origin(upstream.service, upstream.software_version)
+    state.streams.record(StreamRecord(key, origin, now + seconds), now)
+
+
+def merge_origins(state: GatewayState, message: OriginsMessage) -> None:
+    """Record what another node knows.
+
+    Raises:
+        ValueError: the message is invalid.
+    """
+    now = state.timers.now()
+    for record in ungroup_records(message.groups, now):
+        state.streams.record(record, now)
+
+
+def known_origins(state: GatewayState) -> OriginsMessage:
+    """Return all that this node knows, for a new home or a new copy."""
+    now = state.timers.now()
+    return OriginsMessage(group_records(state.streams.table.records(now), now))
+
+
+def find_origin(state: GatewayState, question: OriginQuestion) -> Origin | None:
+    """Return what began a stream, as far as this node knows."""
+    now = state.timers.now()
+    streams = state.streams
+    origin = streams.table.find(question.stream, now)
+    if origin is None:
+        return _sole_origin(state, question)
+    streams.table.defer(question.stream, now + question.seconds)
+    return origin
+
+
+def _sole_origin(
+    state: GatewayState, question: OriginQuestion
+) -> Origin | None:
+    """Return the only origin that a stream of a route can have, if there is one.
+
+    Only a current listing shows that no other version has started since.
+    """
+    now = state.timers.now()
+    listing_age = now - state.directory.confirmed_at
+    if listing_age > max_confirmation_age(state.quotas.entries):
+        return None
+    age = question.age
+    service = state.streams.routes.sole_service(question.route, age, now)
+    if service is None:
+        return None
+    version = state.directory.versions.sole_version(service, age, now)
+    return Origin(service, version) if version else None
+
+
+def answer_question(
+    state: GatewayState, question: OriginQuestion
+) -> OriginAnswer:
+    """Answer another node."""
+    tenure = state.tenure
+    now = state.timers.now()
+    is_settled = tenure is not None and now - tenure.began_at >= SETTLE_SECONDS
+    return OriginAnswer(
+        question.number, find_origin(state, question), is_settled
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Lookup:
+    """Hold what a lookup found."""
+
+    outcome: ResumeOutcome
+    origin: Origin | None = None
+
+
+@dataclass(slots=True)
+class OriginClient:
+    """Ask the home, or nodes with copies, what began a stream."""
+
+    state: GatewayState
+    _pending: PendingRequests[OriginAnswer] = field(
+        default_factory=PendingRequests
+    )
+    _send: Send | None = None
+
+    def connect(self, send: Send) -> None:
+        """Use this link to the home from now on."""
+        self._send = send
+        self._pending.connect(send)
+
+    def disconnect(self) -> None:
+        """Use no home until another link connects."""
+        self._send = None
+        self._pending.disconnect()
+
+    def accept_answer(self, answer: OriginAnswer) -> None:
+        """Resolve a pending question; a late answer is ignored."""
+        self._pending.resolve(answer.number, answer)
+
+    async def announce(self, record: StreamRecord) -> None:
+        """Tell the home of a stream that begins elsewhere than it granted.
+
+        The message is sent before the caller gets the first event.
+        """
+        if self._send is not None:
+            groups = group_records((record,), self.state.timers.now())
+            await self._send(OriginsMessage(groups))
+
+    async def find(self, question: OriginQuestion) -> Lookup:
+        """Return what began a stream; wait a bounded time for who may know."""
+        state = self.state
+        until = state.timers.now() + LOOKUP_SECONDS
+        if state.streams.table.has_begun(question.stream, state.timers.now()):
+            return Lookup(ResumeOutcome.FOUND, find_origin(state, question))
+        while True:
+            answer = await self._ask_home(question)
+            origin = answer.origin or find_origin(state, question)
+            if origin is None and not answer.is_settled:
+                origin = await self._ask_keepers(question)
+            if origin is not None:
+                return Lookup(ResumeOutcome.FOUND, origin)
+            if answer.is_settled:
+                return Lookup(ResumeOutcome.UNKNOWN)
+            if state.timers.now() + LOOKUP_PERIOD > until:
+                return Lookup(ResumeOutcome.NO_HOME)
+            await anyio.sleep(LOOKUP_PERIOD)
+
+    async def _ask_home(self, question: OriginQuestion) -> OriginAnswer:
+        if self.state.tenure is not None:
+            return answer_question(self.state, question)
+        pending = await self._pending.ask(
+            lambda number: OriginQuestion(
+                number,
+                question.stream,
+                question.route,
+                question.seconds,
+                question.age,
+            ),
+            ANSWER_TIMEOUT_SECONDS,
+        )
+        return pending.answer or OriginAnswer(0)
+
+    async def _ask_keepers(self, question: OriginQuestion) -> Origin | None:
+        """Ask the nodes that keep copies, where this one does not."""
+        found: list[Origin] = []
+        async with anyio.create_task_group() as tasks:
+
+            async def ask(address: str) -> None:
+                origin = await _ask_node(address, question)
+                if origin is not None:
+                    found.append(origin)
+                    tasks.cancel_scope.cancel()
+
+            for address in self.state.streams.keepers:
+                tasks.start_soon(ask, address)
+        return next(iter(found), None)
+
+
+async def _ask_node(address: str, question: OriginQuestion) -> Origin | None:
+    """Ask one node over a connection of its own."""
+    try:
+        with anyio.fail_after(ANSWER_TIMEOUT_SECONDS):
+            async with await open_link(address) as link:
+                await link.send(encode(question))
+                answer = decode_from_home(await link.recv())
+    except LOOKUP_ERRORS as exc:
+        logger.info(
+            'Node %s did not tell what began a stream: %r', address, exc
+        )
+        return None
+    return answer.origin if isinstance(answer, OriginAnswer) else None
--- /dev/null
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/watched_sends.py
@@ -0,0 +1,81 @@
+"""Send a request to an upstream and watch whether that crashes."""
+
+from dataclasses import dataclass
+from functools import partial
+
+from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.routing.balance import Choice
+from spanfall_core.gateway.routing.sends import SendOutcome
+
+from spanfall_node.gateway.links.crash_messages import RunStage
+from spanfall_node.gateway.net.pool import ConnectionPool
+from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.upstreams.attempt import Answered, Exchange, Failed
+from spanfall_node.gateway.upstreams.crash_watch import CrashDetector
+from spanfall_node.gateway.upstreams.grants import GrantClient
+from spanfall_node.gateway.upstreams.sending import send
+from spanfall_node.gateway.upstreams.stream_lookup import OriginClient
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamAccess:
+    """Hold what this node needs to reach upstreams."""
+
+    pool: ConnectionPool
+    grants: GrantClient
+    crash_detector: CrashDetector
+    origins: OriginClient
+
+
+async def send_and_check_crash(
+    state: GatewayState,
+    access: UpstreamAccess,
+    exchange: Exchange,
+    choice: Choice,
+) -> Answered | Failed:
+    """Send a request; check for a crash if the connection breaks."""
+    identity = exchange.admitted.identity
+    standing = state.crashes.standing(identity, state.timers.now())
+    is_watched = choice.is_watched or standing is not Standing.FREE
+    detector = access.crash_detector
+    report_run = partial(detector.report_run, identity)
+    if is_watched:
+        exchange.on_response_start = partial(report_run, RunStage.BEGAN)
+    exchange.check_still_runs = partial(detector.still_runs, choice.upstream)
+    exchange.announce_origin = None
+    if not choice.is_granted:
+        exchange.announce_origin = access.origins.announce
+    send_result = await _send_or_queue_probe(state, access, exchange, choice)
+    if (
+        isinstance(send_result, Failed)
+        and send_result.outcome is SendOutcome.BROKEN
+    ):
+        if not await detector.check_broken_send(identity, choice.upstream):
+            send_result.weight = 0
+    elif is_watched:
+        is_complete = isinstance(send_result, Answered)
+        await report_run(
+            RunStage.COMPLETE if is_complete else RunStage.INCOMPLETE
+        )
+    return send_result
+
+
+async def _send_or_queue_probe(
+    state: GatewayState,
+    access: UpstreamAccess,
+    exchange: Exchange,
+    choice: Choice,
+) -> Answered | Failed:
+    """Send a request; queue a probe of its upstream if it is cancelled."""
+    send_result: Answered | Failed | None = None
+    began_at = state.timers.now()
+    try:
+        send_result = await send(state, access.pool, exchange, choice)
+    finally:
+        if send_result is None:
+            access.crash_detector.queue_unanswered(
+                exchange.admitted.identity,
+                choice.upstream,
+                max(began_at, exchange.timings.last_at),
+            )
+    return send_result
--- a/tests/test_gateway_resumed_streams.py
+++ b/tests/test_gateway_resumed_streams.py
@@ -1,10 +1,15 @@
 """A caller that takes a stream up gets it from the version that began it."""
 
+import json
+
 import anyio
 import pytest
 from anyio.lowlevel import checkpoint
 from contention_world import home_among, is_linked
-from gateway_world import ask, in_world
+from gateway_world import SERVICE, ask, in_world
+from spanfall_node.gateway.home.origin_links import KEEPERS
+from spanfall_node.gateway.store.version_record import VERSIONS_KEY
+from spanfall_node.gateway.upstreams.grants import GrantClient
 from support import wait_until
 from versions_world import (
     EVENTS,
@@ -212,3 +217,101 @@
     for attempt in attempts:
         answer = await take_up(other, attempt, 1, attempt=f'{attempt}-second')
         assert answer.status == 503
+
+
+def stored_versions(world):
+    """Return the record of versions, or nothing."""
+    item = world.store.items.get(VERSIONS_KEY)
+    return json.loads(item.content)['services'] if item else {}
+
+
+async def restart_all(world, fleet):
+    await fleet.end(*fleet.states())
+    again = Fleet(world)
+    await again.start(2)
+    await all_listed(world, *again.states())
+    return again
+
+
+# Guards against refusing all streams after a restart where no other version ran.
+@in_world
+async def test_a_second_try_after_all_nodes_ended(world):
+    fleet = await fleet_of_two_versions(world, 2)
+    attempts = await begin_streams(fleet.entries()[0])
+    next(iter(world.upstreams.values())).behaviour.__self__.goes_on.set()
+    await wait_until(lambda: SERVICE in stored_versions(world))
+    again = await restart_all(world, fleet)
+    await check_taken_up(again.entries()[0], attempts)
+    answer = await ask(again.home(), '/resume/7', last_event_id='1')
+    assert ids_of(answer.body) == REST
+
+
+# Guards against a guess after a restart where another version ran before.
+@in_world
+async def test_a_restart_forgets_no_version(world):
+    fleet = await fleet_of_two_versions(world, 2)
+    await serve_both(world, *fleet.states())
+    await wait_until(lambda: SERVICE not in stored_versions(world))
+    for lifetime in list(world.upstreams)[1:]:
+        world.remove_entry(world.upstreams.pop(lifetime))
+    await all_listed(world, *fleet.states())
+    await wait_until(lambda: SERVICE in stored_versions(world))
+    again = await restart_all(world, fleet)
+    for state in again.states():
+        answer = await ask(state, '/resume/7', last_event_id='1')
+        assert answer.status == 503
+
+
+# Guards against copies that a large fleet's entries can't find.
+def test_entries_without_copies_ask_those_with(monkeypatch):
+    module = 'spanfall_node.gateway.home.origin_links'
+    monkeypatch.setattr(f'{module}.MAX_ENTRIES_WITH_COPIES', 1)
+
+    @in_world
+    async def play(world):
+        fleet = await fleet_of_two_versions(world, 6)
+        entries = fleet.entries()
+        await wait_until(lambda: all(row.streams.keepers for row in entries))
+        keepers = entries[0].streams.keepers
+        assert len(keepers) == KEEPERS
+        lacking = [
+            row for row in entries if row.cfg.listen.links not in keepers
+        ]
+        first, other = lacking
+        attempts = await begin_streams(first)
+        await serve_both(world, *fleet.states())
+        await anyio.sleep(0.3)
+        await fleet.end(first, fleet.home())
+        assert not len(other.streams.table)
+        await check_taken_up(other, attempts)
+
+    play()
+
+
+# Guards against losing streams that an entry began without the home's grant.
+@in_world
+async def test_a_stream_that_the_home_did_not_grant(world):
+    fleet = await fleet_of_two_versions(world, 3)
+    first, other = fleet.entries()
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(GrantClient, '_should_ask', lambda _: False)
+        attempts = await begin_streams(first)
+    await serve_both(world, *fleet.states())
+    await fleet.end(first)
+    await check_taken_up(other, attempts)
+
+
+# Guards against losing streams that began while there was no home.
+@in_world
+async def test_a_stream_that_began_without_a_home(world):
+    fleet = await fleet_of_two_versions(world, 3)
+    first, other = fleet.entries()
+    await fleet.end(fleet.home())
+    attempts = await begin_streams(first)
+    await serve_both(world, *fleet.states())
+    await wait_until(lambda: fleet.home() is not None)
+    await wait_until(
+        lambda: all(len(row.streams.table) for row in fleet.states())
+    )
+    await fleet.end(first)
+    await check_taken_up(other, attempts)
