--- a/tests/test_gateway_crash_spread.py
+++ b/tests/test_gateway_crash_spread.py
@@ -6,7 +6,6 @@
 from gateway_world import ask, in_world
 from spanfall_core.gateway.crashes.crashes import QUARANTINE_SECONDS, Standing
 from spanfall_core.gateway.known.identity import request_identity
-from spanfall_node.gateway.home.entry_link import EntryLink
 from spanfall_node.gateway.links.crash_messages import RunStage, WatchedRun
 from spanfall_node.gateway.store.crash_record import CRASHES_KEY
 from spanfall_node.gateway.tables.crash_knowledge import CrashState
@@ -18,6 +17,7 @@
 )
 from support import wait_until
 
+ENTRY_LINK = 'spanfall_node.gateway.home.entry_link'
 DEADLY = b'deadly'
 PATH = '/any/1'
 IDENTITY = request_identity('', 'depot.example', 'POST', PATH, DEADLY)
@@ -63,7 +63,7 @@
 @in_world
 async def test_entry_without_home_reads_quarantines(world):
     home = await world.add_gateway()
-    with patch.object(EntryLink, '_connect', side_effect=OSError('cut')):
+    with patch(f'{ENTRY_LINK}.open_link', side_effect=OSError('cut')):
         alone = await world.add_gateway()
         await quarantine(world, home)
         await wait_until(lambda: is_known(alone))
