Find a stream's origin while no home can be asked

Cause: an entry that had just started, or whose stream began while there was no home, knew nobody to ask or to tell. Two tests, which fail before: a stream that began without a home and whose entry ended; a node that starts while there is no home.

--- a/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
@@ -64,7 +64,8 @@
         if table.peers is not None:
             state.reach.peers = table.peers.peers
             self.peers_version = table.peers.version
-        state.streams.keepers = table.origin_keepers
+        if table.origin_keepers is not None:
+            state.streams.keepers = table.origin_keepers
         state.scheduling.add_shared_host_services(table.shared_host_services)
         if table.totals is not None:
             self._totals_received_at = now
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
@@ -241,7 +241,7 @@
             upstreams=upstreams_part(state.directory, message),
             words=self._words(message, now),
             peers=self._tables.peers.part(link, message),
-            origin_keepers=self._tables.origins.addresses(),
+            origin_keepers=self._tables.origins.part(link),
             shared_host_services=tuple(state.scheduling.shared_host_services),
             upstream_factors=factors,
         )
@@ -270,5 +270,6 @@
 
 
 def _is_lookup(data: bytes) -> bool:
-    """Return whether a message asks what any node may know."""
-    return isinstance(decode_from_entry(data), OriginQuestion)
+    """Return whether a message is about copies that any node may keep."""
+    message = decode_from_entry(data)
+    return isinstance(message, OriginQuestion | OriginsMessage)
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/origin_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/origin_links.py
@@ -34,6 +34,8 @@
         #: Strength of the host, and the address for links, of each entry.
         self._links: dict[ServerConnection, tuple[float, str]] = {}
         self._keepers: set[ServerConnection] = set()
+        #: What each entry was told last of where copies are.
+        self._told: dict[ServerConnection, tuple[str, ...]] = {}
 
     def record(
         self, link: ServerConnection | None, message: ReportMessage
@@ -44,21 +46,22 @@
         _, address = self._links.get(link, (0, ''))
         address = message.links_address or address
         self._links[link] = (message.strength, address)
-        if len(self._keepers) < self._wanted():
+        if len(self._keepers & self._links.keys()) < self._wanted():
             self._state.streams.has_uncopied.set()
 
     def remove(self, link: ServerConnection) -> None:
         """Forget the closed link of an entry."""
         self._links.pop(link, None)
+        self._told.pop(link, None)
         self._keepers.discard(link)
 
-    def addresses(self) -> tuple[str, ...]:
-        """Return where copies are, if not all entries keep one."""
-        if len(self._links) <= MAX_ENTRIES_WITH_COPIES:
-            return ()
-        return tuple(
-            self._links[link][1] for link in self._keepers & self._links.keys()
-        )
+    def part(self, link: ServerConnection | None) -> tuple[str, ...] | None:
+        """Return some nodes that keep copies, unless the entry knows them."""
+        known = self._state.streams.keepers
+        if link is None or self._told.get(link) == known:
+            return None
+        self._told[link] = known
+        return known
 
     async def run(self) -> None:
         """Copy new records to entries, until cancelled."""
@@ -69,6 +72,7 @@
             records = streams.take_uncopied()
             if self._state.tenure is None:
                 self._keepers.clear()
+                self._told.clear()
                 continue
             added = self._choose_keepers()
             if added:
@@ -85,6 +89,12 @@
         others = self._links.keys() - self._keepers
         added = set(nlargest(missing, others, key=self._links.__getitem__))
         self._keepers |= added
+        strongest = nlargest(
+            KEEPERS, self._keepers, key=self._links.__getitem__
+        )
+        self._state.streams.keepers = tuple(
+            sorted(self._links[link][1] for link in strongest)
+        )
         return added
 
     def _wanted(self) -> int:
--- a/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
@@ -212,8 +212,8 @@
     upstreams: UpstreamsPart | None = None
     words: StatementsPart | None = None
     peers: PeersPart | None = None
-    #: Addresses of the entries that know what began streams, if not all do.
-    origin_keepers: tuple[str, ...] = ()
+    #: Addresses of some entries that know what began streams, if changed.
+    origin_keepers: tuple[str, ...] | None = None
     #: Services whose upstreams share hosts with others.
     shared_host_services: tuple[str, ...] = ()
     #: Duration of work at upstreams, relative to the usual, where it differs;
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/version_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/version_record.py
@@ -1,7 +1,8 @@
 """Record in the store since when services have one software version.
 
 After a restart of all nodes it shows which streams can only have begun at a
-version that still serves.
+version that still serves. A node that starts while there is no home finds here
+whom to ask.
 """
 
 import logging
@@ -47,6 +48,8 @@
     #: Routes that have had other services, and until when.
     routes: dict[str, float] = {}
     services: dict[str, SoleContent] = {}
+    #: Addresses of some nodes that know what began streams.
+    keepers: tuple[str, ...] = ()
 
 
 class VersionRecord:
@@ -120,10 +123,13 @@
                 service: SoleContent(row.version, self._stored(row.since))
                 for service, row in soles.items()
             },
+            state.streams.keepers,
         )
 
     def _adopt(self, content: VersionsContent) -> None:
         state = self._state
+        if not state.streams.keepers:
+            state.streams.keepers = content.keepers
         state.directory.versions.claim(
             {
                 service: SoleVersion(row.version, self._known(row.since))
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/known_streams.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/known_streams.py
@@ -18,7 +18,7 @@
 
     table: StreamOrigins = field(default_factory=StreamOrigins)
     routes: RouteHistory = field(default_factory=RouteHistory)
-    #: Addresses of the nodes that keep copies, if not all do.
+    #: Addresses of some nodes that keep copies.
     keepers: tuple[str, ...] = ()
     #: Set while there are records that copies lack.
     has_uncopied: anyio.Event = field(default_factory=anyio.Event)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/stream_lookup.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/stream_lookup.py
@@ -4,7 +4,6 @@
 origin outlives the entry that sent the stream, the home, and usually both.
 """
 
-import logging
 from dataclasses import dataclass, field
 
 import anyio
@@ -16,31 +15,26 @@
     group_records,
     ungroup_records,
 )
-from websockets.exceptions import WebSocketException
 
-from spanfall_node.gateway.links.messages import decode_from_home, encode
 from spanfall_node.gateway.links.origin_messages import (
     OriginAnswer,
     OriginQuestion,
     OriginsMessage,
 )
 from spanfall_node.gateway.links.pending_requests import PendingRequests, Send
-from spanfall_node.gateway.net.open_links import open_link
 from spanfall_node.gateway.store.sync import max_confirmation_age
 from spanfall_node.gateway.tables.counters import ResumeOutcome
 from spanfall_node.gateway.tables.state import GatewayState
-
-logger = logging.getLogger(__name__)
+from spanfall_node.gateway.upstreams.keeper_links import (
+    ANSWER_TIMEOUT_SECONDS,
+    KeeperLinks,
+)
 
 #: Seconds of a tenure after which all entries have told the home what they
 #: know: they look for a home ten times a second.
 SETTLE_SECONDS = 1.0
-#: Timeout in seconds for an answer of the home or of a node with a copy.
-ANSWER_TIMEOUT_SECONDS = 0.15
 #: Seconds for which a caller waits while nobody who may know answers.
 LOOKUP_SECONDS = 0.5
-#: Exceptions of a question to a node that is gone or of another build.
-LOOKUP_ERRORS = (OSError, TimeoutError, ValueError, WebSocketException)
 #: Seconds between two attempts.
 LOOKUP_PERIOD = 0.05
 
@@ -133,9 +127,15 @@
         default_factory=PendingRequests
     )
     _send: Send | None = None
+    _keepers: KeeperLinks = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begin without links."""
+        self._keepers = KeeperLinks(self.state)
 
     def connect(self, send: Send) -> None:
         """Use this link to the home from now on."""
+        self._keepers.close()
         self._send = send
         self._pending.connect(send)
 
@@ -151,11 +151,14 @@
     async def announce(self, record: StreamRecord) -> None:
         """Tell the home of a stream that begins elsewhere than it granted.
 
-        The message is sent before the caller gets the first event.
+        Without a home, tell nodes that keep copies. The message is sent before
+        the caller gets the first event.
         """
+        groups = group_records((record,), self.state.timers.now())
         if self._send is not None:
-            groups = group_records((record,), self.state.timers.now())
             await self._send(OriginsMessage(groups))
+        elif self.state.tenure is None:
+            await self._keepers.tell(OriginsMessage(groups))
 
     async def find(self, question: OriginQuestion) -> Lookup:
         """Return what began a stream; wait a bounded time for who may know."""
@@ -167,7 +170,7 @@
             answer = await self._ask_home(question)
             origin = answer.origin or find_origin(state, question)
             if origin is None and not answer.is_settled:
-                origin = await self._ask_keepers(question)
+                origin = await self._keepers.ask(question)
             if origin is not None:
                 return Lookup(ResumeOutcome.FOUND, origin)
             if answer.is_settled:
@@ -190,33 +193,3 @@
             ANSWER_TIMEOUT_SECONDS,
         )
         return pending.answer or OriginAnswer(0)
-
-    async def _ask_keepers(self, question: OriginQuestion) -> Origin | None:
-        """Ask the nodes that keep copies, where this one does not."""
-        found: list[Origin] = []
-        async with anyio.create_task_group() as tasks:
-
-            async def ask(address: str) -> None:
-                origin = await _ask_node(address, question)
-                if origin is not None:
-                    found.append(origin)
-                    tasks.cancel_scope.cancel()
-
-            for address in self.state.streams.keepers:
-                tasks.start_soon(ask, address)
-        return next(iter(found), None)
-
-
-async def _ask_node(address: str, question: OriginQuestion) -> Origin | None:
-    """Ask one node over a connection of its own."""
-    try:
-        with anyio.fail_after(ANSWER_TIMEOUT_SECONDS):
-            async with await open_link(address) as link:
-                await link.send(encode(question))
-                answer = decode_from_home(await link.recv())
-    except LOOKUP_ERRORS as exc:
-        logger.info(
-            'Node %s did not tell what began a stream: %r', address, exc
-        )
-        return None
-    return answer.origin if isinstance(answer, OriginAnswer) else None
--- a/tests/test_gateway_resumed_streams.py
+++ b/tests/test_gateway_resumed_streams.py
@@ -219,10 +219,14 @@
         assert answer.status == 503
 
 
-def stored_versions(world):
-    """Return the record of versions, or nothing."""
+def stored_record(world):
     item = world.store.items.get(VERSIONS_KEY)
-    return json.loads(item.content)['services'] if item else {}
+    return json.loads(item.content) if item else {}
+
+
+def stored_versions(world):
+    """Return the services that had one version only, by the store."""
+    return stored_record(world).get('services', {})
 
 
 async def restart_all(world, fleet):
@@ -315,3 +319,32 @@
     )
     await fleet.end(first)
     await check_taken_up(other, attempts)
+
+
+# Guards against losing streams that began without a home with their entry.
+@in_world
+async def test_a_stream_without_a_home_or_its_entry(world):
+    fleet = await fleet_of_two_versions(world, 4)
+    first, other, _ = fleet.entries()
+    await wait_until(lambda: first.streams.keepers)
+    await fleet.end(fleet.home())
+    attempts = await begin_streams(first)
+    await serve_both(world, other)
+    await fleet.end(first)
+    await check_taken_up(other, attempts)
+
+
+# Guards against a node that has just started and knows nobody to ask.
+@in_world
+async def test_a_node_that_starts_without_a_home(world):
+    fleet = await fleet_of_two_versions(world, 4)
+    first = fleet.entries()[0]
+    attempts = await begin_streams(first)
+    await serve_both(world, *fleet.states())
+    await wait_until(lambda: first.streams.keepers)
+    await wait_until(lambda: stored_record(world).get('keepers'))
+    await anyio.sleep(0.3)
+    await fleet.end(first, fleet.home())
+    started = await world.add_gateway()
+    await all_listed(world, started)
+    await check_taken_up(started, attempts)
