Tell a new home of streams that an earlier one granted

A stream granted by one home may get its first event under the next, which knew of it only by copies. The entry now tells the home unless that has granted the stream in its own epoch.

--- a/packages/spanfall-node/src/spanfall_node/gateway/home/origin_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/origin_links.py
@@ -85,6 +85,10 @@
     def _choose_keepers(self) -> set[ServerConnection]:
         """Choose entries to keep copies; return those that are new."""
         self._keepers &= self._links.keys()
+        if len(self._keepers) > self._wanted():
+            self._keepers = set(
+                nlargest(KEEPERS, self._keepers, key=self._links.__getitem__)
+            )
         missing = self._wanted() - len(self._keepers)
         others = self._links.keys() - self._keepers
         added = set(nlargest(missing, others, key=self._links.__getitem__))
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
@@ -92,7 +92,7 @@
     on_response_start: Callable[[], Awaitable[None]] | None = None
     #: Checks whether the upstream still runs after it closed a connection.
     check_still_runs: Callable[[], Awaitable[bool]] | None = None
-    #: Tells the home what began the stream, if it does not know yet.
+    #: Tells the home what began the stream, unless it knows.
     announce_origin: Callable[[StreamRecord], Awaitable[None]] | None = None
 
     @property
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/held_requests.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/held_requests.py
@@ -29,8 +29,8 @@
     """Return the terms of a request by the current configuration.
 
     Return None if it does not compete: its service is not under admission, or
-    it was sent before or resumes a stream, and keeps its place. One that is held goes on to its turn
-    also when the setting is turned off.
+    it was sent before or resumes a stream, and keeps its place. One that is
+    held goes on to its turn also when the setting is turned off.
     """
     admitted = exchange.admitted
     is_on = state.scheduling.is_on(Feature.CONTENTION, admitted.service)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/stream_lookup.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/stream_lookup.py
@@ -148,12 +148,17 @@
         """Resolve a pending question; a late answer is ignored."""
         self._pending.resolve(answer.number, answer)
 
-    async def announce(self, record: StreamRecord) -> None:
-        """Tell the home of a stream that begins elsewhere than it granted.
+    async def announce(
+        self, granted_epoch: int | None, record: StreamRecord
+    ) -> None:
+        """Tell the home of a stream, unless it granted that in this epoch.
 
         Without a home, tell nodes that keep copies. The message is sent before
         the caller gets the first event.
         """
+        home = self.state.home
+        if home is not None and home.epoch == granted_epoch:
+            return
         groups = group_records((record,), self.state.timers.now())
         if self._send is not None:
             await self._send(OriginsMessage(groups))
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/watched_sends.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/watched_sends.py
@@ -42,9 +42,10 @@
     if is_watched:
         exchange.on_response_start = partial(report_run, RunStage.BEGAN)
     exchange.check_still_runs = partial(detector.still_runs, choice.upstream)
-    exchange.announce_origin = None
-    if not choice.is_granted:
-        exchange.announce_origin = access.origins.announce
+    home = state.home if choice.is_granted else None
+    exchange.announce_origin = partial(
+        access.origins.announce, home.epoch if home else None
+    )
     send_result = await _send_or_queue_probe(state, access, exchange, choice)
     if (
         isinstance(send_result, Failed)
