Call the store for the record of versions only while it answers

Cause, of a part at least: a node that starts, and the home, called each 0.25 s while the store was away, and refused calls are priced too. Change: while the store is known to be away neither calls; other tasks find out when it is back. The test counts four calls in a second before, one now.

--- a/packages/spanfall-node/src/spanfall_node/gateway/store/version_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/version_record.py
@@ -84,16 +84,23 @@
         any node is the home.
         """
         while not self._is_read:
+            await self._try_read()
+        while True:
+            await anyio.sleep(POLL_SECONDS)
+            state = self._state
+            is_away = self._store.health.failing
+            if state.is_home(state.timers.now()) and not is_away:
+                await self._write_if_outdated()
+
+    async def _try_read(self) -> None:
+        """Read the record unless the store is known to be away."""
+        if not self._store.health.failing:
             try:
                 await self.read()
             except StoreError as exc:
                 logger.info('Could not read the record of versions: %r', exc)
-                await anyio.sleep(POLL_SECONDS)
-        while True:
+        if not self._is_read:
             await anyio.sleep(POLL_SECONDS)
-            state = self._state
-            if state.is_home(state.timers.now()):
-                await self._write_if_outdated()
 
     async def _write_if_outdated(self) -> None:
         state = self._state
--- a/tests/test_gateway_version_history.py
+++ b/tests/test_gateway_version_history.py
@@ -1,6 +1,10 @@
 """Know which versions and services may have begun a stream."""
 
+from types import SimpleNamespace
+
+import anyio
 import pytest
+from anyio.lowlevel import checkpoint
 from spanfall_core.gateway.known.configuration import (
     Route,
     RouteKind,
@@ -23,6 +27,12 @@
     SoleVersion,
     VersionHistory,
 )
+from spanfall_node.gateway.store.store_client import StoreRefusedError
+from spanfall_node.gateway.store.version_record import (
+    VERSIONS_KEY,
+    VersionRecord,
+)
+from support import run_async
 
 OLD, NEW = Origin('s', 'v1'), Origin('s', 'v2')
 
@@ -167,3 +177,23 @@
         for names in (('w', 'r', 'a'), ('w2', 'r', 'a'), ('w', 'r2', 'a'))
     }
     assert len(keys) == 3
+
+
+# Guards against calls by all nodes again and again while the store is away.
+def test_no_calls_while_the_store_is_away():
+    calls = []
+
+    async def get(key):
+        await checkpoint()
+        calls.append(key)
+        store.health.failing = True
+        raise StoreRefusedError
+
+    store = SimpleNamespace(health=SimpleNamespace(failing=False), get=get)
+
+    async def play():
+        with anyio.move_on_after(1):
+            await VersionRecord(None, store).run()
+
+    run_async(play)
+    assert calls == [VERSIONS_KEY]
