Name the shared parts of a prompt in the log line of a failed send

The logs of the incident name identities, which differ with each request, so they can't tell whether requests under which upstreams end have a part of their prompts in common. A failed send now names all parts but the last, and 'spanfall logs explain part/ID' lists the failed requests with a part.

--- a/packages/spanfall-cli/src/spanfall_cli/log_story.py
+++ b/packages/spanfall-cli/src/spanfall_cli/log_story.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import asdict, dataclass, field
 from datetime import datetime, timedelta
+from itertools import chain
 from pathlib import Path
 
 #: Time before the first line of a request and after its last in which lines
@@ -20,7 +21,7 @@
     (re.compile(r'^Cut the answer to \S+: (.*?); the caller'), 'cut:'),
     (re.compile(r'^Request \S+ of \S+: (\d+ from \S+),'), 'answered'),
 )
-_IDENTITY = re.compile(r'\bidentity (\w+)')
+_TRAIT = re.compile(r'\bidentity (\w+)|\b(part/\w+)')
 _MARKS = re.compile('[,;:] ?')
 _UPSTREAM = re.compile(r'^Request \S+ (?:at|of \S+: \d+ from) ([^\s,]+)')
 
@@ -95,9 +96,9 @@
 
 
 def _add_context(story: Story, own: list[LogLine], paths: list[Path]) -> None:
-    """Add what was said of its upstreams, identity and home meanwhile."""
+    """Add what was said of its upstreams, traits and home meanwhile."""
     nodes = {line.node for line in own}
-    names = _upstreams(own) | _identities(own)
+    names = _upstreams(own) | _traits(own)
     first, last = own[0].at - BEFORE, own[-1].at + AFTER
     around: list[LogLine] = []
     for line in _lines(paths):
@@ -123,9 +124,9 @@
     return {match.group(1) for match in found if match}
 
 
-def _identities(lines: Iterable[LogLine]) -> set[str]:
-    found = (_IDENTITY.search(line.text) for line in lines)
-    return {match.group(1) for match in found if match}
+def _traits(lines: Iterable[LogLine]) -> set[str]:
+    found = (_TRAIT.finditer(line.text) for line in lines)
+    return {match.group(match.lastindex) for match in chain(*found)}
 
 
 def _words(line: LogLine) -> set[str]:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -9,6 +9,7 @@
 
 import anyio
 from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.crashes.traits import part_traits
 from spanfall_core.gateway.routing.balance import Choice
 from spanfall_core.gateway.routing.grants import RetryAfter
 from spanfall_core.gateway.routing.sends import (
@@ -195,7 +196,8 @@
         partial(spend_retry, state, exchange),
     )
     logger.info(
-        'Request %s at %s ended %s after %s events: %s; next: %s; identity %s',
+        'Request %s at %s ended %s after %s events: %s; next: %s; '
+        'identity %s; prompt %s',
         admitted.attempt_id,
         choice.upstream.lifetime,
         failed.outcome,
@@ -203,6 +205,7 @@
         failed.reason,
         step,
         admitted.identity,
+        ' '.join(part_traits(admitted.parts)) or 'without shared parts',
     )
     if step is NextStep.SEND_AGAIN:
         state.counters.retries.labels(RETRY_REASONS[failed.outcome]).inc()
--- a/tests/test_log_story.py
+++ b/tests/test_log_story.py
@@ -78,6 +78,37 @@
     ),
 ]
 
+#: Requests that share a part of their prompts, and one that does not.
+WITH_PART = [
+    line(
+        1,
+        'n-1',
+        'relay',
+        'Request r7 at i-5 ended broken: x; next: again; identity 9f2b; '
+        'prompt part/5c1e part/77',
+    ),
+    line(
+        2,
+        'n-2',
+        'relay',
+        'Request r8 at i-6 ended broken: x; next: unknown; identity 9f2c; '
+        'prompt part/5c1e',
+    ),
+    line(
+        2,
+        'n-2',
+        'relay',
+        'Request r9 at i-6 ended broken: x; next: again; identity 9f2d; '
+        'prompt part/77',
+    ),
+    line(
+        2.5,
+        'n-2',
+        'crash_knowledge',
+        'Upstreams end under part/5c1e, i-6 last: it is quarantined',
+    ),
+]
+
 
 def explain(tmp_path, request_id, *extra):
     """Run the command over the logs of two nodes."""
@@ -132,3 +163,15 @@
     attempts = explain(tmp_path, '9f2a', str(third)).output
     assert 'r5' in attempts
     assert 'r6' in attempts
+
+
+def test_requests_with_a_part_that_ends_upstreams(tmp_path):
+    """All failed requests with a part are found by its name."""
+    third = tmp_path / 'third.log'
+    third.write_text('\n'.join(WITH_PART))
+    shown = explain(tmp_path, 'part/5c1e', str(third)).output
+    assert 'r7' in shown
+    assert 'r8' in shown
+    assert 'r9' not in shown
+    rows = explain(tmp_path, 'r8', str(third)).output.splitlines()
+    assert any('Upstreams end under part/5c1e' in row for row in rows)
