Reproduce upstreams that crash by one part of different prompts

Gateways run as processes before upstreams that crash on any request with a part, and come back under another id.

--- a/packages/spanfall-standins/src/spanfall_standins/gateway/upstream.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/upstream.py
@@ -71,14 +71,26 @@
 
 def crashes_on(crashing_body: bytes, other_behaviour: Behaviour) -> Behaviour:
     """Crash the upstream when it starts to run a request with a given body."""
+    return crashes_if(
+        lambda request: request.body == crashing_body, other_behaviour
+    )
+
+
+def crashes_if(
+    is_crashing: Callable[[ReceivedRequest], bool],
+    other_behaviour: Behaviour,
+    delay: float = 0,
+) -> Behaviour:
+    """Crash the upstream ``delay`` seconds after it receives some requests."""
 
     async def run(
         upstream: StandInUpstream,
         request: ReceivedRequest,
         stream: SocketStream,
     ) -> bool:
-        if request.body != crashing_body:
+        if not is_crashing(request):
             return await other_behaviour(upstream, request, stream)
+        await anyio.sleep(delay)
         head = encode_response(
             200, b'', {**upstream.response_headers(request), **EVENT_STREAM}
         )
@@ -176,6 +188,27 @@
     return run
 
 
+def paced(last: int, seconds: float) -> Behaviour:
+    """Send events with ids 1 to ``last``, one every so many seconds."""
+
+    async def run(
+        upstream: StandInUpstream,
+        request: ReceivedRequest,
+        stream: SocketStream,
+    ) -> bool:
+        head = encode_response(
+            200, b'', {**upstream.response_headers(request), **EVENT_STREAM}
+        )
+        await stream.send(head.replace(b'content-length: 0\r\n', b''))
+        for number in range(1, last + 1):
+            await anyio.sleep(seconds)
+            await stream.send(chunk(b'id: %d\ndata: x\n\n' % number))
+        await stream.send(b'0\r\n\r\n')
+        return True
+
+    return run
+
+
 def resumable(last: int, breaks_after: int) -> Behaviour:
     """Resume the stream after the event in the last-event-id header.
 
