Quarantine the part of prompts that crashes upstreams

Cause: the cause of a crash was looked for by the digest of the whole request, a key that it need not keep.

Change: one table over traits of requests: the identity as before, and each part of the prompt but the last. An end counts under all traits that had just begun there, a sound run of the same software version clears its parts. A part stands back from two ends on; its requests are tried alone, and the end of a trial with three rounds of ends under two different requests or more convicts it. Parts that were answered lately count only by rounds that no other part explains, and are refused for a minute first. Parts that always came together are refused only together; one without the others is tried. Only the home judges parts; it announces suspects and clearances to all entries, and its record keeps the evidence on suspects for a restart of all.

Why it works: the key is now any feature that repeats, and the evidence for an innocent one is an answer, not the absence of ends.

--- a/packages/spanfall-core/src/spanfall_core/gateway/crashes/crash_signs.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/crashes/crash_signs.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from spanfall_core.gateway.crashes.crashes import SuspectedCrash
+from spanfall_core.gateway.crashes.judgement import SuspectedCrash
 from spanfall_core.gateway.known.directory import Directory
 from spanfall_core.gateway.known.lifetimes import Lifetime
 
--- a/packages/spanfall-core/src/spanfall_core/gateway/crashes/traits.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/crashes/traits.py
@@ -45,6 +45,13 @@
     return trait.startswith(PART_PREFIX)
 
 
+def named_traits(traits: Iterable[Trait]) -> str:
+    """Return how log lines name traits."""
+    return ' '.join(
+        trait if is_part(trait) else f'identity {trait}' for trait in traits
+    )
+
+
 def _part_trait(part_id: str) -> Trait:
     name = part_id
     if len(name) > MAX_PART_ID_LENGTH:
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/balance.py
@@ -66,6 +66,8 @@
     excess: int = 0
     #: Whether the home made the choice.
     is_granted: bool = False
+    #: Whether the request is tried alone, as it may crash the upstream.
+    is_trial: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/home_messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/home_messages.py
@@ -45,6 +45,6 @@
         case ResignMessage():
             state.record_vacant_home(message.epoch)
         case QuarantineMessage():
-            state.crashes.merge_quarantined(message.quarantined, now)
+            state.crashes.apply_announcement(message, now)
         case SuccessorMessage():
             state.follow_home(message.home, now)
--- a/packages/spanfall-node/src/spanfall_node/gateway/links/crash_messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/crash_messages.py
@@ -3,11 +3,21 @@
 from enum import StrEnum, unique
 
 import msgspec
+from spanfall_core.gateway.crashes.evidence import BrokenRun
+from spanfall_core.gateway.crashes.traits import Trait
 from spanfall_core.gateway.known.identity import RequestIdentity
-from spanfall_core.gateway.known.lifetimes import Lifetime
 
-#: Remaining seconds of quarantine by request, during which it is not sent.
-Quarantined = dict[RequestIdentity, float]
+#: Remaining seconds of quarantine by trait, during which requests with it are
+#: not sent.
+Quarantined = dict[Trait, float]
+
+
+class Quarantines(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Hold which traits are quarantined, and which only together."""
+
+    seconds: Quarantined = {}
+    #: Traits without which another one is not refused.
+    companions: dict[Trait, tuple[Trait, ...]] = {}
 
 
 class CrashReport(
@@ -18,14 +28,10 @@
 ):
     """Report crashes to the home; on a new link, all that the entry has."""
 
-    #: Crashed upstreams by the request that was running there.
-    ends: dict[RequestIdentity, tuple[Lifetime, ...]] = {}
-    quarantined: Quarantined = {}
-    #: Whether the home is to answer with all quarantined requests.
+    runs: tuple[BrokenRun, ...] = ()
+    quarantines: Quarantines = Quarantines()
+    #: Whether the home is to answer with all quarantined traits.
     is_first: bool = False
-    #: Upstreams that may have crashed, and whether no process answers at their
-    #: address.
-    doubts: dict[RequestIdentity, dict[Lifetime, bool]] = {}
 
 
 @unique
@@ -34,20 +40,33 @@
 
     #: The answer has begun.
     BEGAN = 'began'
+    #: The answer has lasted so long that its parts do not crash upstreams.
+    SOUND = 'sound'
     #: The run ended with an incomplete answer, but the upstream is alive.
     INCOMPLETE = 'over'
     #: The answer was received completely.
     COMPLETE = 'whole'
 
 
-class WatchedRun(msgspec.Struct, frozen=True, tag='watched-run'):
+class WatchedRun(
+    msgspec.Struct, frozen=True, omit_defaults=True, tag='watched-run'
+):
     """Report to the home the progress of a request that it watches."""
 
     identity: RequestIdentity
     stage: RunStage
+    #: Parts that the upstream answers, and its software version.
+    parts: tuple[Trait, ...] = ()
+    version: str | None = None
 
 
-class QuarantineMessage(msgspec.Struct, frozen=True, tag='quarantine'):
-    """Send an entry the requests that must not be sent to upstreams."""
+class QuarantineMessage(
+    msgspec.Struct, frozen=True, omit_defaults=True, tag='quarantine'
+):
+    """Send an entry the traits whose requests must not be sent, or not now."""
 
-    quarantined: Quarantined
+    quarantines: Quarantines
+    #: Parts whose requests are sent only with the home's grant.
+    suspects: tuple[Trait, ...] = ()
+    #: Parts that were suspects or in quarantine and were answered since.
+    released: tuple[Trait, ...] = ()
--- a/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
@@ -7,7 +7,7 @@
 import cbor2
 import msgspec
 from spanfall_core.gateway.contention.waiting import AdmissionTerms
-from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.crashes.standings import Standing
 from spanfall_core.gateway.known.engine_model import PrefillSpeed
 from spanfall_core.gateway.known.fleet import EntryReport, FleetTotals
 from spanfall_core.gateway.known.listed import ListedUpstream
--- a/packages/spanfall-node/src/spanfall_node/gateway/requests/admission.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/requests/admission.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.crashes.traits import Trait, request_traits
 from spanfall_core.gateway.known.configuration import (
     Route,
     RouteKind,
@@ -47,7 +47,8 @@
     req: CallerRequest
     body: bytes
     attempt_id: str
-    identity: RequestIdentity
+    #: Its identity, and the parts that its prompt may share with others.
+    traits: tuple[Trait, ...]
     route: Route
     service: str
     workspace: ServedWorkspace | None
@@ -67,6 +68,11 @@
     #: Whether the request was counted for the usage report.
     counted: bool = False
 
+    @property
+    def identity(self) -> RequestIdentity:
+        """Return the identity of the request, the same for each attempt."""
+        return RequestIdentity(self.traits[0])
+
     def stream_of(self, attempt_id: str) -> StreamKey:
         """Return the key of an attempt's stream of this caller and route."""
         caller = self.workspace.name if self.workspace else ''
@@ -97,10 +103,11 @@
         raise RefusedError(404, RefusalReason.UNKNOWN_SERVICE)
     names = state.platform.names
     workspace = _workspace(state, configuration, route, req, began_at)
-    identity = _identity(req, body, workspace)
-    _check_quarantine(state, identity, began_at)
-    prompt, max_output = token_counts(req, names)
-    units = _units(workspace, prompt + max_output)
+    parts = prompt_parts(req, names)
+    traits = request_traits(_identity(req, body, workspace), parts)
+    _check_quarantine(state, traits, began_at)
+    tokens = token_counts(req, names)
+    units = _units(workspace, sum(tokens))
     _spend_quota(state, workspace, units, began_at)
     attempt_id = req.header(names.attempt_id)
     resumption = read_resumption(req, names, route)
@@ -109,14 +116,14 @@
         req=req,
         body=body,
         attempt_id=attempt_id,
-        identity=identity,
+        traits=traits,
         route=route,
         service=route.service_for(
             resumption.first_attempt if resumption else attempt_id
         ),
         workspace=workspace,
-        parts=prompt_parts(req, names),
-        prompt_tokens=prompt,
+        parts=parts,
+        prompt_tokens=tokens[0],
         units=units,
         began_at=began_at,
         deadline=began_at + _request_timeout(route, stated),
@@ -164,10 +171,11 @@
 
 
 def _check_quarantine(
-    state: GatewayState, identity: RequestIdentity, now: float
+    state: GatewayState, traits: tuple[Trait, ...], now: float
 ) -> None:
-    if state.crashes.standing(identity, now) is Standing.QUARANTINED:
-        raise EndsUpstreamsError(identity)
+    refused = state.crashes.table.verdicts.refused(traits, now)
+    if refused:
+        raise EndsUpstreamsError(refused)
 
 
 def _is_number(text: str) -> bool:
--- a/packages/spanfall-node/src/spanfall_node/gateway/requests/refusals.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/requests/refusals.py
@@ -1,10 +1,11 @@
 """Describe refused requests and build the responses to them."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
 
 import msgspec
-from spanfall_core.gateway.known.identity import RequestIdentity
+from spanfall_core.gateway.crashes.traits import Trait, named_traits
 from spanfall_core.gateway.routing.sends import NextStep
 from spanfall_core.reasons import RefusalReason
 
@@ -42,18 +43,18 @@
 
 
 class EndsUpstreamsError(RefusedError):
-    """Signal that a request is quarantined: upstreams crashed running it.
+    """Signal that a request is quarantined: upstreams crashed running its like.
 
-    The request has run there, so the response neither guarantees that it has
+    It may have run there itself, so the response neither guarantees that it has
     not run nor carries a Retry-After header.
     """
 
-    def __init__(self, identity: RequestIdentity) -> None:
-        """Hold the identity of the request for the log."""
+    def __init__(self, traits: Iterable[Trait]) -> None:
+        """Hold the quarantined traits of the request for the log."""
         super().__init__(
             502,
             RefusalReason.ENDS_UPSTREAMS,
-            detail=f'identity {identity}',
+            detail=named_traits(traits),
         )
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/crash_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/crash_record.py
@@ -1,20 +1,27 @@
-"""Record the quarantined requests in the store.
+"""Record quarantines, and the evidence on suspect parts, in the store.
 
-The record is written on each quarantine. It serves a restart of all nodes and
+The record is written when either changes. It serves a restart of all nodes and
 entries that reach the store but not the home.
 """
 
 import logging
+from itertools import chain
 
 import anyio
 import msgspec
-from spanfall_core.gateway.known.identity import RequestIdentity
+from spanfall_core.gateway.crashes.evidence import BrokenRun
+from spanfall_core.gateway.crashes.traits import Trait
+from spanfall_core.gateway.known.lifetimes import Lifetime
 from spanfall_core.gateway.known.reporting import (
     load_expires_after,
     report_period,
 )
 
-from spanfall_node.gateway.links.crash_messages import Quarantined
+from spanfall_node.gateway.links.crash_messages import (
+    CrashReport,
+    Quarantined,
+    Quarantines,
+)
 from spanfall_node.gateway.net.ports import Write
 from spanfall_node.gateway.store.store_client import StoreClient, StoreError
 from spanfall_node.gateway.store.stored_record import decode_record
@@ -31,12 +38,21 @@
 #: platforms require that all entries apply a quarantine; 570 entries make 285
 #: calls per second.
 READ_PERIOD = 2.0
+#: Maximum number of recorded runs.
+MAX_RECORDED_RUNS = 128
+#: Traits with their companions, and with the ends under them, in a record.
+RecordKey = frozenset[tuple[Trait, frozenset[Trait] | Lifetime]]
+NOTHING_WRITTEN: RecordKey = frozenset()
 
 
 class CrashRecordContent(msgspec.Struct, frozen=True):
-    """Hold the remaining quarantine of each request at the time of writing."""
+    """Hold the remaining quarantine of each trait at the time of writing."""
 
     quarantined: Quarantined
+    #: Traits without which another one is not refused.
+    companions: dict[Trait, tuple[Trait, ...]] = {}
+    #: Evidence on parts that are suspects.
+    runs: tuple[BrokenRun, ...] = ()
 
 
 class CrashRecord:
@@ -46,11 +62,11 @@
         """Use the state and the store client of the node."""
         self._state = state
         self._store = store
-        self._written: frozenset[RequestIdentity] = frozenset()
+        self._written = NOTHING_WRITTEN
         self._read_at = float('-inf')
 
     async def read(self) -> None:
-        """Read the record and merge its quarantined requests.
+        """Read the record and merge its content.
 
         Raises:
             StoreError: the record cannot be read.
@@ -58,14 +74,17 @@
         self._read_at = self._state.timers.now()
         item = await self._store.get(CRASHES_KEY)
         if item is None:
-            self._written = frozenset()
+            self._written = NOTHING_WRITTEN
             return
         content = decode_record(item, CrashRecordContent)
         if content is None:
             return
-        self._written = frozenset(content.quarantined)
+        self._written = _key_of(content)
+        report = CrashReport(
+            content.runs, Quarantines(content.quarantined, content.companions)
+        )
         now = self._state.timers.now()
-        self._state.crashes.merge_quarantined(content.quarantined, now)
+        self._state.crashes.apply_report(report, now)
 
     async def run(self) -> None:
         """Keep the record and this node in sync, until cancelled.
@@ -89,13 +108,20 @@
             await self.read()
 
     async def _write_if_outdated(self, now: float) -> None:
-        quarantined = self._state.crashes.quarantined(now)
-        if self._written == quarantined.keys():
+        crashes = self._state.crashes
+        quarantines = crashes.quarantines(now)
+        suspects = crashes.table.suspect_parts()
+        content = CrashRecordContent(
+            quarantines.seconds,
+            quarantines.companions,
+            crashes.table.evidence.runs(now, MAX_RECORDED_RUNS, suspects),
+        )
+        key = _key_of(content)
+        if self._written == key:
             return
-        content = msgspec.json.encode(CrashRecordContent(quarantined))
-        write = Write(CRASHES_KEY, content)
+        write = Write(CRASHES_KEY, msgspec.json.encode(content))
         await self._store.write_as_home(self._state.tenure, write)
-        self._written = frozenset(quarantined)
+        self._written = key
 
     def _is_standalone(self, now: float) -> bool:
         """Check whether no home reports quarantines to this node."""
@@ -104,3 +130,15 @@
             return False
         silence = load_expires_after(report_period(state.quotas.entries))
         return state.home is None or now - state.home_answered_at > silence
+
+
+def _key_of(content: CrashRecordContent) -> RecordKey:
+    """Return what a record says, without the seconds that pass."""
+    quarantined = (
+        (trait, frozenset(content.companions.get(trait, ())))
+        for trait in content.quarantined
+    )
+    ends = (
+        (trait, run.lifetime) for run in content.runs for trait in run.traits
+    )
+    return frozenset(chain(quarantined, ends))
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/new_state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/new_state.py
@@ -51,6 +51,7 @@
     )
     state.counters.open_requests.set_function(lambda: state.open_requests)
     _observe_held(state)
+    state.crashes.is_judge = lambda: state.tenure is not None
     return state
 
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/admitting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/admitting.py
@@ -14,7 +14,7 @@
 from spanfall_core.gateway.contention.held import HeldRequest
 from spanfall_core.gateway.contention.review import remove_hopeless
 from spanfall_core.gateway.contention.waiting import AdmissionTerms, Asker
-from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.crashes.standings import UNRESTRICTED, Standing
 from spanfall_core.gateway.routing.balance import Choice
 from spanfall_core.gateway.routing.grants import RetryAfter
 from spanfall_core.reasons import RefusalReason
@@ -89,7 +89,9 @@
         return False
     if state.tenure is None or not state.tenure.may_order(now):
         return False
-    return state.crashes.standing(request.ask.identity, now) is Standing.FREE
+    ask = request.ask
+    standing = state.crashes.standing_of(ask.identity, ask.parts, now)
+    return standing in UNRESTRICTED
 
 
 def _grant_without_turn(
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
@@ -3,8 +3,10 @@
 import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import anyio
+from spanfall_core.gateway.crashes.evidence import BrokenRun
 from spanfall_core.gateway.known.configuration import RouteKind
 from spanfall_core.gateway.known.lifetimes import Lifetime
 from spanfall_core.gateway.known.origins import Origin
@@ -67,6 +69,16 @@
         self.last_at = now
 
 
+class RunObserver(Protocol):
+    """Observe one run of a request."""
+
+    async def record_part(self, now: float) -> None:
+        """Record a part of the answer that was received now."""
+
+    def broken(self) -> BrokenRun:
+        """Return the run as one that broke now."""
+
+
 @dataclass(slots=True)
 class Exchange:
     """Hold the progress of one request over all of its sends."""
@@ -88,8 +100,8 @@
     #: Ends the exchange by its deadline, less the time for the response.
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     timings: PartTimings = field(default_factory=PartTimings)
-    #: Called when the response starts, if the request is watched for crashes.
-    on_response_start: Callable[[], Awaitable[None]] | None = None
+    #: What its current run shows of the causes of crashes.
+    run: RunObserver | None = None
     #: Checks whether the upstream still runs after it closed a connection.
     check_still_runs: Callable[[], Awaitable[bool]] | None = None
     #: Tells the home what began the stream, unless it knows.
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/choosing.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/choosing.py
@@ -1,7 +1,7 @@
 """Choose an upstream for a request, now or after a bounded wait."""
 
 import anyio
-from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.crashes.standings import Standing
 from spanfall_core.gateway.known.stream_origins import StreamKey
 from spanfall_core.gateway.routing.balance import Choice
 from spanfall_core.gateway.routing.estimates import RoutingRequest
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/crash_watch.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/crash_watch.py
@@ -8,11 +8,12 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from types import MappingProxyType
 
 import anyio
-from spanfall_core.gateway.crashes.crashes import ProbeResult
-from spanfall_core.gateway.known.identity import RequestIdentity
+from spanfall_core.gateway.crashes.evidence import BrokenRun, CrashSign
+from spanfall_core.gateway.crashes.standings import ProbeResult
 from spanfall_core.gateway.known.lifetimes import Lifetime
 from spanfall_core.gateway.known.listed import ListedUpstream
 
@@ -43,15 +44,23 @@
 #: Seconds for which the result of a probe stands for all queued requests of its
 #: upstream.
 PROBE_PERIOD = 1.0
+#: Signs of an end by what a probe says.
+SIGNS = MappingProxyType(
+    {
+        ProbeResult.ENDED: CrashSign.ENDED,
+        ProbeResult.NO_ANSWER: CrashSign.STRONG,
+        ProbeResult.ACCEPTS_CONNECTIONS: CrashSign.WEAK,
+    }
+)
 #: Seconds between two checks of the platform's list while a crash is suspected.
 SUSPICION_CHECK_PERIOD = 0.2
 
 
 @dataclass(frozen=True, slots=True)
 class UnansweredRequest:
-    """Hold a request whose upstream did not respond in time."""
+    """Hold a run whose upstream did not respond in time."""
 
-    identity: RequestIdentity
+    run: BrokenRun
     upstream: ListedUpstream
 
 
@@ -81,9 +90,7 @@
         self._send = None
 
     async def check_broken_send(
-        self,
-        identity: RequestIdentity,
-        upstream: ListedUpstream,
+        self, run: BrokenRun, upstream: ListedUpstream
     ) -> bool:
         """Probe an upstream whose send broke, and record a crash if it ended.
 
@@ -93,9 +100,9 @@
         """
         probe_result = await self._probe_after_break(upstream)
         if probe_result in {ProbeResult.ALIVE, ProbeResult.NO_PATH}:
-            await self.report_run(identity, RunStage.INCOMPLETE)
+            await self.report_run(WatchedRun(run.identity, RunStage.INCOMPLETE))
         else:
-            await self._record(identity, upstream, probe_result)
+            await self._record(run, probe_result)
         return probe_result is not ProbeResult.NO_PATH
 
     async def still_runs(self, upstream: ListedUpstream) -> bool:
@@ -112,7 +119,7 @@
 
     def queue_unanswered(
         self,
-        identity: RequestIdentity,
+        run: BrokenRun,
         upstream: ListedUpstream,
         last_received_at: float,
     ) -> None:
@@ -122,7 +129,7 @@
         if len(self._queue) >= MAX_QUEUED_PROBES:
             self.state.counters.unexamined_requests.inc()
             return
-        self._queue.append(UnansweredRequest(identity, upstream))
+        self._queue.append(UnansweredRequest(run, upstream))
         self._queue_filled.set()
 
     async def probe_unanswered(self) -> None:
@@ -135,9 +142,7 @@
                     unanswered.upstream
                 )
                 if probe_result in {ProbeResult.ENDED, ProbeResult.NO_ANSWER}:
-                    await self._record(
-                        unanswered.identity, unanswered.upstream, probe_result
-                    )
+                    await self._record(unanswered.run, probe_result)
             self._queue_filled = anyio.Event()
 
     async def resolve_suspected_crashes(self) -> None:
@@ -152,38 +157,18 @@
                 state.directory, heartbeat, now
             )
 
-    async def report_run(
-        self,
-        identity: RequestIdentity,
-        stage: RunStage,
-    ) -> None:
+    async def report_run(self, run: WatchedRun) -> None:
         """Report to the home which stage a watched run has reached."""
-        run = WatchedRun(identity, stage)
         self.state.crashes.record_run(run, self.state.timers.now())
         if self._send is not None:
             await self._send(run)
 
-    async def _record(
-        self,
-        identity: RequestIdentity,
-        upstream: ListedUpstream,
-        probe_result: ProbeResult,
-    ) -> None:
+    async def _record(self, run: BrokenRun, probe_result: ProbeResult) -> None:
         """Record what a probe showed, and report it to the home."""
-        crashes = self.state.crashes
-        now = self.state.timers.now()
-        lifetime = upstream.lifetime
-        if probe_result is ProbeResult.ENDED:
-            crashes.record_crash(identity, lifetime, now)
-            report = CrashReport({identity: (lifetime,)})
-        else:
-            is_strong = probe_result is ProbeResult.NO_ANSWER
-            crashes.record_suspected_crash(
-                identity, lifetime, now, is_strong=is_strong
-            )
-            report = CrashReport(doubts={identity: {lifetime: is_strong}})
+        signed = replace(run, sign=SIGNS[probe_result])
+        self.state.crashes.record(signed, self.state.timers.now())
         if self._send is not None:
-            await self._send(report)
+            await self._send(CrashReport((signed,)))
 
     async def _probe_after_break(self, upstream: ListedUpstream) -> ProbeResult:
         """Probe an upstream just after a send to it broke."""
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Sequence
 from collections.abc import Set as AbstractSet
 
-from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.crashes.standings import UNRESTRICTED, Standing
 from spanfall_core.gateway.known.lifetimes import Lifetime
 from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.routing.balance import Choice, choose
@@ -54,7 +54,12 @@
     """
     now = state.timers.now()
     state.record_own_load(now)
-    standing = state.crashes.standing(request.ask.identity, now)
+    ask = request.ask
+    standing = state.crashes.standing_of(ask.identity, ask.parts, now)
+    if standing is Standing.OBSERVED and not state.crashes.observes(
+        request.service, now
+    ):
+        standing = Standing.FREE
     if standing in UNGRANTED_STANDINGS:
         return GrantMessage(number, standing=standing)
     if not request.ask.tried:
@@ -66,10 +71,9 @@
     candidates = serving
     if standing is Standing.SUSPECT:
         trials = state.crashes.trials
-        identity = request.ask.identity
-        if not trials.try_begin(request.service, identity, now):
+        if not trials.try_begin(request.service, ask.identity, now):
             return GrantMessage(number, standing=standing)
-    if standing is not Standing.FREE:
+    if standing not in UNRESTRICTED:
         allowed = [
             row
             for row in serving
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/grants.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from spanfall_core.gateway.contention.waiting import AdmissionTerms
-from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.crashes.standings import Standing
 from spanfall_core.gateway.known.stream_origins import StreamKey
 from spanfall_core.gateway.routing.balance import Choice, choose
 from spanfall_core.gateway.routing.estimates import RoutingRequest
@@ -240,6 +240,7 @@
             grant.ahead,
             is_watched,
             is_granted=True,
+            is_trial=answer.standing is Standing.SUSPECT,
         )
 
     def _choose_locally(
@@ -254,7 +255,9 @@
         """
         state = self.state
         now = state.timers.now()
-        standing = state.crashes.standing(routing_request.identity, now)
+        standing = state.crashes.standing_of(
+            routing_request.identity, routing_request.parts, now
+        )
         if standing in GRANT_REQUIRED:
             return standing
         words = state.words
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -8,7 +8,7 @@
 from functools import partial
 
 import anyio
-from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.crashes.standings import Standing
 from spanfall_core.gateway.crashes.traits import part_traits
 from spanfall_core.gateway.routing.balance import Choice
 from spanfall_core.gateway.routing.grants import RetryAfter
@@ -148,7 +148,10 @@
         await _abort_response(state, exchange, RefusalReason.ENDS_UPSTREAMS)
         return
     if standing is Standing.QUARANTINED:
-        raise EndsUpstreamsError(exchange.admitted.identity)
+        traits = exchange.admitted.traits
+        now = state.timers.now()
+        refused = state.crashes.table.verdicts.refused(traits, now)
+        raise EndsUpstreamsError(refused or traits)
     if exchange.sends.may_have_run:
         raise final_refusal(NextStep.ANSWER_UNKNOWN)
     seconds = TRIAL_RETRY_SECONDS
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/response_ends.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/response_ends.py
@@ -70,6 +70,8 @@
             break
         on_token()
         count_run(state, exchange.admitted)
+        if exchange.run is not None:
+            await exchange.run.record_part(state.timers.now())
         whole = events.feed(part)
         if whole:
             exchange.timings.record(state.timers.now())
@@ -123,8 +125,6 @@
 ) -> None:
     if exchange.started:
         return
-    if exchange.on_response_start is not None:
-        await exchange.on_response_start()
     headers = response_headers(head, None, exchange.admitted.req.method)
     exchange.started = True
     await exchange.caller.send_head(
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
@@ -221,6 +221,8 @@
     count_run(state, exchange.admitted)
     if head.status < 300:
         _record_call(state, exchange, choice)
+        if exchange.run is not None:
+            await exchange.run.record_part(state.timers.now())
     await relay_buffered(state, exchange, response)
     return Answered()
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/watched_sends.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/watched_sends.py
@@ -3,16 +3,16 @@
 from dataclasses import dataclass
 from functools import partial
 
-from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.crashes.standings import Standing
 from spanfall_core.gateway.routing.balance import Choice
 from spanfall_core.gateway.routing.sends import SendOutcome
 
-from spanfall_node.gateway.links.crash_messages import RunStage
 from spanfall_node.gateway.net.pool import ConnectionPool
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.attempt import Answered, Exchange, Failed
 from spanfall_node.gateway.upstreams.crash_watch import CrashDetector
 from spanfall_node.gateway.upstreams.grants import GrantClient
+from spanfall_node.gateway.upstreams.run_watch import RunWatch
 from spanfall_node.gateway.upstreams.sending import send
 from spanfall_node.gateway.upstreams.stream_lookup import OriginClient
 
@@ -34,13 +34,19 @@
     choice: Choice,
 ) -> Answered | Failed:
     """Send a request; check for a crash if the connection breaks."""
-    identity = exchange.admitted.identity
-    standing = state.crashes.standing(identity, state.timers.now())
-    is_watched = choice.is_watched or standing is not Standing.FREE
+    admitted, now = exchange.admitted, state.timers.now()
     detector = access.crash_detector
-    report_run = partial(detector.report_run, identity)
-    if is_watched:
-        exchange.on_response_start = partial(report_run, RunStage.BEGAN)
+    standing = state.crashes.standing(admitted.traits, now)
+    run = RunWatch(
+        state,
+        admitted,
+        choice.upstream,
+        detector.report_run,
+        is_reported=choice.is_watched or standing is not Standing.FREE,
+        is_trial=choice.is_trial,
+        sent_at=now,
+    )
+    exchange.run = run
     exchange.check_still_runs = partial(detector.still_runs, choice.upstream)
     home = state.home if choice.is_granted else None
     exchange.announce_origin = partial(
@@ -51,13 +57,10 @@
         isinstance(send_result, Failed)
         and send_result.outcome is SendOutcome.BROKEN
     ):
-        if not await detector.check_broken_send(identity, choice.upstream):
+        if not await detector.check_broken_send(run.broken(), choice.upstream):
             send_result.weight = 0
-    elif is_watched:
-        is_complete = isinstance(send_result, Answered)
-        await report_run(
-            RunStage.COMPLETE if is_complete else RunStage.INCOMPLETE
-        )
+    else:
+        await run.finish(is_complete=isinstance(send_result, Answered))
     return send_result
 
 
@@ -75,7 +78,7 @@
     finally:
         if send_result is None:
             access.crash_detector.queue_unanswered(
-                exchange.admitted.identity,
+                exchange.run.broken(),
                 choice.upstream,
                 max(began_at, exchange.timings.last_at),
             )
--- a/tests/test_gateway_crash_signs.py
+++ b/tests/test_gateway_crash_signs.py
@@ -7,6 +7,7 @@
 from random import Random
 
 import pytest
+from crash_evidence import ended, suspected
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from spanfall_core.gateway.crashes.crash_signs import (
@@ -15,11 +16,9 @@
     max_listing_delay,
     settle,
 )
-from spanfall_core.gateway.crashes.crashes import (
-    CrashTable,
-    Standing,
-    SuspectedCrash,
-)
+from spanfall_core.gateway.crashes.crashes import CrashTable
+from spanfall_core.gateway.crashes.judgement import SuspectedCrash
+from spanfall_core.gateway.crashes.standings import Standing
 from spanfall_core.gateway.known.directory import Directory
 from spanfall_core.gateway.known.listed import ListedUpstream
 
@@ -97,30 +96,30 @@
 def record_suspected(table, *names, is_strong=True, identity=CAUSE):
     """Record suspected crashes of some upstreams under a request."""
     for name in names:
-        table.record_suspected_crash(identity, name, 0, is_strong=is_strong)
+        table.record(suspected(identity, name, is_strong=is_strong), 0)
 
 
 def test_suspected_crashes_hold_a_request():
     table = CrashTable()
     record_suspected(table, 'u-1', 'u-2')
-    assert table.standing(CAUSE, 0) is Standing.SUSPECT
+    assert table.standing((CAUSE,), 0) is Standing.SUSPECT
     record_suspected(table, 'u-3')
-    assert table.standing(CAUSE, 0) is Standing.HELD
+    assert table.standing((CAUSE,), 0) is Standing.HELD
     assert [table.confirm_crash(name, 1) for name in ('u-1', 'u-2')] == [[], []]
-    assert table.standing(CAUSE, 1) is Standing.HELD
+    assert table.standing((CAUSE,), 1) is Standing.HELD
     assert table.confirm_crash('u-3', 1) == [CAUSE]
-    assert table.standing(CAUSE, 1) is Standing.QUARANTINED
+    assert table.standing((CAUSE,), 1) is Standing.QUARANTINED
 
 
 def test_upstream_found_alive_clears_suspicion():
     table = CrashTable()
     record_suspected(table, 'u-1', 'u-2', 'u-3')
     table.record_alive('u-2')
-    assert table.standing(CAUSE, 0) is Standing.SUSPECT
+    assert table.standing((CAUSE,), 0) is Standing.SUSPECT
     table.record_alive('u-1')
-    assert table.standing(CAUSE, 0) is Standing.WATCHED
+    assert table.standing((CAUSE,), 0) is Standing.WATCHED
     table.record_alive('u-3')
-    assert table.standing(CAUSE, 0) is Standing.FREE
+    assert table.standing((CAUSE,), 0) is Standing.FREE
 
 
 def test_weak_suspicions_count_from_the_second_on():
@@ -137,7 +136,7 @@
     )
     for number, standing in enumerate(expected):
         record_suspected(table, f'u-{number}', is_strong=False)
-        assert table.standing(CAUSE, 0) is standing
+        assert table.standing((CAUSE,), 0) is standing
 
 
 def test_next_trial_decides_between_two_requests():
@@ -148,9 +147,9 @@
         record_suspected(table, *names, is_strong=False, identity=identity)
     assert not any(table.confirm_crash(name, 1) for name in names)
     for identity in (CAUSE, 'beside'):
-        assert table.standing(identity, 1) is Standing.SUSPECT
-    assert table.record_crash(CAUSE, 'u-4', 2)
-    assert table.standing('beside', 2) is Standing.FREE
+        assert table.standing((identity,), 1) is Standing.SUSPECT
+    assert table.record(ended(CAUSE, 'u-4'), 2)
+    assert table.standing(('beside',), 2) is Standing.FREE
 
 
 @dataclass
@@ -167,23 +166,24 @@
         identity = self.rng.choice(('a', 'b', 'c'))
         lifetime = f'u-{self.rng.randrange(number + 1)}'
         if sign == 'lives':
-            if lifetime in self.table.suspected_crashes:
+            if lifetime in self.table.evidence.suspected_crashes:
                 self.table.record_alive(lifetime)
             return
         self.broken.setdefault(identity, set()).add(lifetime)
         if sign == 'ended':
             self.ended.add(lifetime)
-            self.table.record_crash(identity, lifetime, 0)
+            self.table.record(ended(identity, lifetime), 0)
         else:
             is_strong = sign == 'strong'
-            self.table.record_suspected_crash(
-                identity, lifetime, 0, is_strong=is_strong
-            )
+            run = suspected(identity, lifetime, is_strong=is_strong)
+            self.table.record(run, 0)
 
     def settle_one(self):
         """Confirm one suspected crash in a fifth of the steps."""
-        if self.rng.random() < 0.2 and self.table.suspected_crashes:
-            over = self.rng.choice(sorted(self.table.suspected_crashes))
+        if self.rng.random() < 0.2 and self.table.evidence.suspected_crashes:
+            over = self.rng.choice(
+                sorted(self.table.evidence.suspected_crashes)
+            )
             self.ended.add(over)
             self.table.confirm_crash(over, 0)
 
@@ -198,6 +198,9 @@
     for number, sign in enumerate(signs):
         simulation.step(number, sign)
         simulation.settle_one()
-        for refused in simulation.table.quarantined:
+        for refused in simulation.table.verdicts.rows:
             assert len(simulation.broken[refused] & simulation.ended) >= 3
-    assert not simulation.table.suspected_crashes.keys() & simulation.ended
+    assert (
+        not simulation.table.evidence.suspected_crashes.keys()
+        & simulation.ended
+    )
--- a/tests/test_gateway_crash_spread.py
+++ b/tests/test_gateway_crash_spread.py
@@ -3,8 +3,10 @@
 from unittest.mock import patch
 
 import anyio
+from crash_evidence import ended, suspected
 from gateway_world import ask, in_world
-from spanfall_core.gateway.crashes.crashes import QUARANTINE_SECONDS, Standing
+from spanfall_core.gateway.crashes.crashes import QUARANTINE_SECONDS
+from spanfall_core.gateway.crashes.standings import Standing
 from spanfall_core.gateway.known.identity import request_identity
 from spanfall_node.gateway.links.crash_messages import RunStage, WatchedRun
 from spanfall_node.gateway.store.crash_record import CRASHES_KEY
@@ -37,7 +39,7 @@
 def is_known(state):
     """Return whether a node has the request in quarantine."""
     return (
-        state.crashes.standing(IDENTITY, state.timers.now())
+        state.crashes.standing((IDENTITY,), state.timers.now())
         is Standing.QUARANTINED
     )
 
@@ -74,7 +76,9 @@
     await world.add_upstream(in_turn(raw(BROKEN), complete_response()))
     state = await world.add_gateway()
     await ask(state, PATH, body=DEADLY)
-    assert state.crashes.standing(IDENTITY, state.timers.now()) is Standing.FREE
+    assert (
+        state.crashes.standing((IDENTITY,), state.timers.now()) is Standing.FREE
+    )
     answer = await ask(state, PATH, attempt='a2', body=DEADLY)
     assert answer.status == 200
 
@@ -83,18 +87,18 @@
     home = CrashState()
     for number in range(3):
         entry = CrashState()
-        entry.record_crash(IDENTITY, f'u-{number}', 0)
+        entry.record(ended(IDENTITY, f'u-{number}'), 0)
         home.apply_report(entry.report(0), 0)
-    assert home.standing(IDENTITY, 0) is Standing.QUARANTINED
+    assert home.standing((IDENTITY,), 0) is Standing.QUARANTINED
 
 
 def test_new_home_combines_suspected_crashes():
     home = CrashState()
     for number in range(3):
         entry = CrashState()
-        entry.record_suspected_crash(IDENTITY, f'u-{number}', 0, is_strong=True)
+        entry.record(suspected(IDENTITY, f'u-{number}'), 0)
         home.apply_report(entry.report(0), 0)
-    assert home.standing(IDENTITY, 0) is Standing.HELD
+    assert home.standing((IDENTITY,), 0) is Standing.HELD
     assert home.has_suspected_crashes.is_set()
 
 
@@ -105,12 +109,12 @@
     """
     home = CrashState()
     for number in range(3):
-        home.record_crash('other', f'u-{number}', 0)
-        home.table.clear('other')
+        home.record(ended('other', f'u-{number}'), 0)
+        home.table.clear_request('other')
     changed = home.changed
     for doubted in range(3):
-        home.record_suspected_crash(IDENTITY, f'u-{doubted}', 0, is_strong=True)
-    assert home.standing(IDENTITY, 0) is Standing.QUARANTINED
+        home.record(suspected(IDENTITY, f'u-{doubted}'), 0)
+    assert home.standing((IDENTITY,), 0) is Standing.QUARANTINED
     assert changed.is_set()
 
 
@@ -125,9 +129,9 @@
 def test_forwarded_quarantine_expires_in_time():
     first, second = CrashState(), CrashState()
     for number in range(3):
-        first.record_crash(IDENTITY, f'u-{number}', 0)
+        first.record(ended(IDENTITY, f'u-{number}'), 0)
     half = QUARANTINE_SECONDS / 2
     second.apply_report(first.report(half), half)
-    assert second.standing(IDENTITY, half) is Standing.QUARANTINED
-    assert second.standing(IDENTITY, QUARANTINE_SECONDS) is Standing.FREE
-    assert not second.quarantined(QUARANTINE_SECONDS)
+    assert second.standing((IDENTITY,), half) is Standing.QUARANTINED
+    assert second.standing((IDENTITY,), QUARANTINE_SECONDS) is Standing.FREE
+    assert not second.quarantines(QUARANTINE_SECONDS).seconds
--- a/tests/test_gateway_crash_table.py
+++ b/tests/test_gateway_crash_table.py
@@ -8,17 +8,18 @@
 from random import Random
 
 import pytest
+from crash_evidence import ended
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from spanfall_core.gateway.crashes.crashes import (
-    MAX_QUARANTINED,
-    MAX_TRACKED_REQUESTS,
     QUARANTINE_SECONDS,
-    QUARANTINE_THRESHOLD,
     CrashTable,
-    Standing,
 )
+from spanfall_core.gateway.crashes.evidence_table import MAX_TRACKED_TRAITS
+from spanfall_core.gateway.crashes.judgement import QUARANTINE_THRESHOLD
+from spanfall_core.gateway.crashes.standings import Standing
 from spanfall_core.gateway.crashes.trials import MAX_TRIAL_SECONDS, Trials
+from spanfall_core.gateway.crashes.verdicts import MAX_QUARANTINED
 
 #: Seconds per step, and steps per run; the cause crashes its upstream after the
 #: first step.
@@ -61,12 +62,12 @@
                 self.runs[name] = (upstream, left - 1)
             else:
                 self.runs.pop(name)
-                self.table.clear(name)
+                self.table.clear_request(name)
                 self.trials.end(name, self.now)
 
     def send(self, name):
         """Send a request if its standing allows it."""
-        standing = self.table.standing(name, self.now)
+        standing = self.table.standing((name,), self.now)
         if standing is Standing.QUARANTINED:
             self.waiting.remove(name)
             return
@@ -86,7 +87,7 @@
         for name in broken:
             self.runs.pop(name)
             self.trials.end(name, self.now)
-            self.table.record_crash(name, upstream, self.now)
+            self.table.record(ended(name, upstream), self.now)
             self.waiting.append(name)
 
 
@@ -109,7 +110,7 @@
 @settings(max_examples=150, deadline=None)
 def test_only_the_cause_is_quarantined(seed, cause_at):
     fleet = play(seed, {*cause_at, 60}, set())
-    assert list(fleet.table.quarantined) == [CAUSE]
+    assert list(fleet.table.verdicts.rows) == [CAUSE]
     assert fleet.ended_by_cause == QUARANTINE_THRESHOLD
     assert not fleet.waiting
     assert not fleet.runs
@@ -122,7 +123,7 @@
     gap = 4 * RUN_STEPS
     waves = set(range(first, 200, gap))
     fleet = play(seed, set(), waves)
-    assert not fleet.table.quarantined
+    assert not fleet.table.verdicts
     assert not fleet.waiting
     assert not fleet.runs
 
@@ -130,41 +131,41 @@
 def test_explained_crash_counts_only_once():
     table = CrashTable()
     for number in range(QUARANTINE_THRESHOLD):
-        table.record_crash('beside', f'u-{number}', 0)
+        table.record(ended('beside', f'u-{number}'), 0)
         if number == 1:
-            table.clear('beside')
-        table.record_crash(CAUSE, f'u-{number}', 0)
-    table.record_crash('told late', 'u-2', 0)
-    assert table.standing('beside', 0) is Standing.FREE
-    assert table.standing('told late', 0) is Standing.FREE
+            table.clear_request('beside')
+        table.record(ended(CAUSE, f'u-{number}'), 0)
+    table.record(ended('told late', 'u-2'), 0)
+    assert table.standing(('beside',), 0) is Standing.FREE
+    assert table.standing(('told late',), 0) is Standing.FREE
 
 
 @pytest.mark.parametrize('ends', (1, 2))
 def test_complete_answer_clears_a_request(ends):
     table = CrashTable()
     for number in range(ends):
-        table.record_crash('r', f'u-{number}', 0)
-    assert table.standing('r', 0) is not Standing.FREE
-    table.clear('r')
-    assert table.standing('r', 0) is Standing.FREE
+        table.record(ended('r', f'u-{number}'), 0)
+    assert table.standing(('r',), 0) is not Standing.FREE
+    table.clear_request('r')
+    assert table.standing(('r',), 0) is Standing.FREE
 
 
 def test_many_requests_evict_no_suspect():
     table = CrashTable()
-    table.record_crash('suspect', 'u-0', 0)
-    table.record_crash('suspect', 'u-1', 0)
-    for number in range(MAX_TRACKED_REQUESTS + 10):
-        table.record_crash(f'r-{number}', f'u-{number}', 0)
-    assert len(table.crashed_upstreams) <= MAX_TRACKED_REQUESTS
-    assert table.standing('suspect', 0) is Standing.SUSPECT
+    table.record(ended('suspect', 'u-0'), 0)
+    table.record(ended('suspect', 'u-1'), 0)
+    for number in range(MAX_TRACKED_TRAITS + 10):
+        table.record(ended(f'r-{number}', f'u-{number}'), 0)
+    assert len(table.evidence.rows) <= MAX_TRACKED_TRAITS
+    assert table.standing(('suspect',), 0) is Standing.SUSPECT
 
 
 def test_quarantines_are_bounded():
     table = CrashTable()
     for number in range(MAX_QUARANTINED + 10):
-        table.quarantine(f'r-{number}', 1)
-    assert len(table.quarantined) == MAX_QUARANTINED
-    assert table.standing(f'r-{MAX_QUARANTINED}', 0) is Standing.QUARANTINED
+        table.quarantine({f'r-{number}'}, 1)
+    assert len(table.verdicts.rows) == MAX_QUARANTINED
+    assert table.standing((f'r-{MAX_QUARANTINED}',), 0) is Standing.QUARANTINED
 
 
 def test_unfinished_trial_times_out():
@@ -178,6 +179,6 @@
 def test_quarantine_expires_after_its_time():
     table = CrashTable()
     for number in range(QUARANTINE_THRESHOLD):
-        table.record_crash(CAUSE, f'u-{number}', 5)
-    assert table.standing(CAUSE, QUARANTINE_SECONDS) is Standing.QUARANTINED
-    assert table.standing(CAUSE, QUARANTINE_SECONDS + 5) is Standing.FREE
+        table.record(ended(CAUSE, f'u-{number}'), 5)
+    assert table.standing((CAUSE,), QUARANTINE_SECONDS) is Standing.QUARANTINED
+    assert table.standing((CAUSE,), QUARANTINE_SECONDS + 5) is Standing.FREE
--- a/tests/test_gateway_cut_entries.py
+++ b/tests/test_gateway_cut_entries.py
@@ -278,7 +278,7 @@
 def has_crashes(state):
     """Return whether a node counts any crash, also a suspected one."""
     report = state.crashes.report(state.timers.now())
-    return bool(report.ends or report.doubts)
+    return bool(report.runs)
 
 
 def tunnels(state):
--- a/tests/test_gateway_home_restore.py
+++ b/tests/test_gateway_home_restore.py
@@ -9,6 +9,7 @@
 from spanfall_node.gateway.duties.capacity_duty import CapacityPlanner
 from spanfall_node.gateway.duties.duties import CloudClient
 from spanfall_node.gateway.home import leadership
+from spanfall_node.gateway.links.crash_messages import Quarantines
 from spanfall_node.gateway.net.ports import Write
 from spanfall_node.gateway.store.crash_record import CRASHES_KEY
 from spanfall_node.gateway.store.needs_record import NEEDS_KEY
@@ -144,8 +145,8 @@
     await wait_until(lambda: is_home(home))
     copy = world.store.copy()
     home.needs = {'llm': 12.5}
-    quarantined = {IDENTITY: QUARANTINE_SECONDS}
-    home.crashes.merge_quarantined(quarantined, home.timers.now())
+    quarantined = Quarantines({IDENTITY: QUARANTINE_SECONDS})
+    home.crashes.merge_quarantines(quarantined, home.timers.now())
     written = {NEEDS_KEY, CRASHES_KEY}
     await wait_until(lambda: written <= world.store.items.keys())
     world.store.restore(copy)
--- a/tests/test_gateway_messages.py
+++ b/tests/test_gateway_messages.py
@@ -2,10 +2,11 @@
 
 import cbor2
 import pytest
+from crash_evidence import ended, suspected
 from hypothesis import example, given
 from hypothesis import strategies as st
 from spanfall_core.gateway.contention.waiting import AdmissionTerms
-from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.crashes.standings import Standing
 from spanfall_core.gateway.known.fleet import EntryReport, FleetTotals
 from spanfall_core.gateway.known.identity import request_identity
 from spanfall_core.gateway.known.lifetimes import name_lifetime
@@ -31,6 +32,7 @@
 from spanfall_node.gateway.links.crash_messages import (
     CrashReport,
     QuarantineMessage,
+    Quarantines,
     RunStage,
     WatchedRun,
 )
@@ -59,6 +61,7 @@
 )
 
 LIFETIME = name_lifetime('u-1', 1000)
+PART = 'part/5c1e'
 IDENTITY = request_identity('w', 'h', 'POST', '/', b'x')
 ROW = ListedUpstream('u-1', 'llm', '10.0.0.1:80', 'north', 8, born=1000)
 LOAD = EntryLoad({LIFETIME: 2}, {LIFETIME: 900}, 7)
@@ -85,9 +88,14 @@
     GrantRequestMessage('n/i', 4, GrantRequest('llm', ASK, TERMS), LOAD),
     WithdrawMessage('n/i', (TICKET,)),
     UnitsRequest('n/i', 3, 'w', 500.0),
-    CrashReport({IDENTITY: (LIFETIME,)}, {IDENTITY: 9.5}, is_first=True),
-    CrashReport(doubts={IDENTITY: {LIFETIME: True}}),
+    CrashReport(
+        (ended(IDENTITY, LIFETIME, PART, proven=(PART,), version='v1'),),
+        Quarantines({IDENTITY: 9.5, PART: 8}, {PART: ('part/2',)}),
+        is_first=True,
+    ),
+    CrashReport((suspected(IDENTITY, LIFETIME),)),
     WatchedRun(IDENTITY, RunStage.COMPLETE),
+    WatchedRun(IDENTITY, RunStage.SOUND, (PART,), 'v1'),
     StatementsReport(WORDS),
 ]
 FROM_HOME = [
@@ -102,7 +110,7 @@
     GrantMessage(9, rejected=Rejection(2.5, RefusalReason.NO_ROOM)),
     TurnMessage((TICKET,)),
     HoldsEndedMessage(),
-    QuarantineMessage({IDENTITY: 9.5}),
+    QuarantineMessage(Quarantines({IDENTITY: 9.5}), (PART,), ('part/2',)),
     UnitsMessage(3, 'w', 500.0),
     TableMessage(
         epoch=3,
--- a/tests/test_gateway_slow_signs.py
+++ b/tests/test_gateway_slow_signs.py
@@ -9,7 +9,7 @@
 import anyio
 import pytest
 from gateway_world import ask, in_world
-from spanfall_core.gateway.crashes.crashes import Standing
+from spanfall_core.gateway.crashes.standings import Standing
 from spanfall_core.gateway.known.identity import request_identity
 from spanfall_standins.gateway.server import AfterExit
 from spanfall_standins.gateway.upstream import complete_response, crashes_on
@@ -36,7 +36,7 @@
 def standing(state, path):
     """Return the standing of the request at a node."""
     identity = request_identity('', 'depot.example', 'POST', path, DEADLY)
-    return state.crashes.standing(identity, state.timers.now())
+    return state.crashes.standing((identity,), state.timers.now())
 
 
 async def send_again_and_again(gateways, path, attempts=ATTEMPTS):
