Close new connections unread while the event loop runs late

Cause: nothing bounded what an entry takes in; requests whose callers had left were processed like others.

Change: the standing delay of the event loop (the smallest of three samples in 0.3 s) above 0.08 s, on the home 0.03 s, lowers the rate at which new connections are taken; the others are closed before any byte is read, so that their callers' next attempt meets another node. Five a second are always taken. Readiness does not follow the load. Kept connections go on.

Evidence: test_gateway_intake.py, in virtual time: without the intake a node at 1.5, 2.5 and 4 times its capacity answers less than half of its capacity in time; with it over three quarters, on the home as well; below 0.8 of its capacity nothing is closed, nor by single pauses. At a real gateway a closed connection's request reaches no upstream while a kept connection is served.

--- a/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
@@ -6,6 +6,7 @@
 from anyio.abc import SocketStream
 from spanfall_core.reasons import RefusalReason
 
+from spanfall_node.gateway.callers.intake_gate import IntakeGate
 from spanfall_node.gateway.limits.unit_requests import UnitClient
 from spanfall_node.gateway.net.errors import BadRequestError, CallerGoneError
 from spanfall_node.gateway.requests.admission import AdmittedRequest, admit
@@ -56,11 +57,15 @@
         self._state = state
         self._access = access
         self._units = units
+        self.gate = IntakeGate(state)
         self._connections: dict[int, CallerConnection] = {}
         self._idle: set[int] = set()
 
     async def serve_connection(self, stream: SocketStream) -> None:
         """Serve the requests of one connection until either side closes it."""
+        if not self.gate.takes():
+            await anyio.aclose_forcefully(stream)
+            return
         caller = CallerConnection(stream, self._state.limits)
         self._connections[id(caller)] = caller
         try:
--- a/packages/spanfall-node/src/spanfall_node/gateway/program.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/program.py
@@ -127,6 +127,7 @@
     parts = [
         HomeLinks(state).run,
         state.timers.run,
+        callers.gate.run,
         sync.run,
         leadership.run,
         records.spending.run,
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
@@ -128,6 +128,16 @@
             'Connections to upstreams that this node opened for peers',
             registry=self.registry,
         )
+        self.closed_unread = Counter(
+            'spanfall_closed_unread',
+            'Connections of callers closed before any request was read',
+            registry=self.registry,
+        )
+        self.loop_delay = Gauge(
+            'spanfall_loop_delay_seconds',
+            'Standing delay of the event loop',
+            registry=self.registry,
+        )
         self.store_calls = self._labelled(
             'spanfall_store_calls',
             'Calls to the store, by outcome',
