--- a/packages/spanfall-core/src/spanfall_core/gateway/crashes/crashes.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/crashes/crashes.py
@@ -90,9 +90,13 @@
             # first time.
             evidence.explain({run.lifetime}, evidence.likely_causes(run))
         evidence.add(run, refused, now)
-        return renewed + self.confirm_crash(
-            run.lifetime, now, judges_parts=judges_parts
-        )
+        if evidence.is_known_end(run.lifetime):
+            found = self._judge(run.traits, now, judges_parts=judges_parts)
+        else:
+            found = self.confirm_crash(
+                run.lifetime, now, judges_parts=judges_parts
+            )
+        return renewed + found
 
     def _apply_to_verdicts(self, run: BrokenRun, now: float) -> list[Trait]:
         """Apply a crash to verdicts; return the parts quarantined again."""
@@ -112,11 +116,18 @@
         affected = [
             trait
             for trait, row in self.evidence.rows.items()
-            if lifetime in row.ends and (judges_parts or not is_part(trait))
+            if lifetime in row.ends
         ]
+        return self._judge(affected, now, judges_parts=judges_parts)
+
+    def _judge(
+        self, traits: Iterable[Trait], now: float, *, judges_parts: bool
+    ) -> list[Trait]:
+        """Return which of some traits confirmed ends put in quarantine."""
         quarantined: list[Trait] = []
-        for trait in affected:
-            if trait in self.evidence.rows:
+        for trait in traits:
+            is_judged = judges_parts or not is_part(trait)
+            if is_judged and trait in self.evidence.rows:
                 quarantined += self._quarantine_cause(trait, now)
         return quarantined
 
@@ -210,11 +221,9 @@
         have arrived.
         """
         suspects = (
-            trait
-            for trait, row in self.evidence.rows.items()
-            if len(row.ends) >= SUSPECT_THRESHOLD
-            and is_part(trait)
-            and self._standing_of(trait) not in UNRESTRICTED
+            part
+            for part in self.evidence.repeated_parts()
+            if self._standing_of(part) not in UNRESTRICTED
         )
         found = dict.fromkeys(chain(suspects, sorted(self.announced)))
         return tuple(islice(found, MAX_ANNOUNCED))
--- a/packages/spanfall-core/src/spanfall_core/gateway/crashes/evidence_table.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/crashes/evidence_table.py
@@ -40,11 +40,26 @@
     )
     _confirmed: dict[Lifetime, None] = field(default_factory=dict)
     _explained: dict[Lifetime, None] = field(default_factory=dict)
+    #: Parts that had two ends or more when the last one was added.
+    _repeated: dict[Trait, None] = field(default_factory=dict)
 
     def is_confirmed(self, run: BrokenRun) -> bool:
         """Return whether the upstream of a broken run has certainly ended."""
         return run.sign is CrashSign.ENDED or run.lifetime in self._confirmed
 
+    def is_known_end(self, lifetime: Lifetime) -> bool:
+        """Return whether an upstream has ended by an earlier report."""
+        return lifetime in self._confirmed
+
+    def repeated_parts(self) -> list[Trait]:
+        """Return the parts with two ends or more."""
+        self._repeated = {
+            part: None
+            for part in self._repeated
+            if part in self.rows and len(self.rows[part].ends) > 1
+        }
+        return list(self._repeated)
+
     def confirm(self, lifetime: Lifetime) -> None:
         """Record that an upstream has certainly ended."""
         self.suspected_crashes.pop(lifetime, None)
@@ -68,6 +83,8 @@
             row = self.rows.pop(trait, None) or TraitEvidence()
             row.add(trait, run, now)
             self.rows[trait] = row
+            if is_part(trait) and len(row.ends) > 1:
+                self._repeated[trait] = None
             self._evict_one()
 
     def _may_explain(
