Keep crash messages readable across an upgrade node by node

A node of the version before closes its link to the home on a quarantine message without its field, or on a standing that it does not know, and then decides alone. The field keeps its name and is always sent; parts are further fields. test_messages_of_an_earlier_version_are_read failed before.

--- a/packages/spanfall-node/src/spanfall_node/gateway/links/crash_messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/crash_messages.py
@@ -12,24 +12,18 @@
 Quarantined = dict[Trait, float]
 
 
-class Quarantines(msgspec.Struct, frozen=True, omit_defaults=True):
+class Quarantines(msgspec.Struct, frozen=True):
     """Hold which traits are quarantined, and which only together."""
 
-    seconds: Quarantined = {}
+    quarantined: Quarantined = {}
     #: Traits without which another one is not refused.
     companions: dict[Trait, tuple[Trait, ...]] = {}
 
 
-class CrashReport(
-    msgspec.Struct,
-    frozen=True,
-    omit_defaults=True,
-    tag='crashes',
-):
+class CrashReport(Quarantines, frozen=True, omit_defaults=True, tag='crashes'):
     """Report crashes to the home; on a new link, all that the entry has."""
 
     runs: tuple[BrokenRun, ...] = ()
-    quarantines: Quarantines = Quarantines()
     #: Whether the home is to answer with all quarantined traits.
     is_first: bool = False
 
@@ -60,12 +54,9 @@
     version: str | None = None
 
 
-class QuarantineMessage(
-    msgspec.Struct, frozen=True, omit_defaults=True, tag='quarantine'
-):
+class QuarantineMessage(Quarantines, frozen=True, tag='quarantine'):
     """Send an entry the traits whose requests must not be sent, or not now."""
 
-    quarantines: Quarantines
     #: Parts whose requests are sent only with the home's grant.
     suspects: tuple[Trait, ...] = ()
     #: Parts that were suspects or in quarantine and were answered since.
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/crash_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/crash_record.py
@@ -19,7 +19,6 @@
 
 from spanfall_node.gateway.links.crash_messages import (
     CrashReport,
-    Quarantined,
     Quarantines,
 )
 from spanfall_node.gateway.net.ports import Write
@@ -45,12 +44,9 @@
 NOTHING_WRITTEN: RecordKey = frozenset()
 
 
-class CrashRecordContent(msgspec.Struct, frozen=True):
+class CrashRecordContent(Quarantines, frozen=True):
     """Hold the remaining quarantine of each trait at the time of writing."""
 
-    quarantined: Quarantined
-    #: Traits without which another one is not refused.
-    companions: dict[Trait, tuple[Trait, ...]] = {}
     #: Evidence on parts that are suspects.
     runs: tuple[BrokenRun, ...] = ()
 
@@ -81,7 +77,7 @@
             return
         self._written = _key_of(content)
         report = CrashReport(
-            content.runs, Quarantines(content.quarantined, content.companions)
+            content.quarantined, content.companions, content.runs
         )
         now = self._state.timers.now()
         self._state.crashes.apply_report(report, now)
@@ -112,7 +108,7 @@
         quarantines = crashes.quarantines(now)
         suspects = crashes.table.suspect_parts()
         content = CrashRecordContent(
-            quarantines.seconds,
+            quarantines.quarantined,
             quarantines.companions,
             crashes.table.evidence.runs(now, MAX_RECORDED_RUNS, suspects),
         )
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/crash_knowledge.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/crash_knowledge.py
@@ -151,19 +151,19 @@
 
     def apply_report(self, report: CrashReport, now: float) -> None:
         """Merge the report of an entry, as the home."""
-        self.merge_quarantines(report.quarantines, now)
+        self.merge_quarantines(report, now)
         for run in report.runs:
             self.record(run, now)
 
     def merge_quarantines(self, others: Quarantines, now: float) -> None:
         """Merge the quarantines of another node."""
         verdicts = self.table.verdicts
-        new = [one for one in others.seconds if one not in verdicts.rows]
+        new = [one for one in others.quarantined if one not in verdicts.rows]
         for trait in new:
             if trait in verdicts.rows:
                 continue
             together = (trait, *others.companions.get(trait, ()))
-            self.table.quarantine(together, now + others.seconds[trait])
+            self.table.quarantine(together, now + others.quarantined[trait])
             logger.info(
                 'Requests with %s are quarantined, as reported by another node',
                 ' '.join(together),
@@ -177,12 +177,14 @@
         """Apply what the home announces."""
         self.table.release(message.released)
         self.table.announced = frozenset(message.suspects)
-        self.merge_quarantines(message.quarantines, now)
+        self.merge_quarantines(message, now)
 
     def announcement(self, now: float) -> QuarantineMessage:
         """Return what all entries are to know."""
+        known = self.quarantines(now)
         return QuarantineMessage(
-            self.quarantines(now),
+            known.quarantined,
+            known.companions,
             self.table.suspect_parts(),
             tuple(self._released),
         )
@@ -190,7 +192,10 @@
     def report(self, now: float) -> CrashReport:
         """Return the report of this node for a new home."""
         runs = self.table.evidence.runs(now, MAX_REPORTED_RUNS)
-        return CrashReport(runs, self.quarantines(now), is_first=True)
+        known = self.quarantines(now)
+        return CrashReport(
+            known.quarantined, known.companions, runs, is_first=True
+        )
 
     def quarantines(self, now: float) -> Quarantines:
         """Return the quarantined traits and their remaining seconds."""
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/crash_watch.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/crash_watch.py
@@ -168,7 +168,7 @@
         signed = replace(run, sign=SIGNS[probe_result])
         self.state.crashes.record(signed, self.state.timers.now())
         if self._send is not None:
-            await self._send(CrashReport((signed,)))
+            await self._send(CrashReport(runs=(signed,)))
 
     async def _probe_after_break(self, upstream: ListedUpstream) -> ProbeResult:
         """Probe an upstream just after a send to it broke."""
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/granting.py
@@ -88,6 +88,9 @@
     wait = 0.0
     if grant is None:
         wait = _seconds_to_permit(state, request, now)
+    if standing is Standing.OBSERVED:
+        # Entries report either; nodes of an earlier version know only this one.
+        standing = Standing.WATCHED
     return GrantMessage(number, grant, standing, wait)
 
 
--- a/tests/test_gateway_crash_spread.py
+++ b/tests/test_gateway_crash_spread.py
@@ -134,4 +134,4 @@
     second.apply_report(first.report(half), half)
     assert second.standing((IDENTITY,), half) is Standing.QUARANTINED
     assert second.standing((IDENTITY,), QUARANTINE_SECONDS) is Standing.FREE
-    assert not second.quarantines(QUARANTINE_SECONDS).seconds
+    assert not second.quarantines(QUARANTINE_SECONDS).quarantined
--- a/tests/test_gateway_messages.py
+++ b/tests/test_gateway_messages.py
@@ -32,7 +32,6 @@
 from spanfall_node.gateway.links.crash_messages import (
     CrashReport,
     QuarantineMessage,
-    Quarantines,
     RunStage,
     WatchedRun,
 )
@@ -89,11 +88,12 @@
     WithdrawMessage('n/i', (TICKET,)),
     UnitsRequest('n/i', 3, 'w', 500.0),
     CrashReport(
+        {IDENTITY: 9.5, PART: 8},
+        {PART: ('part/2',)},
         (ended(IDENTITY, LIFETIME, PART, proven=(PART,), version='v1'),),
-        Quarantines({IDENTITY: 9.5, PART: 8}, {PART: ('part/2',)}),
         is_first=True,
     ),
-    CrashReport((suspected(IDENTITY, LIFETIME),)),
+    CrashReport(runs=(suspected(IDENTITY, LIFETIME),)),
     WatchedRun(IDENTITY, RunStage.COMPLETE),
     WatchedRun(IDENTITY, RunStage.SOUND, (PART,), 'v1'),
     StatementsReport(WORDS),
@@ -110,7 +110,7 @@
     GrantMessage(9, rejected=Rejection(2.5, RefusalReason.NO_ROOM)),
     TurnMessage((TICKET,)),
     HoldsEndedMessage(),
-    QuarantineMessage(Quarantines({IDENTITY: 9.5}), (PART,), ('part/2',)),
+    QuarantineMessage({IDENTITY: 9.5}, {}, (PART,), ('part/2',)),
     UnitsMessage(3, 'w', 500.0),
     TableMessage(
         epoch=3,
@@ -192,3 +192,15 @@
         decode_or_refuse(decoder, cbor2.dumps({**fields, name: content}))
         fields.pop(name)
         decode_or_refuse(decoder, cbor2.dumps(fields))
+
+
+# Guards against a fleet that is upgraded node by node: what an earlier version
+# sends of quarantines is understood, and it understands what is sent to it.
+def test_messages_of_an_earlier_version_are_read():
+    earlier = {'type': 'quarantine', 'quarantined': {IDENTITY: 9.5}}
+    decoded = decode_from_home(cbor2.dumps(earlier))
+    assert decoded == QuarantineMessage({IDENTITY: 9.5})
+    sent = cbor2.loads(encode(QuarantineMessage()))
+    assert sent['quarantined'] == {}
+    report = {'type': 'crashes', 'ends': {IDENTITY: [LIFETIME]}}
+    assert decode_from_entry(cbor2.dumps(report)) == CrashReport()
