Accept all connections that wait, so that their delay is seen

Callers saw: the bound on new connections had no effect at 900 requests a second on one entry (235 of 3,984 first tries answered, 2,140 late).

Cause: one connection was accepted in each turn of the event loop, so up to 1,024 waited in the kernel's queue, some two seconds, while the loop itself ran little late: the load was looked for where it did not stand.

--- a/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
@@ -63,9 +63,6 @@
 
     async def serve_connection(self, stream: SocketStream) -> None:
         """Serve the requests of one connection until either side closes it."""
-        if not self.gate.takes():
-            await anyio.aclose_forcefully(stream)
-            return
         caller = CallerConnection(stream, self._state.limits)
         self._connections[id(caller)] = caller
         try:
--- a/packages/spanfall-node/src/spanfall_node/gateway/program.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/program.py
@@ -13,6 +13,7 @@
 from anyio.abc import TaskGroup
 from spanfall_api.gateway_settings import GatewaySettings
 
+from spanfall_node.gateway.callers.accepting import accept_callers
 from spanfall_node.gateway.callers.callers import Callers
 from spanfall_node.gateway.duties.capacity_duty import CapacityPlanner
 from spanfall_node.gateway.duties.duties import CloudClient, UsageReporter
@@ -177,7 +178,7 @@
         tasks.start_soon(_listen, listen.metrics, status_server)
     if listen.tunnels:
         tasks.start_soon(_listen, listen.tunnels, tunnels)
-    tasks.start_soon(_listen, listen.callers, callers)
+    tasks.start_soon(accept_callers, listen.callers, callers)
 
 
 async def _restart_on_failure(part: Callable[[], Awaitable[None]]) -> None:
@@ -190,9 +191,7 @@
         await anyio.sleep(RESTART_SECONDS)
 
 
-async def _listen(
-    address: str, server: Callers | StatusServer | TunnelServer
-) -> None:
+async def _listen(address: str, server: StatusServer | TunnelServer) -> None:
     host, _, port = address.rpartition(':')
     listener = await anyio.create_tcp_listener(
         local_host=host,
--- a/tests/test_gateway_intake.py
+++ b/tests/test_gateway_intake.py
@@ -1,5 +1,6 @@
 """Take no more new connections than the node can serve in time."""
 
+import socket
 from collections import deque
 from dataclasses import dataclass, field
 from random import Random
@@ -14,7 +15,8 @@
     STANDING_SAMPLES,
     Intake,
 )
-from spanfall_standins.gateway.upstream import complete_response
+from spanfall_standins.gateway.upstream import complete_response, silent
+from support import wait_until
 
 #: Processor seconds of a request, of a connection that is closed unread, and
 #: seconds after which a caller leaves.
@@ -26,6 +28,8 @@
 #: Seconds of a course, and those at its start that are not judged.
 SECONDS = 12
 JUDGED_FROM = 3.0
+#: Connections that wait to be accepted.
+WAITING = 40
 
 
 class NoIntake(Intake):
@@ -151,3 +155,22 @@
         assert read('spanfall_closed_unread_total') == 1
 
     run()
+
+
+# Guards against connections that wait in the kernel, where no delay is seen:
+# one was accepted in each turn of the event loop.
+@in_world
+async def test_all_waiting_connections_are_accepted_at_once(world):
+    await world.add_upstream(silent())
+    state = await world.add_gateway()
+    address = state.cfg.listen.callers
+    raw = [socket.socket() for _ in range(WAITING)]
+    host, _, port = address.rpartition(':')
+    for one in raw:
+        one.connect((host, int(port)))
+        one.sendall(request_bytes('/any/1'))
+    await wait_until(lambda: state.open_requests)
+    seen = state.open_requests
+    for one in raw:
+        one.close()
+    assert seen > WAITING / 2
