--- a/tests/test_gateway_intake.py
+++ b/tests/test_gateway_intake.py
@@ -160,7 +160,7 @@
 # Guards against connections that wait in the kernel, where no delay is seen:
 # one was accepted in each turn of the event loop.
 @in_world
-async def test_all_waiting_connections_are_accepted_at_once(world):
+async def test_waiting_connections_are_accepted(world):
     await world.add_upstream(silent())
     state = await world.add_gateway()
     address = state.cfg.listen.callers
