Keep a short quarantine short at a node that is told of it

The length of a quarantine that doubles was lost with the home, and the longest one assumed. test_short_quarantine_stays_short_elsewhere failed before.

--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/crash_knowledge.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/crash_knowledge.py
@@ -163,7 +163,8 @@
             if trait in verdicts.rows:
                 continue
             together = (trait, *others.companions.get(trait, ()))
-            self.table.quarantine(together, now + others.quarantined[trait])
+            seconds = others.quarantined[trait]
+            self.table.quarantine(together, now + seconds, seconds)
             logger.info(
                 'Requests with %s are quarantined, as reported by another node',
                 ' '.join(together),
--- a/tests/test_gateway_crash_spread.py
+++ b/tests/test_gateway_crash_spread.py
@@ -7,8 +7,13 @@
 from gateway_world import ask, in_world
 from spanfall_core.gateway.crashes.crashes import QUARANTINE_SECONDS
 from spanfall_core.gateway.crashes.standings import Standing
+from spanfall_core.gateway.crashes.traits import Trait
 from spanfall_core.gateway.known.identity import request_identity
-from spanfall_node.gateway.links.crash_messages import RunStage, WatchedRun
+from spanfall_node.gateway.links.crash_messages import (
+    Quarantines,
+    RunStage,
+    WatchedRun,
+)
 from spanfall_node.gateway.store.crash_record import CRASHES_KEY
 from spanfall_node.gateway.tables.crash_knowledge import CrashState
 from spanfall_standins.gateway.upstream import (
@@ -135,3 +140,16 @@
     assert second.standing((IDENTITY,), half) is Standing.QUARANTINED
     assert second.standing((IDENTITY,), QUARANTINE_SECONDS) is Standing.FREE
     assert not second.quarantines(QUARANTINE_SECONDS).quarantined
+
+
+# Guards against a part that is refused for a day after a change of the home,
+# as the seconds for which it was quarantined are lost.
+def test_short_quarantine_stays_short_elsewhere():
+    part = Trait('part/5c1e')
+    other = CrashState(is_judge=lambda: True)
+    other.merge_quarantines(Quarantines({part: 60.0}), 0)
+    trial = ended('r', 'u-9', part, is_trial=True)
+    assert other.standing((part,), 60) is Standing.SUSPECT
+    other.record(trial, 60)
+    assert other.standing((part,), 61) is Standing.QUARANTINED
+    assert other.standing((part,), 60 + 120) is Standing.SUSPECT
