--- a/packages/spanfall-node/src/spanfall_node/gateway/callers/accepting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/callers/accepting.py
@@ -7,11 +7,13 @@
 import errno
 import logging
 import socket
+from collections.abc import Iterator
 
 import anyio
-from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+from anyio.abc import SocketAttribute, SocketStream
 
 from spanfall_node.gateway.callers.callers import Callers
+from spanfall_node.gateway.callers.intake_gate import IntakeGate
 from spanfall_node.gateway.net.sockets import BACKLOG
 
 logger = logging.getLogger(__name__)
@@ -24,7 +26,9 @@
 ENDED_ERRORS = frozenset((errno.ECONNABORTED, errno.EPROTO, errno.EINTR))
 
 
-async def accept_callers(address: str, callers: Callers) -> None:
+async def accept_callers(
+    address: str, callers: Callers, gate: IntakeGate
+) -> None:
     """Accept connections at an address until cancelled."""
     host, _, port = address.rpartition(':')
     listener = await anyio.create_tcp_listener(
@@ -35,16 +39,17 @@
         while True:
             await anyio.wait_readable(raw)
             try:
-                _accept_waiting(raw, callers, tasks)
+                for accepted in _take_waiting(raw, gate):
+                    tasks.start_soon(_serve, accepted, callers)
             except OSError as exc:
                 logger.warning('Could not accept a connection: %r', exc)
                 await anyio.sleep(RETRY_SECONDS)
 
 
-def _accept_waiting(
-    listener: socket.socket, callers: Callers, tasks: TaskGroup
-) -> None:
-    """Accept what waits; close what the node does not take.
+def _take_waiting(
+    listener: socket.socket, gate: IntakeGate
+) -> Iterator[socket.socket]:
+    """Accept what waits; yield what the node takes, and close the rest.
 
     Raises:
         OSError: no descriptor or memory is left.
@@ -58,8 +63,8 @@
             if exc.errno in ENDED_ERRORS:
                 continue
             raise
-        if callers.gate.takes():
-            tasks.start_soon(_serve, accepted, callers)
+        if gate.takes():
+            yield accepted
         else:
             accepted.close()
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
@@ -6,7 +6,6 @@
 from anyio.abc import SocketStream
 from spanfall_core.reasons import RefusalReason
 
-from spanfall_node.gateway.callers.intake_gate import IntakeGate
 from spanfall_node.gateway.limits.unit_requests import UnitClient
 from spanfall_node.gateway.net.errors import BadRequestError, CallerGoneError
 from spanfall_node.gateway.requests.admission import AdmittedRequest, admit
@@ -57,7 +56,6 @@
         self._state = state
         self._access = access
         self._units = units
-        self.gate = IntakeGate(state)
         self._connections: dict[int, CallerConnection] = {}
         self._idle: set[int] = set()
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/program.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/program.py
@@ -15,6 +15,7 @@
 
 from spanfall_node.gateway.callers.accepting import accept_callers
 from spanfall_node.gateway.callers.callers import Callers
+from spanfall_node.gateway.callers.intake_gate import IntakeGate
 from spanfall_node.gateway.duties.capacity_duty import CapacityPlanner
 from spanfall_node.gateway.duties.duties import CloudClient, UsageReporter
 from spanfall_node.gateway.home.entry_link import EntryLink
@@ -124,11 +125,13 @@
         VersionRecord(state, store),
     )
     leadership = Leadership(state, store, records)
-    _start_listening(state, callers, TunnelServer(state, dial), tasks)
+    gate = IntakeGate(state)
+    tasks.start_soon(accept_callers, state.cfg.listen.callers, callers, gate)
+    _start_listening(state, TunnelServer(state, dial), tasks)
     parts = [
         HomeLinks(state).run,
         state.timers.run,
-        callers.gate.run,
+        gate.run,
         sync.run,
         leadership.run,
         records.spending.run,
@@ -167,7 +170,6 @@
 
 def _start_listening(
     state: GatewayState,
-    callers: Callers,
     tunnels: TunnelServer,
     tasks: TaskGroup,
 ) -> None:
@@ -178,7 +180,6 @@
         tasks.start_soon(_listen, listen.metrics, status_server)
     if listen.tunnels:
         tasks.start_soon(_listen, listen.tunnels, tunnels)
-    tasks.start_soon(accept_callers, listen.callers, callers)
 
 
 async def _restart_on_failure(part: Callable[[], Awaitable[None]]) -> None:
