--- a/packages/spanfall-standins/src/spanfall_standins/gateway/upstream.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/upstream.py
@@ -162,8 +162,10 @@
     return run
 
 
-def events(first: int, last: int, *, ends: bool = True) -> Behaviour:
-    """Send events with ids ``first`` to ``last``.
+def events(
+    first: int, last: int, *, ends: bool = True, pause: float = 0
+) -> Behaviour:
+    """Send events with ids ``first`` to ``last``, each after a pause.
 
     Without ``ends``, the stream breaks off in the middle of one more event.
     """
@@ -178,6 +180,7 @@
         )
         await stream.send(head.replace(b'content-length: 0\r\n', b''))
         for number in range(first, last + 1):
+            await anyio.sleep(pause)
             await stream.send(chunk(b'id: %d\ndata: x\n\n' % number))
         if ends:
             await stream.send(b'0\r\n\r\n')
@@ -188,27 +191,6 @@
     return run
 
 
-def paced(last: int, seconds: float) -> Behaviour:
-    """Send events with ids 1 to ``last``, one every so many seconds."""
-
-    async def run(
-        upstream: StandInUpstream,
-        request: ReceivedRequest,
-        stream: SocketStream,
-    ) -> bool:
-        head = encode_response(
-            200, b'', {**upstream.response_headers(request), **EVENT_STREAM}
-        )
-        await stream.send(head.replace(b'content-length: 0\r\n', b''))
-        for number in range(1, last + 1):
-            await anyio.sleep(seconds)
-            await stream.send(chunk(b'id: %d\ndata: x\n\n' % number))
-        await stream.send(b'0\r\n\r\n')
-        return True
-
-    return run
-
-
 def resumable(last: int, breaks_after: int) -> Behaviour:
     """Resume the stream after the event in the last-event-id header.
 
--- a/tests/crashing_parts.py
+++ b/tests/crashing_parts.py
@@ -14,7 +14,7 @@
 import anyio
 from gateway_world import dial, read_answer, request_bytes
 from spanfall_standins.gateway.server import AfterExit
-from spanfall_standins.gateway.upstream import crashes_if, paced
+from spanfall_standins.gateway.upstream import crashes_if, events
 from support import wait_until
 from test_gateway_contention_suspended import process_of, wait_ready
 
@@ -104,7 +104,9 @@
 
     async def add_upstream(self):
         """Start an upstream that is replaced when it has crashed."""
-        behaviour = crashes_if(self._is_deadly, paced(6, 0.05), CRASH_SECONDS)
+        behaviour = crashes_if(
+            self._is_deadly, events(1, 6, pause=0.05), CRASH_SECONDS
+        )
         after_end = self.rng.choice(self.after_end)
         upstream = await self.world.add_upstream(
             behaviour, after_end, software_version='v1'
