--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/crash_knowledge.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/crash_knowledge.py
@@ -39,7 +39,7 @@
 logger = logging.getLogger(__name__)
 
 #: Maximum number of runs, the newest ones, that an entry reports to a new home.
-#: This takes 32 KB with four traits each.
+#: This takes 46 KB.
 MAX_REPORTED_RUNS = 256
 #: Maximum number of released parts that are announced, the newest ones.
 MAX_RELEASED = 64
