Accept callers one by one again

Cause: a burst that is taken at once keeps the home from its grants for over 0.03 s, and entries choose alone. So the accept loop goes; the intake stays, without effect at 900 a second on one entry: RECOVER is open (docs/design/intake.md).

--- a/packages/spanfall-node/src/spanfall_node/gateway/program.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/program.py
@@ -13,7 +13,7 @@
 from anyio.abc import TaskGroup
 from spanfall_api.gateway_settings import GatewaySettings
 
-from spanfall_node.gateway.callers.accepting import accept_callers
+from spanfall_node.gateway.callers.accepting import GatedCallers
 from spanfall_node.gateway.callers.callers import Callers
 from spanfall_node.gateway.callers.intake_gate import IntakeGate
 from spanfall_node.gateway.duties.capacity_duty import CapacityPlanner
@@ -126,7 +126,9 @@
     )
     leadership = Leadership(state, store, records)
     gate = IntakeGate(state)
-    tasks.start_soon(accept_callers, state.cfg.listen.callers, callers, gate)
+    tasks.start_soon(
+        _listen, state.cfg.listen.callers, GatedCallers(callers, gate)
+    )
     _start_listening(state, TunnelServer(state, dial), tasks)
     parts = [
         HomeLinks(state).run,
@@ -192,7 +194,9 @@
         await anyio.sleep(RESTART_SECONDS)
 
 
-async def _listen(address: str, server: StatusServer | TunnelServer) -> None:
+async def _listen(
+    address: str, server: GatedCallers | StatusServer | TunnelServer
+) -> None:
     host, _, port = address.rpartition(':')
     listener = await anyio.create_tcp_listener(
         local_host=host,
