Give past lifetimes of upstreams a table of their own

Cause: the directory holds rows, deltas, an index and three memories that outlast any listing; there was no room left in it for when rows that a listing lacks have to go.

Change: the memories of ended lifetimes, of those seen leaving and of the latest starts move into PastLifetimes, unchanged.

Result: tests of the directory, lifetimes and statements pass as before.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
@@ -13,21 +13,15 @@
 from dataclasses import dataclass, replace
 
 from spanfall_core.gateway.known.digests import directory_digest
-from spanfall_core.gateway.known.lifetimes import (
-    Lifetime,
-    is_earlier,
-    name_lifetime,
-)
+from spanfall_core.gateway.known.lifetimes import Lifetime
 from spanfall_core.gateway.known.listed import (
     ListedUpstream,
     ring_position,
 )
+from spanfall_core.gateway.known.past_lifetimes import PastLifetimes
 from spanfall_core.gateway.known.timelines import REWRITE_SECONDS
 from spanfall_core.gateway.known.version_history import VersionHistory
 
-#: Maximum number of ended lifetimes that are remembered; an outdated listing
-#: from before the oldest of them is not recognised.
-MAX_ENDED_LIFETIMES = 4096
 #: Default for a directory whose owner tracks no statements of upstreams.
 NO_LIFETIMES: AbstractSet[Lifetime] = frozenset()
 
@@ -65,13 +59,7 @@
         #: Whether these rows differ from those of the node that sends deltas,
         #: so that the node has to send all rows.
         self.has_diverged = False
-        #: Ended lifetimes with their upstream ids, oldest first.
-        self._ended: dict[Lifetime, str] = {}
-        #: Lifetimes that were listed as leaving; a backup from which the store
-        #: was restored may still list them as serving.
-        self._seen_leaving: set[Lifetime] = set()
-        #: Latest known start time of each upstream.
-        self._latest_start: dict[str, int] = {}
+        self._past = PastLifetimes()
         self._by_service: dict[str, list[ListedUpstream]] = {}
         #: Number of listed lifetimes at each address.
         self.address_counts: Counter[str] = Counter()
@@ -137,26 +125,17 @@
         found: dict[Lifetime, ListedUpstream] = {}
         paused = set(unusable)
         for row in listed:
-            if is_earlier(row.born, self._latest_start.get(row.upstream_id)):
+            if self._past.is_before_latest(row):
                 paused.add(row.upstream_id)
                 continue
-            if row.born is not None:
-                self._latest_start[row.upstream_id] = row.born
-            if row.lifetime not in self._ended:
+            self._past.record_start(row)
+            if row.lifetime not in self._past.ended:
                 found[row.lifetime] = self._with_statement(
-                    self._with_past_leaving(row)
+                    self._past.with_past_leaving(row)
                 )
         paused -= {usable.upstream_id for usable in found.values()}
         return found | self._paused_rows(paused) if paused else found
 
-    def _with_past_leaving(self, row: ListedUpstream) -> ListedUpstream:
-        """Return a row marked as leaving if it was ever listed as leaving."""
-        if row.leaving:
-            self._seen_leaving.add(row.lifetime)
-        elif row.lifetime in self._seen_leaving:
-            return replace(row, leaving=True)
-        return row
-
     def _with_statement(self, row: ListedUpstream) -> ListedUpstream:
         """Return a row updated with the statement of its upstream."""
         announced = row.lifetime in self._said_leaving
@@ -224,10 +203,8 @@
 
     def later_lifetime(self, row: ListedUpstream) -> ListedUpstream | None:
         """Return the listed later lifetime of the same upstream, if any."""
-        latest = self._latest_start.get(row.upstream_id)
-        if not is_earlier(row.born, latest):
-            return None
-        return self.rows.get(name_lifetime(row.upstream_id, latest))
+        later = self._past.later_lifetime(row)
+        return None if later is None else self.rows.get(later)
 
     def apply_statements(self, lifetimes: Iterable[Lifetime]) -> None:
         """Apply new statements of upstreams that they are leaving."""
@@ -257,16 +234,9 @@
             self._index()
 
     def _record_ended(self, lifetime: Lifetime, upstream_id: str) -> None:
-        self._ended[lifetime] = upstream_id
-        self._seen_leaving.discard(lifetime)
-        if len(self._ended) <= MAX_ENDED_LIFETIMES:
-            return
-        oldest = next(iter(self._ended))
-        forgotten = self._ended.pop(oldest)
-        self._removed_in.pop(oldest, None)
-        born = self._latest_start.get(forgotten)
-        if oldest == name_lifetime(forgotten, born):
-            self._latest_start.pop(forgotten, None)
+        forgotten = self._past.record_ended(lifetime, upstream_id)
+        if forgotten is not None:
+            self._removed_in.pop(forgotten, None)
 
     def _is_ending(self, lifetime: Lifetime) -> bool:
         row = self.rows.get(lifetime)
