Log upstreams that are kept though a listing lacks them

Change: one line a listing that keeps rows, with their number and the age of the outage they are kept for.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
@@ -55,6 +55,8 @@
         #: Digest of the rows, equal on nodes that have the same upstreams.
         self.digest = 0
         self.rows: dict[Lifetime, ListedUpstream] = {}
+        #: Lifetimes that are kept though the current listing lacks them.
+        self.retained: AbstractSet[Lifetime] = NO_LIFETIMES
         self.versions = VersionHistory()
         #: Whether these rows differ from those of the node that sends deltas,
         #: so that the node has to send all rows.
@@ -93,6 +95,7 @@
         # Rows retained beyond the listing are not removed by any later delta.
         self.has_diverged = bool(retained)
         self.rows = found | retained
+        self.retained = retained.keys()
         changed = tuple(
             row
             for row in before.values()
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
@@ -154,6 +154,14 @@
             outage_ended,
             unusable,
         )
+        if self._state.directory.retained:
+            logger.info(
+                'Kept %s upstreams that listing %s lacks: the store answered '
+                'again %.2f s ago after an outage',
+                len(self._state.directory.retained),
+                revision,
+                now - outage_ended,
+            )
         for row in changed:
             logger.info(
                 'Upstream %s of %s is leaving or gone, according to listing %s',
