Forget that the home record was free once there is a home

Cause: a node notes when it first finds the home's record free and keeps that while it follows a home by link, as it looks up nothing then. Of the next free record it believes that it was free since then: a small host claims it at once instead of leaving it to larger ones for 0.8 s, and an unreadable record is taken over without the time in which its home may still act.

Fix: the note ends whenever a home is known or this node is the home, at each step of the loop that looks up.

--- a/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
@@ -132,6 +132,8 @@
             await self._renew(tenure)
         elif state.home is None or self._is_home_suspect():
             await self._look_up_home()
+            return
+        self._free_record.reset()
 
     def _is_home_suspect(self) -> bool:
         """Tell whether the home is silent, has resigned or lost the store."""
@@ -242,10 +244,7 @@
         )
 
     def _is_from_earlier_run(self, content: HomeContent) -> bool:
-        """Tell whether an earlier run of this node wrote the record.
-
-        That run has ended, so its record may be replaced at once.
-        """
+        """Tell whether an earlier, ended run of this node wrote the record."""
         is_same = content.node == self._state.cfg.node
         return is_same and content.incarnation != self._state.incarnation
 
@@ -284,10 +283,7 @@
 
     async def _claim(self, known_revision: int) -> Claim | None:
         return await claim_home(
-            self._state,
-            self._store,
-            known_revision,
-            self._lease_seconds,
+            self._state, self._store, known_revision, self._lease_seconds
         )
 
     def _valid_until(self, sent_at: float) -> float:
--- a/tests/test_gateway_store_cuts.py
+++ b/tests/test_gateway_store_cuts.py
@@ -6,7 +6,9 @@
 
 import anyio
 from gateway_world import SERVICE, ask, in_world
+from spanfall_api.gateway_settings import Host
 from spanfall_core.gateway.known.timelines import REWRITE_SECONDS
+from spanfall_node.gateway.home.home_pace import SMALL_HOST_DELAY_SECONDS
 from spanfall_standins.gateway.dialect import UPSTREAM_PREFIX
 from spanfall_standins.gateway.upstream import complete_response
 from support import wait_until
@@ -155,3 +157,23 @@
     await anyio.sleep(REWRITE_SECONDS + 1.5)
     life.cancel()
     await assert_drained(entry, world, upstreams[0])
+
+
+# Guards against a small host that claims a free record at once, since it found
+# an earlier one free long ago.
+@in_world
+async def test_small_host_leaves_each_free_record(world):
+    small = await world.add_unready_gateway(host=Host(processor_part=0.1))
+    await wait_until(lambda: is_home(small))
+    life = anyio.CancelScope()
+    other = await world.add_killable_gateway(life)
+    await wait_until(lambda: other.home_answered_at > 0)
+    small.tenure.is_renewal_failing = True
+    await wait_until(lambda: is_home(other) and small.tenure is None)
+    await anyio.sleep(1)
+    lease = other.tenure.lease
+    life.cancel()
+    world.store.end_lease(lease)
+    freed_at = small.timers.now()
+    await wait_until(lambda: is_home(small))
+    assert small.timers.now() - freed_at >= SMALL_HOST_DELAY_SECONDS
