Answer each request that was read before the process ends

Cause: the end of the process was no deadline of any request. 0.7 s before it all tasks were cancelled from outside, where nobody could tell what had been sent.

Fix: the scope of each request, and of reading its body, ends when answers are due: 503 if it was not sent, 504 if it was, a cut if its response had begun. What the home holds for a stopping entry asks again at the signal with the end of the process as its deadline, so the home refuses it as soon as it is known not to be served by then. Lingering closes end before the process is killed. The signal receiver stays in place, so a second signal changes nothing.

Weighed: refuse all that waits at the signal.

--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/admission.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/admission.py
@@ -101,6 +101,7 @@
     held = queue.find(asker, terms.ticket)
     if held is None:
         return _decide_first(ask)
+    held = queue.bring_forward(held, terms, now)
     prediction = predict(
         queue,
         terms,
@@ -180,7 +181,7 @@
     """Decide on a held request, which is removed unless it waits on."""
     queue, now = ask.contention.queue, ask.now
     if has_room(ask.room, queue) and queue.peek(now) is held:
-        queue.serve_at_once(held)
+        queue.serve(held)
         return Send()
     if ask.is_too_late(prediction):
         queue.withdraw(held.asker, held.ticket)
--- a/packages/spanfall-core/src/spanfall_core/gateway/contention/held.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/contention/held.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from heapq import heapify, heappop, heappush
 from itertools import takewhile
 
@@ -21,6 +21,9 @@
 #: Seconds within which an entry has to take a turn: several round trips in one
 #: region. After that the entry is taken to be gone or too slow.
 TURN_SECONDS = 0.1
+#: Seconds by which the deadline of a request differs between two of its asks,
+#: by the time that they take.
+DEADLINE_TOLERANCE_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,7 +110,7 @@
         """
         held = self.peek(now)
         if held is not None:
-            self._serve(held)
+            self.serve(held)
             self._given[held.ticket] = GivenTurn(held, now + TURN_SECONDS)
         return held
 
@@ -120,9 +123,12 @@
         self._given.pop(ticket)
         return True
 
-    def serve_at_once(self, held: HeldRequest) -> None:
-        """Remove a held request that is sent without a turn."""
-        self._serve(held)
+    def serve(self, held: HeldRequest) -> None:
+        """Remove a held request that is sent, and charge its workspace."""
+        level, flow = self.find_flow(held.terms)
+        level.charge(flow, held.terms.units)
+        self.order.record_turn(held.terms.priority)
+        self._remove(held)
 
     def record_arrival(self, terms: AdmissionTerms, now: float) -> None:
         """Count a request that others wait behind."""
@@ -131,6 +137,21 @@
         flow.arrivals.add(terms.units, now)
         flow.arrived += terms.units
 
+    def bring_forward(
+        self, held: HeldRequest, terms: AdmissionTerms, now: float
+    ) -> HeldRequest:
+        """Apply a deadline that is earlier than when the request was held.
+
+        It keeps its position. The entry of the request may be stopping.
+        """
+        deadline_at = now + terms.deadline_in
+        if deadline_at >= held.deadline_at - DEADLINE_TOLERANCE_SECONDS:
+            return held
+        earlier = replace(held, terms=terms, deadline_at=deadline_at)
+        self._held[held.ticket] = earlier
+        self._schedule_removal(earlier)
+        return earlier
+
     def withdraw(self, asker: Asker, ticket: int) -> bool:
         """Remove a request that is not to be sent; return whether it waited."""
         turn = self._given.get(ticket)
@@ -221,12 +242,6 @@
         for ticket in lapsed:
             self._lapse(ticket)
 
-    def _serve(self, held: HeldRequest) -> None:
-        level, flow = self.find_flow(held.terms)
-        level.charge(flow, held.terms.units)
-        self.order.record_turn(held.terms.priority)
-        self._remove(held)
-
     def _lapse(self, ticket: int) -> None:
         """Free a turn and take back what its workspace was charged for it."""
         terms = self._given.pop(ticket).held.terms
--- a/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
@@ -10,10 +10,12 @@
 from spanfall_node.gateway.net.errors import BadRequestError, CallerGoneError
 from spanfall_node.gateway.requests.admission import AdmittedRequest, admit
 from spanfall_node.gateway.requests.caller_connection import (
+    LINGER_SECONDS,
     CallerConnection,
     CallerRequest,
 )
 from spanfall_node.gateway.requests.refusals import (
+    DRAINING_RETRY_SECONDS,
     RefusedError,
     UnitsMissingError,
     refusal_body,
@@ -34,8 +36,6 @@
 MAX_ADMISSION_WAIT_SECONDS = 0.12
 #: Seconds between two attempts to admit a waiting request.
 ADMISSION_POLL_SECONDS = 0.02
-#: Retry-After seconds for callers that a draining node refuses.
-DRAINING_RETRY_SECONDS = 0.05
 
 _BAD_REQUESTS = {
     413: RefusalReason.BODY_TOO_LARGE,
@@ -89,7 +89,9 @@
         if caller.gone or caller.is_responding:
             await caller.abort()
         else:
-            await caller.close_gracefully()
+            await caller.close_gracefully(
+                self._state.shutdown.linger_seconds(LINGER_SECONDS)
+            )
 
     async def _serve_requests(self, caller: CallerConnection) -> None:
         while True:
@@ -124,7 +126,7 @@
         began_at = state.timers.now()
         state.open_requests += 1
         try:
-            body = await caller.read_body()
+            body = await self._read_body(caller)
             await self._serve(caller, req, body, began_at)
         except BadRequestError as exc:
             await self._refuse_bad(caller, exc)
@@ -133,6 +135,17 @@
         finally:
             state.open_requests -= 1
 
+    async def _read_body(self, caller: CallerConnection) -> bytes:
+        """Return the body of a request.
+
+        Raises:
+            RefusedError: this process ends before the body is complete.
+        """
+        with self._state.shutdown.bounded(anyio.CancelScope()):
+            return await caller.read_body()
+        caller.closing = True
+        raise _draining_refusal()
+
     async def _serve(
         self,
         caller: CallerConnection,
@@ -233,11 +246,7 @@
         caller.closing = True
         stopping = state.timers.now() - state.draining_since
         if stopping > DRAIN_GRACE_SECONDS:
-            raise RefusedError(
-                503,
-                RefusalReason.NODE_DRAINING,
-                DRAINING_RETRY_SECONDS,
-            )
+            raise _draining_refusal()
 
     def _record_admitted(self, admitted: AdmittedRequest) -> None:
         state = self._state
@@ -277,3 +286,9 @@
             body = b''
         headers = refusal_headers(refusal, len(body))
         await caller.send_response(refusal.status, headers, body)
+
+
+def _draining_refusal() -> RefusedError:
+    return RefusedError(
+        503, RefusalReason.NODE_DRAINING, DRAINING_RETRY_SECONDS
+    )
--- a/packages/spanfall-node/src/spanfall_node/gateway/lifecycle.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/lifecycle.py
@@ -25,8 +25,9 @@
 #: sends once per second.
 MIN_STOP_SECONDS = 3.5
 #: Seconds before the end of the grace period at which remaining requests are
-#: aborted.
+#: answered, and at which all connections are closed.
 STOP_MARGIN_SECONDS = 0.7
+CLOSE_MARGIN_SECONDS = 0.3
 #: Seconds between two checks for open requests.
 POLL_SECONDS = 0.1
 
@@ -82,29 +83,40 @@
     leadership: Leadership,
     scope: anyio.CancelScope,
 ) -> None:
-    """Shut down on SIGTERM or SIGINT.
-
-    The node reports that it is not ready at once, resigns as home and waits
-    for open requests.
-    """
+    """Shut down on SIGTERM or SIGINT; further signals change nothing."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for number in signals:
             logger.info('Received %s: shutting down', number.name)
             break
+        await shut_down(state, callers, leadership)
+    scope.cancel()
+
+
+async def shut_down(
+    state: GatewayState, callers: Callers, leadership: Leadership
+) -> None:
+    """Answer all requests within the grace period, and take no others.
+
+    The node reports that it is not ready at once and resigns as home. What
+    waits asks again, now with the end of this process as its deadline, and is
+    refused as soon as it is known not to be served by then.
+    """
+    grace = state.cfg.bounds.stop_seconds
     state.draining_since = state.timers.now()
+    state.shutdown.begin(
+        grace - STOP_MARGIN_SECONDS, grace - CLOSE_MARGIN_SECONDS
+    )
+    state.contention.held.ask_again()
     await leadership.resign()
     await _finish(state, callers)
     logger.info('Shut down with %s requests still open', state.open_requests)
-    scope.cancel()
 
 
 async def _finish(state: GatewayState, callers: Callers) -> None:
-    end = (
-        state.draining_since
-        + state.cfg.bounds.stop_seconds
-        - STOP_MARGIN_SECONDS
-    )
-    await anyio.sleep(MIN_STOP_SECONDS)
-    while state.open_requests and state.timers.now() < end:
+    shutdown = state.shutdown
+    with anyio.move_on_after(shutdown.seconds_left):
+        stopping = state.timers.now() - state.draining_since
+        await anyio.sleep(MIN_STOP_SECONDS - stopping)
+    while state.open_requests and shutdown.linger_seconds(POLL_SECONDS):
         await anyio.sleep(POLL_SECONDS)
     await callers.close_idle()
--- a/packages/spanfall-node/src/spanfall_node/gateway/requests/caller_connection.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/requests/caller_connection.py
@@ -185,9 +185,9 @@
         self._pipelined_bytes = 0
         return True
 
-    async def close_gracefully(self) -> None:
+    async def close_gracefully(self, seconds: float = LINGER_SECONDS) -> None:
         """Close with a lingering close, so that the last response arrives."""
-        with anyio.move_on_after(LINGER_SECONDS, shield=True):
+        with anyio.move_on_after(seconds, shield=True):
             try:
                 await self._linger()
             except SOCKET_ERRORS:
--- a/packages/spanfall-node/src/spanfall_node/gateway/requests/refusals.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/requests/refusals.py
@@ -15,6 +15,8 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 #: Retry-After seconds where the request has not run.
 NOT_RUN_RETRY_SECONDS = 0.2
+#: Retry-After seconds for callers that a stopping node refuses.
+DRAINING_RETRY_SECONDS = 0.05
 
 
 class RefusedError(Exception):
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/contention.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/contention.py
@@ -72,6 +72,10 @@
             if wait is not None:
                 wait.end(is_lost=is_lost)
 
+    def ask_again(self) -> None:
+        """Let all requests ask their home again, as their terms change."""
+        self.end(tuple(self._waits))
+
     def lose_all(self) -> None:
         """Let all requests ask the next home."""
         self.end(tuple(self._waits), is_lost=True)
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
@@ -41,6 +41,7 @@
 from spanfall_node.gateway.tables.known_streams import KnownStreams
 from spanfall_node.gateway.tables.reach import Reach
 from spanfall_node.gateway.tables.scheduling import Scheduling
+from spanfall_node.gateway.tables.shutdown import Shutdown
 from spanfall_node.gateway.tables.tenure import Tenure, can_allocate
 from spanfall_node.gateway.tables.upstream_words import UpstreamStatements
 from spanfall_node.timers import Timers
@@ -109,6 +110,7 @@
     #: Whether the home has resigned and another one must be found.
     home_resigned: bool = False
     draining_since: float | None = None
+    shutdown: Shutdown = field(default_factory=Shutdown)
     #: Number of requests whose callers are waiting.
     open_requests: int = 0
 
@@ -150,10 +152,7 @@
         self.read_work[service] = known + round(prefill_work(prefill))
 
     def record_first_token(
-        self,
-        service: str,
-        prefill: int,
-        seconds: float,
+        self, service: str, prefill: int, seconds: float
     ) -> None:
         """Update the prefill speed by a prompt that did not have to queue."""
         work = prefill_work(prefill)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/held_requests.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/held_requests.py
@@ -30,7 +30,8 @@
 
     Return None if it does not compete: its service is not under admission, or
     it was sent before or resumes a stream, and keeps its place. One that is
-    held goes on to its turn also when the setting is turned off.
+    held goes on to its turn also when the setting is turned off. The end of
+    this process is a deadline like any other.
     """
     admitted = exchange.admitted
     is_on = state.scheduling.is_on(Feature.CONTENTION, admitted.service)
@@ -48,7 +49,7 @@
         urgency(workspace.priority, route.priority),
         units or 1,
         admitted.began_at + route.target - now,
-        admitted.deadline - now,
+        min(admitted.deadline - now, state.shutdown.seconds_left),
         exchange.held_seconds,
         exchange.ticket,
     )
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -23,6 +23,7 @@
 from spanfall_node.gateway.requests.admission import AdmittedRequest
 from spanfall_node.gateway.requests.caller_connection import CallerConnection
 from spanfall_node.gateway.requests.refusals import (
+    DRAINING_RETRY_SECONDS,
     NOT_RUN_RETRY_SECONDS,
     EndsUpstreamsError,
     RefusedError,
@@ -81,7 +82,7 @@
         admitted.deadline - state.timers.now() - RESPONSE_MARGIN_SECONDS
     )
     exchange.scope.deadline = anyio.current_time() + max(0, seconds_left)
-    with exchange.scope:
+    with state.shutdown.bounded(exchange.scope):
         await resolve_origin(state, access.origins, exchange)
         await _send_until_answered(state, access, exchange)
     if exchange.scope.cancelled_caught:
@@ -89,13 +90,18 @@
 
 
 async def _handle_deadline(state: GatewayState, exchange: Exchange) -> None:
+    reason = RefusalReason.DEADLINE
+    retry_after = NOT_RUN_RETRY_SECONDS
+    if state.shutdown.is_due:
+        reason = RefusalReason.NODE_DRAINING
+        retry_after = DRAINING_RETRY_SECONDS
     if exchange.started:
-        await _abort_response(state, exchange, 'timeout')
+        await _abort_response(state, exchange, reason)
         return
     if exchange.sends.sends:
         count_run(state, exchange.admitted)
-        raise RefusedError(504, RefusalReason.DEADLINE)
-    raise RefusedError(503, RefusalReason.DEADLINE, NOT_RUN_RETRY_SECONDS)
+        raise RefusedError(504, reason)
+    raise RefusedError(503, reason, retry_after)
 
 
 async def _abort_response(
--- a/tests/contention_world.py
+++ b/tests/contention_world.py
@@ -102,16 +102,16 @@
         await wait_until(lambda: len(self.answers) == sent)
 
 
-async def fill_and_hold(world, callers, state, gate, held, home):
+async def fill_and_hold(world, callers, state, gate, held, home, path='/any/1'):
     """Fill all slots of one upstream, and let more requests be held."""
     upstream = await world.add_upstream(gate.run)
     await wait_until(lambda: state.directory.serving(SERVICE))
     await wait_until(lambda: home.directory.serving(SERVICE))
     for _ in range(SLOTS):
-        callers.send(state)
+        callers.send(state, path)
     await wait_until(lambda: gate.running == SLOTS)
     await wait_until(lambda: running_by(home) == SLOTS)
     for _ in range(held):
-        callers.send(state)
+        callers.send(state, path)
     await wait_until(lambda: held_at(home) == held)
     return upstream
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -22,7 +22,7 @@
 from spanfall_core.gateway.known.configuration import RouteKind
 from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_node.gateway.net.connecting import connect
-from spanfall_node.gateway.program import start_gateway
+from spanfall_node.gateway.program import Gateway, start_gateway
 from spanfall_node.gateway.tables.new_state import build_state
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.timers import Timers
@@ -97,6 +97,8 @@
             [PlainService(SERVICE)],
         ),
     )
+    #: Running parts of the gateways, by node.
+    gateways: dict[str, Gateway] = field(default_factory=dict)
     _numbers: count = field(default_factory=lambda: count(1))
     _versions: count = field(default_factory=lambda: count(1))
 
@@ -198,7 +200,7 @@
         timers = Timers(time.monotonic, time.time)
         state = build_state(cfg, ADAPTER, timers, f'i-{cfg.node}')
         dial = network.dial if network else connect
-        start_gateway(state, self.tasks, dial)
+        self.gateways[cfg.node] = start_gateway(state, self.tasks, dial)
         await wait_until_open(cfg.listen.callers)
         return state
 
