Hold bodies within a part of the host's memory

From upstreams the same sum: a body without end is held up to 8 MB a request.

Cause: each reader had its own bound and none saw the sum; and a large request was held up to four times, as parts, as two joins and in the transport.

Fix: bodies of requests, responses and incomplete events are counted against a quarter of host.memory_megabytes before they are held. A request body that finds no room is refused as not run, unread where its length is stated, with times to come back at the rate at which room comes free. A response that finds no room, or of over 8 MB with a stated length, is relayed as it arrives. Bodies are sent in slices of 64 KB, so the transport holds no second copy.

--- a/packages/spanfall-api/src/spanfall_api/gateway_settings.py
+++ b/packages/spanfall-api/src/spanfall_api/gateway_settings.py
@@ -15,6 +15,12 @@
 Count = Annotated[int, msgspec.Meta(ge=1)]
 
 
+BYTES_PER_MEGABYTE = 1_000_000
+#: Fraction of the memory for bodies; the rest is for the program, its tables
+#: and the buffers of connections.
+BODY_FRACTION = 0.25
+
+
 class GatewaySettingsError(Exception):
     """Report which setting is invalid and where."""
 
@@ -72,6 +78,13 @@
     processor_speed: Positive = 1
     #: Bandwidth of the host's link, in Mbit/s.
     link_megabits: Positive = 1000
+    #: Memory in MB beyond which the platform ends the process.
+    memory_megabytes: Positive = 200
+
+    @property
+    def body_bytes(self) -> int:
+        """Return the bytes of bodies and responses that the node may hold."""
+        return int(self.memory_megabytes * BYTES_PER_MEGABYTE * BODY_FRACTION)
 
 
 @unique
--- a/packages/spanfall-core/src/spanfall_core/reasons.py
+++ b/packages/spanfall-core/src/spanfall_core/reasons.py
@@ -36,6 +36,8 @@
     VERSION_GONE = 'version-gone'
     NO_HOME = 'no-home'
     NODE_DRAINING = 'node-draining'
+    #: The node holds as many bytes of bodies as it has memory for.
+    NODE_MEMORY = 'node-memory'
     NODE_NOT_READY = 'node-not-ready'
     STORE_UNAVAILABLE = 'store-unavailable'
     STALE_CONFIGURATION = 'stale-configuration'
--- a/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
@@ -9,15 +9,16 @@
 from spanfall_node.gateway.limits.unit_requests import UnitClient
 from spanfall_node.gateway.net.errors import BadRequestError, CallerGoneError
 from spanfall_node.gateway.requests.admission import AdmittedRequest, admit
+from spanfall_node.gateway.requests.body_reading import read_request_body
 from spanfall_node.gateway.requests.caller_connection import (
     LINGER_SECONDS,
     CallerConnection,
     CallerRequest,
 )
 from spanfall_node.gateway.requests.refusals import (
-    DRAINING_RETRY_SECONDS,
     RefusedError,
     UnitsMissingError,
+    draining_refusal,
     refusal_body,
     refusal_headers,
 )
@@ -126,7 +127,7 @@
         began_at = state.timers.now()
         state.open_requests += 1
         try:
-            body = await self._read_body(caller)
+            body = await read_request_body(state, caller, req)
             await self._serve(caller, req, body, began_at)
         except BadRequestError as exc:
             await self._refuse_bad(caller, exc)
@@ -134,23 +135,13 @@
             await self._refuse(caller, exc, req)
         finally:
             state.open_requests -= 1
-
-    async def _read_body(self, caller: CallerConnection) -> bytes:
-        """Return the body of a request.
-
-        Raises:
-            RefusedError: this process ends before the body is complete.
-        """
-        with self._state.shutdown.bounded(anyio.CancelScope()):
-            return await caller.read_body()
-        caller.closing = True
-        raise _draining_refusal()
+            caller.held.shrink_to(0, state.timers.now())
 
     async def _serve(
         self,
         caller: CallerConnection,
         req: CallerRequest,
-        body: bytes,
+        body: bytes | bytearray,
         began_at: float,
     ) -> None:
         self._check_draining(caller)
@@ -246,7 +237,7 @@
         caller.closing = True
         stopping = state.timers.now() - state.draining_since
         if stopping > DRAIN_GRACE_SECONDS:
-            raise _draining_refusal()
+            raise draining_refusal()
 
     def _record_admitted(self, admitted: AdmittedRequest) -> None:
         state = self._state
@@ -286,9 +277,3 @@
             body = b''
         headers = refusal_headers(refusal, len(body))
         await caller.send_response(refusal.status, headers, body)
-
-
-def _draining_refusal() -> RefusedError:
-    return RefusedError(
-        503, RefusalReason.NODE_DRAINING, DRAINING_RETRY_SECONDS
-    )
--- a/packages/spanfall-node/src/spanfall_node/gateway/lifecycle.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/lifecycle.py
@@ -12,6 +12,10 @@
 from spanfall_node.gateway.home.leadership import Leadership
 from spanfall_node.gateway.net.errors import BadRequestError, CallerGoneError
 from spanfall_node.gateway.net.ports import Headers
+from spanfall_node.gateway.requests.body_reading import (
+    NoMemoryError,
+    discard_body,
+)
 from spanfall_node.gateway.requests.caller_connection import (
     CallerConnection,
     CallerRequest,
@@ -46,7 +50,7 @@
         caller = CallerConnection(stream, CallerLimits())
         try:
             await self._serve_requests(caller)
-        except (BadRequestError, CallerGoneError) as exc:
+        except (BadRequestError, CallerGoneError, NoMemoryError) as exc:
             logger.info('Status connection failed: %r', exc)
         finally:
             await caller.abort()
@@ -56,7 +60,7 @@
             req = await caller.read_request()
             if req is None:
                 return
-            await caller.read_body()
+            await discard_body(caller, req)
             await self._respond(caller, req)
             if not caller.start_next():
                 return
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
@@ -21,7 +21,11 @@
 )
 from spanfall_node.gateway.net.errors import BrokenCallError
 from spanfall_node.gateway.net.ports import Headers, HttpCall
-from spanfall_node.gateway.net.sockets import READ_BYTES, SOCKET_ERRORS
+from spanfall_node.gateway.net.sockets import (
+    READ_BYTES,
+    SOCKET_ERRORS,
+    slices,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -59,7 +63,7 @@
     stream: ByteStream
     address: str
     protocol: h11.Connection = field(
-        default_factory=lambda: h11.Connection(h11.CLIENT, MAX_HEAD_BYTES),
+        default_factory=lambda: h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
     )
     idle_seconds: float = DEFAULT_IDLE_SECONDS
     #: Whether no peer stands between this node and the server.
@@ -88,17 +92,20 @@
             BrokenCallError: the connection ended; the request may be
                 processed all the same.
         """
+        headers = call.framed_headers(host)
         request = h11.Request(
-            method=call.method,
-            target=call.target,
-            headers=call.framed_headers(host),
+            method=call.method, target=call.target, headers=headers
         )
-        head = self.protocol.send(request)
-        body = self.protocol.send(h11.Data(data=call.body))
-        end = self.protocol.send(h11.EndOfMessage())
+        pieces = [self.protocol.send(request)]
         self._sent_request = request
         self._body_sent = False
-        await self._write(b''.join((head, body, end)))
+        for part in slices(call.body):
+            pieces.append(self.protocol.send(h11.Data(data=part)))
+            if len(part) == READ_BYTES:
+                await self._write(b''.join(pieces))
+                pieces.clear()
+        pieces.append(self.protocol.send(h11.EndOfMessage()))
+        await self._write(b''.join(pieces))
         self._body_sent = True
 
     async def send_and_read_head(
@@ -146,19 +153,19 @@
     ) -> ResponseHead:
         """Return the head of the response to the last request.
 
-        A response to an earlier request is read completely and discarded.
+        Interim responses, and responses to earlier requests, are read and
+        discarded, a few of them.
 
         Raises:
             BrokenCallError: no response arrived.
+            UnsoundServerError: too much else arrived before it.
         """
         while True:
             event = await self._next_event()
             if not isinstance(event, h11.Response):
                 continue
             head = ResponseHead(
-                event.status_code,
-                bytes(event.reason),
-                list(event.headers),
+                event.status_code, bytes(event.reason), list(event.headers)
             )
             if is_matching(head):
                 self._record_keep_alive(head)
@@ -184,23 +191,6 @@
         self._finish_response()
         return None
 
-    async def read_body(self, most: int) -> bytes:
-        """Return the rest of the body.
-
-        Raises:
-            BrokenCallError: the body was truncated or exceeds ``most`` bytes.
-        """
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            part = await self.read_chunk()
-            if part is None:
-                return b''.join(parts)
-            parts.append(part)
-            size += len(part)
-            if size > most:
-                raise BrokenCallError('the answer is too large')
-
     async def close(self) -> None:
         """Close the connection at once and discard unread data."""
         self.reusable = False
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/errors.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/errors.py
@@ -30,6 +30,10 @@
     """Report that a call was sent but its response was not complete."""
 
 
+class UnsoundServerError(BrokenCallError):
+    """Report that a server sent more than any response may hold."""
+
+
 class CallerGoneError(Exception):
     """Report that the caller disconnected before the end of the response."""
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/pool.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/pool.py
@@ -8,6 +8,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from spanfall_node.gateway.net.bodies import read_body
 from spanfall_node.gateway.net.client import Connection
 from spanfall_node.gateway.net.connecting import connect
 from spanfall_node.gateway.net.errors import BrokenCallError, NotSentError
@@ -188,7 +189,7 @@
         with anyio.fail_after(timeout):
             await conn.send(call, address)
             head = await conn.read_head(lambda _: True)
-            body = await conn.read_body(most)
+            body = await read_body(conn, most)
     except TimeoutError as exc:
         await conn.close()
         raise BrokenCallError(
@@ -199,4 +200,4 @@
         raise
     finally:
         await pool.release(address, conn)
-    return HttpReply(head.status, head.headers, body)
+    return HttpReply(head.status, head.headers, bytes(body))
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/sockets.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/sockets.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+from collections.abc import Iterator
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
@@ -51,6 +52,15 @@
         raw.setsockopt(level, option, setting)
 
 
+def slices(whole: bytes | bytearray) -> Iterator[memoryview]:
+    """Yield the parts of some bytes that are sent at once, without a copy."""
+    view = memoryview(whole)
+    return (
+        view[start : start + READ_BYTES]
+        for start in range(0, len(view), READ_BYTES)
+    )
+
+
 def reset_on_close(stream: SocketStream, *, enabled: bool) -> None:
     """Choose whether a close, also by the end of this process, sends RST."""
     raw = stream.extra(SocketAttribute.raw_socket)
--- a/packages/spanfall-node/src/spanfall_node/gateway/requests/caller_connection.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/requests/caller_connection.py
@@ -11,6 +11,7 @@
 import h11
 from anyio.abc import SocketStream
 from spanfall_core.gateway.known.configuration import CallerLimits
+from spanfall_core.gateway.limits.memory_budget import HeldBytes, MemoryBudget
 
 from spanfall_node.gateway.net.errors import BadRequestError, CallerGoneError
 from spanfall_node.gateway.net.ports import Headers
@@ -18,6 +19,7 @@
     READ_BYTES,
     SOCKET_ERRORS,
     reset_on_close,
+    slices,
 )
 
 #: Maximum bytes that a caller may pipeline before the response is complete.
@@ -61,6 +63,8 @@
     stream: SocketStream
     limits: CallerLimits
     protocol: h11.Connection = field(init=False)
+    #: Bytes that the node holds for the current request.
+    held: HeldBytes = field(default_factory=lambda: HeldBytes(MemoryBudget(0)))
     #: Whether the connection closes after the current response.
     closing: bool = False
     #: Whether the caller disconnected, or the connection has to be aborted.
@@ -94,28 +98,25 @@
             return None
         raise BadRequestError(408, 'request head timed out')
 
-    async def read_body(self) -> bytes:
-        """Return the whole body of the request.
+    async def send_continue(self) -> None:
+        """Ask for the body if the caller waits for that."""
+        if self.protocol.they_are_waiting_for_100_continue:
+            await self._write(self._continue())
+
+    async def next_body_event(self) -> h11.Data | h11.EndOfMessage:
+        """Return the next part of the body, or its end.
 
         Raises:
-            BadRequestError: the body is malformed, too large or too slow.
+            BadRequestError: the body is malformed or too slow.
             CallerGoneError: the caller disconnected.
         """
-        parts: list[bytes] = []
-        size = 0
-        if self.protocol.they_are_waiting_for_100_continue:
-            await self._write(self._continue())
-        while True:
-            event = await self._body_event()
-            if isinstance(event, h11.EndOfMessage):
-                return b''.join(parts)
-            parts.append(bytes(event.data))
-            size += len(event.data)
-            if size > self.limits.body_bytes:
-                self.closing = True
-                raise BadRequestError(
-                    413, 'request body exceeds the size limit'
-                )
+        with anyio.move_on_after(self.limits.idle_timeout):
+            event = await self._next_event()
+            if isinstance(event, h11.ConnectionClosed):
+                raise CallerGoneError
+            return event
+        self.closing = True
+        raise BadRequestError(408, 'request body timed out')
 
     async def wait_for_disconnect(self) -> None:
         """Return when the caller disconnects; buffer what it pipelines."""
@@ -169,8 +170,11 @@
     ) -> None:
         """Send a complete response, as ``send_head`` and its parts do."""
         pieces = [self._head(status, headers, is_delimited)]
-        if body:
-            pieces.append(self.protocol.send(h11.Data(data=body)))
+        for part in slices(body):
+            pieces.append(self.protocol.send(h11.Data(data=part)))
+            if len(part) == READ_BYTES:
+                await self._write(b''.join(pieces))
+                pieces.clear()
         pieces.append(self.protocol.send(h11.EndOfMessage()))
         await self._write(b''.join(pieces))
         self._mark_complete()
@@ -257,15 +261,6 @@
                 return event
             await self._receive()
 
-    async def _body_event(self) -> h11.Data | h11.EndOfMessage:
-        with anyio.move_on_after(self.limits.idle_timeout):
-            event = await self._next_event()
-            if isinstance(event, h11.ConnectionClosed):
-                raise CallerGoneError
-            return event
-        self.closing = True
-        raise BadRequestError(408, 'request body timed out')
-
     async def _receive(self) -> None:
         try:
             received = await self.stream.receive(READ_BYTES)
--- a/packages/spanfall-node/src/spanfall_node/gateway/requests/refusals.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/requests/refusals.py
@@ -84,6 +84,13 @@
         self.units = units
 
 
+def draining_refusal() -> RefusedError:
+    """Return the refusal of a node that stops."""
+    return RefusedError(
+        503, RefusalReason.NODE_DRAINING, DRAINING_RETRY_SECONDS
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class ProblemDetails:
     """Describe to a caller why its request is refused (RFC 9457)."""
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/new_state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/new_state.py
@@ -5,6 +5,7 @@
 from spanfall_core.gateway.known.freshness import Freshness
 from spanfall_core.gateway.known.true_time import TrueTime
 from spanfall_core.gateway.known.usage import UsageCounts
+from spanfall_core.gateway.limits.memory_budget import MemoryBudget
 from spanfall_core.gateway.limits.quotas import Quotas
 from spanfall_core.gateway.routing.retry_budget import RetryBudget, RetryLimits
 
@@ -48,6 +49,7 @@
         words=words,
         scheduling=Scheduling(cfg.scheduling),
         directory=Directory(words.table.leaving),
+        memory=MemoryBudget(cfg.host.body_bytes),
     )
     state.counters.open_requests.set_function(lambda: state.open_requests)
     _observe_held(state)
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
@@ -26,6 +26,7 @@
 from spanfall_core.gateway.known.unit_reports import AllocatedUnits
 from spanfall_core.gateway.known.upstream_speeds import UpstreamSpeeds
 from spanfall_core.gateway.known.usage import UsageCounts
+from spanfall_core.gateway.limits.memory_budget import MemoryBudget
 from spanfall_core.gateway.limits.quota_allocator import QuotaAllocator
 from spanfall_core.gateway.limits.quotas import Quotas
 from spanfall_core.gateway.orders.reclaims import SeenReclaims
@@ -111,6 +112,7 @@
     home_resigned: bool = False
     draining_since: float | None = None
     shutdown: Shutdown = field(default_factory=Shutdown)
+    memory: MemoryBudget = field(default_factory=lambda: MemoryBudget(0))
     #: Number of requests whose callers are waiting.
     open_requests: int = 0
 
@@ -215,10 +217,7 @@
         return self.quota_allocator.lend(entry, workspace, units, limits, now)
 
     def apply_given(
-        self,
-        given: AllocatedUnits | None,
-        report: EntryReport,
-        now: float,
+        self, given: AllocatedUnits | None, report: EntryReport, now: float
     ) -> None:
         """Apply the units that the home has allocated after a report."""
         limits = self.limits_at(now)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
@@ -37,8 +37,8 @@
     """Hold a response that was read to its end."""
 
     head: ResponseHead
-    body: bytes
-    end: BodyEnd
+    body: bytes | bytearray
+    end: BodyEnd | None
 
 
 @dataclass(slots=True)
@@ -134,6 +134,21 @@
     record_response(state, exchange, head.status)
 
 
+async def abort_response(
+    state: GatewayState, exchange: Exchange, reason: str
+) -> None:
+    """Cut a response that has begun, so that its caller sees that."""
+    state.counters.cut_answers.labels(reason).inc()
+    logger.warning(
+        'Cut the answer to %s: %s; the caller sees it as unfinished',
+        exchange.admitted.attempt_id,
+        reason,
+    )
+    exchange.caller.closing = True
+    exchange.caller.gone = True
+    await exchange.caller.abort()
+
+
 def log_response(
     state: GatewayState,
     exchange: Exchange,
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -36,6 +36,7 @@
     Answered,
     Exchange,
     Failed,
+    abort_response,
     count_run,
     relay_buffered,
 )
@@ -96,7 +97,7 @@
         reason = RefusalReason.NODE_DRAINING
         retry_after = DRAINING_RETRY_SECONDS
     if exchange.started:
-        await _abort_response(state, exchange, reason)
+        await abort_response(state, exchange, reason)
         return
     if exchange.sends.sends:
         count_run(state, exchange.admitted)
@@ -104,20 +105,6 @@
     raise RefusedError(503, reason, retry_after)
 
 
-async def _abort_response(
-    state: GatewayState, exchange: Exchange, reason: str
-) -> None:
-    state.counters.cut_answers.labels(reason).inc()
-    logger.warning(
-        'Cut the answer to %s: %s; the caller sees it as unfinished',
-        exchange.admitted.attempt_id,
-        reason,
-    )
-    exchange.caller.closing = True
-    exchange.caller.gone = True
-    await exchange.caller.abort()
-
-
 async def _send_until_answered(
     state: GatewayState,
     access: UpstreamAccess,
@@ -151,7 +138,7 @@
     if exchange.sends.may_have_run:
         count_run(state, exchange.admitted)
     if exchange.started:
-        await _abort_response(state, exchange, RefusalReason.ENDS_UPSTREAMS)
+        await abort_response(state, exchange, RefusalReason.ENDS_UPSTREAMS)
         return
     if standing is Standing.QUARANTINED:
         traits = exchange.admitted.traits
@@ -172,7 +159,7 @@
     retry_after: RetryAfter | None,
 ) -> None:
     if exchange.started:
-        await _abort_response(state, exchange, 'no upstream is left')
+        await abort_response(state, exchange, 'no upstream is left')
     elif exchange.sends.may_have_run:
         raise final_refusal(NextStep.ANSWER_UNKNOWN)
     elif retry_after is None:
@@ -236,7 +223,7 @@
     if step is not NextStep.ANSWER_NOT_RUN:
         count_run(state, exchange.admitted)
     if exchange.started:
-        await _abort_response(state, exchange, failed.reason)
+        await abort_response(state, exchange, failed.reason)
         return
     if step is NextStep.RELAY and failed.response is not None:
         await relay_buffered(state, exchange, failed.response)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/response_ends.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/response_ends.py
@@ -8,8 +8,10 @@
 from collections.abc import Callable
 
 from spanfall_core.gateway.known.listed import ListedUpstream
+from spanfall_core.gateway.limits.memory_budget import SMALL_BYTES
 from spanfall_core.gateway.routing.sends import SendOutcome
 
+from spanfall_node.gateway.net.bodies import too_large
 from spanfall_node.gateway.net.body_ends import (
     PROVEN_ENDS,
     BodyEnd,
@@ -22,12 +24,16 @@
     Answered,
     Exchange,
     Failed,
+    abort_response,
     count_run,
     record_response,
 )
+from spanfall_node.gateway.upstreams.event_parts import EventTooLargeError
 from spanfall_node.gateway.upstreams.forwarded import response_headers
 from spanfall_node.gateway.upstreams.resuming import bind_origin
 
+#: Maximum bytes of a body whose length is not stated.
+MAX_UNSTATED_BYTES = 8_388_608
 #: Ends after which a response is complete for all that its framing shows.
 COMPLETE_ENDS = PROVEN_ENDS | {BodyEnd.CLOSED}
 
@@ -63,6 +69,7 @@
         return Failed(SendOutcome.BROKEN, 'a stream without a signature')
     events = exchange.events
     events.discard_partial()
+    held_before = exchange.caller.held.size
     is_delimited = conn.framing is not BodyFraming.CONNECTION
     while True:
         part = await conn.read_chunk()
@@ -78,14 +85,68 @@
             await bind_origin(state, exchange, upstream)
             await _start_response(state, exchange, head, is_delimited)
             await exchange.caller.send_part(whole)
+        _hold_partial_event(exchange, held_before)
     await _check_stream_end(exchange, conn)
     await _start_response(state, exchange, head, is_delimited)
     if events.partial_event:
-        await exchange.caller.send_part(events.partial_event)
+        await exchange.caller.send_part(bytes(events.partial_event))
     await exchange.caller.send_end()
     return Answered()
 
 
+def _hold_partial_event(exchange: Exchange, held_before: int) -> None:
+    """Hold the bytes of an incomplete event.
+
+    Raises:
+        EventTooLargeError: the node has no memory for them.
+    """
+    partial = len(exchange.events.partial_event)
+    if partial > SMALL_BYTES:
+        if not exchange.caller.held.try_reach(held_before + partial):
+            raise EventTooLargeError
+
+
+async def relay_unheld(
+    state: GatewayState,
+    exchange: Exchange,
+    conn: Connection,
+    head: ResponseHead,
+    begun: bytearray,
+) -> Answered:
+    """Relay a response as it arrives, of which some bytes were read.
+
+    It can't be sent again elsewhere, so a failure cuts it.
+    """
+    is_delimited = conn.framing is not BodyFraming.CONNECTION
+    await _start_response(state, exchange, head, is_delimited)
+    try:
+        await _relay_parts(exchange, conn, begun)
+        if await checked_end(exchange, conn) not in COMPLETE_ENDS:
+            raise BrokenCallError(f'response ended by {conn.body_end}')
+    except BrokenCallError as exc:
+        await abort_response(state, exchange, exc.reason)
+    else:
+        await exchange.caller.send_end()
+    return Answered()
+
+
+async def _relay_parts(
+    exchange: Exchange, conn: Connection, begun: bytearray
+) -> None:
+    """Relay the rest of a body after those bytes of it that were read."""
+    size = len(begun)
+    await exchange.caller.send_part(bytes(begun))
+    begun.clear()
+    while True:
+        part = await conn.read_chunk()
+        if part is None:
+            return
+        size += len(part)
+        if size > MAX_UNSTATED_BYTES and conn.framing is not BodyFraming.LENGTH:
+            raise too_large(size, MAX_UNSTATED_BYTES)
+        await exchange.caller.send_part(part)
+
+
 async def _check_stream_end(exchange: Exchange, conn: Connection) -> None:
     """Raise BrokenCallError unless the stream may be called complete."""
     if conn.body_end is BodyEnd.CLOSED:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
@@ -7,6 +7,7 @@
 from spanfall_core.gateway.routing.balance import Choice
 from spanfall_core.gateway.routing.sends import SendOutcome, may_run_again
 
+from spanfall_node.gateway.net.bodies import read_held_body
 from spanfall_node.gateway.net.client import Connection, ResponseHead
 from spanfall_node.gateway.net.errors import (
     BrokenCallError,
@@ -14,6 +15,7 @@
     CallError,
     NotSentError,
     PathUnknownError,
+    UnsoundServerError,
 )
 from spanfall_node.gateway.net.pool import ConnectionPool
 from spanfall_node.gateway.requests.refusals import NOT_RUN_STATUSES
@@ -38,8 +40,10 @@
     record_statement,
 )
 from spanfall_node.gateway.upstreams.response_ends import (
+    MAX_UNSTATED_BYTES,
     checked_end,
     relay_stream,
+    relay_unheld,
 )
 from spanfall_node.gateway.upstreams.speeds import (
     record_call,
@@ -50,12 +54,11 @@
 
 #: Timeout in seconds of a new connection to an upstream.
 CONNECT_TIMEOUT_SECONDS = 0.4
-#: Maximum bytes of a response that is buffered before it is relayed.
-MAX_BUFFERED_BYTES = 8_388_608
 #: Weights of failures, relative to 1 for a failed request: a refusal weighs
-#: less, an unreachable upstream more.
+#: less, an unreachable upstream and one that sends without end more.
 REFUSED_WEIGHT = 0.3
 UNREACHABLE_WEIGHT = 3.0
+UNSOUND_WEIGHT = 3.0
 
 
 async def send(
@@ -133,8 +136,10 @@
     except CallerGoneError:
         await conn.close()
         raise
-    except (BrokenCallError, EventTooLargeError) as exc:
-        return Failed(SendOutcome.BROKEN, _reason(exc), weight=1)
+    except (UnsoundServerError, EventTooLargeError) as exc:
+        return Failed(SendOutcome.BROKEN, _reason(exc), weight=UNSOUND_WEIGHT)
+    except BrokenCallError as exc:
+        return Failed(SendOutcome.BROKEN, exc.reason, weight=1)
     finally:
         if conn.body_end is not None:
             state.counters.response_ends.labels(conn.body_end.value).inc()
@@ -198,7 +203,11 @@
             pending.first_token,
         )
     else:
-        send_result = await _relay_body(state, exchange, choice, conn, head)
+        held_before = exchange.caller.held.size
+        try:
+            send_result = await _relay_body(state, exchange, choice, conn, head)
+        finally:
+            exchange.caller.held.shrink_to(held_before, state.timers.now())
     if isinstance(send_result, Answered):
         log_response(state, exchange, lifetime, head.status, conn.body_end)
     return send_result
@@ -212,8 +221,10 @@
     head: ResponseHead,
 ) -> Answered | Failed:
     """Read a body to its end and relay it, unless the response is a failure."""
-    body = await conn.read_body(MAX_BUFFERED_BYTES)
-    end = await checked_end(exchange, conn)
+    body, is_whole = await read_held_body(
+        conn, exchange.caller.held, MAX_UNSTATED_BYTES
+    )
+    end = await checked_end(exchange, conn) if is_whole else None
     response = BufferedResponse(head, body, end)
     failed = _classify_failure(state, choice, response)
     if failed is not None:
@@ -223,8 +234,10 @@
         _record_call(state, exchange, choice)
         if exchange.run is not None:
             await exchange.run.record_part(state.timers.now())
-    await relay_buffered(state, exchange, response)
-    return Answered()
+    if is_whole:
+        await relay_buffered(state, exchange, response)
+        return Answered()
+    return await relay_unheld(state, exchange, conn, head, body)
 
 
 def _record_call(
@@ -264,7 +277,8 @@
         return Failed(SendOutcome.BROKEN, reason, weight=1)
     if head.status >= 500:
         reason = f'failed with {head.status}'
-        return Failed(SendOutcome.FAILED, reason, response, weight=1)
+        whole = None if response.end is None else response
+        return Failed(SendOutcome.FAILED, reason, whole, weight=1)
     if head.status < 300 and not head.header(names.signature):
         reason = 'success without a signature'
         return Failed(SendOutcome.BROKEN, reason, weight=1)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/tunnel_server.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/tunnel_server.py
@@ -18,6 +18,7 @@
     REFUSED_STATUS,
     copy_both_ways,
 )
+from spanfall_node.gateway.requests.body_reading import discard_body
 from spanfall_node.gateway.requests.caller_connection import (
     CallerConnection,
     CallerRequest,
@@ -81,16 +82,19 @@
         )
         self._state.open_requests += 1
         try:
-            await self._carry(peer, conn.stream)
+            await self._carry(peer, req, conn.stream)
         finally:
             self._state.open_requests -= 1
             with anyio.CancelScope(shield=True):
                 await conn.close()
 
     async def _carry(
-        self, peer: CallerConnection, upstream: SocketStream
+        self,
+        peer: CallerConnection,
+        req: CallerRequest,
+        upstream: SocketStream,
     ) -> None:
-        await peer.read_body()
+        await discard_body(peer, req)
         enable_keepalive(peer.stream)
         await peer.send_head(200, [])
         self._state.counters.tunnels.inc()
--- a/tests/test_gateway_client.py
+++ b/tests/test_gateway_client.py
@@ -7,6 +7,7 @@
 import anyio
 import pytest
 from anyio.abc import SocketAttribute, SocketStream
+from spanfall_node.gateway.net.bodies import read_body
 from spanfall_node.gateway.net.client import Connection
 from spanfall_node.gateway.net.connecting import connect
 from spanfall_node.gateway.net.errors import NotSentError
@@ -96,7 +97,7 @@
         call = HttpCall('POST', '/', body=LARGE_BODY)
         with anyio.fail_after(TIMEOUT_SECONDS):
             head = await conn.send_and_read_head(call, 'x', bool)
-            body = await conn.read_body(1)
+            body = await read_body(conn, 1)
         assert (head.status, body, conn.reusable) == (503, b'', False)
 
     run_with_unreading_server(check)
