Leave the event loop to others while bytes that arrived are read

What callers saw: while an upstream sends parts of one byte, or an event stream without an event, the node serves nobody else for tenths of a second; a request beside sound upstreams waited for its deadline and the intake shut after it.

Cause: a loop over 64 KB of parts that have arrived yields no turn, and each part of an incomplete event was joined to the event and searched from its start again.

Fix: 64 parsed parts a turn, for upstreams and callers; an event is searched from where the last search ended, in one buffer.

--- a/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
@@ -12,6 +12,7 @@
 import anyio
 import h11
 from anyio.abc import ByteStream
+from anyio.lowlevel import checkpoint
 
 from spanfall_node.gateway.net.body_ends import (
     FRAMING_ENDS,
@@ -23,6 +24,7 @@
 from spanfall_node.gateway.net.ports import Headers, HttpCall
 from spanfall_node.gateway.net.response_bounds import ResponseBounds
 from spanfall_node.gateway.net.sockets import (
+    EVENTS_PER_SLICE,
     READ_BYTES,
     SOCKET_ERRORS,
     slices,
@@ -87,6 +89,7 @@
     _body_sent: bool = True
     #: What may still arrive before the response; None: it is not awaited.
     _bounds: ResponseBounds | None = None
+    _events: int = 0
 
     async def send(self, call: HttpCall, host: str) -> None:
         """Send a request with its whole body.
@@ -146,9 +149,7 @@
         try:
             await self.send(call, host)
         except BrokenCallError as exc:
-            logger.info(
-                'Did not send the whole request to %s: %s', self.address, exc
-            )
+            logger.info('Request to %s cut short: %s', self.address, exc)
 
     async def read_head(
         self,
@@ -257,6 +258,9 @@
         self.reusable = clean and done and self.protocol.their_state is h11.DONE
 
     async def _next_event(self) -> h11.Event:
+        self._events += 1
+        if not self._events % EVENTS_PER_SLICE:
+            await checkpoint()
         while True:
             try:
                 event = self.protocol.next_event()
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/sockets.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/sockets.py
@@ -13,6 +13,8 @@
 BACKLOG = 1024
 #: Maximum bytes per read from a socket.
 READ_BYTES = 65536
+#: Parsed parts of one connection that are handled before others get their turn.
+EVENTS_PER_SLICE = 64
 #: Milliseconds after which unacknowledged data ends a connection: less than
 #: the time-out of callers for a stalled stream (4 s for the users), and long
 #: enough for a lossy network and for a server that reads slowly.
--- a/packages/spanfall-node/src/spanfall_node/gateway/requests/caller_connection.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/requests/caller_connection.py
@@ -10,12 +10,14 @@
 import anyio
 import h11
 from anyio.abc import SocketStream
+from anyio.lowlevel import checkpoint
 from spanfall_core.gateway.known.configuration import CallerLimits
 from spanfall_core.gateway.limits.memory_budget import HeldBytes, MemoryBudget
 
 from spanfall_node.gateway.net.errors import BadRequestError, CallerGoneError
 from spanfall_node.gateway.net.ports import Headers
 from spanfall_node.gateway.net.sockets import (
+    EVENTS_PER_SLICE,
     READ_BYTES,
     SOCKET_ERRORS,
     reset_on_close,
@@ -73,6 +75,7 @@
     ends_with_connection: bool = False
     #: Bytes that the caller pipelined during the current request.
     _pipelined_bytes: int = 0
+    _parts: int = 0
 
     def __post_init__(self) -> None:
         """Start the protocol with the configured header size limit."""
@@ -101,7 +104,8 @@
     async def send_continue(self) -> None:
         """Ask for the body if the caller waits for that."""
         if self.protocol.they_are_waiting_for_100_continue:
-            await self._write(self._continue())
+            interim = h11.InformationalResponse(status_code=100, headers=[])
+            await self._write(self.protocol.send(interim))
 
     async def next_body_event(self) -> h11.Data | h11.EndOfMessage:
         """Return the next part of the body, or its end.
@@ -110,6 +114,9 @@
             BadRequestError: the body is malformed or too slow.
             CallerGoneError: the caller disconnected.
         """
+        self._parts += 1
+        if not self._parts % EVENTS_PER_SLICE:
+            await checkpoint()
         with anyio.move_on_after(self.limits.idle_timeout):
             event = await self._next_event()
             if isinstance(event, h11.ConnectionClosed):
@@ -281,10 +288,6 @@
             headers,
         )
 
-    def _continue(self) -> bytes:
-        interim = h11.InformationalResponse(status_code=100, headers=[])
-        return self.protocol.send(interim)
-
     async def _write(self, outgoing: bytes) -> None:
         if self.gone:
             raise CallerGoneError
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/event_parts.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/event_parts.py
@@ -6,12 +6,14 @@
 """
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 #: Maximum bytes of one event.
 MAX_EVENT_BYTES = 1_048_576
 
 _EVENT_END = re.compile(rb'\r?\n\r?\n|\r\r')
+#: Bytes of the end of an event that may have arrived before its last byte.
+_END_OVERLAP = 3
 #: Last event of a stream of the OpenAI interface.
 _FINAL_EVENT = b'data: [DONE]'
 _EVENT_ID = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
@@ -25,7 +27,7 @@
 class EventSplitter:
     """Hold the incomplete event of a stream and the last event id."""
 
-    partial_event: bytes = b''
+    partial_event: bytearray = field(default_factory=bytearray)
     last_id: bytes = b''
     events: int = 0
     #: Whether the last complete event says that it is the last.
@@ -42,13 +44,15 @@
         Raises:
             EventTooLargeError: the incomplete event exceeds the size limit.
         """
-        joined = self.partial_event + received
+        partial = self.partial_event
+        searched = max(0, len(partial) - _END_OVERLAP)
+        partial += received
         end = 0
-        for found in _EVENT_END.finditer(joined):
+        for found in _EVENT_END.finditer(partial, searched):
             end = found.end()
             self.events += 1
-        whole = joined[:end]
-        self.partial_event = joined[end:]
+        whole = bytes(partial[:end])
+        del partial[:end]
         if len(self.partial_event) > MAX_EVENT_BYTES:
             raise EventTooLargeError
         if whole:
@@ -60,4 +64,4 @@
 
     def discard_partial(self) -> None:
         """Discard the incomplete event; another upstream sends it again."""
-        self.partial_event = b''
+        self.partial_event.clear()
--- a/tests/test_gateway_endless.py
+++ b/tests/test_gateway_endless.py
@@ -23,6 +23,8 @@
 #: Growth of the process by these, in bytes: the node may hold a quarter of
 #: 200 MB, and the kernel and the event loop hold some more for each connection.
 MAX_GROWTH = 130_000_000
+#: Longest time for which the event loop may be late, in seconds.
+MAX_LATE_SECONDS = 0.1
 #: Bytes that a stand-in sends at once.
 PIECE = 32_768
 PAGE_BYTES = 4096
@@ -83,6 +85,20 @@
     return run
 
 
+class LoopWatch:
+    """Measure how late the event loop runs."""
+
+    def __init__(self):
+        self.latest = 0.0
+
+    async def run(self):
+        while True:
+            began_at = anyio.current_time()
+            await anyio.sleep(0.01)
+            late = anyio.current_time() - began_at - 0.01
+            self.latest = max(self.latest, late)
+
+
 def resident_bytes():
     pages = Path('/proc/self/statm').read_text().split()[1]
     return int(pages) * PAGE_BYTES
@@ -124,7 +140,7 @@
 
 
 # Guards against an upstream that is chosen again and again beside sound ones.
-@pytest.mark.parametrize('name', ['interim', 'others', 'unframed'])
+@pytest.mark.parametrize('name', ['interim', 'others', 'unframed', 'no-event'])
 def test_sound_upstreams_beside_an_endless_one(name):
     @in_world
     async def play(world):
@@ -171,3 +187,38 @@
         await wait_until(lambda: not state.memory.held)
 
     play()
+
+
+# Guards against a loop over parts that have arrived already, in which nobody
+# else gets a turn.
+@pytest.mark.parametrize('name', ['tiny-chunks', 'tiny-parts', 'others'])
+def test_event_loop_stays_free(name):
+    @in_world
+    async def play(world):
+        await world.add_upstream(endless(name))
+        state = await world.add_gateway()
+        watch = LoopWatch()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch.run)
+            await ask(state, '/short/1')
+            tasks.cancel_scope.cancel()
+        assert watch.latest < MAX_LATE_SECONDS
+
+    play()
+
+
+# The same for the body of a request.
+@in_world
+async def test_event_loop_stays_free_of_callers(world):
+    state = await world.add_gateway()
+    watch = LoopWatch()
+    head = request_bytes('/once/1', transfer_encoding='chunked').replace(
+        b'GET', b'POST'
+    )
+    async with await dial(state.cfg.listen.callers) as stream:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch.run)
+            await stream.send(head + 20 * pieces_of(chunk(1)))
+            await anyio.sleep(0.5)
+            tasks.cancel_scope.cancel()
+    assert watch.latest < MAX_LATE_SECONDS
