Answer HEAD on the listener of metrics without a body

Cause: a body was sent to HEAD, and the error of one status connection left the listener's task group, in which all parts run.

Fix: HEAD gets the headers alone; an unexpected error ends its own connection and is logged, as with callers and tunnels.

--- a/packages/spanfall-node/src/spanfall_node/gateway/lifecycle.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/lifecycle.py
@@ -52,6 +52,8 @@
             await self._serve_requests(caller)
         except (BadRequestError, CallerGoneError, NoMemoryError) as exc:
             logger.info('Status connection failed: %r', exc)
+        except Exception:
+            logger.exception('Unexpected error on a status connection')
         finally:
             await caller.abort()
 
@@ -78,6 +80,8 @@
         elif req.path == '/metrics':
             status, body = 200, generate_latest(state.counters.registry)
         headers = [*_TEXT, (b'content-length', b'%d' % len(body))]
+        if req.method == 'HEAD':
+            body = b''
         await caller.send_response(status, headers, body)
 
 
