Show no upstream a caller's key, on any route

Cause: the key was dropped, and its workspace looked up, only where a route needs a key.

Evidence: test_keys_on_a_route_without_keys fails on the commit before.

Fix: an authorization of the platform's key scheme is never forwarded. A valid key names its workspace on each route, so its requests count for that; an unknown one, or any while the configuration is stale, is taken for none where none is needed.

Result: the tests of keys pass.

--- a/packages/spanfall-node/src/spanfall_node/gateway/requests/admission.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/requests/admission.py
@@ -200,9 +200,11 @@
     req: CallerRequest,
     now: float,
 ) -> ServedWorkspace | None:
-    if not configuration.workspaces or not route.needs_key:
+    """Return the workspace of a request; a route without keys needs none."""
+    if not configuration.workspaces:
         return None
-    if not state.freshness.may_serve_keys(now):
+    is_fresh = state.freshness.may_serve_keys(now)
+    if route.needs_key and not is_fresh:
         raise RefusedError(
             503,
             RefusalReason.STALE_CONFIGURATION,
@@ -211,9 +213,11 @@
     scheme, _, key = req.header(b'authorization').partition(' ')
     expected = state.platform.names.key_scheme.decode().lower()
     known = configuration.find_workspace(key.strip())
-    if scheme.lower() != expected or known is None:
+    if is_fresh and known is not None and scheme.lower() == expected:
+        return known
+    if route.needs_key:
         raise RefusedError(401, RefusalReason.UNAUTHENTICATED)
-    return known
+    return None
 
 
 def _units(workspace: ServedWorkspace | None, tokens: int) -> float:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/forwarded.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/forwarded.py
@@ -40,7 +40,7 @@
     headers = [
         (name, text)
         for name, text in admitted.req.headers
-        if name not in dropped
+        if name not in dropped and not _is_key(name, text, names)
     ]
     left_ms = max(1, int(seconds_left * 1000) - RETURN_MARGIN_MS)
     headers.append((names.deadline_ms, b'%d' % left_ms))
@@ -92,6 +92,12 @@
     return {name.strip().lower().encode('latin-1') for name in options}
 
 
+def _is_key(name: bytes, text: bytes, names: HeaderNames) -> bool:
+    """Return whether a header holds a key, which no upstream is shown."""
+    scheme = text.partition(b' ')[0].lower()
+    return name == b'authorization' and scheme == names.key_scheme.lower()
+
+
 def _without_key(headers: Headers) -> Headers:
     return [row for row in headers if row[0] != b'authorization']
 
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -55,6 +55,33 @@
     assert (seen['workspace'], 'authorization' in seen) == ('w', False)
 
 
+# Guards against a key that an upstream is shown, and against a request of a
+# workspace that is taken for nobody's, on a route that needs no key.
+@in_world
+async def test_keys_on_a_route_without_keys(world):
+    world.configure(workspaces=[PlainWorkspace('w', ['k'])])
+    upstream = await world.add_upstream(complete_response())
+    state = await world.add_gateway()
+    answers = [
+        await ask(state, '/once/7', attempt=key, authorization=key)
+        for key in ('Key k', 'Key other', 'Bearer b')
+    ]
+    assert [answer.status for answer in answers] == [200, 200, 200]
+    seen = {one.headers['attempt']: one for one in upstream.received_requests}
+    shown = {
+        key: (
+            one.headers.get('workspace'),
+            one.headers.get('authorization'),
+        )
+        for key, one in seen.items()
+    }
+    assert shown == {
+        'Key k': ('w', None),
+        'Key other': (None, None),
+        'Bearer b': (None, 'Bearer b'),
+    }
+
+
 @in_world
 async def test_usage_is_reported_once_by_window(world):
     world.configure(workspaces=[PlainWorkspace('w', ['k'])])
