Label cut responses by one of a few reasons

Cause: the counter of cut responses was labelled with the text of the failure, which since today holds sizes: a label, and so memory, for each number.

Fix: the label is the outcome of the send; the text goes into the log.

Result: test_cut_large_response_is_seen_as_cut checks the label; it did not before.

--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
@@ -135,14 +135,17 @@
 
 
 async def abort_response(
-    state: GatewayState, exchange: Exchange, reason: str
+    state: GatewayState, exchange: Exchange, reason: str, detail: str = ''
 ) -> None:
-    """Cut a response that has begun, so that its caller sees that."""
+    """Cut a response that has begun, so that its caller sees that.
+
+    ``reason`` is one of a few, as it labels a counter; ``detail`` is logged.
+    """
     state.counters.cut_answers.labels(reason).inc()
     logger.warning(
         'Cut the answer to %s: %s; the caller sees it as unfinished',
         exchange.admitted.attempt_id,
-        reason,
+        detail or reason,
     )
     exchange.caller.closing = True
     exchange.caller.gone = True
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -223,7 +223,7 @@
     if step is not NextStep.ANSWER_NOT_RUN:
         count_run(state, exchange.admitted)
     if exchange.started:
-        await abort_response(state, exchange, failed.reason)
+        await abort_response(state, exchange, failed.outcome, failed.reason)
         return
     if step is NextStep.RELAY and failed.response is not None:
         await relay_buffered(state, exchange, failed.response)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/response_ends.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/response_ends.py
@@ -124,7 +124,7 @@
         if await checked_end(exchange, conn) not in COMPLETE_ENDS:
             raise BrokenCallError(f'response ended by {conn.body_end}')
     except BrokenCallError as exc:
-        await abort_response(state, exchange, exc.reason)
+        await abort_response(state, exchange, SendOutcome.BROKEN, exc.reason)
     else:
         await exchange.caller.send_end()
     return Answered()
--- a/tests/test_gateway_memory.py
+++ b/tests/test_gateway_memory.py
@@ -149,6 +149,9 @@
     state = await world.add_gateway()
     answer = await ask(state, '/any/1')
     assert not answer.complete
+    # The label of the counter is one of a few, without sizes.
+    cut = state.counters.registry.get_sample_value
+    assert cut('spanfall_cut_answers_total', {'reason': 'broken'}) == 1
 
 
 @given(st.lists(st.integers(1, 400_000), max_size=30))
