Continue no stream at a grant that did not begin it

Cause: a grant was copied and answered like a beginning. If the upstream of the first grant refuses, the stream begins elsewhere; if the home and the entry then end before the copies are corrected, the next entry goes on at the grant.

Evidence: test_a_stream_not_begun_by_its_first_grant failed 3 of 3 on the code before, with 'which Origin(... v2) began: found' for a stream of v1.

Fix: unless its first grant began a stream, the entry tells nodes that keep copies before the first event. Answers say whether the stream has begun; what an unsettled home knows as granted only is checked against the copies, and a beginning wins.

Result: the test passes 3 of 3, and the other tests of resumed streams; the stub of test_the_home_is_told_what_it_did_not_grant got the fields that are read now.

--- a/packages/spanfall-node/src/spanfall_node/gateway/links/origin_messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/origin_messages.py
@@ -32,3 +32,5 @@
     origin: Origin | None = None
     #: Whether the node has heard from all entries that it will hear from.
     is_settled: bool = False
+    #: Whether the stream is known to have begun there, and not only granted.
+    is_begun: bool = False
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/keeper_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/keeper_links.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass, field
 
 import anyio
-from spanfall_core.gateway.known.origins import Origin
 from websockets.asyncio.client import ClientConnection
 from websockets.exceptions import WebSocketException
 
@@ -58,20 +57,28 @@
             for address in others[:MAX_TOLD]:
                 tasks.start_soon(self._tell_node, address, message)
 
-    async def ask(self, question: OriginQuestion) -> Origin | None:
-        """Return what began a stream, if a node knows."""
-        found: list[Origin] = []
+    async def ask(
+        self, question: OriginQuestion, known: OriginAnswer
+    ) -> OriginAnswer:
+        """Return what began a stream, if a node knows, or who was granted it.
+
+        A grant may not have begun the stream, so one that is ``known`` or that
+        some nodes hold counts only if none knows where the stream began.
+        """
+        found = [known]
         async with anyio.create_task_group() as tasks:
 
             async def ask(address: str) -> None:
-                origin = await _ask_node(address, question)
-                if origin is not None:
-                    found.append(origin)
+                answer = await _ask_node(address, question)
+                if answer is None or answer.origin is None:
+                    return
+                found.append(answer)
+                if answer.is_begun:
                     tasks.cancel_scope.cancel()
 
             for address in self._others():
                 tasks.start_soon(ask, address)
-        return next(iter(found), None)
+        return max(found, key=_certainty)
 
     def _others(self) -> list[str]:
         own = self.state.cfg.listen.links
@@ -97,7 +104,13 @@
             self._paused_until[address] = now + PAUSE_SECONDS
 
 
-async def _ask_node(address: str, question: OriginQuestion) -> Origin | None:
+def _certainty(answer: OriginAnswer) -> tuple[bool, bool]:
+    return answer.is_begun, answer.origin is not None
+
+
+async def _ask_node(
+    address: str, question: OriginQuestion
+) -> OriginAnswer | None:
     """Ask one node over a connection of its own."""
     try:
         with anyio.fail_after(ANSWER_TIMEOUT_SECONDS):
@@ -109,4 +122,4 @@
             'Node %s did not tell what began a stream: %r', address, exc
         )
         return None
-    return answer.origin if isinstance(answer, OriginAnswer) else None
+    return answer if isinstance(answer, OriginAnswer) else None
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/stream_lookup.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/stream_lookup.py
@@ -106,7 +106,10 @@
     now = state.timers.now()
     is_settled = tenure is not None and now - tenure.began_at >= SETTLE_SECONDS
     return OriginAnswer(
-        question.number, find_origin(state, question), is_settled
+        question.number,
+        find_origin(state, question),
+        is_settled,
+        state.streams.table.has_begun(question.stream, now),
     )
 
 
@@ -153,8 +156,9 @@
     ) -> None:
         """Tell the home of a stream, unless it granted that in this epoch.
 
-        Without a home, tell nodes that keep copies. The message is sent before
-        the caller gets the first event.
+        Nodes that keep copies are told as well: they may hold an earlier grant
+        of the stream. The messages are sent before the caller gets the first
+        event.
         """
         home = self.state.home
         if home is not None and home.epoch == granted_epoch:
@@ -162,8 +166,7 @@
         groups = group_records((record,), self.state.timers.now())
         if self._send is not None:
             await self._send(OriginsMessage(groups))
-        elif self.state.tenure is None:
-            await self._keepers.tell(OriginsMessage(groups))
+        await self._keepers.tell(OriginsMessage(groups))
 
     async def find(self, question: OriginQuestion) -> Lookup:
         """Return what began a stream; wait a bounded time for who may know."""
@@ -173,9 +176,9 @@
             return Lookup(ResumeOutcome.FOUND, find_origin(state, question))
         while True:
             answer = await self._ask_home(question)
+            if not (answer.is_begun or answer.is_settled):
+                answer = await self._keepers.ask(question, answer)
             origin = answer.origin or find_origin(state, question)
-            if origin is None and not answer.is_settled:
-                origin = await self._keepers.ask(question)
             if origin is not None:
                 return Lookup(ResumeOutcome.FOUND, origin)
             if answer.is_settled:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/watched_sends.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/watched_sends.py
@@ -48,7 +48,9 @@
     )
     exchange.run = run
     exchange.check_still_runs = partial(detector.still_runs, choice.upstream)
-    home = state.home if choice.is_granted else None
+    # Copies may hold an earlier grant of a stream that was tried elsewhere.
+    is_first_grant = choice.is_granted and not exchange.tried
+    home = state.home if is_first_grant else None
     exchange.announce_origin = partial(
         access.origins.announce, home.epoch if home else None
     )
--- a/tests/test_gateway_resumed_streams.py
+++ b/tests/test_gateway_resumed_streams.py
@@ -1,6 +1,7 @@
 """A caller that takes a stream up gets it from the version that began it."""
 
 import json
+from itertools import count
 from types import SimpleNamespace
 
 import anyio
@@ -16,12 +17,15 @@
 from spanfall_node.gateway.upstreams.stream_lookup import OriginClient
 from support import run_async, wait_until
 from versions_world import (
+    NEW,
     OLD,
     REST,
     Fleet,
+    RefusingFirst,
     all_listed,
     begin_streams,
     check_taken_up,
+    first_event_of,
     fleet_of_two_versions,
     ids_of,
     serve_both,
@@ -233,6 +237,27 @@
     await check_taken_up(other, attempts)
 
 
+# Guards against a grant that never began its stream: copies held it, the home and
+# the entry ended before they were corrected, and the stream went on elsewhere.
+@in_world
+async def test_a_stream_not_begun_by_its_first_grant(world):
+    fleet = await fleet_of_two_versions(world, 4)
+    first, other, _ = fleet.entries()
+    await wait_until(lambda: first.streams.keepers)
+    refusing = RefusingFirst(NEW)
+    await world.add_upstream(refusing.run, software_version=NEW)
+    await all_listed(world, *fleet.states())
+    attempts, numbers = [], count()
+    while not refusing.refused:
+        attempts = [f'a{next(numbers)}']
+        async with first_event_of(first, attempts[0]):
+            await checkpoint()
+    await fleet.end(first, fleet.home())
+    for upstream in world.upstreams.values():
+        upstream.behaviour.__self__.goes_on.set()
+    await check_taken_up(other, attempts)
+
+
 # Guards against losing streams that began while there was no home.
 @in_world
 async def test_a_stream_that_began_without_a_home(world):
@@ -294,6 +319,8 @@
             home=HomeRecord('n', 'a', 'i', epoch=2),
             tenure=None,
             timers=SimpleNamespace(now=int),
+            cfg=SimpleNamespace(listen=SimpleNamespace(links='a')),
+            streams=SimpleNamespace(keepers=()),
         )
         client = OriginClient(state)
         client.connect(send)
--- a/tests/versions_world.py
+++ b/tests/versions_world.py
@@ -16,6 +16,8 @@
 OLD, NEW = 'v1', 'v2'
 #: Events that a caller of the first one lacks.
 REST = list(range(2, EVENTS + 1))
+#: Seconds after which a home has copied its grants to entries.
+COPIED_SECONDS = 0.2
 #: Callers that begin a stream at the entry.
 CALLERS = 6
 
@@ -57,6 +59,22 @@
         return b'id: %d\ndata: %s\n\n' % (number, str(self.version).encode())
 
 
+@dataclass(slots=True)
+class RefusingFirst(VersionedEvents):
+    """Refuse streams that begin, once the copies of their grants are made."""
+
+    refused: int = 0
+
+    async def run(self, upstream, request, stream):
+        if 'last-event-id' in request.headers:
+            return await VersionedEvents.run(self, upstream, request, stream)
+        self.refused += 1
+        await anyio.sleep(COPIED_SECONDS)
+        headers = {**upstream.response_headers(request), 'not-run': '1'}
+        await stream.send(encode_response(503, b'', headers))
+        return True
+
+
 async def add_upstreams(world, version, count=1, breaks_after=None, **fields):
     """Add upstreams of a version whose runs don't wait."""
     events = VersionedEvents(version, breaks_after)
