Bound the parts in which a response without a length comes

Cause: 8 MB in parts of one byte stay below the bound of bytes for minutes of processor time, so the caller's deadline ended them; and renamed the label 'timeout' of cut responses.

Fix: 16,384 parts at a mean below 16 bytes, and as many in one event, are the bound. The label is 'timeout' again, and 'node-draining' as a node stops.

--- a/packages/spanfall-node/src/spanfall_node/gateway/net/bodies.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/bodies.py
@@ -1,11 +1,19 @@
 """Read the bodies of responses, as far as they may be held."""
 
+from itertools import count
+
 from spanfall_core.gateway.limits.memory_budget import HeldBytes
 
 from spanfall_node.gateway.net.body_ends import BodyFraming
 from spanfall_node.gateway.net.client import Connection
 from spanfall_node.gateway.net.errors import UnsoundServerError
 
+#: Mean bytes of a part below which their number is bounded.
+MIN_PART_BYTES = 16
+#: Maximum parts of a body without a length that is held: bytes that come one by
+#: one take a thousand times the processor time of the same bytes in large parts.
+MAX_PARTS = 16_384
+
 
 async def read_body(conn: Connection, most: int) -> bytearray:
     """Return the rest of the body of a response.
@@ -37,16 +45,27 @@
     """
     body = bytearray()
     held_before = held.size
-    while True:
+    for number in count(1):
         part = await conn.read_chunk()
         if part is None:
-            return body, True
+            break
         body += part
-        if len(body) > most and conn.framing is not BodyFraming.LENGTH:
-            raise too_large(len(body), most)
+        if conn.framing is not BodyFraming.LENGTH:
+            _check_unstated(number, len(body), most)
         is_held = held.try_reach(held_before + len(body))
         if len(body) > most or not is_held:
             return body, False
+    return body, True
+
+
+def _check_unstated(number: int, size: int, most: int) -> None:
+    """Raise UnsoundServerError if too much came, or in too many parts."""
+    if size > most:
+        raise too_large(size, most)
+    if number > MAX_PARTS and size < number * MIN_PART_BYTES:
+        raise UnsoundServerError(
+            f'response body in too many parts: got {number} with {size} bytes'
+        )
 
 
 def too_large(size: int, most: int) -> UnsoundServerError:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/event_parts.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/event_parts.py
@@ -12,6 +12,8 @@
 MAX_EVENT_BYTES = 1_048_576
 
 _EVENT_END = re.compile(rb'\r?\n\r?\n|\r\r')
+#: Maximum parts that one event comes in.
+MAX_EVENT_PARTS = 16_384
 #: Bytes of the end of an event that may have arrived before its last byte.
 _END_OVERLAP = 3
 #: Last event of a stream of the OpenAI interface.
@@ -30,6 +32,8 @@
     partial_event: bytearray = field(default_factory=bytearray)
     last_id: bytes = b''
     events: int = 0
+    #: Parts that the incomplete event came in.
+    parts: int = 0
     #: Whether the last complete event says that it is the last.
     is_final: bool = False
 
@@ -45,6 +49,7 @@
             EventTooLargeError: the incomplete event exceeds the size limit.
         """
         partial = self.partial_event
+        self.parts += 1
         searched = max(0, len(partial) - _END_OVERLAP)
         partial += received
         end = 0
@@ -53,7 +58,9 @@
             self.events += 1
         whole = bytes(partial[:end])
         del partial[:end]
-        if len(self.partial_event) > MAX_EVENT_BYTES:
+        if whole:
+            self.parts = 0
+        if len(partial) > MAX_EVENT_BYTES or self.parts > MAX_EVENT_PARTS:
             raise EventTooLargeError
         if whole:
             self.is_final = whole.rstrip().endswith(_FINAL_EVENT)
@@ -65,3 +72,4 @@
     def discard_partial(self) -> None:
         """Discard the incomplete event; another upstream sends it again."""
         self.partial_event.clear()
+        self.parts = 0
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -97,7 +97,10 @@
         reason = RefusalReason.NODE_DRAINING
         retry_after = DRAINING_RETRY_SECONDS
     if exchange.started:
-        await abort_response(state, exchange, reason)
+        is_stopping = reason is RefusalReason.NODE_DRAINING
+        await abort_response(
+            state, exchange, reason if is_stopping else 'timeout'
+        )
         return
     if exchange.sends.sends:
         count_run(state, exchange.admitted)
