Log what each retry's credit was computed from, and sum retries at the home

Needed to tell the hypotheses of the exceeded retry budget apart: the log said that a request is sent again, not by which credit. Each decision now names retries and credit, requests, number of entries with its age and the age of the process; refused ones are counted; the home sums the reports of all entries, ended processes included, shows both sums as gauges and logs an excess once a window and service. No decision changes.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/fleet.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/fleet.py
@@ -10,6 +10,10 @@
     PrefillSpeed,
     PrefillSums,
 )
+from spanfall_core.gateway.known.fleet_retries import (
+    FleetRetries,
+    RetryCounts,
+)
 from spanfall_core.gateway.known.lifetimes import ByLifetime, Lifetime
 from spanfall_core.gateway.known.reporting import (
     load_expires_after,
@@ -46,6 +50,8 @@
     read_work: Counts = field(default_factory=dict)
     #: Samples of prefill speed, by service.
     reading: dict[str, PrefillSums] = field(default_factory=dict)
+    #: Requests and retries by service since the process started.
+    retries: dict[str, RetryCounts] = field(default_factory=dict)
 
     @property
     def key(self) -> str:
@@ -90,6 +96,7 @@
     #: Prefill speeds that the previous home reported.
     prior_speeds: Mapping[str, PrefillSpeed] = field(default_factory=dict)
     usage: FleetUsage = field(default_factory=FleetUsage)
+    retries: FleetRetries = field(default_factory=FleetRetries)
     #: Size of the fleet before this home took over, and until when it is
     #: assumed.
     assumed_entries: int = 1
@@ -112,6 +119,7 @@
         else:
             add_counts(self._failed, known.failed, -1)
             self._add_load(known, -1)
+        self.retries.add(known.report.retries, report.retries, now)
         known.report = report
         known.reported_at = now
         add_counts(self._failed, known.failed)
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/retry_budget.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/retry_budget.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.known.spending import Spending
+from spanfall_core.gateway.known.fleet_retries import RetryCounts, SentRequests
 
 #: Fraction of the platform's limit that is used. The rest covers the retries of
 #: entries that died in the same window.
@@ -24,13 +24,36 @@
     #: Length of the window in seconds.
     window: float
 
+    def allowed(self, requests: float) -> float:
+        """Return the retries that go with the requests of one window."""
+        return requests * self.ratio + self.allowance
 
-@dataclass(slots=True)
-class SentRequests:
-    """Count the requests and the retries of the last window."""
 
-    requests: Spending = field(default_factory=Spending)
-    retries: Spending = field(default_factory=Spending)
+@dataclass(frozen=True, slots=True)
+class RetryDecision:
+    """Hold whether a retry was allowed and what that was computed from."""
+
+    is_allowed: bool
+    #: Retries of the last window before this one, and how many were allowed.
+    spent: float
+    credit: float
+    #: Requests of the last window.
+    requests: float
+    #: Entries that share the allowance, and seconds since they were counted.
+    entries: int
+    entries_age: float
+    #: Seconds since the process started.
+    process_age: float
+
+    def __str__(self) -> str:
+        """Return the decision as text for the log."""
+        verb = 'allowed' if self.is_allowed else 'not allowed'
+        return (
+            f'{verb} with {self.spent:g} of {self.credit:.2f} spent: '
+            f'{self.requests:g} requests, {self.entries} entries as of '
+            f'{self.entries_age:.1f} s ago, process started '
+            f'{self.process_age:.1f} s ago'
+        )
 
 
 @dataclass(slots=True)
@@ -39,27 +62,58 @@
 
     limits: RetryLimits
     entries: int = 1
+    started_at: float = 0
+    #: Time at which the number of entries was last set.
+    counted_at: float = float('-inf')
+    #: Requests and retries since the process started, by service.
+    counts: dict[str, RetryCounts] = field(default_factory=dict)
     _sent: dict[str, SentRequests] = field(default_factory=dict)
 
+    def share_among(self, entries: int, now: float) -> None:
+        """Set the number of entries that share the allowance equally."""
+        self.entries = entries
+        self.counted_at = now
+
     def record_request(self, service: str, now: float) -> None:
         """Count a request, which adds a fraction of a retry to the credit."""
         self._for_service(service).requests.spend(1, self.limits.window, now)
+        self._count(service, requests=1)
 
-    def try_spend(self, service: str, now: float) -> bool:
+    def try_spend(self, service: str, now: float) -> RetryDecision:
         """Spend the credit for one retry, if there is enough.
 
         Unused credit expires with its window. Accumulated credit would exceed
         the limit as soon as most upstreams refuse at once.
         """
+        decision = self._decide(service, now)
+        if decision.is_allowed:
+            sent = self._for_service(service)
+            sent.retries.spend(1, self.limits.window, now)
+            self._count(service, retries=1)
+        return decision
+
+    def _decide(self, service: str, now: float) -> RetryDecision:
         sent = self._for_service(service)
         window = self.limits.window
         share = self.limits.allowance / max(1, self.entries)
-        earned = sent.requests.recent(window, now) * self.limits.ratio
-        credit = (earned + share) * SAFETY_FACTOR
-        if sent.retries.recent(window, now) + 1 > credit:
-            return False
-        sent.retries.spend(1, window, now)
-        return True
+        requests = sent.requests.recent(window, now)
+        credit = (requests * self.limits.ratio + share) * SAFETY_FACTOR
+        spent = sent.retries.recent(window, now)
+        return RetryDecision(
+            spent + 1 <= credit,
+            spent,
+            credit,
+            requests,
+            self.entries,
+            now - self.counted_at,
+            now - self.started_at,
+        )
+
+    def _count(self, service: str, requests: int = 0, retries: int = 0) -> None:
+        known = self.counts.get(service, RetryCounts())
+        self.counts[service] = RetryCounts(
+            known.requests + requests, known.retries + retries
+        )
 
     def _for_service(self, service: str) -> SentRequests:
         return self._sent.setdefault(service, SentRequests())
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/totals.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/totals.py
@@ -2,6 +2,7 @@
 
 from spanfall_core.gateway.known.fleet import FleetTotals
 
+from spanfall_node.gateway.home.fleet_retries import observe_retries
 from spanfall_node.gateway.home.peer_links import follow_own_peers
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.prefix_copies import log_hot_parts
@@ -40,5 +41,6 @@
     state.set_prefill_speeds(state.fleet.speeds())
     apply_totals(state, state.fleet.totals_except(report.key, now), now)
     follow_own_peers(state)
+    observe_retries(state, now)
     log_factors(state, now)
     log_hot_parts(state, now)
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
@@ -59,6 +59,19 @@
             'Requests sent again, by reason',
             RetryReason,
         )
+        self.denied_retries = self._labelled(
+            'spanfall_denied_retries',
+            'Retries that the budget did not allow, by service',
+            'service',
+        )
+        self.fleet_retries = self._gauge(
+            'spanfall_fleet_retries',
+            'On the home: retries of all entries in the last window',
+        )
+        self.fleet_retries_allowed = self._gauge(
+            'spanfall_fleet_retries_allowed',
+            'On the home: retries that the fleet may make in a window',
+        )
         self.answers = self._labelled(
             'spanfall_answers',
             'Answers given to callers, by status',
@@ -182,3 +195,6 @@
 
     def _labelled(self, name: str, text: str, label: str) -> Counter:
         return labelled_counter(self.registry, name, text, label)
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(name, text, ['service'], registry=self.registry)
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/new_state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/new_state.py
@@ -43,6 +43,7 @@
                 cfg.bounds.retry_window_seconds,
             ),
             entries=cfg.assumed_entries,
+            started_at=timers.now(),
         ),
         usage=UsageCounts(cfg.bounds.usage_window_seconds),
         true_time=TrueTime(timers.epoch() - timers.now()),
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
@@ -171,7 +171,7 @@
     def set_entry_count(self, entries: int) -> None:
         """Set the number of entries that share limits and retries."""
         self.quotas.entries = entries
-        self.retries.entries = entries
+        self.retries.share_among(entries, self.timers.now())
 
     def record_own_load(self, now: float) -> None:
         """Record the load of this node, as the home that also serves callers."""
@@ -295,4 +295,5 @@
             usage={key: dict(row) for key, row in self.usage.windows.items()},
             read_work=dict(self.read_work),
             reading={key: replace(row) for key, row in self.reading.items()},
+            retries=dict(self.retries.counts),
         )
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
@@ -11,6 +11,7 @@
 from spanfall_core.gateway.known.lifetimes import Lifetime
 from spanfall_core.gateway.known.origins import Origin
 from spanfall_core.gateway.known.stream_origins import StreamRecord
+from spanfall_core.gateway.routing.retry_budget import RetryDecision
 from spanfall_core.gateway.routing.sends import SendOutcome, SendState
 
 from spanfall_node.gateway.net.body_ends import PROVEN_ENDS, BodyEnd
@@ -90,6 +91,8 @@
     #: Seconds for which the home held it, and the ticket under which it does.
     held_seconds: float = 0
     ticket: int = 0
+    #: What the retry budget allowed after the last send; None: not asked.
+    retry_decision: RetryDecision | None = None
     #: Time of the steady clock at the last send.
     sent_at: float = 0
     events: EventSplitter = field(default_factory=EventSplitter)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/choosing.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/choosing.py
@@ -112,8 +112,12 @@
         return False
     if not exchange.sends.sends:
         return len(exchange.tried) < MAX_UNSENT
-    now = state.timers.now()
-    return state.retries.try_spend(exchange.admitted.service, now)
+    service = exchange.admitted.service
+    decision = state.retries.try_spend(service, state.timers.now())
+    exchange.retry_decision = decision
+    if not decision.is_allowed:
+        state.counters.denied_retries.labels(service).inc()
+    return decision.is_allowed
 
 
 def _has_untried(state: GatewayState, exchange: Exchange) -> bool:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -188,6 +188,7 @@
     if failed.weight:
         now = state.timers.now()
         state.loads.fail(choice.upstream.lifetime, now, failed.weight)
+    exchange.retry_decision = None
     step = next_step(
         failed.outcome,
         admitted.route,
@@ -196,13 +197,15 @@
     )
     logger.info(
         'Request %s at %s ended %s after %s events: %s; next: %s; '
-        'identity %s; prompt %s',
+        'retry of service %s: %s; identity %s; prompt %s',
         admitted.attempt_id,
         choice.upstream.lifetime,
         failed.outcome,
         exchange.events.events,
         failed.reason,
         step,
+        admitted.service,
+        exchange.retry_decision or 'not asked for',
         admitted.identity,
         ' '.join(part_traits(admitted.parts)) or 'without shared parts',
     )
--- a/tests/test_gateway_retry_budget.py
+++ b/tests/test_gateway_retry_budget.py
@@ -25,7 +25,9 @@
         entry = entries[number % ENTRIES]
         entry.record_request('llm', now)
         attempts = range(3 if now >= fails_from else 0)
-        retries.extend(now for _ in attempts if entry.try_spend('llm', now))
+        retries.extend(
+            now for _ in attempts if entry.try_spend('llm', now).is_allowed
+        )
     return retries
 
 
@@ -49,13 +51,13 @@
     """The first requests of a process may fail too."""
     budget = RetryBudget(LIMITS, ENTRIES)
     allowed = [budget.try_spend('llm', 0) for _ in range(ENTRIES)]
-    assert sum(allowed) == 5
+    assert sum(one.is_allowed for one in allowed) == 5
 
 
 def test_services_have_separate_budgets():
     budget = RetryBudget(LIMITS, ENTRIES)
     spent = product(('llm', 'desk'), range(5))
-    assert all(budget.try_spend(service, 0) for service, _ in spent)
+    assert all(budget.try_spend(service, 0).is_allowed for service, _ in spent)
 
 
 def test_unused_budget_takes_bounded_memory():
