Give a process that has just started no share of the retry allowance

What callers saw: BUDGET, more retries than the fleet may send, beside restarts. Cause: each process held a share of the fixed allowance from its start, and what it had spent ended with it, so a host whose process ended twice in a window spent three shares. Evidence: in the play of two kills of all nodes 80 of the 128 retries of the worst window came from processes younger than a window, all told of 8 entries. Fix: a share is held once a whole window has passed since the start; before that a process retries what its own requests earn, which no other process counts. So in any window a host's share is spent by one process at most.

--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/retry_budget.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/retry_budget.py
@@ -2,16 +2,17 @@
 
 In any window, the fleet may retry a fraction of its requests plus a fixed
 allowance. Each entry counts its own requests and retries of the last window
-and holds an equal share of the allowance. The sum over all entries therefore
-stays within the budget in every window without coordination.
+and holds an equal share of the allowance, though not before a whole window has
+passed since its start: the process before it on the same host may have spent
+that share. The sum over all entries, those that ended included, therefore stays
+within the budget in every window without coordination.
 """
 
 from dataclasses import dataclass, field
 
 from spanfall_core.gateway.known.fleet_retries import RetryCounts, SentRequests
 
-#: Fraction of the platform's limit that is used. The rest covers the retries of
-#: entries that died in the same window.
+#: Fraction of the platform's limit that is used.
 SAFETY_FACTOR = 0.7
 
 
@@ -95,9 +96,9 @@
     def _decide(self, service: str, now: float) -> RetryDecision:
         sent = self._for_service(service)
         window = self.limits.window
-        share = self.limits.allowance / max(1, self.entries)
         requests = sent.requests.recent(window, now)
-        credit = (requests * self.limits.ratio + share) * SAFETY_FACTOR
+        earned = requests * self.limits.ratio
+        credit = (earned + self._share(now)) * SAFETY_FACTOR
         spent = sent.retries.recent(window, now)
         return RetryDecision(
             spent + 1 <= credit,
@@ -109,6 +110,12 @@
             now - self.started_at,
         )
 
+    def _share(self, now: float) -> float:
+        """Return the part of the fixed allowance that this entry holds."""
+        if now - self.started_at < self.limits.window:
+            return 0
+        return self.limits.allowance / max(1, self.entries)
+
     def _count(self, service: str, requests: int = 0, retries: int = 0) -> None:
         known = self.counts.get(service, RetryCounts())
         self.counts[service] = RetryCounts(
