Hold a share of the retry allowance on the word of a current home only

What callers saw: BUDGET, more retries than the fleet may send, beside cuts. Cause: entries divided the allowance by the number that they were told last. Of two halves that lost each other, each was told of its own four, and both spent the whole allowance: a home without the store went on telling, and the others soon followed a new one. Fix: an entry holds a share for half a window after the word of a home whose lease is valid, dated by its own report, and divides by the largest number told within a window and both leases; a process that starts waits as long, as it knows of no number before. Whoever lost the home so has spent its last before others divide by less.

--- a/packages/spanfall-api/src/spanfall_api/gateway_settings.py
+++ b/packages/spanfall-api/src/spanfall_api/gateway_settings.py
@@ -110,6 +110,11 @@
     capacity: Mode = Mode.AUTO
 
 
+#: Duration of the home's lease in seconds, unless the store's shortest lease
+#: is longer.
+HOME_LEASE_SECONDS = 2.5
+
+
 class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Define the settings of one gateway."""
 
@@ -137,6 +142,11 @@
     #: Maximum log lines per second; further lines are dropped and counted.
     log_lines_per_second: Count = 100
 
+    @property
+    def home_lease_seconds(self) -> float:
+        """Return the duration of the home's lease."""
+        return max(HOME_LEASE_SECONDS, self.least_lease_seconds)
+
 
 def parse_settings(text: str) -> GatewaySettings:
     """Parse settings from text.
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/retry_budget.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/retry_budget.py
@@ -2,15 +2,15 @@
 
 In any window, the fleet may retry a fraction of its requests plus a fixed
 allowance. Each entry counts its own requests and retries of the last window
-and holds an equal share of the allowance, though not before a whole window has
-passed since its start: the process before it on the same host may have spent
-that share. The sum over all entries, those that ended included, therefore stays
-within the budget in every window without coordination.
+and holds a share of the allowance (see ``allowance_share``). The sum over all
+entries, those that ended included, therefore stays within the budget in every
+window without a message for any retry.
 """
 
 from dataclasses import dataclass, field
 
 from spanfall_core.gateway.known.fleet_retries import RetryCounts, SentRequests
+from spanfall_core.gateway.routing.allowance_share import AllowanceShare
 
 #: Fraction of the platform's limit that is used.
 SAFETY_FACTOR = 0.7
@@ -40,7 +40,9 @@
     credit: float
     #: Requests of the last window.
     requests: float
-    #: Entries that share the allowance, and seconds since they were counted.
+    #: Part of the allowance that the entry held, the number of entries that it
+    #: divided by, and the seconds since a home told one.
+    part: float
     entries: int
     entries_age: float
     #: Seconds since the process started.
@@ -51,9 +53,9 @@
         verb = 'allowed' if self.is_allowed else 'not allowed'
         return (
             f'{verb} with {self.spent:g} of {self.credit:.2f} spent: '
-            f'{self.requests:g} requests, {self.entries} entries as of '
-            f'{self.entries_age:.1f} s ago, process started '
-            f'{self.process_age:.1f} s ago'
+            f'{self.requests:g} requests, {self.part:.4f} of the allowance, '
+            f'{self.entries} entries as of {self.entries_age:.1f} s ago, '
+            f'process started {self.process_age:.1f} s ago'
         )
 
 
@@ -62,19 +64,11 @@
     """Hold the retry budget of one entry, by service."""
 
     limits: RetryLimits
-    entries: int = 1
-    started_at: float = 0
-    #: Time at which the number of entries was last set.
-    counted_at: float = float('-inf')
+    share: AllowanceShare
     #: Requests and retries since the process started, by service.
     counts: dict[str, RetryCounts] = field(default_factory=dict)
     _sent: dict[str, SentRequests] = field(default_factory=dict)
 
-    def share_among(self, entries: int, now: float) -> None:
-        """Set the number of entries that share the allowance equally."""
-        self.entries = entries
-        self.counted_at = now
-
     def record_request(self, service: str, now: float) -> None:
         """Count a request, which adds a fraction of a retry to the credit."""
         self._for_service(service).requests.spend(1, self.limits.window, now)
@@ -98,24 +92,20 @@
         window = self.limits.window
         requests = sent.requests.recent(window, now)
         earned = requests * self.limits.ratio
-        credit = (earned + self._share(now)) * SAFETY_FACTOR
+        part = self.share.part(now)
+        credit = (earned + part * self.limits.allowance) * SAFETY_FACTOR
         spent = sent.retries.recent(window, now)
         return RetryDecision(
             spent + 1 <= credit,
             spent,
             credit,
             requests,
-            self.entries,
-            now - self.counted_at,
-            now - self.started_at,
+            part,
+            self.share.largest_count(now),
+            now - self.share.told_at,
+            now - self.share.started_at,
         )
 
-    def _share(self, now: float) -> float:
-        """Return the part of the fixed allowance that this entry holds."""
-        if now - self.started_at < self.limits.window:
-            return 0
-        return self.limits.allowance / max(1, self.entries)
-
     def _count(self, service: str, requests: int = 0, retries: int = 0) -> None:
         known = self.counts.get(service, RetryCounts())
         self.counts[service] = RetryCounts(
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
@@ -40,7 +40,9 @@
         now = state.timers.now()
         state.home_answered_at = now
         state.home_resigned = table.resigned
-        state.set_entry_count(table.entries)
+        state.set_entry_count(
+            table.entries, sent_at, is_current=not table.resigned
+        )
         self.report_after = table.report_after
         state.set_prefill_speeds(table.speeds)
         state.needs = table.needs
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/leadership.py
@@ -9,6 +9,7 @@
 import logging
 
 import anyio
+from spanfall_api.gateway_settings import HOME_LEASE_SECONDS
 from spanfall_core.gateway.known.reporting import (
     load_expires_after,
     report_period,
@@ -44,9 +45,6 @@
 
 logger = logging.getLogger(__name__)
 
-#: Duration of the home's lease in seconds, unless the store's shortest lease
-#: is longer.
-LEASE_SECONDS = 2.5
 #: Seconds before the end of the lease at which its holder stops acting.
 LEASE_MARGIN = 0.5
 #: Seconds between two renewals of the lease.
@@ -112,7 +110,7 @@
 
     @property
     def _lease_seconds(self) -> float:
-        return max(LEASE_SECONDS, self._state.cfg.least_lease_seconds)
+        return self._state.cfg.home_lease_seconds
 
     def _check_interval(self) -> float:
         tenure = self._state.tenure
@@ -142,10 +140,12 @@
             return True
         now = state.timers.now()
         entries = state.quotas.entries
-        silence = max(LEASE_SECONDS, load_expires_after(report_period(entries)))
+        silence = max(
+            HOME_LEASE_SECONDS, load_expires_after(report_period(entries))
+        )
         if now - state.home_answered_at > silence:
             return True
-        age = max(LEASE_SECONDS, max_confirmation_age(entries))
+        age = max(HOME_LEASE_SECONDS, max_confirmation_age(entries))
         return state.freshness.age(now) > age
 
     async def _renew(self, tenure: Tenure) -> None:
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/totals.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/totals.py
@@ -37,7 +37,9 @@
     state.apply_report(report, now)
     given = state.allocate_units(report.key, now)
     state.apply_given(given, report, now)
-    state.set_entry_count(state.fleet.size(now))
+    state.set_entry_count(
+        state.fleet.size(now), now, is_current=state.is_home(now)
+    )
     state.set_prefill_speeds(state.fleet.speeds())
     apply_totals(state, state.fleet.totals_except(report.key, now), now)
     follow_own_peers(state)
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/new_state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/new_state.py
@@ -7,6 +7,7 @@
 from spanfall_core.gateway.known.usage import UsageCounts
 from spanfall_core.gateway.limits.memory_budget import MemoryBudget
 from spanfall_core.gateway.limits.quotas import Quotas
+from spanfall_core.gateway.routing.allowance_share import AllowanceShare
 from spanfall_core.gateway.routing.retry_budget import RetryBudget, RetryLimits
 
 from spanfall_node.gateway.net.ports import PlatformAdapter
@@ -42,8 +43,11 @@
                 cfg.bounds.retry_allowance,
                 cfg.bounds.retry_window_seconds,
             ),
-            entries=cfg.assumed_entries,
-            started_at=timers.now(),
+            AllowanceShare(
+                cfg.bounds.retry_window_seconds,
+                cfg.home_lease_seconds,
+                started_at=timers.now(),
+            ),
         ),
         usage=UsageCounts(cfg.bounds.usage_window_seconds),
         true_time=TrueTime(timers.epoch() - timers.now()),
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
@@ -168,10 +168,17 @@
         self.prompts.speeds = speeds
         self.granted_prompts.speeds = speeds
 
-    def set_entry_count(self, entries: int) -> None:
-        """Set the number of entries that share limits and retries."""
+    def set_entry_count(
+        self, entries: int, told_at: float, *, is_current: bool
+    ) -> None:
+        """Set the number of entries, which a home told at a time.
+
+        Only the number of a home whose lease is valid renews this entry's share
+        of the retries.
+        """
         self.quotas.entries = entries
-        self.retries.share_among(entries, self.timers.now())
+        if is_current:
+            self.retries.share.tell(entries, told_at)
 
     def record_own_load(self, now: float) -> None:
         """Record the load of this node, as the home that also serves callers."""
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -200,7 +200,7 @@
         timers = Timers(time.monotonic, time.time)
         state = build_state(cfg, ADAPTER, timers, f'i-{cfg.node}')
         # The fleet has run for long: its entries hold their shares of retries.
-        state.retries.started_at = float('-inf')
+        state.retries.share.started_at = float('-inf')
         dial = network.dial if network else connect
         self.gateways[cfg.node] = start_gateway(state, self.tasks, dial)
         await wait_until_open(cfg.listen.callers)
--- a/tests/retry_world.py
+++ b/tests/retry_world.py
@@ -5,6 +5,7 @@
 
 from retry_checker import Seen, worst_use
 from spanfall_core.gateway.known.reporting import report_period
+from spanfall_core.gateway.routing.allowance_share import AllowanceShare
 from spanfall_core.gateway.routing.retry_budget import RetryBudget, RetryLimits
 
 SERVICE = 'desk'
@@ -98,7 +99,8 @@
         return worst_use(self.seen, self.limits)
 
     def _new_budget(self, started_at=0.0):
-        return RetryBudget(self.limits, 8, started_at=started_at)
+        share = AllowanceShare(self.limits.window, LEASE, started_at)
+        return RetryBudget(self.limits, share)
 
     def _elect(self):
         for home in self.homes:
@@ -131,7 +133,7 @@
                 live = max(live, home.assumed)
             node.told = live
             node.told_at = self.now
-            node.budget.share_among(live, self.now)
+            node.budget.share.tell(live, self.now)
 
     def _home_of(self, node):
         valid = [
--- a/tests/test_gateway_retry_budget.py
+++ b/tests/test_gateway_retry_budget.py
@@ -4,6 +4,7 @@
 
 import pytest
 from spanfall_core.gateway.known.spending import BUCKET_SECONDS
+from spanfall_core.gateway.routing.allowance_share import AllowanceShare
 from spanfall_core.gateway.routing.retry_budget import RetryBudget, RetryLimits
 
 #: As in the deployments: a fifth of the requests plus 54 in any 10 s.
@@ -13,18 +14,25 @@
 RATE = 110
 
 
+def settled_budget():
+    """Return the budget of an entry that has long run beside the others."""
+    share = AllowanceShare(LIMITS.window, 0, started_at=float('-inf'))
+    share.tell(ENTRIES, float('inf'))
+    return RetryBudget(LIMITS, share)
+
+
 def play(seconds, fails_from):
     """Send requests, each with three retries from ``fails_from`` on.
 
     Return the times of the allowed retries.
     """
-    entries = [RetryBudget(LIMITS, ENTRIES) for _ in range(ENTRIES)]
+    entries = [settled_budget() for _ in range(ENTRIES)]
     retries = []
     for number in range(seconds * RATE):
-        now = LIMITS.window + number / RATE
+        now = number / RATE
         entry = entries[number % ENTRIES]
         entry.record_request('llm', now)
-        attempts = range(3 if now >= LIMITS.window + fails_from else 0)
+        attempts = range(3 if now >= fails_from else 0)
         retries.extend(
             now for _ in attempts if entry.try_spend('llm', now).is_allowed
         )
@@ -54,12 +62,13 @@
 
 def test_settled_entry_holds_its_share():
     """The first requests for a service may fail too."""
-    assert count_allowed(RetryBudget(LIMITS, ENTRIES), LIMITS.window) == 5
+    assert count_allowed(settled_budget(), 0) == 5
 
 
 def test_new_entry_holds_what_its_requests_earn():
     """The process before may have spent the share of this one."""
-    budget = RetryBudget(LIMITS, ENTRIES)
+    budget = RetryBudget(LIMITS, AllowanceShare(LIMITS.window, 0))
+    budget.share.tell(ENTRIES, 0)
     assert not count_allowed(budget, 0)
     for _ in range(15):
         budget.record_request('llm', 1)
@@ -67,17 +76,14 @@
 
 
 def test_services_have_separate_budgets():
-    budget = RetryBudget(LIMITS, ENTRIES)
+    budget = settled_budget()
     spent = product(('llm', 'desk'), range(5))
-    assert all(
-        budget.try_spend(service, LIMITS.window).is_allowed
-        for service, _ in spent
-    )
+    assert all(budget.try_spend(service, 0).is_allowed for service, _ in spent)
 
 
 def test_unused_budget_takes_bounded_memory():
     """Counts expire even if a service never spends from its budget."""
-    budget = RetryBudget(LIMITS, ENTRIES)
+    budget = settled_budget()
     for second in range(1000):
         budget.record_request('llm', second / 2)
     kept = budget._sent['llm'].requests._buckets
