Count a retry for as long as it may take to arrive besides

Cause: the platform counts arrivals in a window, and an entry its sends. What waits behind a cut for up to the time-out of unacknowledged data (3 s) arrives together with what the entry is allowed a window after it was sent. Fix: a retry counts for the window and that time-out, and a share of the allowance is held back for both. The lease of a share is 4 s now, no longer half of a window, so that a process that starts waits 19.5 s for its share instead of 17.5, not 22.

--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/allowance_share.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/allowance_share.py
@@ -10,16 +10,17 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-#: Fraction of the window for which an entry holds its share after the last word
-#: of a home: longer than most changes of the home.
-LEASE_FRACTION = 0.5
+#: Seconds for which an entry holds its share after the last word of a home:
+#: longer than most changes of the home, and than the longest period of reports.
+LEASE_SECONDS = 4.0
 
 
 @dataclass(slots=True)
 class AllowanceShare:
     """Hold what homes told one process of the number of entries."""
 
-    #: Length in seconds of the window in which the allowance may be spent once.
+    #: Seconds in which the allowance may be spent once: the window of the limit
+    #: and the time that what was sent may take to arrive.
     window: float
     #: Seconds for which a home that is cut off may take itself for the home.
     home_lease: float
@@ -29,11 +30,6 @@
     #: Numbers told, each with its time; the largest comes first.
     _told: deque[tuple[float, int]] = field(default_factory=deque)
 
-    @property
-    def lease(self) -> float:
-        """Return the seconds for which a share is held after a home's word."""
-        return self.window * LEASE_FRACTION
-
     @property
     def memory(self) -> float:
         """Return the seconds for which a number of entries counts.
@@ -41,7 +37,7 @@
         Entries that another home was the last to tell may hold their shares
         until its lease and theirs are over, and spend them until then.
         """
-        return self.window + self.lease + self.home_lease
+        return self.window + LEASE_SECONDS + self.home_lease
 
     def tell(self, entries: int, at: float) -> None:
         """Record the number of entries that a home told."""
@@ -59,7 +55,7 @@
     def part(self, now: float) -> float:
         """Return the part of the allowance that this entry holds, 0 to 1."""
         is_settled = now - self.started_at >= self.memory
-        is_told = now - self.told_at <= self.lease
+        is_told = now - self.told_at <= LEASE_SECONDS
         if not (is_settled and is_told):
             return 0
         return 1 / max(1, self.largest_count(now))
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/retry_budget.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/retry_budget.py
@@ -5,6 +5,10 @@
 and holds a share of the allowance (see ``allowance_share``). The sum over all
 entries, those that ended included, therefore stays within the budget in every
 window without a message for any retry.
+
+The platform counts retries as they arrive, and what waits behind a cut arrives
+later than it was sent. So a retry is counted for longer than the window, by the
+time after which data that nobody acknowledged is dropped.
 """
 
 from dataclasses import dataclass, field
@@ -24,6 +28,8 @@
     allowance: float
     #: Length of the window in seconds.
     window: float
+    #: Maximum seconds between the send of a retry and its arrival.
+    delivery: float = 0
 
     def allowed(self, requests: float) -> float:
         """Return the retries that go with the requests of one window."""
@@ -35,7 +41,7 @@
     """Hold whether a retry was allowed and what that was computed from."""
 
     is_allowed: bool
-    #: Retries of the last window before this one, and how many were allowed.
+    #: Retries that still count before this one, and how many were allowed.
     spent: float
     credit: float
     #: Requests of the last window.
@@ -83,10 +89,14 @@
         decision = self._decide(service, now)
         if decision.is_allowed:
             sent = self._for_service(service)
-            sent.retries.spend(1, self.limits.window, now)
+            sent.retries.spend(1, self._counted_seconds, now)
             self._count(service, retries=1)
         return decision
 
+    @property
+    def _counted_seconds(self) -> float:
+        return self.limits.window + self.limits.delivery
+
     def _decide(self, service: str, now: float) -> RetryDecision:
         sent = self._for_service(service)
         window = self.limits.window
@@ -94,7 +104,7 @@
         earned = requests * self.limits.ratio
         part = self.share.part(now)
         credit = (earned + part * self.limits.allowance) * SAFETY_FACTOR
-        spent = sent.retries.recent(window, now)
+        spent = sent.retries.recent(self._counted_seconds, now)
         return RetryDecision(
             spent + 1 <= credit,
             spent,
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/sockets.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/sockets.py
@@ -15,10 +15,11 @@
 READ_BYTES = 65536
 #: Parsed parts of one connection that are handled before others get their turn.
 EVENTS_PER_SLICE = 64
-#: Milliseconds after which unacknowledged data ends a connection: less than
+#: Seconds after which unacknowledged data ends a connection: less than
 #: the time-out of callers for a stalled stream (4 s for the users), and long
 #: enough for a lossy network and for a server that reads slowly.
-TCP_USER_TIMEOUT_MS = 3000
+TCP_USER_TIMEOUT_SECONDS = 3.0
+TCP_USER_TIMEOUT_MS = int(TCP_USER_TIMEOUT_SECONDS * 1000)
 #: Idle seconds before the first keep-alive probe, and seconds between two
 #: probes. A host that lost power closes no connection, so only unanswered
 #: probes reveal it.
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/new_state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/new_state.py
@@ -11,6 +11,7 @@
 from spanfall_core.gateway.routing.retry_budget import RetryBudget, RetryLimits
 
 from spanfall_node.gateway.net.ports import PlatformAdapter
+from spanfall_node.gateway.net.sockets import TCP_USER_TIMEOUT_SECONDS
 from spanfall_node.gateway.tables.counters import Counters
 from spanfall_node.gateway.tables.scheduling import Scheduling
 from spanfall_node.gateway.tables.state import GatewayState
@@ -42,9 +43,10 @@
                 cfg.bounds.retry_ratio,
                 cfg.bounds.retry_allowance,
                 cfg.bounds.retry_window_seconds,
+                delivery=TCP_USER_TIMEOUT_SECONDS,
             ),
             AllowanceShare(
-                cfg.bounds.retry_window_seconds,
+                cfg.bounds.retry_window_seconds + TCP_USER_TIMEOUT_SECONDS,
                 cfg.home_lease_seconds,
                 started_at=timers.now(),
             ),
