Count a retry when it is sent, and only if it is

Cause: a retry was counted when it was decided. Until its first byte it may wait for a turn, a trial, a permit or a connection, or through a suspension of the host, so it arrived in a later window than it was counted in; one that reached no upstream was spent all the same, at the cost of requests that could have used it. Evidence: with the decision as the moment of the count, three of the tests fail (test_retry_counts_when_it_is_sent, test_retry_that_is_not_sent_costs_nothing, test_only_sent_retries_are_counted); trial on a copy with that one change. Fix: a retry is reserved when it is decided, counted as its first byte is due, and returned if the request ends before that.

--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/retry_budget.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/retry_budget.py
@@ -11,6 +11,7 @@
 time after which data that nobody acknowledged is dropped.
 """
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from spanfall_core.gateway.known.fleet_retries import RetryCounts, SentRequests
@@ -41,7 +42,7 @@
     """Hold whether a retry was allowed and what that was computed from."""
 
     is_allowed: bool
-    #: Retries that still count before this one, and how many were allowed.
+    #: Retries that still count or are reserved, and how many were allowed.
     spent: float
     credit: float
     #: Requests of the last window.
@@ -74,25 +75,36 @@
     #: Requests and retries since the process started, by service.
     counts: dict[str, RetryCounts] = field(default_factory=dict)
     _sent: dict[str, SentRequests] = field(default_factory=dict)
+    #: Retries that were allowed and not sent yet, by service.
+    _reserved: Counter[str] = field(default_factory=Counter)
 
     def record_request(self, service: str, now: float) -> None:
         """Count a request, which adds a fraction of a retry to the credit."""
         self._for_service(service).requests.spend(1, self.limits.window, now)
         self._count(service, requests=1)
 
-    def try_spend(self, service: str, now: float) -> RetryDecision:
-        """Spend the credit for one retry, if there is enough.
+    def try_reserve(self, service: str, now: float) -> RetryDecision:
+        """Reserve the credit for one retry, if there is enough.
 
         Unused credit expires with its window. Accumulated credit would exceed
         the limit as soon as most upstreams refuse at once.
         """
         decision = self._decide(service, now)
         if decision.is_allowed:
-            sent = self._for_service(service)
-            sent.retries.spend(1, self._counted_seconds, now)
-            self._count(service, retries=1)
+            self._reserved[service] += 1
         return decision
 
+    def record_send(self, service: str, now: float) -> None:
+        """Count a reserved retry, which is sent now."""
+        self._reserved[service] -= 1
+        retries = self._for_service(service).retries
+        retries.spend(1, self._counted_seconds, now)
+        self._count(service, retries=1)
+
+    def release(self, service: str) -> None:
+        """Return the credit of a reserved retry that is not sent."""
+        self._reserved[service] -= 1
+
     @property
     def _counted_seconds(self) -> float:
         return self.limits.window + self.limits.delivery
@@ -105,6 +117,7 @@
         part = self.share.part(now)
         credit = (earned + part * self.limits.allowance) * SAFETY_FACTOR
         spent = sent.retries.recent(self._counted_seconds, now)
+        spent += self._reserved[service]
         return RetryDecision(
             spent + 1 <= credit,
             spent,
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
@@ -91,6 +91,8 @@
     #: Seconds for which the home held it, and the ticket under which it does.
     held_seconds: float = 0
     ticket: int = 0
+    #: Whether the retry budget holds a retry for the next send.
+    has_reserved_retry: bool = False
     #: What the retry budget allowed after the last send; None: not asked.
     retry_decision: RetryDecision | None = None
     #: Time of the steady clock at the last send.
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/choosing.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/choosing.py
@@ -106,15 +106,18 @@
     )
 
 
-def spend_retry(state: GatewayState, exchange: Exchange) -> bool:
-    """Take a retry if an upstream is left; return whether there was one."""
+def reserve_retry(state: GatewayState, exchange: Exchange) -> bool:
+    """Reserve a retry if an upstream is left; return whether there is one."""
     if not _has_untried(state, exchange):
         return False
     if not exchange.sends.sends:
         return len(exchange.tried) < MAX_UNSENT
+    if exchange.has_reserved_retry:
+        return True
     service = exchange.admitted.service
-    decision = state.retries.try_spend(service, state.timers.now())
+    decision = state.retries.try_reserve(service, state.timers.now())
     exchange.retry_decision = decision
+    exchange.has_reserved_retry = decision.is_allowed
     if not decision.is_allowed:
         state.counters.denied_retries.labels(service).inc()
     return decision.is_allowed
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -42,8 +42,8 @@
 )
 from spanfall_node.gateway.upstreams.choosing import (
     choose_or_wait,
+    reserve_retry,
     seconds_until_backoff_ends,
-    spend_retry,
 )
 from spanfall_node.gateway.upstreams.held_requests import refusal_of
 from spanfall_node.gateway.upstreams.resuming import (
@@ -83,9 +83,13 @@
         admitted.deadline - state.timers.now() - RESPONSE_MARGIN_SECONDS
     )
     exchange.scope.deadline = anyio.current_time() + max(0, seconds_left)
-    with state.shutdown.bounded(exchange.scope):
-        await resolve_origin(state, access.origins, exchange)
-        await _send_until_answered(state, access, exchange)
+    try:
+        with state.shutdown.bounded(exchange.scope):
+            await resolve_origin(state, access.origins, exchange)
+            await _send_until_answered(state, access, exchange)
+    finally:
+        if exchange.has_reserved_retry:
+            state.retries.release(admitted.service)
     if exchange.scope.cancelled_caught:
         await _handle_deadline(state, exchange)
 
@@ -193,7 +197,7 @@
         failed.outcome,
         admitted.route,
         exchange.sends,
-        partial(spend_retry, state, exchange),
+        partial(reserve_retry, state, exchange),
     )
     logger.info(
         'Request %s at %s ended %s after %s events: %s; next: %s; '
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
@@ -130,7 +130,7 @@
         CONNECT_TIMEOUT_SECONDS,
         runs_once=not may_run_again(exchange.admitted.route),
     )
-    exchange.sends.sends += 1
+    _count_send(state, exchange)
     try:
         return await _send_and_receive(state, exchange, choice, conn, pending)
     except CallerGoneError:
@@ -147,6 +147,18 @@
             await pool.release(upstream.lifetime, conn)
 
 
+def _count_send(state: GatewayState, exchange: Exchange) -> None:
+    """Count a send when its first byte is due, however long ago it was chosen.
+
+    A retry arrives in the window of its send, not in that of its decision.
+    """
+    exchange.sends.sends += 1
+    if exchange.has_reserved_retry:
+        exchange.has_reserved_retry = False
+        service = exchange.admitted.service
+        state.retries.record_send(service, state.timers.now())
+
+
 def _reason(exc: Exception) -> str:
     if isinstance(exc, CallError):
         return exc.reason
--- a/tests/retry_world.py
+++ b/tests/retry_world.py
@@ -172,6 +172,7 @@
     def _send(self, node):
         node.budget.record_request(SERVICE, self.now)
         for _ in range(RETRIES):
-            if not node.budget.try_spend(SERVICE, self.now).is_allowed:
+            if not node.budget.try_reserve(SERVICE, self.now).is_allowed:
                 return
+            node.budget.record_send(SERVICE, self.now)
             self.seen.repeated_at.append(self.now)
--- a/tests/test_gateway_retry_budget.py
+++ b/tests/test_gateway_retry_budget.py
@@ -3,9 +3,12 @@
 from itertools import product
 
 import pytest
+from gateway_world import ask, in_world
 from spanfall_core.gateway.known.spending import BUCKET_SECONDS
 from spanfall_core.gateway.routing.allowance_share import AllowanceShare
 from spanfall_core.gateway.routing.retry_budget import RetryBudget, RetryLimits
+from spanfall_standins.gateway.upstream import refused
+from support import wait_until
 
 #: As in the deployments: a fifth of the requests plus 54 in any 10 s.
 LIMITS = RetryLimits(ratio=0.2, allowance=54, window=10)
@@ -21,6 +24,14 @@
     return RetryBudget(LIMITS, share)
 
 
+def try_spend(budget, service, now):
+    """Send a retry at once, if it is allowed."""
+    is_allowed = budget.try_reserve(service, now).is_allowed
+    if is_allowed:
+        budget.record_send(service, now)
+    return is_allowed
+
+
 def play(seconds, fails_from):
     """Send requests, each with three retries from ``fails_from`` on.
 
@@ -33,9 +44,7 @@
         entry = entries[number % ENTRIES]
         entry.record_request('llm', now)
         attempts = range(3 if now >= fails_from else 0)
-        retries.extend(
-            now for _ in attempts if entry.try_spend('llm', now).is_allowed
-        )
+        retries.extend(now for _ in attempts if try_spend(entry, 'llm', now))
     return retries
 
 
@@ -57,7 +66,7 @@
 
 def count_allowed(budget, now):
     """Return how many of as many tries as there are entries may retry."""
-    return sum(budget.try_spend('llm', now).is_allowed for _ in range(ENTRIES))
+    return sum(try_spend(budget, 'llm', now) for _ in range(ENTRIES))
 
 
 def test_settled_entry_holds_its_share():
@@ -78,7 +87,7 @@
 def test_services_have_separate_budgets():
     budget = settled_budget()
     spent = product(('llm', 'desk'), range(5))
-    assert all(budget.try_spend(service, 0).is_allowed for service, _ in spent)
+    assert all(try_spend(budget, service, 0) for service, _ in spent)
 
 
 def test_unused_budget_takes_bounded_memory():
@@ -88,3 +97,40 @@
         budget.record_request('llm', second / 2)
     kept = budget._sent['llm'].requests._buckets
     assert len(kept) <= LIMITS.window / BUCKET_SECONDS + 1
+
+
+def test_retry_counts_when_it_is_sent():
+    """A retry that waits for its turn arrives in a later window."""
+    budget = settled_budget()
+    for _ in range(5):
+        assert budget.try_reserve('llm', 0).is_allowed
+    assert not budget.try_reserve('llm', 9).is_allowed
+    for _ in range(5):
+        budget.record_send('llm', 9)
+    assert not budget.try_reserve('llm', 18).is_allowed
+    assert budget.try_reserve('llm', 20).is_allowed
+
+
+def test_retry_that_is_not_sent_costs_nothing():
+    budget = settled_budget()
+    for _ in range(20):
+        assert budget.try_reserve('llm', 0).is_allowed
+        budget.release('llm')
+    assert count_allowed(budget, 0) == 5
+
+
+# Guards against retries that are counted though no upstream got them.
+@in_world
+async def test_only_sent_retries_are_counted(world):
+    refusing = await world.add_upstream(refused())
+    gone = await world.add_upstream(refused())
+    state = await world.add_gateway(retry_allowance=50)
+    await wait_until(lambda: state.retries.share.part(state.timers.now()) > 0)
+    gone.process_scope.cancel()
+    for number in range(6):
+        answer = await ask(state, '/any/1', attempt=f'a{number}')
+        assert answer.status == 503
+    assert len(refusing.received_requests) == 6
+    assert state.retries.counts['sheets'].retries == 0
+    decision = state.retries.try_reserve('sheets', state.timers.now())
+    assert decision.spent == 0
