Decide on a connection before the event loop reads from it

Cause: a connection that the intake closes was to be unread. But the event loop reads from a connection as soon as it has a stream, and the intake was asked by the task that the stream is handed to, one turn later: what had arrived by then was read and thrown away. Evidence: test_request_of_a_closed_connection_is_unread sends a request before its connection is accepted; it got an end of file where the system resets a connection with unread data. It failed before and passes now. Fix: connections are accepted as sockets, and only those that are taken get a stream.

--- a/packages/spanfall-node/src/spanfall_node/gateway/program.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/program.py
@@ -129,7 +129,7 @@
     leadership = Leadership(state, store, records)
     gate = IntakeGate(state)
     tasks.start_soon(
-        _listen, state.cfg.listen.callers, GatedCallers(callers, gate)
+        GatedCallers(callers, gate).listen, state.cfg.listen.callers
     )
     _start_listening(state, TunnelServer(state, dial), tasks)
     parts = [
@@ -196,9 +196,7 @@
         await anyio.sleep(RESTART_SECONDS)
 
 
-async def _listen(
-    address: str, server: GatedCallers | StatusServer | TunnelServer
-) -> None:
+async def _listen(address: str, server: StatusServer | TunnelServer) -> None:
     host, _, port = address.rpartition(':')
     listener = await anyio.create_tcp_listener(
         local_host=host,
--- a/tests/test_gateway_intake.py
+++ b/tests/test_gateway_intake.py
@@ -1,5 +1,6 @@
 """Take no more new connections than the node can serve in time."""
 
+import socket
 from collections import deque
 from dataclasses import dataclass, field
 from random import Random
@@ -125,6 +126,22 @@
     assert max(gaps) <= 2 / MIN_RATE
 
 
+# Guards against a request that is read and then neither answered nor refused.
+@in_world
+async def test_request_of_a_closed_connection_is_unread(world):
+    """A request that has arrived before its connection is accepted."""
+    state = await world.add_gateway()
+    host, _, port = state.cfg.listen.callers.rpartition(':')
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Intake, 'takes', lambda *_: False)
+        with socket.create_connection((host, int(port))) as caller:
+            caller.sendall(request_bytes('/once/1'))
+            await anyio.wait_readable(caller)
+            # The system resets a connection that is closed with unread data.
+            with pytest.raises(ConnectionResetError):
+                caller.recv(1)
+
+
 def test_closed_connection_was_not_read(monkeypatch):
     """Kept connections go on, and readiness does not follow the load."""
 
