Judge the retry budget in the soak, beside upstreams that reject all

A new fault lets all upstreams reject while an entry, the home or all nodes end; gateways of the soak start like processes, without a share.

--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -97,6 +97,8 @@
             [PlainService(SERVICE)],
         ),
     )
+    #: Whether gateways hold their shares of retries as if they had run for long.
+    is_settled: bool = True
     #: Running parts of the gateways, by node.
     gateways: dict[str, Gateway] = field(default_factory=dict)
     _numbers: count = field(default_factory=lambda: count(1))
@@ -199,8 +201,8 @@
         )
         timers = Timers(time.monotonic, time.time)
         state = build_state(cfg, ADAPTER, timers, f'i-{cfg.node}')
-        # The fleet has run for long: its entries hold their shares of retries.
-        state.retries.share.started_at = float('-inf')
+        if self.is_settled:
+            state.retries.share.started_at = float('-inf')
         dial = network.dial if network else connect
         self.gateways[cfg.node] = start_gateway(state, self.tasks, dial)
         await wait_until_open(cfg.listen.callers)
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -94,6 +94,15 @@
     await _end_upstream(course, rng, seconds, leave)
 
 
+async def reject_all(course, rng, seconds):
+    """Let all upstreams reject, and end nodes meanwhile."""
+    course.rejecting += 1
+    await anyio.sleep(seconds / 2)
+    end = rng.choice((kill_entry, restart_all, cut_home_off))
+    await end(course, rng, seconds / 2)
+    course.rejecting -= 1
+
+
 async def take_store_away(course, rng, seconds):
     course.outages += 1
     course.world.store.error_status = 503
@@ -120,6 +129,7 @@
     cut_home_off,
     crash_upstream,
     drain_upstream,
+    reject_all,
     take_store_away,
     configure,
     switch_off,
--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -9,12 +9,15 @@
 import anyio
 from contention_world import held_at, home_among, is_linked
 from gateway_world import Answer, World, ask, route
+from retry_checker import Seen, worst_use
 from spanfall_api.gateway_settings import Mode, SchedulingSettings
 from spanfall_core.gateway.known.configuration import RouteKind
+from spanfall_core.gateway.routing.retry_budget import RetryLimits
 from spanfall_node.gateway.requests.refusals import NOT_RUN_STATUSES
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_standins.gateway.dialect import PlainRoute, PlainWorkspace
 from spanfall_standins.gateway.server import encode_response, start_server
+from spanfall_standins.gateway.upstream import refused
 from support import wait_until
 from test_gateway_succession import StoreGate
 
@@ -29,6 +32,7 @@
 #: Requests a second of a workspace, 0 for any: during load, and afterwards.
 LIMITS = (0, 0, 30)
 NO_LIMIT = (0,)
+RETRY_LIMITS = RetryLimits(ratio=0.2, allowance=15, window=10)
 #: Seconds past the deadline within which the platform wants an answer.
 ALLOWANCE = 0.5
 #: Seconds past the deadline after which a caller stops reading.
@@ -133,8 +137,13 @@
     starting: int = 0
     ending: set[str] = field(default_factory=set)
     numbers: count = field(default_factory=count)
+    seen: Seen = field(default_factory=Seen)
+    #: Faults by which upstreams reject all, and arrivals that they rejected.
+    rejecting: int = 0
+    rejected: Counter[str] = field(default_factory=Counter)
 
     async def start(self):
+        self.world.is_settled = False
         self.configure(Random(self.seed), LIMITS)
         for _ in range(UPSTREAMS):
             await self.add_upstream()
@@ -152,15 +161,26 @@
         gate = StoreGate(own.store)
         own.store_address = await start_server(own.tasks, gate.answer)
         life = anyio.CancelScope()
-        state = await own.add_killable_gateway(life)
+        state = await own.add_killable_gateway(
+            life,
+            retry_ratio=RETRY_LIMITS.ratio,
+            retry_allowance=RETRY_LIMITS.allowance,
+            retry_window_seconds=RETRY_LIMITS.window,
+        )
         self.starting -= 1
         self.gateways.append(Running(state, life, gate))
         self.switch(self.mode)
 
     async def add_upstream(self):
         rng = Random(f'{self.seed}/{len(self.world.upstreams)}')
+        reject = refused(429)
 
         async def run(upstream, request, stream):
+            attempt = request.headers['attempt']
+            self.seen.arrive(attempt, anyio.current_time())
+            if self.rejecting:
+                self.rejected[attempt] += 1
+                return await reject(upstream, request, stream)
             await anyio.sleep(rng.uniform(0.1, 0.5))
             headers = upstream.response_headers(request)
             await stream.send(encode_response(200, request.body, headers))
@@ -197,6 +217,7 @@
     async def attempt(self, state, call):
         name = f'{self.seed}-{next(self.numbers)}'
         held_up, began_at = self.lag, anyio.current_time()
+        self.seen.sent_at.append(began_at)
         patience = call.seconds + HANG_SECONDS
         answer = None
         with anyio.move_on_after(min(patience, call.leaves_after)):
@@ -284,6 +305,10 @@
             for upstream in self.world.upstreams.values()
             for one in upstream.received_requests
         )
+        runs -= self.rejected
+        use = worst_use(self.seen, RETRY_LIMITS)
+        if use > 1:
+            self.broken.append(f'retried {use:.2f} of the budget')
         for sent in self.sent:
             self.broken.extend(
                 f'{sent.attempt} {sent.call.route.name} {text}'
