Report retries by window, for services that had any

A report held counts for each service that a node ever served: at the design size, 2,000 services in each report of 570 entries, that is above the 3 KB a second of control. It now holds the sums of the last window, for services with retries in it, and the home adds up the last reports of a window, ended processes included. Gauges of services without retries go.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/fleet.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/fleet.py
@@ -10,10 +10,7 @@
     PrefillSpeed,
     PrefillSums,
 )
-from spanfall_core.gateway.known.fleet_retries import (
-    FleetRetries,
-    RetryCounts,
-)
+from spanfall_core.gateway.known.fleet_retries import RetryCounts, sum_retries
 from spanfall_core.gateway.known.lifetimes import ByLifetime, Lifetime
 from spanfall_core.gateway.known.reporting import (
     load_expires_after,
@@ -50,7 +47,7 @@
     read_work: Counts = field(default_factory=dict)
     #: Samples of prefill speed, by service.
     reading: dict[str, PrefillSums] = field(default_factory=dict)
-    #: Requests and retries by service since the process started.
+    #: Requests and retries of the last window, by service with any retries.
     retries: dict[str, RetryCounts] = field(default_factory=dict)
 
     @property
@@ -96,7 +93,6 @@
     #: Prefill speeds that the previous home reported.
     prior_speeds: Mapping[str, PrefillSpeed] = field(default_factory=dict)
     usage: FleetUsage = field(default_factory=FleetUsage)
-    retries: FleetRetries = field(default_factory=FleetRetries)
     #: Size of the fleet before this home took over, and until when it is
     #: assumed.
     assumed_entries: int = 1
@@ -109,6 +105,8 @@
     _prefill: Counter[Lifetime] = field(default_factory=Counter)
     _failed: Counter[Lifetime] = field(default_factory=Counter)
     _last_expiry: float = float('-inf')
+    #: When an excess of retries was last noted, by service.
+    _excess_noted_at: dict[str, float] = field(default_factory=dict)
 
     def apply_report(self, report: EntryReport, now: float) -> None:
         """Store the latest report of an entry."""
@@ -119,7 +117,6 @@
         else:
             add_counts(self._failed, known.failed, -1)
             self._add_load(known, -1)
-        self.retries.add(known.report.retries, report.retries, now)
         known.report = report
         known.reported_at = now
         add_counts(self._failed, known.failed)
@@ -174,6 +171,28 @@
             add_counts(total, subtract_counts(row.report.read_work, first))
         return dict(total)
 
+    def retries(self, window: float, now: float) -> dict[str, RetryCounts]:
+        """Return the sums over the entries of one window, ended ones included.
+
+        An entry that ended counts with its last report, which overstates what
+        it sent in the window.
+        """
+        return sum_retries(
+            row.report.retries
+            for row in self._reporting.values()
+            if now - row.reported_at <= window
+        )
+
+    def should_note_excess(
+        self, service: str, window: float, now: float
+    ) -> bool:
+        """Return whether an excess was not noted in the last window."""
+        noted_at = self._excess_noted_at.get(service, float('-inf'))
+        if now - noted_at < window:
+            return False
+        self._excess_noted_at[service] = now
+        return True
+
     def speeds(self) -> dict[str, PrefillSpeed]:
         """Return the prefill speed by service."""
         learned = {name: row.speed() for name, row in self._models.items()}
--- a/packages/spanfall-core/src/spanfall_core/gateway/routing/retry_budget.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/routing/retry_budget.py
@@ -14,7 +14,8 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from spanfall_core.gateway.known.fleet_retries import RetryCounts, SentRequests
+from spanfall_core.gateway.known.fleet_retries import RetryCounts
+from spanfall_core.gateway.known.spending import Spending
 from spanfall_core.gateway.routing.allowance_share import AllowanceShare
 
 #: Fraction of the platform's limit that is used.
@@ -66,14 +67,20 @@
         )
 
 
+@dataclass(slots=True)
+class SentRequests:
+    """Count the requests and the retries of the last window."""
+
+    requests: Spending = field(default_factory=Spending)
+    retries: Spending = field(default_factory=Spending)
+
+
 @dataclass(slots=True)
 class RetryBudget:
     """Hold the retry budget of one entry, by service."""
 
     limits: RetryLimits
     share: AllowanceShare
-    #: Requests and retries since the process started, by service.
-    counts: dict[str, RetryCounts] = field(default_factory=dict)
     _sent: dict[str, SentRequests] = field(default_factory=dict)
     #: Retries that were allowed and not sent yet, by service.
     _reserved: Counter[str] = field(default_factory=Counter)
@@ -81,7 +88,6 @@
     def record_request(self, service: str, now: float) -> None:
         """Count a request, which adds a fraction of a retry to the credit."""
         self._for_service(service).requests.spend(1, self.limits.window, now)
-        self._count(service, requests=1)
 
     def try_reserve(self, service: str, now: float) -> RetryDecision:
         """Reserve the credit for one retry, if there is enough.
@@ -99,12 +105,21 @@
         self._reserved[service] -= 1
         retries = self._for_service(service).retries
         retries.spend(1, self._counted_seconds, now)
-        self._count(service, retries=1)
 
     def release(self, service: str) -> None:
         """Return the credit of a reserved retry that is not sent."""
         self._reserved[service] -= 1
 
+    def recent_counts(self, now: float) -> dict[str, RetryCounts]:
+        """Return the counts of the services that had retries lately."""
+        return {
+            service: RetryCounts(
+                sent.requests.recent(self.limits.window, now), retries
+            )
+            for service, sent in self._sent.items()
+            if (retries := sent.retries.recent(self._counted_seconds, now))
+        }
+
     @property
     def _counted_seconds(self) -> float:
         return self.limits.window + self.limits.delivery
@@ -129,11 +144,5 @@
             now - self.share.started_at,
         )
 
-    def _count(self, service: str, requests: int = 0, retries: int = 0) -> None:
-        known = self.counts.get(service, RetryCounts())
-        self.counts[service] = RetryCounts(
-            known.requests + requests, known.retries + retries
-        )
-
     def _for_service(self, service: str) -> SentRequests:
         return self._sent.setdefault(service, SentRequests())
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/followed_table.py
@@ -6,7 +6,11 @@
 from spanfall_core.gateway.known.reporting import REPORT_PERIOD
 from spanfall_core.gateway.known.timelines import timeline_of
 
-from spanfall_node.gateway.home.totals import apply_totals, totals_period
+from spanfall_node.gateway.home.totals import (
+    apply_entry_count,
+    apply_totals,
+    totals_period,
+)
 from spanfall_node.gateway.links.messages import (
     TableMessage,
     UpstreamsPart,
@@ -40,8 +44,8 @@
         now = state.timers.now()
         state.home_answered_at = now
         state.home_resigned = table.resigned
-        state.set_entry_count(
-            table.entries, sent_at, is_current=not table.resigned
+        apply_entry_count(
+            state, table.entries, sent_at, is_current=not table.resigned
         )
         self.report_after = table.report_after
         state.set_prefill_speeds(table.speeds)
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/totals.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/totals.py
@@ -19,6 +19,19 @@
     return entries / MAX_TOTALS_PER_SECOND
 
 
+def apply_entry_count(
+    state: GatewayState, entries: int, told_at: float, *, is_current: bool
+) -> None:
+    """Apply the number of entries that a home told at a time.
+
+    Only a home whose lease is valid (``is_current``) renews this entry's share
+    of the retries.
+    """
+    state.quotas.entries = entries
+    if is_current:
+        state.retries.share.tell(entries, told_at)
+
+
 def apply_totals(
     state: GatewayState,
     others: FleetTotals,
@@ -37,8 +50,8 @@
     state.apply_report(report, now)
     given = state.allocate_units(report.key, now)
     state.apply_given(given, report, now)
-    state.set_entry_count(
-        state.fleet.size(now), now, is_current=state.is_home(now)
+    apply_entry_count(
+        state, state.fleet.size(now), now, is_current=state.is_home(now)
     )
     state.set_prefill_speeds(state.fleet.speeds())
     apply_totals(state, state.fleet.totals_except(report.key, now), now)
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/state.py
@@ -168,18 +168,6 @@
         self.prompts.speeds = speeds
         self.granted_prompts.speeds = speeds
 
-    def set_entry_count(
-        self, entries: int, told_at: float, *, is_current: bool
-    ) -> None:
-        """Set the number of entries, which a home told at a time.
-
-        Only the number of a home whose lease is valid renews this entry's share
-        of the retries.
-        """
-        self.quotas.entries = entries
-        if is_current:
-            self.retries.share.tell(entries, told_at)
-
     def record_own_load(self, now: float) -> None:
         """Record the load of this node, as the home that also serves callers."""
         self.grant_book.apply_report(self.entry_key, self.own_load(0), now)
@@ -302,5 +290,5 @@
             usage={key: dict(row) for key, row in self.usage.windows.items()},
             read_work=dict(self.read_work),
             reading={key: replace(row) for key, row in self.reading.items()},
-            retries=dict(self.retries.counts),
+            retries=self.retries.recent_counts(now),
         )
