Let a request earn retries at the service that it is sent to

What callers saw: nothing known; found by reading. Cause: a request was counted as it was admitted, at the service that its route chose. A stream that a caller resumes goes to the service that began it, which is known later, and is retried there: one service's requests earned retries that another got. Evidence: test_request_earns_where_it_is_sent failed before and passes now. Fix: the request is counted once its service is settled.

--- a/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
@@ -241,7 +241,6 @@
 
     def _record_admitted(self, admitted: AdmittedRequest) -> None:
         state = self._state
-        state.retries.record_request(admitted.service, state.timers.now())
         if admitted.workspace is not None:
             workspace = admitted.workspace.name
             state.counters.units_admitted.labels(workspace).inc(admitted.units)
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -86,6 +86,7 @@
     try:
         with state.shutdown.bounded(exchange.scope):
             await resolve_origin(state, access.origins, exchange)
+            state.retries.record_request(admitted.service, state.timers.now())
             await _send_until_answered(state, access, exchange)
     finally:
         if exchange.has_reserved_retry:
--- a/tests/test_gateway_retry_budget.py
+++ b/tests/test_gateway_retry_budget.py
@@ -13,6 +13,7 @@
 #: As in the deployments: a fifth of the requests plus 54 in any 10 s.
 LIMITS = RetryLimits(ratio=0.2, allowance=54, window=10)
 ENTRIES = 7
+RELAY = 'spanfall_node.gateway.upstreams.relay'
 #: Requests per second of all entries together.
 RATE = 110
 
@@ -119,6 +120,21 @@
     assert count_allowed(budget, 0) == 5
 
 
+# Guards against requests that earn at one service what is spent at another.
+@in_world
+async def test_request_earns_where_it_is_sent(world):
+    async def resume_elsewhere(state, origins, exchange):
+        exchange.admitted.service = 'desk'
+
+    state = await world.add_gateway()
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(f'{RELAY}.resolve_origin', resume_elsewhere)
+        await ask(state, '/resume/1')
+    now = state.timers.now()
+    assert state.retries.try_reserve('desk', now).requests == 1
+    assert state.retries.try_reserve('sheets', now).requests == 0
+
+
 # Guards against retries that are counted though no upstream got them.
 @in_world
 async def test_only_sent_retries_are_counted(world):
