--- a/tests/test_gateway_allowance_share.py
+++ b/tests/test_gateway_allowance_share.py
@@ -4,7 +4,11 @@
 from unittest.mock import Mock
 
 from gateway_world import in_world
-from spanfall_core.gateway.routing.allowance_share import AllowanceShare
+from spanfall_core.gateway.known.reporting import report_period
+from spanfall_core.gateway.routing.allowance_share import (
+    LEASE_SECONDS,
+    AllowanceShare,
+)
 from spanfall_node.gateway.home.followed_table import FollowedTable
 from spanfall_node.gateway.home.totals import follow_own_table
 from spanfall_node.gateway.links.messages import TableMessage
@@ -53,6 +57,12 @@
     assert not share.part(4.1)
 
 
+def test_a_share_outlasts_the_period_of_reports():
+    """An entry hears from the home once in each period of its reports."""
+    for entries in range(8, 601):
+        assert report_period(entries) < LEASE_SECONDS
+
+
 def table_with(entries, *, resigned):
     """Return a table of a home that counts some entries."""
     return TableMessage(
