Let the processes of the retry test hold their shares before they are killed

A share is held 13.5 s after a start there since a retry counts for its delivery too, and the test waited 10 s: no process held any, so its first lifetimes retried only what their requests earned.

--- a/tests/test_gateway_retry_processes.py
+++ b/tests/test_gateway_retry_processes.py
@@ -6,8 +6,10 @@
 import anyio
 from gateway_world import dial, in_world, read_answer, request_bytes
 from retry_checker import Seen, worst_use
-from spanfall_api.gateway_settings import Bounds
+from spanfall_api.gateway_settings import HOME_LEASE_SECONDS, Bounds
+from spanfall_core.gateway.routing.allowance_share import AllowanceShare
 from spanfall_core.gateway.routing.retry_budget import RetryLimits
+from spanfall_node.gateway.net.sockets import TCP_USER_TIMEOUT_SECONDS
 from spanfall_standins.gateway.upstream import refused
 from test_gateway_contention_suspended import process_of, wait_ready
 
@@ -20,8 +22,13 @@
 GATEWAYS = 4
 RATE = 20
 PATIENCE = 3
-#: Seconds after which processes hold all that they will ever hold.
-SETTLED_SECONDS = 10
+#: Seconds after which processes hold their shares of the allowance.
+SETTLED_SECONDS = (
+    AllowanceShare(
+        LIMITS.window + TCP_USER_TIMEOUT_SECONDS, HOME_LEASE_SECONDS
+    ).memory
+    + 1
+)
 
 
 def counting(seen):
