Take no reset for a close that a write was told of first

What callers saw: a part of an answer as a complete 200 (MIXED). An upstream answered a long upload at once, without a length, sent a part and reset the connection while the upload was still being written.

Cause: Linux reports a reset to one call only. The task that writes the upload got ECONNRESET; the task that reads then got the bytes that had arrived and an end like that of a close (recv returns 0). A body without a length ends with the close, so the part was whole. All readers share this stream: answers that are buffered, relayed or streamed, tunnels, the store, the cloud.

Change: the stream remembers that a call has reported a reset; a later end of the bytes is then that reset. EPIPE is left out: it says that the other side had closed before, so the end that the reader sees is that close.

Ruled out: framing (the bytes had none), a check of the listening upstream (it still listens).

--- a/packages/spanfall-node/src/spanfall_node/gateway/net/bounded_stream.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/bounded_stream.py
@@ -30,6 +30,9 @@
         self._is_closed = False
         #: Whether the last read may have left bytes in the kernel.
         self._may_have_more = True
+        #: Whether a call has reported a reset. The kernel reports it once; the
+        #: next read ends as after a close.
+        self._was_reset = False
 
     async def receive(self, max_bytes: int = READ_BYTES) -> bytes:
         """Return the bytes that have arrived, as many as are wanted.
@@ -50,6 +53,8 @@
                 await self._wait_readable()
                 continue
             self._may_have_more = len(received) == max_bytes
+            if not received and self._was_reset:
+                raise anyio.BrokenResourceError
             if not received:
                 raise anyio.EndOfStream
             return received
@@ -126,6 +131,8 @@
         except BlockingIOError:
             raise
         except OSError as exc:
+            # A reset that follows a close is reported as EPIPE.
+            self._was_reset |= exc.errno != errno.EPIPE
             raise anyio.BrokenResourceError from exc
 
     async def _wait_readable(self) -> None:
