Trust no close that ends an early answer to an upload

Cause: a body without a length ends with its connection, and the close counted as its end as long as the upstream still listened. That the request had not been taken, and that a reset followed, was known to the same connection and read by nobody: the upload is stopped when the head arrives, and nothing is read or written after the close.

Change: a close proves nothing of a success that began while a part of the request was unwritten or unacknowledged, or whose connection is reset by the time of the check. It is decided where all ends are (response_ends.py), for buffered bodies, bodies that are relayed and event streams; a last event that says so is proof as before. The stream returns from a send as soon as the kernel has all bytes, so that a request counts as written before its response can arrive.

Not seen by this: an upload whose unread rest lies in the kernel of the upstream's host. Until the close, that is what an upstream sends that has read everything.

--- a/packages/spanfall-node/src/spanfall_node/gateway/net/body_ends.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/body_ends.py
@@ -34,6 +34,9 @@
     CLOSED = 'closed'
     #: The server closed the connection inside an event, or before any.
     INSIDE_EVENT = 'inside-event'
+    #: The server closed the connection, and had not taken the whole request
+    #: when its response began, or has reset the connection since.
+    REQUEST_NOT_TAKEN = 'request-not-taken'
     #: The server closed the connection and accepts no other.
     SERVER_GONE = 'server-gone'
     #: The server closed the connection, but the caller was promised chunks.
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/bounded_stream.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/bounded_stream.py
@@ -7,8 +7,12 @@
 """
 
 import errno
+import fcntl
+import logging
 import select
 import socket
+import struct
+import termios
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -18,6 +22,9 @@
 
 from spanfall_node.gateway.net.sockets import READ_BYTES
 
+logger = logging.getLogger(__name__)
+
+_RESET = select.POLLHUP | select.POLLERR
 _HANG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -62,15 +69,17 @@
     async def send(self, item: bytes) -> None:
         """Send bytes, waiting as long as the client takes none.
 
+        Returns as soon as the kernel has them all.
+
         Raises:
             BrokenResourceError: the connection was reset.
             ClosedResourceError: this side closed the connection.
         """
+        await checkpoint()
         left = self.send_now(item)
         while left:
             await self.wait_writable()
             left = self.send_now(left)
-        await checkpoint()
 
     def send_now(self, item: bytes | memoryview) -> memoryview:
         """Send what the kernel takes without waiting; return the rest."""
@@ -112,6 +121,23 @@
         """Return whether bytes wait to be read, or the end of the connection."""
         return self._is_closed or self._polls(_HANG_UP | select.POLLIN)
 
+    def is_reset(self) -> bool:
+        """Return whether the connection was reset, also behind a close.
+
+        The kernel says so even if a read or a write has reported it before.
+        """
+        return self._is_closed or self._polls(_RESET)
+
+    def unacknowledged(self) -> int:
+        """Return how many sent bytes the other host has not acknowledged."""
+        unknown = struct.pack('i', 0)
+        try:
+            packed = fcntl.ioctl(self._socket, termios.TIOCOUTQ, unknown)
+        except OSError as exc:
+            logger.info('Unacknowledged bytes of a socket unknown: %r', exc)
+            return 0
+        return struct.unpack('i', packed)[0]
+
     def _polls(self, events: int) -> bool:
         poll = select.poll()
         poll.register(self._socket, events)
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
@@ -11,7 +11,6 @@
 
 import anyio
 import h11
-from anyio.abc import ByteStream
 from anyio.lowlevel import checkpoint
 from spanfall_core.gateway.limits.memory_budget import FREE_BYTES
 
@@ -21,9 +20,11 @@
     BodyFraming,
     body_framing,
 )
+from spanfall_node.gateway.net.bounded_stream import BoundedStream
 from spanfall_node.gateway.net.errors import BrokenCallError
-from spanfall_node.gateway.net.ports import Headers, HttpCall
+from spanfall_node.gateway.net.ports import HttpCall
 from spanfall_node.gateway.net.response_bounds import ResponseBounds
+from spanfall_node.gateway.net.response_heads import ResponseHead
 from spanfall_node.gateway.net.sockets import (
     EVENTS_PER_SLICE,
     READ_BYTES,
@@ -47,29 +48,11 @@
 _KEEP_ALIVE = re.compile(rb'timeout=(\d+)')
 
 
-@dataclass(frozen=True, slots=True)
-class ResponseHead:
-    """Hold the status and headers of a response."""
-
-    status: int
-    reason: bytes
-    headers: Headers
-
-    def header(self, name: bytes) -> bytes:
-        """Return the first value of a header by its lower-case name, or b''."""
-        return next((text for key, text in self.headers if key == name), b'')
-
-    @property
-    def stated_length(self) -> int:
-        """Return the stated length of the body in bytes, or 0."""
-        return int(self.header(b'content-length') or 0)
-
-
 @dataclass(slots=True, eq=False)
 class Connection:
     """Manage one connection to a server."""
 
-    stream: ByteStream
+    stream: BoundedStream
     address: str
     protocol: h11.Connection = field(
         default_factory=lambda: h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
@@ -90,6 +73,9 @@
     framing: BodyFraming = BodyFraming.NO_BODY
     #: How the body of the current response ended, once it has.
     body_end: BodyEnd | None = None
+    #: Whether the current response, which ends with the connection, began
+    #: before the server had taken the request.
+    is_early: bool = False
     #: Bytes that are read at a time.
     read_bytes: int = FREE_BYTES
     _at_eof: bool = False
@@ -160,8 +146,7 @@
             logger.info('Request to %s cut short: %s', self.address, exc)
 
     async def read_head(
-        self,
-        is_matching: Callable[[ResponseHead], bool],
+        self, is_matching: Callable[[ResponseHead], bool]
     ) -> ResponseHead:
         """Return the head of the response to the last request.
 
@@ -188,6 +173,10 @@
                 self.framing = body_framing(
                     self._sent_request.method, head.status, head.headers
                 )
+                if self.framing is BodyFraming.CONNECTION:
+                    # A server that has read the request has acknowledged it.
+                    taken = self._body_sent and not self.stream.unacknowledged()
+                    self.is_early = not taken
                 return head
             if bounds.count_other() == 1:
                 logger.warning(
@@ -238,6 +227,7 @@
             self.protocol.start_next_cycle()
         self.reusable = False
         self.body_end = None
+        self.is_early = False
         self.read_bytes = FREE_BYTES
 
     async def _skip_response(self) -> None:
@@ -263,8 +253,8 @@
         self.body_end = FRAMING_ENDS[self.framing]
         rest, closed = self.protocol.trailing_data
         clean = not rest and not closed and self._body_sent
-        done = self.protocol.our_state is h11.DONE
-        self.reusable = clean and done and self.protocol.their_state is h11.DONE
+        states = {self.protocol.our_state, self.protocol.their_state}
+        self.reusable = clean and states == {h11.DONE}
 
     async def _next_event(self) -> h11.Event:
         self._events += 1
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/connecting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/connecting.py
@@ -3,9 +3,11 @@
 import logging
 
 import anyio
-from anyio.abc import ByteStream
 
-from spanfall_node.gateway.net.bounded_stream import open_stream
+from spanfall_node.gateway.net.bounded_stream import (
+    BoundedStream,
+    open_stream,
+)
 from spanfall_node.gateway.net.client import Connection
 from spanfall_node.gateway.net.errors import (
     NobodyListensError,
@@ -44,7 +46,7 @@
     return Connection(stream, address)
 
 
-async def _open_stream(address: str, timeout: float) -> ByteStream | None:
+async def _open_stream(address: str, timeout: float) -> BoundedStream | None:
     """Open a stream; return None if one more attempt may tell more."""
     deadline = anyio.current_time() + timeout
     try:
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/tunnels.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/tunnels.py
@@ -8,7 +8,7 @@
 import anyio
 from anyio.abc import ByteStream
 
-from spanfall_node.gateway.net.client import Connection, ResponseHead
+from spanfall_node.gateway.net.client import Connection
 from spanfall_node.gateway.net.connecting import connect
 from spanfall_node.gateway.net.errors import (
     BrokenCallError,
@@ -17,6 +17,7 @@
     PeerUnavailableError,
 )
 from spanfall_node.gateway.net.ports import HttpCall
+from spanfall_node.gateway.net.response_heads import ResponseHead
 from spanfall_node.gateway.net.sockets import (
     READ_BYTES,
     SOCKET_ERRORS,
@@ -69,7 +70,7 @@
 
 def _check(head: ResponseHead, peer_address: str) -> bool:
     """Return True if the tunnel is open; raise what the peer found if not."""
-    if head.status < 300:
+    if head.is_success:
         return True
     if head.status == REFUSED_STATUS:
         raise NobodyListensError('nobody listens there, as a peer found too')
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/attempt.py
@@ -15,7 +15,7 @@
 from spanfall_core.gateway.routing.sends import SendOutcome, SendState
 
 from spanfall_node.gateway.net.body_ends import PROVEN_ENDS, BodyEnd
-from spanfall_node.gateway.net.client import ResponseHead
+from spanfall_node.gateway.net.response_heads import ResponseHead
 from spanfall_node.gateway.requests.admission import AdmittedRequest
 from spanfall_node.gateway.requests.caller_connection import CallerConnection
 from spanfall_node.gateway.tables.state import GatewayState
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/forwarded.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/forwarded.py
@@ -1,7 +1,7 @@
 """Build the request for an upstream and the headers of its response."""
 
-from spanfall_node.gateway.net.client import ResponseHead
 from spanfall_node.gateway.net.ports import HeaderNames, Headers, HttpCall
+from spanfall_node.gateway.net.response_heads import ResponseHead
 from spanfall_node.gateway.requests.admission import AdmittedRequest
 
 #: Hop-by-hop headers, which are not forwarded (RFC 9110, section 7.6.1).
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/hearing.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/hearing.py
@@ -9,7 +9,7 @@
     StatementChange,
 )
 
-from spanfall_node.gateway.net.client import ResponseHead
+from spanfall_node.gateway.net.response_heads import ResponseHead
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.fleet_backoffs import note_backoff
 from spanfall_node.gateway.upstreams.speeds import record_slowdown
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/response_ends.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/response_ends.py
@@ -19,8 +19,9 @@
     BodyEnd,
     BodyFraming,
 )
-from spanfall_node.gateway.net.client import Connection, ResponseHead
+from spanfall_node.gateway.net.client import Connection
 from spanfall_node.gateway.net.errors import BrokenCallError
+from spanfall_node.gateway.net.response_heads import ResponseHead
 from spanfall_node.gateway.net.sockets import slices
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.attempt import (
@@ -46,16 +47,22 @@
 COMPLETE_ENDS = PROVEN_ENDS | {BodyEnd.CLOSED}
 
 
-async def checked_end(exchange: Exchange, conn: Connection) -> BodyEnd:
+async def checked_end(
+    exchange: Exchange, conn: Connection, head: ResponseHead
+) -> BodyEnd:
     """Return how a body that was read to its end ended.
 
     Raises:
         BrokenCallError: the body may be incomplete: its connection ended with
-            its upstream.
+            its upstream, or without taking the request.
     """
-    if conn.body_end is BodyEnd.CLOSED and not await _still_runs(exchange):
-        conn.body_end = BodyEnd.SERVER_GONE
-        raise BrokenCallError('closed without a length by a server that ended')
+    if conn.body_end is BodyEnd.CLOSED:
+        conn.body_end = await _closed_end(exchange, conn, head)
+        if conn.body_end is not BodyEnd.CLOSED:
+            raise BrokenCallError(
+                f'response {head.status} without a length ended: '
+                f'{conn.body_end}'
+            )
     return conn.body_end
 
 
@@ -94,7 +101,7 @@
             await _start_response(state, exchange, head, is_delimited)
             await exchange.caller.send_part(whole)
         _hold_partial_event(exchange, held_before)
-    await _check_stream_end(exchange, conn)
+    await _check_stream_end(exchange, conn, head)
     await _start_response(state, exchange, head, is_delimited)
     if events.partial_event:
         await exchange.caller.send_part(bytes(events.partial_event))
@@ -130,7 +137,7 @@
     await _start_response(state, exchange, head, is_delimited)
     try:
         await _relay_parts(exchange, conn, begun)
-        if await checked_end(exchange, conn) not in COMPLETE_ENDS:
+        if await checked_end(exchange, conn, head) not in COMPLETE_ENDS:
             raise BrokenCallError(f'response ended by {conn.body_end}')
     except BrokenCallError as exc:
         await abort_response(state, exchange, SendOutcome.BROKEN, exc.reason)
@@ -179,12 +186,14 @@
         await exchange.caller.send_part(part)
 
 
-async def _check_stream_end(exchange: Exchange, conn: Connection) -> None:
+async def _check_stream_end(
+    exchange: Exchange, conn: Connection, head: ResponseHead
+) -> None:
     """Raise BrokenCallError unless the stream may be called complete."""
     if conn.body_end is BodyEnd.CLOSED:
         conn.body_end = _closed_stream_end(exchange)
-    if conn.body_end is BodyEnd.CLOSED and not await _still_runs(exchange):
-        conn.body_end = BodyEnd.SERVER_GONE
+    if conn.body_end is BodyEnd.CLOSED:
+        conn.body_end = await _closed_end(exchange, conn, head)
     if conn.body_end not in COMPLETE_ENDS:
         raise BrokenCallError(
             f'stream ended after {exchange.events.events} events: '
@@ -204,6 +213,22 @@
     return BodyEnd.CLOSED
 
 
+async def _closed_end(
+    exchange: Exchange, conn: Connection, head: ResponseHead
+) -> BodyEnd:
+    """Return how a body ended, as far as the end of its connection shows.
+
+    A refusal need not take the request that it answers.
+    """
+    if head.is_success and conn.is_early:
+        return BodyEnd.REQUEST_NOT_TAKEN
+    if not await _still_runs(exchange):
+        return BodyEnd.SERVER_GONE
+    if head.is_success and conn.stream.is_reset():
+        return BodyEnd.REQUEST_NOT_TAKEN
+    return BodyEnd.CLOSED
+
+
 async def _still_runs(exchange: Exchange) -> bool:
     if exchange.check_still_runs is None:
         return True
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/sending.py
@@ -9,7 +9,7 @@
 
 from spanfall_node.gateway.net.bodies import read_held_body
 from spanfall_node.gateway.net.body_ends import BodyFraming
-from spanfall_node.gateway.net.client import Connection, ResponseHead
+from spanfall_node.gateway.net.client import Connection
 from spanfall_node.gateway.net.errors import (
     BrokenCallError,
     CallerGoneError,
@@ -19,6 +19,7 @@
     UnsoundServerError,
 )
 from spanfall_node.gateway.net.pool import ConnectionPool
+from spanfall_node.gateway.net.response_heads import ResponseHead
 from spanfall_node.gateway.requests.refusals import NOT_RUN_STATUSES
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.attempt import (
@@ -202,18 +203,13 @@
         answered = head.header(names.attempt_id)
         if answered:
             return answered == expected_id
-        return head.status >= 300
+        return not head.is_success
 
     host = admitted.req.header(b'host')
     head = await conn.send_and_read_head(call, host, is_for_request)
     if is_event_stream(head) and head.status == 200:
         send_result = await relay_stream(
-            state,
-            exchange,
-            choice.upstream,
-            head,
-            conn,
-            pending.first_token,
+            state, exchange, choice.upstream, head, conn, pending.first_token
         )
     else:
         held_before = exchange.caller.held.size
@@ -241,13 +237,13 @@
         state.turns,
         head.stated_length if conn.framing is BodyFraming.LENGTH else None,
     )
-    end = await checked_end(exchange, conn) if is_whole else None
+    end = await checked_end(exchange, conn, head) if is_whole else None
     response = BufferedResponse(head, body, end)
     failed = _classify_failure(state, choice, response)
     if failed is not None:
         return failed
     count_run(state, exchange.admitted)
-    if head.status < 300:
+    if head.is_success:
         _record_call(state, exchange, choice)
         if exchange.run is not None:
             await exchange.run.record_part(state.timers.now())
@@ -296,7 +292,7 @@
         reason = f'failed with {head.status}'
         whole = None if response.end is None else response
         return Failed(SendOutcome.FAILED, reason, whole, weight=1)
-    if head.status < 300 and not head.header(names.signature):
+    if head.is_success and not head.header(names.signature):
         reason = 'success without a signature'
         return Failed(SendOutcome.BROKEN, reason, weight=1)
     return None
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/network.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/network.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import anyio
-from anyio.abc import SocketStream
+from spanfall_node.gateway.net.bounded_stream import BoundedStream
 from spanfall_node.gateway.net.client import Connection
 from spanfall_node.gateway.net.connecting import connect
 from spanfall_node.gateway.net.errors import NobodyListensError, NotSentError
@@ -62,15 +62,14 @@
             raise NotSentError(f'no connection within {timeout} s')
         await anyio.sleep(self.delay)
         conn = await connect(address, timeout)
-        conn.stream = CuttableStream(conn.stream, self)
-        return conn
+        return Connection(CuttableStream(conn.stream, self), address)
 
 
 @dataclass(slots=True, eq=False)
 class CuttableStream:
     """Wrap a stream that hangs while its path is silent."""
 
-    inner: SocketStream
+    inner: BoundedStream
     network: Network
     is_closed: bool = False
 
@@ -89,6 +88,14 @@
         await self._wait_for_path()
         await self.inner.send(content)
 
+    def is_reset(self) -> bool:
+        """Return whether the connection was reset."""
+        return self.inner.is_reset()
+
+    def unacknowledged(self) -> int:
+        """Return how many sent bytes the other host has not acknowledged."""
+        return self.inner.unacknowledged()
+
     async def aclose(self) -> None:
         """Close the stream and wake the tasks that wait for its path."""
         self.is_closed = True
