Let a peer pass on a close only of an upstream that took the request

What callers saw: nothing was reported; the same cause acts where an entry reaches an upstream through a peer. Either a part of an answer as a complete 200 (MIXED), or a complete early answer as broken.

Cause: a tunnel copies bytes and their end, and the entry judges the end by its own connection, whose other host is the peer's: what the peer has taken, the upstream may not. And a failed write to the upstream ended the tunnel with a reset at once, which discards what the upstream had sent and the entry had not got yet.

Evidence: test_gateway_early_answers.py, the courses by peer.

Change: the peer passes on a close if the upstream had taken all that came through the tunnel and no reset followed it. All else is a reset, sent once the last bytes are delivered. A failed write ends only the copying of requests; the reader finds the end behind the answer. The kernel's time-out for unacknowledged bytes bounds the wait.

--- a/packages/spanfall-node/src/spanfall_node/gateway/net/tunnels.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/tunnels.py
@@ -5,9 +5,11 @@
 the end of a response.
 """
 
+from enum import Enum, unique
+
 import anyio
-from anyio.abc import ByteStream
 
+from spanfall_node.gateway.net.bounded_stream import BoundedStream
 from spanfall_node.gateway.net.client import Connection
 from spanfall_node.gateway.net.connecting import connect
 from spanfall_node.gateway.net.errors import (
@@ -27,6 +29,8 @@
 #: Statuses with which a peer states what it found at the upstream's address.
 REFUSED_STATUS = 502
 NO_ANSWER_STATUS = 504
+#: Seconds between two looks whether the last bytes were delivered.
+DELIVERY_POLL_SECONDS = 0.01
 
 
 async def connect_through(
@@ -81,20 +85,31 @@
     )
 
 
-async def copy_both_ways(near: ByteStream, far: ByteStream) -> None:
-    """Copy bytes until either side ends; the near side learns how far ended."""
+@unique
+class _CopyEnd(Enum):
+    """Name why the copying of one direction ended."""
+
+    CLOSED = 'closed'
+    RESET = 'reset'
+    NOT_TAKEN = 'not-taken'
+
+
+async def copy_both_ways(near: BoundedStream, far: BoundedStream) -> None:
+    """Copy bytes until either side ends; the near side learns how far ended.
+
+    A failed write to the far side ends nothing: what that side sent before its
+    end may still have to be read.
+    """
     reset_on_close(near, enabled=True)
     try:
         async with anyio.create_task_group() as tasks:
 
             async def copy_requests() -> None:
-                await _copy(near, far)
-                tasks.cancel_scope.cancel()
+                if await _copy(near, far) is not _CopyEnd.NOT_TAKEN:
+                    tasks.cancel_scope.cancel()
 
             tasks.start_soon(copy_requests)
-            if await _copy(far, near):
-                reset_on_close(near, enabled=False)
-                await near.send_eof()
+            await _copy_responses(near, far)
             tasks.cancel_scope.cancel()
     except SOCKET_ERRORS:
         return
@@ -104,16 +119,33 @@
             await anyio.aclose_forcefully(near)
 
 
-async def _copy(source: ByteStream, sink: ByteStream) -> bool:
-    """Copy bytes; return whether the source ended without a reset."""
+async def _copy_responses(near: BoundedStream, far: BoundedStream) -> None:
+    """Copy from far to near; close the near side, or leave it to be reset.
+
+    A close is passed on only if the far side had taken all that came from the
+    near side, since the near side can't see that.
+    """
+    end = await _copy(far, near)
+    is_left = far.unacknowledged() or near.has_bytes()
+    if end is _CopyEnd.CLOSED and not (is_left or far.is_reset()):
+        reset_on_close(near, enabled=False)
+        await near.send_eof()
+        return
+    # A reset discards what is still to be sent.
+    while near.unacknowledged() and not near.is_reset():
+        await anyio.sleep(DELIVERY_POLL_SECONDS)
+
+
+async def _copy(source: BoundedStream, sink: BoundedStream) -> _CopyEnd:
+    """Copy bytes until the source ends or the sink takes no more."""
     while True:
         try:
             received = await source.receive(READ_BYTES)
         except anyio.EndOfStream:
-            return True
+            return _CopyEnd.CLOSED
         except SOCKET_ERRORS:
-            return False
+            return _CopyEnd.RESET
         try:
             await sink.send(received)
         except SOCKET_ERRORS:
-            return False
+            return _CopyEnd.NOT_TAKEN
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/tunnel_server.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/tunnel_server.py
@@ -3,7 +3,6 @@
 import logging
 
 import anyio
-from anyio.abc import ByteStream
 
 from spanfall_node.gateway.net.bounded_stream import BoundedStream
 from spanfall_node.gateway.net.connection_table import ConnectionTable
@@ -97,7 +96,7 @@
         self,
         peer: CallerConnection,
         req: CallerRequest,
-        upstream: ByteStream,
+        upstream: BoundedStream,
     ) -> None:
         await discard_body(peer, req)
         enable_keepalive(peer.stream)
--- a/tests/test_gateway_early_answers.py
+++ b/tests/test_gateway_early_answers.py
@@ -10,8 +10,10 @@
 import anyio
 import pytest
 from gateway_world import ask, in_world
+from spanfall_standins.gateway.network import Network, Path
 from spanfall_standins.gateway.raw_server import start_raw_server
 from spanfall_standins.gateway.upstream import chunk, raw
+from support import wait_until
 
 #: Bytes of uploads that the kernel of an upstream's host doesn't hold unread.
 SIZES = (400_000, 4_000_000)
@@ -62,14 +64,20 @@
     world.change_entry(upstream, address=address)
 
 
-def answer_to(early, path, size):
+def answer_to(early, path, size, *, through_peer=False):
     """Return what a caller gets that uploads to such an upstream."""
     answers = []
 
     @in_world
     async def play(world):
         await add_early_upstream(world, early)
-        state = await world.add_gateway()
+        network = Network()
+        if through_peer:
+            await world.add_gateway()
+        state = await world.add_gateway(network)
+        if through_peer:
+            await wait_until(lambda: bool(state.reach.peers))
+            await network.cut(Path.REFUSES)
         answers.append(await ask(state, path, body=b'u' * size))
 
     play()
@@ -122,9 +130,11 @@
 
 # Guards against a reset that arrives right behind the close, which the read of
 # the close hides: a small upload is in the kernel of the upstream's host.
-def test_reset_behind_the_close_of_a_small_upload():
+@pytest.mark.parametrize('through_peer', [False, True])
+def test_reset_behind_the_close_of_a_small_upload(through_peer):
     early = BROKEN['closed, reset at once']
-    assert answer_to(early, '/once/1', 100).status == 502
+    answer = answer_to(early, '/once/1', 100, through_peer=through_peer)
+    assert (answer.status, answer.complete) == (502, True)
 
 
 FRAMED = {
@@ -171,3 +181,29 @@
     answer = answer_to(REFUSALS[name], '/once/1', size)
     assert answer.status == REFUSALS[name].status
     assert (answer.body, answer.complete) == (BODY, True)
+
+
+# Guards against a peer that passes on a close without what contradicts it.
+@pytest.mark.parametrize('size', SIZES)
+@pytest.mark.parametrize('name', BROKEN)
+def test_broken_early_answer_by_peer(name, size):
+    answer = answer_to(BROKEN[name], '/once/1', size, through_peer=True)
+    assert (answer.status, answer.complete) == (502, True)
+
+
+# Guards against a peer that discards the end of an answer with the tunnel.
+@pytest.mark.parametrize('size', SIZES)
+@pytest.mark.parametrize('name', FRAMED)
+def test_early_answer_with_a_length_by_peer(name, size):
+    answer = answer_to(FRAMED[name], '/once/1', size, through_peer=True)
+    assert (answer.status, answer.body) == (200, BODY)
+    assert answer.is_proven
+
+
+# Guards against doubts about each answer that comes through a peer.
+@pytest.mark.parametrize('size', [100, *SIZES])
+def test_answer_after_a_whole_upload_by_peer(size):
+    early = Early(reads_before=size)
+    answer = answer_to(early, '/once/1', size, through_peer=True)
+    assert (answer.status, answer.body) == (200, BODY)
+    assert (answer.complete, answer.is_proven) == (True, False)
