Keep odd heads of answers from callers by tests

Reported from other systems: a status of 000, and the name of a field that holds a blank or a control byte, reach clients as answers. Here they do not: each is refused by the HTTP parser (h11), which decides that by its version. The product's own interface reads answers by another library; three rows for it.

--- a/tests/test_upstream_calls.py
+++ b/tests/test_upstream_calls.py
@@ -14,7 +14,8 @@
 HEAD = b'HTTP/1.1 200 X\r\n'
 
 
-# Guards against a body of unknown length that is handed on as complete.
+# Guards against a body of unknown length that is handed on as complete, and
+# against heads that no response may have.
 @pytest.mark.parametrize(
     ('response', 'failure'),
     [
@@ -23,6 +24,9 @@
         (HEAD + b'transfer-encoding: chunked\r\n\r\n0\r\n\r\n', None),
         (HEAD + b'\r\ndone', Failure.BROKEN),
         (b'HTTP/1.1 204 X\r\n\r\n', None),
+        (b'HTTP/1.1 000 X\r\ncontent-length: 4\r\n\r\ndone', Failure.BROKEN),
+        (HEAD + b'a b: 1\r\ncontent-length: 4\r\n\r\ndone', Failure.BROKEN),
+        (HEAD + b'a\x01b: 1\r\ncontent-length: 4\r\n\r\ndone', Failure.BROKEN),
     ],
 )
 def test_application_response_ends(response, failure):
