Refuse answers with a control byte in the value of a field

What callers saw: an answer whose head holds a line with a control byte. Parsers that are strict refuse such a head as a whole, so their caller has bytes that are no answer in the protocol (MIXED), on a connection that looks sound to the gateway. Others show the byte to whoever prints the field.

Cause: the parser (h11) checks names, and of values only NUL, CR, LF and the other blanks; 27 control bytes pass. What the parser lets pass was passed on.

Change: the head is checked where all answers are parsed, also those of the store, the cloud and peers. It counts as an invalid answer: another upstream, or 502. Tabs and high bytes pass as before.

Weighed: to replace the byte by a blank, as RFC 9110 allows for some. Then the head is not the upstream's, and what spoilt it may have spoilt the body as well.

--- a/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
@@ -24,7 +24,7 @@
 from spanfall_node.gateway.net.errors import BrokenCallError
 from spanfall_node.gateway.net.ports import HttpCall
 from spanfall_node.gateway.net.response_bounds import ResponseBounds
-from spanfall_node.gateway.net.response_heads import ResponseHead
+from spanfall_node.gateway.net.response_heads import ResponseHead, check_head
 from spanfall_node.gateway.net.sockets import (
     EVENTS_PER_SLICE,
     READ_BYTES,
@@ -263,6 +263,7 @@
         while True:
             try:
                 event = self.protocol.next_event()
+                check_head(event)
             except h11.RemoteProtocolError as exc:
                 is_cut = self._at_eof
                 self.body_end = BodyEnd.TRUNCATED if is_cut else BodyEnd.INVALID
--- a/tests/test_gateway_response_heads.py
+++ b/tests/test_gateway_response_heads.py
@@ -62,6 +62,12 @@
 ]
 
 
+#: Lines of a head with something in a value that no value may hold.
+VALUE_LINES = [
+    b'odd: a%cb' % code for code in (*range(9), 11, 12, 13, *range(14, 32), 127)
+]
+
+
 def head_with(line):
     """Return a response with one more line in its head."""
     return b'HTTP/1.1 200 X\r\n' + line + b'\r\n' + FIELDS + b'\r\nok'
@@ -80,7 +86,8 @@
 
 STATUS_HEADS = [line + b'\r\n' + FIELDS + b'\r\nok' for line in STATUS_LINES]
 NAME_HEADS = [head_with(line) for line in NAME_LINES]
-HEADS = [*STATUS_HEADS, *NAME_HEADS, *FRAMINGS]
+VALUE_HEADS = [head_with(line) for line in VALUE_LINES]
+HEADS = [*STATUS_HEADS, *NAME_HEADS, *VALUE_HEADS, *FRAMINGS]
 
 
 # Guards against a head that is relayed though no response may have it.
@@ -99,7 +106,9 @@
 
 
 # Guards against a request that ends with such a head though it may run again.
-@pytest.mark.parametrize('head', [STATUS_HEADS[0], NAME_HEADS[0]])
+@pytest.mark.parametrize(
+    'head', [STATUS_HEADS[0], NAME_HEADS[0], VALUE_HEADS[1]]
+)
 def test_sound_upstream_beside_odd_heads(head):
     @in_world
     async def play(world):
@@ -136,3 +145,12 @@
             await call(head)
 
     run_async(main)
+
+
+# Guards against a check that refuses what a value may hold.
+@in_world
+async def test_tabs_and_high_bytes_are_passed_on(world):
+    await world.add_upstream(raw(head_with(b'odd: a\tb\xc3\xa9')))
+    state = await world.add_gateway()
+    answer = await ask(state, '/once/1')
+    assert (answer.status, answer.headers['odd']) == (200, 'a\tb\xe9')
