Let streams go on after all nodes ended beside several versions

Cause: the store holds only which services have had one version; what began each single stream is known to nodes alone, and all of them ended.

Change: an entry names the streams that have begun and whose origin the store can't prove to the home, with the load that it sends anyway; the home adds them to rows in the store ten times a second and reads all rows when it takes over, before it calls a stream unknown. Only what has begun is written, which never changes: no guess, also from an old row. A node of a new fleet reads the record of versions again until there is one, so that it does not name what is proved.

--- a/packages/spanfall-node/src/spanfall_node/gateway/home/load_sender.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/load_sender.py
@@ -1,6 +1,7 @@
 """Send the home the load of this node and what it learned of upstreams."""
 
 import anyio
+from spanfall_core.gateway.known.stream_origins import group_records
 from websockets.asyncio.client import ClientConnection
 
 from spanfall_node.gateway.links.messages import LoadMessage, encode
@@ -11,12 +12,16 @@
     take_backoffs,
 )
 from spanfall_node.gateway.upstreams.grants import GrantClient
+from spanfall_node.gateway.upstreams.unproven_streams import take_unproven
 
 #: Seconds for which load changes are collected before they are sent.
 LOAD_PERIOD = 0.05
 #: The same while requests wait for upstreams: a place whose end is not known
 #: stays unused, and some calls take little longer than this.
 CONTENDED_LOAD_PERIOD = 0.01
+#: Seconds between two looks, while the load does not change, whether streams that
+#: have begun are in need of a record since their service has another version.
+BEGUN_PERIOD = 0.5
 #: Messages per second with samples of upstreams' speeds that the home receives
 #: from all entries together.
 MAX_SPEED_MESSAGES_PER_SECOND = 400
@@ -34,9 +39,11 @@
     samples_due_at = float('-inf')
     while True:
         if sent_changes == state.loads.changes:
-            await state.load_changed.wait()
+            with anyio.move_on_after(BEGUN_PERIOD):
+                await state.load_changed.wait()
         await anyio.sleep(_load_period(state))
-        if sent_changes == state.loads.changes:
+        begun = take_unproven(state)
+        if sent_changes == state.loads.changes and not begun:
             continue
         sent_changes = state.loads.changes
         now = state.timers.now()
@@ -51,6 +58,7 @@
             samples,
             backoffs,
             take_rejections(state),
+            group_records(begun, now),
         )
         await link.send(encode(message))
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/links/messages.py
@@ -13,7 +13,7 @@
 from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.peers import Peer
 from spanfall_core.gateway.known.reporting import REPORT_PERIOD
-from spanfall_core.gateway.known.stream_origins import StreamKey
+from spanfall_core.gateway.known.stream_origins import OriginGroup, StreamKey
 from spanfall_core.gateway.known.unit_reports import AllocatedUnits
 from spanfall_core.gateway.known.upstream_speeds import Factors, SpeedSample
 from spanfall_core.gateway.orders.reclaims import SeenReclaims
@@ -104,6 +104,8 @@
     backoffs: dict[str, float] = {}
     #: Brittle upstreams that rejected requests since its last such message.
     rejections: tuple[str, ...] = ()
+    #: Streams that have begun there and that the store has to name.
+    begun: tuple[OriginGroup, ...] = ()
 
 
 class GrantRequest(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/packages/spanfall-node/src/spanfall_node/gateway/program.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/program.py
@@ -21,6 +21,7 @@
 from spanfall_node.gateway.home.home_links import HomeLinks
 from spanfall_node.gateway.home.leadership import Leadership
 from spanfall_node.gateway.home.request_clients import RequestClients
+from spanfall_node.gateway.home.stream_rows import StreamRows
 from spanfall_node.gateway.lifecycle import StatusServer, stop_on_signal
 from spanfall_node.gateway.limits.unit_requests import UnitClient
 from spanfall_node.gateway.net.connecting import connect
@@ -141,6 +142,7 @@
         records.needs.run,
         records.crashes.run,
         records.versions.run,
+        StreamRows(state, store).run,
         access.crash_detector.probe_unanswered,
         access.crash_detector.resolve_suspected_crashes,
         partial(paths.check_paths, access.pool),
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/version_record.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/version_record.py
@@ -32,6 +32,8 @@
 VERSIONS_KEY = 'spanfall/versions'
 #: Seconds between two checks whether the record is outdated.
 POLL_SECONDS = 0.25
+#: Seconds between two reads while there is no record.
+MISSING_PERIOD = 5.0
 #: Seconds by which the clocks of two homes may differ.
 CLOCK_MARGIN_SECONDS = 5.0
 
@@ -75,7 +77,7 @@
         """
         self._written = None
         item = await self._store.get(VERSIONS_KEY)
-        self._is_read = True
+        self._is_read = item is not None
         if item is None or self._store.was_restored:
             return
         content = decode_record(item, VersionsContent)
@@ -86,9 +88,10 @@
         """Read the record once; as the home, write it whenever it is outdated.
 
         A node that has just started may be asked to continue a stream before
-        any node is the home.
+        any node is the home. In a new fleet there is no record before the home
+        has written it.
         """
-        while not self._is_read:
+        while not self._is_read and self._state.tenure is None:
             await self._try_read()
         while True:
             await anyio.sleep(POLL_SECONDS)
@@ -99,13 +102,17 @@
 
     async def _try_read(self) -> None:
         """Read the record unless the store is known to be away."""
+        wait = POLL_SECONDS
         if not self._store.is_failing:
             try:
                 await self.read()
             except StoreError as exc:
                 logger.info('Could not read the record of versions: %r', exc)
+            else:
+                wait = MISSING_PERIOD
         if not self._is_read:
-            await anyio.sleep(POLL_SECONDS)
+            with anyio.move_on_after(wait):
+                await self._state.home_changed.wait()
 
     async def _write_if_outdated(self) -> None:
         state = self._state
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/resuming.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/resuming.py
@@ -16,6 +16,7 @@
     max_stream_age,
 )
 from spanfall_node.gateway.tables.counters import ResumeOutcome
+from spanfall_node.gateway.tables.known_streams import RouteAge
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.attempt import Exchange
 from spanfall_node.gateway.upstreams.granting import NO_HOME_RETRY_SECONDS
@@ -138,7 +139,8 @@
         admitted.resumable_until,
         is_begun=True,
     )
-    state.streams.record(record, state.timers.now())
+    kind = RouteAge(admitted.route.name, max_stream_age(admitted.route))
+    state.streams.begin(kind, record, state.timers.now())
     if exchange.announce_origin is not None:
         await exchange.announce_origin(record)
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/stream_lookup.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/stream_lookup.py
@@ -1,7 +1,8 @@
 """Find what began a stream that a caller resumes at this node.
 
 The home records each grant of a stream, and entries keep copies, so that the
-origin outlives the entry that sent the stream, the home, and usually both.
+origin outlives the entry that sent the stream, the home, and usually both. What
+has begun at one of several versions is in the store as well.
 """
 
 from dataclasses import dataclass, field
@@ -25,6 +26,7 @@
 from spanfall_node.gateway.store.sync import max_confirmation_age
 from spanfall_node.gateway.tables.counters import ResumeOutcome
 from spanfall_node.gateway.tables.state import GatewayState
+from spanfall_node.gateway.tables.tenure import Tenure
 from spanfall_node.gateway.upstreams.keeper_links import (
     ANSWER_TIMEOUT_SECONDS,
     KeeperLinks,
@@ -74,24 +76,22 @@
     streams = state.streams
     origin = streams.table.find(question.stream, now)
     if origin is None:
-        return _sole_origin(state, question)
+        return sole_origin(state, question.route, question.age)
     streams.table.defer(question.stream, now + question.seconds)
     return origin
 
 
-def _sole_origin(
-    state: GatewayState, question: OriginQuestion
-) -> Origin | None:
+def sole_origin(state: GatewayState, route: str, age: float) -> Origin | None:
     """Return the only origin that a stream of a route can have, if there is one.
 
-    Only a current listing shows that no other version has started since.
+    ``age`` is the seconds for which the stream may have existed. Only a current
+    listing shows that no other version has started since.
     """
     now = state.timers.now()
     listing_age = now - state.directory.confirmed_at
     if listing_age > max_confirmation_age(state.quotas.entries):
         return None
-    age = question.age
-    service = state.streams.routes.sole_service(question.route, age, now)
+    service = state.streams.routes.sole_service(route, age, now)
     if service is None:
         return None
     version = state.directory.versions.sole_version(service, age, now)
@@ -104,15 +104,20 @@
     """Answer another node."""
     tenure = state.tenure
     now = state.timers.now()
-    is_settled = tenure is not None and now - tenure.began_at >= SETTLE_SECONDS
     return OriginAnswer(
         question.number,
         find_origin(state, question),
-        is_settled,
+        tenure is not None and _is_settled(state, tenure, now),
         state.streams.table.has_begun(question.stream, now),
     )
 
 
+def _is_settled(state: GatewayState, tenure: Tenure, now: float) -> bool:
+    """Return whether the home has heard from all entries and from the store."""
+    has_read = state.streams.read_in == tenure.epoch
+    return has_read and now - tenure.began_at >= SETTLE_SECONDS
+
+
 @dataclass(frozen=True, slots=True)
 class Lookup:
     """Hold what a lookup found."""
--- a/tests/test_gateway_version_history.py
+++ b/tests/test_gateway_version_history.py
@@ -194,8 +194,9 @@
     store = SimpleNamespace(is_failing=False, get=get)
 
     async def play():
+        state = SimpleNamespace(tenure=None, home_changed=anyio.Event())
         with anyio.move_on_after(1):
-            await VersionRecord(None, store).run()
+            await VersionRecord(state, store).run()
 
     run_async(play)
     assert calls == [VERSIONS_KEY]
