Leave the request being sent alone when a late answer is discarded

What callers saw: an upload on a kept connection got no answer, its connection was closed (LOST), as the upstream sent a second answer to an earlier request.

Cause: one h11 object encoded the request and parsed the answers. A body of 32 KB and more is sent while the answer is read; discarding an answer to another request replaced the object in mid-body, and the end of the body then met a counter that had seen nothing of it. The error is none that a call may raise.

Change: the encoder belongs to the request and stays; only the parser is replaced. Two functions on idle connections move to a module of their own.

Weighed: two h11 objects for each request; that encodes each head twice for what happens once in a while.

--- a/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
@@ -54,6 +54,8 @@
 
     stream: BoundedStream
     address: str
+    #: Parses responses, and encodes the request unless a response to another
+    #: request was discarded meanwhile.
     protocol: h11.Connection = field(
         default_factory=lambda: h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
     )
@@ -80,6 +82,8 @@
     read_bytes: int = FREE_BYTES
     _at_eof: bool = False
     _sent_request: h11.Request | None = None
+    #: Encodes the current request, and knows how much of its body was sent.
+    _encoder: h11.Connection | None = None
     _body_sent: bool = True
     #: What may still arrive before the response; None: it is not awaited.
     _bounds: ResponseBounds | None = None
@@ -92,19 +96,27 @@
             BrokenCallError: the connection ended; the request may be
                 processed all the same.
         """
+        await self._send_rest(self._begin(call, host), call.body)
+
+    def _begin(self, call: HttpCall, host: str) -> bytes:
+        """Begin a request; return the bytes of its head."""
         headers = call.framed_headers(host)
         request = h11.Request(
             method=call.method, target=call.target, headers=headers
         )
-        pieces = [self.protocol.send(request)]
         self._sent_request = request
+        self._encoder = self.protocol
         self._body_sent = False
-        for part in slices(call.body):
-            pieces.append(self.protocol.send(h11.Data(data=part)))
+        return self._encoder.send(request)
+
+    async def _send_rest(self, head: bytes, body: bytes) -> None:
+        pieces = [head]
+        for part in slices(body):
+            pieces.append(self._encoder.send(h11.Data(data=part)))
             if len(part) == READ_BYTES:
                 await self._write(b''.join(pieces))
                 pieces.clear()
-        pieces.append(self.protocol.send(h11.EndOfMessage()))
+        pieces.append(self._encoder.send(h11.EndOfMessage()))
         await self._write(b''.join(pieces))
         self._body_sent = True
 
@@ -127,8 +139,9 @@
             await self.send(call, host)
             return await self.read_head(is_matching)
         ends: list[ResponseHead | BrokenCallError] = []
+        sent_head = self._begin(call, host)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._send_logging_errors, call, host)
+            tasks.start_soon(self._send_logging_errors, sent_head, call.body)
             try:
                 ends.append(await self.read_head(is_matching))
             except BrokenCallError as exc:
@@ -138,10 +151,10 @@
             raise ends[0]
         return ends[0]
 
-    async def _send_logging_errors(self, call: HttpCall, host: str) -> None:
+    async def _send_logging_errors(self, head: bytes, body: bytes) -> None:
         """Send a request and log a failure, which the reader also detects."""
         try:
-            await self.send(call, host)
+            await self._send_rest(head, body)
         except BrokenCallError as exc:
             logger.info('Request to %s cut short: %s', self.address, exc)
 
@@ -204,23 +217,6 @@
         with anyio.CancelScope(shield=True):
             await anyio.aclose_forcefully(self.stream)
 
-    async def watch_idle(self) -> None:
-        """Wait until the idle connection closes, receives data or expires."""
-        with anyio.move_on_after(self.idle_seconds):
-            try:
-                await self.stream.receive(READ_BYTES)
-            except SOCKET_ERRORS:
-                return
-
-    async def closes_within(self, seconds: float) -> bool:
-        """Check whether the server closes a connection it has just accepted."""
-        with anyio.move_on_after(seconds):
-            try:
-                return not await self.stream.receive(READ_BYTES)
-            except SOCKET_ERRORS:
-                return True
-        return False
-
     def start_next(self) -> None:
         """Prepare the connection for another request, or its first one."""
         if self._sent_request is not None:
@@ -231,6 +227,10 @@
         self.read_bytes = FREE_BYTES
 
     async def _skip_response(self) -> None:
+        """Discard the response to another request, and parse anew behind it.
+
+        The current request may still be being sent, which goes on.
+        """
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/pool.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/pool.py
@@ -12,6 +12,7 @@
 from spanfall_node.gateway.net.client import Connection
 from spanfall_node.gateway.net.connecting import connect
 from spanfall_node.gateway.net.errors import BrokenCallError, NotSentError
+from spanfall_node.gateway.net.idle_connections import watch_idle
 from spanfall_node.gateway.net.ports import HttpCall, HttpReply
 
 logger = logging.getLogger(__name__)
@@ -160,7 +161,7 @@
     async def _watch(self, key: str, idle_conn: IdleConnection) -> None:
         try:
             with idle_conn.scope:
-                await idle_conn.conn.watch_idle()
+                await watch_idle(idle_conn.conn)
         finally:
             idle_conn.watched.set()
         if idle_conn.scope.cancelled_caught:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/crash_watch.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/crash_watch.py
@@ -28,6 +28,7 @@
     NotSentError,
     PathUnknownError,
 )
+from spanfall_node.gateway.net.idle_connections import closes_within
 from spanfall_node.gateway.net.pool import ConnectionPool, Dial
 from spanfall_node.gateway.tables.state import GatewayState
 
@@ -219,7 +220,7 @@
         except NotSentError:
             return ProbeResult.NO_ANSWER, False
         try:
-            is_closed = await conn.closes_within(CLOSE_WAIT_SECONDS)
+            is_closed = await closes_within(conn, CLOSE_WAIT_SECONDS)
         finally:
             await conn.close()
         if not conn.is_direct:
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/raw_server.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/raw_server.py
@@ -68,9 +68,16 @@
 Script = Callable[[RawConnection], Awaitable[None]]
 
 
-async def start_raw_server(tasks: TaskGroup, script: Script) -> str:
-    """Serve each connection by a script; return the address."""
+async def start_raw_server(
+    tasks: TaskGroup, script: Script, buffer_bytes: int | None = None
+) -> str:
+    """Serve each connection by a script; return the address.
+
+    ``buffer_bytes`` bounds what the kernel holds of a connection unread.
+    """
     listener = socket.socket()
+    if buffer_bytes is not None:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
     listener.setblocking(False)
     listener.bind(('127.0.0.1', 0))
     listener.listen(BACKLOG)
