Let an upstream serve again once it writes its lapsed entry anew

Cause: the directory took a removed entry for the end of the upstream, for good. That is right against outdated listings and copies of the store, but it was kept without the time as of which it holds, so nothing could refute it. The same held for a lifetime at whose address another one had answered once (421).

Change: an end is kept with the store's revision as of which it was found; a row bears the revision of its last write, and one written later brings it back. A restore moves all ends to the first listing of its timeline, so no copy does. One that was leaving stays so. What is left out is logged, what returns counted.

Weighed: the entry's sequence (a copy of the store may hold a higher one than was read), the item's creation (it doesn't rise after a 421), forgetting ends after some seconds (a copy may come later). The last write is in no digest and no comparison: heartbeats send nothing to the entries.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
@@ -1,10 +1,10 @@
 """Maintain the table of upstreams that the platform lists.
 
-A lifetime that was listed as leaving or was removed never returns to service;
-a later lifetime of the same upstream does. Rows that are missing right after
-an outage of the store are retained for a short time, so that they can be
-written again. An unusable record pauses the upstream that it belongs to until
-the upstream writes a usable one.
+A lifetime that was listed as leaving never returns to service; one that was
+removed does once its upstream writes its record again. Rows that are missing
+right after an outage of the store are retained for a short time, so that they
+can be written again. An unusable record pauses the upstream that it belongs to
+until the upstream writes a usable one.
 """
 
 from collections import Counter
@@ -18,7 +18,10 @@
     ListedUpstream,
     ring_position,
 )
-from spanfall_core.gateway.known.past_lifetimes import PastLifetimes
+from spanfall_core.gateway.known.past_lifetimes import (
+    NO_LISTING,
+    PastLifetimes,
+)
 from spanfall_core.gateway.known.timelines import REWRITE_SECONDS
 from spanfall_core.gateway.known.version_history import VersionHistory
 
@@ -63,7 +66,7 @@
         #: Whether these rows differ from those of the node that sends deltas,
         #: so that the node has to send all rows.
         self.has_diverged = False
-        self._past = PastLifetimes()
+        self.past = PastLifetimes()
         self._by_service: dict[str, list[ListedUpstream]] = {}
         #: Number of listed lifetimes at each address.
         self.address_counts: Counter[str] = Counter()
@@ -92,6 +95,7 @@
             return ()
         before = self.rows
         self.revision = revision
+        self.past.begin_listing(revision)
         found = self._current_rows(listed, unusable)
         retained = self._retained_rows(found, now, outage_ended)
         # Rows retained beyond the listing are not removed by any later delta.
@@ -104,10 +108,11 @@
             for row in before.values()
             if not row.is_leaving and self._is_ending(row.lifetime)
         )
-        for gone in before.keys() - self.rows.keys():
-            self._record_ended(gone, before[gone].upstream_id)
-            self._changed_in.pop(gone, None)
-            self._removed_in[gone] = revision
+        gone = before.keys() - self.rows.keys()
+        if gone:
+            # Pages are read one after the other, the last ones later.
+            as_of = max([revision, *(row.written for row in found.values())])
+            self._record_gone([before[key] for key in gone], as_of)
         for key, row in self.rows.items():
             if before.get(key) != row:
                 self._changed_in[key] = revision
@@ -134,7 +139,7 @@
         listed: Iterable[ListedUpstream],
         unusable: Collection[str],
     ) -> dict[Lifetime, ListedUpstream]:
-        """Return the rows of a listing whose lifetimes have not ended.
+        """Return the rows of a listing whose lifetimes are not known to be over.
 
         A record with an earlier start than the latest known one does not
         describe the current lifetime; it pauses the upstream like an unusable
@@ -143,13 +148,13 @@
         found: dict[Lifetime, ListedUpstream] = {}
         paused = set(unusable)
         for row in listed:
-            if self._past.is_before_latest(row):
+            if self.past.is_before_latest(row):
                 paused.add(row.upstream_id)
                 continue
-            self._past.record_start(row)
-            if row.lifetime not in self._past.ended:
+            self.past.record_start(row)
+            if self.past.admits(row):
                 found[row.lifetime] = self._with_statement(
-                    self._past.with_past_leaving(row)
+                    self.past.with_past_leaving(row)
                 )
         paused -= {usable.upstream_id for usable in found.values()}
         return found | self._paused_rows(paused) if paused else found
@@ -221,7 +226,7 @@
 
     def later_lifetime(self, row: ListedUpstream) -> ListedUpstream | None:
         """Return the listed later lifetime of the same upstream, if any."""
-        later = self._past.later_lifetime(row)
+        later = self.past.later_lifetime(row)
         return None if later is None else self.rows.get(later)
 
     def apply_statements(self, lifetimes: Iterable[Lifetime]) -> None:
@@ -248,11 +253,19 @@
         """Remove a lifetime that was found to have ended."""
         row = self.rows.pop(lifetime, None)
         if row is not None:
-            self._record_ended(lifetime, row.upstream_id)
+            self._record_ended(row)
             self._index()
 
-    def _record_ended(self, lifetime: Lifetime, upstream_id: str) -> None:
-        forgotten = self._past.record_ended(lifetime, upstream_id)
+    def _record_gone(self, rows: list[ListedUpstream], as_of: int) -> None:
+        for row in rows:
+            self._record_ended(row, as_of)
+            self._changed_in.pop(row.lifetime, None)
+            self._removed_in[row.lifetime] = self.revision
+
+    def _record_ended(
+        self, row: ListedUpstream, as_of: int = NO_LISTING
+    ) -> None:
+        forgotten = self.past.record_ended(row, as_of)
         if forgotten is not None:
             self._removed_in.pop(forgotten, None)
 
--- a/packages/spanfall-core/src/spanfall_core/gateway/known/listed.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/listed.py
@@ -1,6 +1,6 @@
 """Describe the upstreams that the platform lists."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from xxhash import xxh3_64_intdigest
 
@@ -30,6 +30,9 @@
     #: Whether it stated in an answer that it is leaving, whatever its record
     #: says.
     said_leaving: bool = False
+    #: Revision of the last write of its record; it rises with each heartbeat,
+    #: so a row that differs only in it is the same.
+    written: int = field(default=0, compare=False)
 
     @property
     def lifetime(self) -> Lifetime:
--- a/packages/spanfall-core/src/spanfall_core/gateway/known/past_lifetimes.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/past_lifetimes.py
@@ -1,8 +1,8 @@
-"""Remember what holds for lifetimes of upstreams for good.
+"""Remember what holds for lifetimes of upstreams beyond one listing.
 
-An ended lifetime never returns, one that was leaving never serves again, and
-only the latest start of an upstream is current, whatever an outdated listing
-or a restored store says.
+An ended lifetime returns only if its upstream has written its record since: no
+outdated listing and no copy of the store shows that. One that was leaving never
+serves again, and only the latest start of an upstream is current.
 """
 
 from dataclasses import dataclass, field, replace
@@ -13,23 +13,75 @@
     name_lifetime,
 )
 from spanfall_core.gateway.known.listed import ListedUpstream
+from spanfall_core.gateway.known.timelines import timeline_of
 
 #: Maximum number of ended lifetimes that are remembered; an outdated listing
 #: from before the oldest of them is not recognised.
 MAX_ENDED_LIFETIMES = 4096
+#: ``as_of`` of an end that no listing has shown.
+NO_LISTING = -1
+
+
+@dataclass(frozen=True, slots=True)
+class EndedLifetime:
+    """Describe a lifetime that was found to have ended."""
+
+    upstream_id: str
+    #: Revision of the store as of which it had ended; a later write on the same
+    #: timeline shows that its upstream lives.
+    as_of: int
+    was_leaving: bool = False
 
 
 @dataclass(slots=True)
 class PastLifetimes:
     """Hold the ended lifetimes, those seen leaving and the latest starts."""
 
-    #: Ended lifetimes with their upstream ids, oldest first.
-    ended: dict[Lifetime, str] = field(default_factory=dict)
+    #: Ended lifetimes, oldest first.
+    ended: dict[Lifetime, EndedLifetime] = field(default_factory=dict)
+    #: Ended lifetimes that the last listing contains all the same.
+    ignored: set[Lifetime] = field(default_factory=set)
+    #: Ended lifetimes that the last listing has brought back.
+    returned: set[Lifetime] = field(default_factory=set)
     #: Lifetimes that were listed as leaving; a backup from which the store was
     #: restored may still list them as serving.
     seen_leaving: set[Lifetime] = field(default_factory=set)
     #: Latest known start time of each upstream.
     latest_start: dict[str, int] = field(default_factory=dict)
+    _timeline: int = 0
+
+    def begin_listing(self, revision: int) -> None:
+        """Prepare for the rows of a listing that is not outdated.
+
+        An end that was found on an earlier timeline, or by other means than a
+        listing, is one as of this listing.
+        """
+        self.ignored.clear()
+        self.returned.clear()
+        is_restored = timeline_of(revision) > self._timeline
+        self._timeline = timeline_of(revision)
+        outdated = [
+            lifetime
+            for lifetime, ended in self.ended.items()
+            if is_restored or ended.as_of == NO_LISTING
+        ]
+        for lifetime in outdated:
+            self.ended[lifetime] = replace(self.ended[lifetime], as_of=revision)
+
+    def admits(self, row: ListedUpstream) -> bool:
+        """Return whether a listed lifetime has not ended, or is known to live."""
+        lifetime = row.lifetime
+        ended = self.ended.get(lifetime)
+        if ended is None:
+            return True
+        if row.written <= ended.as_of:
+            self.ignored.add(lifetime)
+            return False
+        self.returned.add(lifetime)
+        self.ended.pop(lifetime)
+        if ended.was_leaving:
+            self.seen_leaving.add(lifetime)
+        return True
 
     def is_before_latest(self, row: ListedUpstream) -> bool:
         """Return whether a later start of the upstream is known."""
@@ -56,15 +108,19 @@
         return row
 
     def record_ended(
-        self, lifetime: Lifetime, upstream_id: str
+        self, row: ListedUpstream, as_of: int = NO_LISTING
     ) -> Lifetime | None:
         """Record an ended lifetime; return one that is forgotten for it."""
-        self.ended[lifetime] = upstream_id
+        lifetime = row.lifetime
+        was_leaving = row.is_leaving or lifetime in self.seen_leaving
+        self.ended[lifetime] = EndedLifetime(
+            row.upstream_id, as_of, was_leaving
+        )
         self.seen_leaving.discard(lifetime)
         if len(self.ended) <= MAX_ENDED_LIFETIMES:
             return None
         oldest = next(iter(self.ended))
-        forgotten = self.ended.pop(oldest)
+        forgotten = self.ended.pop(oldest).upstream_id
         born = self.latest_start.get(forgotten)
         if oldest == name_lifetime(forgotten, born):
             self.latest_start.pop(forgotten, None)
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/ports.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/ports.py
@@ -151,8 +151,8 @@
     readiness_path: str
     #: Argument: content of the item. Raises InvalidRecordError.
     read_configuration: Callable[[bytes], ServedConfiguration]
-    #: Arguments: key in the store, content of the item.
-    read_upstream: Callable[[str, bytes], ListedUpstream | UnusableRecord]
+    #: Argument: item with an upstream's record.
+    read_upstream: Callable[[StoredItem], ListedUpstream | UnusableRecord]
     #: Arguments: status and headers of an upstream's response.
     read_statement: Callable[[int, Headers], Statement]
     #: Argument: headers of an upstream's response. None if it states no load.
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection
 
 import anyio
+from spanfall_core.gateway.known.lifetimes import Lifetime
 from spanfall_core.gateway.known.listed import ListedUpstream, UnusableRecord
 from spanfall_core.gateway.known.reporting import report_period
 
@@ -82,6 +83,8 @@
         self._store = store
         #: Revision of each unusable entry, by upstream.
         self._unusable: dict[str, int] = {}
+        #: Ended lifetimes that the last listing contained.
+        self._ignored: set[Lifetime] = set()
         self.configuration = ConfigurationSync(state, store)
 
     async def run(self) -> None:
@@ -178,6 +181,7 @@
                 row.service,
                 revision,
             )
+        self._log_ended(revision)
         for lifetime in before - self._state.directory.rows.keys():
             self._state.prompts.prefixes.forget(lifetime)
             self._state.granted_prompts.prefixes.forget(lifetime)
@@ -185,6 +189,27 @@
             self._state.words.forget(lifetime, now)
             self._state.upstream_speeds.forget(lifetime)
 
+    def _log_ended(self, revision: int) -> None:
+        """Log which ended upstreams a listing contains, once for each."""
+        past = self._state.directory.past
+        for lifetime in past.ignored - self._ignored:
+            logger.warning(
+                'Ignored the entry of upstream %s in listing %s: it was found '
+                'to have ended as of revision %s and has not been written since',
+                lifetime,
+                revision,
+                past.ended[lifetime].as_of,
+            )
+        for back in past.returned:
+            self._state.counters.listing.returned_upstreams.inc()
+            logger.warning(
+                'Upstream %s serves again: it has written its entry since it '
+                'was found to have ended, according to listing %s',
+                back,
+                revision,
+            )
+        self._ignored = set(past.ignored)
+
     def _schedule_pause(self, now: float) -> None:
         """Pause retained upstreams at the end of their time, not at a read."""
         directory = self._state.directory
@@ -251,7 +276,7 @@
         rows: list[ListedUpstream] = []
         unusable: dict[str, int] = {}
         for item in items:
-            entry = self._state.platform.read_upstream(item.key, item.content)
+            entry = self._state.platform.read_upstream(item)
             if isinstance(entry, UnusableRecord):
                 unusable[entry.upstream_id] = item.revision
                 self._report_unusable(entry, item.revision)
@@ -264,7 +289,7 @@
         """Log and count an unusable entry once per change of it."""
         if self._unusable.get(entry.upstream_id) == revision:
             return
-        self._state.counters.unusable_entries.inc()
+        self._state.counters.listing.unusable_entries.inc()
         logger.warning(
             'Unusable entry of upstream %s, revision %s: %s',
             entry.upstream_id,
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/counters.py
@@ -8,6 +8,7 @@
 
 from spanfall_node.gateway.net.body_ends import BodyEnd
 from spanfall_node.gateway.tables.connection_counters import ConnectionCounters
+from spanfall_node.gateway.tables.listing_counters import ListingCounters
 from spanfall_node.gateway.tables.scheduling_counters import (
     SchedulingCounters,
 )
@@ -163,11 +164,7 @@
             'Calls made for the whole fleet, by duty and status',
             'call',
         )
-        self.unusable_entries = Counter(
-            'spanfall_unusable_entries',
-            'Entries of the list of upstreams that name none to use',
-            registry=self.registry,
-        )
+        self.listing = ListingCounters(self.registry)
         self.unexamined_requests = Counter(
             'spanfall_unexamined_requests',
             'Requests without an answer whose upstream was not examined',
--- a/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
+++ b/packages/spanfall-standins/src/spanfall_standins/gateway/dialect.py
@@ -181,14 +181,14 @@
     return ServedService(row.name, 100, scaling=Scaling(0, row.most, 1))
 
 
-def _read_upstream(key: str, source: bytes) -> ListedUpstream | UnusableRecord:
+def _read_upstream(item: StoredItem) -> ListedUpstream | UnusableRecord:
     try:
-        fields = msgspec.json.decode(source, type=dict[str, object])
-        stated = fields.pop('software_version', None)
+        fields = msgspec.json.decode(item.content, type=dict[str, object])
+        version = read_software_version(fields.pop('software_version', None))
         row = msgspec.convert(fields, ListedUpstream)
-        return replace(row, software_version=read_software_version(stated))
     except ValueError as exc:
-        return UnusableRecord(key.removeprefix(UPSTREAM_PREFIX), str(exc))
+        return UnusableRecord(item.key.removeprefix(UPSTREAM_PREFIX), str(exc))
+    return replace(row, software_version=version, written=item.revision)
 
 
 def _read_statement(status: int, headers: Headers) -> Statement:
