Answer each request that was read, whatever fails within

Cause: an error that nobody expected, between a read request and its answer, ended at the last handler of the connection, which closes it.

Change: a send that ends so counts as one that was not sent, or as broken once its first byte was due, and against its upstream: the usual decision sends it elsewhere or not. Around it the request ends as refused with `internal-error`: 503 if nothing was sent, 502 if it may have run, a cut once a response has begun. Each is logged with a traceback. Refusals move to a module of their own.

This is no fix of any cause: those have their own.

--- a/packages/spanfall-core/src/spanfall_core/reasons.py
+++ b/packages/spanfall-core/src/spanfall_core/reasons.py
@@ -47,6 +47,8 @@
     RETRIES_EXHAUSTED = 'retries-exhausted'
     UPSTREAM_FAILED = 'upstream-failed'
     OUTCOME_UNKNOWN = 'outcome-unknown'
+    #: An unexpected error occurred in the node; the log has its traceback.
+    INTERNAL_ERROR = 'internal-error'
     #: Each upstream that ran the request crashed.
     ENDS_UPSTREAMS = 'ends-upstreams'
     #: Two upstreams crashed while they ran the request, and another such
--- a/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
@@ -3,8 +3,12 @@
 import logging
 
 import anyio
-from spanfall_core.reasons import RefusalReason
 
+from spanfall_node.gateway.callers.refusing import (
+    refuse,
+    refuse_bad,
+    unexpected_end,
+)
 from spanfall_node.gateway.limits.unit_requests import UnitClient
 from spanfall_node.gateway.net.bounded_stream import BoundedStream
 from spanfall_node.gateway.net.connection_table import ConnectionTable
@@ -20,8 +24,6 @@
     RefusedError,
     UnitsMissingError,
     draining_refusal,
-    refusal_body,
-    refusal_headers,
 )
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.relay import serve
@@ -39,14 +41,6 @@
 #: Seconds between two attempts to admit a waiting request.
 ADMISSION_POLL_SECONDS = 0.02
 
-_BAD_REQUESTS = {
-    413: RefusalReason.BODY_TOO_LARGE,
-    408: RefusalReason.BODY_TIMEOUT,
-    503: RefusalReason.NODE_BUSY,
-}
-#: Retry-After seconds for a caller whose costly request found no turn.
-BUSY_RETRY_SECONDS = 1.0
-
 
 class Callers:
     """Serve callers' connections and track which of them are idle."""
@@ -108,7 +102,7 @@
             try:
                 req = await self._next_request(caller)
             except BadRequestError as exc:
-                await self._refuse_bad(caller, exc)
+                await refuse_bad(self._state, caller, exc)
                 return
             if req is None:
                 return
@@ -135,12 +129,11 @@
         began_at = state.timers.now()
         state.open_requests += 1
         try:
-            body = await read_request_body(state, caller, req)
-            await self._serve(caller, req, body, began_at)
+            await self._serve(caller, req, began_at)
         except BadRequestError as exc:
-            await self._refuse_bad(caller, exc)
+            await refuse_bad(state, caller, exc)
         except RefusedError as exc:
-            await self._refuse(caller, exc, req)
+            await refuse(state, caller, exc, req)
         finally:
             state.open_requests -= 1
             caller.held.shrink_to(0, state.timers.now())
@@ -149,13 +142,31 @@
         self,
         caller: CallerConnection,
         req: CallerRequest,
-        body: bytes | bytearray,
         began_at: float,
     ) -> None:
-        self._check_draining(caller)
-        admitted = await self._admit(req, body, began_at)
-        self._record_admitted(admitted)
-        await self._serve_until_disconnect(caller, admitted)
+        """Read the body of a request, admit it and relay its response.
+
+        Raises:
+            BadRequestError: the body is malformed, too large or too slow.
+            RefusedError: the request gets no response of an upstream.
+            CallerGoneError: the caller disconnected, or the response that it
+                gets has to be cut.
+        """
+        admitted: AdmittedRequest | None = None
+        try:
+            body = await read_request_body(self._state, caller, req)
+            self._check_draining(caller)
+            admitted = await self._admit(req, body, began_at)
+            self._record_admitted(admitted)
+            await self._serve_until_disconnect(caller, admitted)
+        except (BadRequestError, RefusedError, CallerGoneError):
+            raise
+        except Exception as exc:
+            attempt_id = req.header(self._state.platform.names.attempt_id)
+            logger.exception('Unexpected error in request %s', attempt_id)
+            raise unexpected_end(
+                caller, may_have_run=admitted is not None
+            ) from exc
 
     async def _admit(
         self,
@@ -252,38 +263,3 @@
         if admitted.workspace is not None:
             workspace = admitted.workspace.name
             state.counters.units_admitted.labels(workspace).inc(admitted.units)
-
-    async def _refuse_bad(
-        self,
-        caller: CallerConnection,
-        exc: BadRequestError,
-    ) -> None:
-        caller.closing = True
-        reason = _BAD_REQUESTS.get(exc.status, RefusalReason.BAD_REQUEST)
-        refusal = RefusedError(
-            exc.status, reason, BUSY_RETRY_SECONDS, detail=exc.reason
-        )
-        await self._refuse(caller, refusal, None)
-
-    async def _refuse(
-        self,
-        caller: CallerConnection,
-        refusal: RefusedError,
-        req: CallerRequest | None,
-    ) -> None:
-        state = self._state
-        state.counters.refusals.labels(refusal.reason.value).inc()
-        logger.info(
-            'Refused request %s with %s: %s; %s; target %s, configuration %s',
-            req.header(state.platform.names.attempt_id) if req else None,
-            refusal.status,
-            refusal.reason,
-            refusal.detail,
-            req.target if req else None,
-            state.version,
-        )
-        body = refusal_body(refusal)
-        if req is not None and req.method == 'HEAD':
-            body = b''
-        headers = refusal_headers(refusal, len(body))
-        await caller.send_response(refusal.status, headers, body)
--- a/packages/spanfall-node/src/spanfall_node/gateway/requests/refusals.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/requests/refusals.py
@@ -120,6 +120,15 @@
     return headers
 
 
+def internal_refusal(*, may_have_run: bool) -> RefusedError:
+    """Return the refusal that ends a request after an unexpected error."""
+    if may_have_run:
+        return RefusedError(502, RefusalReason.INTERNAL_ERROR)
+    return RefusedError(
+        503, RefusalReason.INTERNAL_ERROR, NOT_RUN_RETRY_SECONDS
+    )
+
+
 def final_refusal(step: NextStep) -> RefusedError:
     """Return the refusal that ends a request after a failed send."""
     if step is NextStep.ANSWER_NOT_RUN:
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/relay.py
@@ -20,6 +20,7 @@
 from spanfall_core.reasons import RefusalReason
 
 from spanfall_node.gateway.links.contention_messages import Rejection
+from spanfall_node.gateway.net.errors import CallerGoneError
 from spanfall_node.gateway.requests.admission import AdmittedRequest
 from spanfall_node.gateway.requests.caller_connection import CallerConnection
 from spanfall_node.gateway.requests.refusals import (
@@ -28,6 +29,7 @@
     EndsUpstreamsError,
     RefusedError,
     final_refusal,
+    internal_refusal,
 )
 from spanfall_node.gateway.tables.counters import ResumeOutcome
 from spanfall_node.gateway.tables.state import GatewayState
@@ -88,6 +90,15 @@
             await resolve_origin(state, access.origins, exchange)
             state.retries.record_request(admitted.service, state.timers.now())
             await _send_until_answered(state, access, exchange)
+    except (RefusedError, CallerGoneError):
+        raise
+    except Exception:
+        logger.exception(
+            'Unexpected error in request %s after %s sends',
+            admitted.attempt_id,
+            exchange.sends.sends,
+        )
+        await _end_unexpectedly(state, exchange)
     finally:
         if exchange.has_reserved_retry:
             state.retries.release(admitted.service)
@@ -113,6 +124,16 @@
     raise RefusedError(503, reason, retry_after)
 
 
+async def _end_unexpectedly(state: GatewayState, exchange: Exchange) -> None:
+    """End a request after an unexpected error."""
+    if exchange.started:
+        await abort_response(state, exchange, RefusalReason.INTERNAL_ERROR)
+        return
+    if exchange.sends.sends:
+        count_run(state, exchange.admitted)
+    raise internal_refusal(may_have_run=bool(exchange.sends.sends))
+
+
 async def _send_until_answered(
     state: GatewayState,
     access: UpstreamAccess,
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/watched_sends.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/watched_sends.py
@@ -1,5 +1,6 @@
 """Send a request to an upstream and watch whether that crashes."""
 
+import logging
 from dataclasses import dataclass
 from functools import partial
 
@@ -7,7 +8,9 @@
 from spanfall_core.gateway.routing.balance import Choice
 from spanfall_core.gateway.routing.sends import SendOutcome
 
+from spanfall_node.gateway.net.errors import CallerGoneError
 from spanfall_node.gateway.net.pool import ConnectionPool
+from spanfall_node.gateway.requests.refusals import RefusedError
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.attempt import Answered, Exchange, Failed
 from spanfall_node.gateway.upstreams.crash_watch import CrashDetector
@@ -16,6 +19,8 @@
 from spanfall_node.gateway.upstreams.sending import send
 from spanfall_node.gateway.upstreams.stream_lookup import OriginClient
 
+logger = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, slots=True)
 class UpstreamAccess:
@@ -75,8 +80,19 @@
     """Send a request; queue a probe of its upstream if it is cancelled."""
     send_result: Answered | Failed | None = None
     began_at = state.timers.now()
+    sends_before = exchange.sends.sends
     try:
         send_result = await send(state, access.pool, exchange, choice)
+    except (RefusedError, CallerGoneError):
+        raise
+    except Exception as exc:
+        logger.exception(
+            'Unexpected error in a send of request %s to %s',
+            exchange.admitted.attempt_id,
+            choice.upstream.lifetime,
+        )
+        was_sent = exchange.sends.sends > sends_before
+        send_result = _failed_unexpectedly(exc, was_sent=was_sent)
     finally:
         if send_result is None:
             access.crash_detector.queue_unanswered(
@@ -85,3 +101,12 @@
                 max(began_at, exchange.timings.last_at),
             )
     return send_result
+
+
+def _failed_unexpectedly(exc: Exception, *, was_sent: bool) -> Failed:
+    """Return the failure of a send that ended by an unexpected error.
+
+    It counts against the upstream, so that others are chosen first.
+    """
+    outcome = SendOutcome.BROKEN if was_sent else SendOutcome.NOT_SENT
+    return Failed(outcome, f'unexpected error: {exc!r}', weight=1)
