Take back the crash of an upstream that turns out to live

An upstream that is cut from the store and from gateways at once lapses, which confirms that it crashed under the requests that broke there. Three of them put a request in quarantine.

Change: the return of an upstream drops what was recorded of its end, also that it is confirmed, which a suspect found alive kept. A quarantine that was decided stays: its other grounds are not known any more.

--- a/packages/spanfall-core/src/spanfall_core/gateway/crashes/crashes.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/crashes/crashes.py
@@ -143,9 +143,8 @@
         return cause
 
     def record_alive(self, lifetime: Lifetime) -> None:
-        """Record that a suspected upstream is alive."""
-        self.evidence.suspected_crashes.pop(lifetime, None)
-        self.evidence.discard_ends({lifetime})
+        """Record that an upstream that was taken for ended is alive."""
+        self.evidence.retract(lifetime)
 
     def quarantine(
         self,
--- a/packages/spanfall-core/src/spanfall_core/gateway/crashes/evidence_table.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/crashes/evidence_table.py
@@ -66,6 +66,12 @@
         self._confirmed[lifetime] = None
         _evict_oldest(self._confirmed, MAX_EXPLAINED)
 
+    def retract(self, lifetime: Lifetime) -> None:
+        """Drop what was recorded of an upstream that turns out to be alive."""
+        self.suspected_crashes.pop(lifetime, None)
+        self._confirmed.pop(lifetime, None)
+        self.discard_ends({lifetime})
+
     def add(
         self, run: BrokenRun, refused: Collection[Trait], now: float
     ) -> None:
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
@@ -202,6 +202,7 @@
             )
         for back in past.returned:
             self._state.counters.listing.returned_upstreams.inc()
+            self._state.crashes.table.record_alive(back)
             logger.warning(
                 'Upstream %s serves again: it has written its entry since it '
                 'was found to have ended, according to listing %s',
--- a/tests/test_gateway_crash_signs.py
+++ b/tests/test_gateway_crash_signs.py
@@ -122,6 +122,20 @@
     assert table.standing((CAUSE,), 0) is Standing.FREE
 
 
+# Guards against requests that are refused for ends of upstreams that were only
+# cut from the store for a while.
+def test_upstream_that_returns_has_not_crashed():
+    table = CrashTable()
+    record_suspected(table, 'u-1', 'u-2', 'u-3')
+    assert not table.confirm_crash('u-1', 1)
+    assert not table.confirm_crash('u-2', 1)
+    table.record_alive('u-2')
+    assert not table.confirm_crash('u-3', 2)
+    assert table.standing((CAUSE,), 2) is Standing.SUSPECT
+    table.record(suspected(CAUSE, 'u-2', is_strong=False), 3)
+    assert not table.evidence.is_known_end('u-2')
+
+
 def test_weak_suspicions_count_from_the_second_on():
     """The first weak suspicion does not count.
 
--- a/tests/test_gateway_returned_upstreams.py
+++ b/tests/test_gateway_returned_upstreams.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 
 import pytest
+from crash_evidence import suspected
 from gateway_world import SERVICE, ask, in_world
 from spanfall_core.gateway.known.directory import Directory
 from spanfall_core.gateway.known.listed import ListedUpstream
@@ -165,6 +166,23 @@
         assert (await ask(following, '/any/1')).status == 200
 
 
+# Guards against requests that are refused as the cause of ends that were none.
+@in_world
+async def test_lapsed_upstream_has_not_crashed(world):
+    upstream = await world.add_upstream(complete_response())
+    state = await world.add_gateway()
+    table = state.crashes.table
+    table.record(suspected('cause', upstream.lifetime), state.timers.now())
+    world.remove_entry(upstream)
+    await wait_until_serving(state, 0)
+    table.confirm_crash(upstream.lifetime, state.timers.now())
+    assert table.evidence.rows
+    world.change_entry(upstream)
+    await wait_until_serving(state, 1)
+    assert not table.evidence.rows
+    assert not table.evidence.is_known_end(upstream.lifetime)
+
+
 # Guards against an upstream that never serves again after one answer with 421.
 @in_world
 async def test_misdirected_upstream_serves_again(world):
