Prove the version of a stream only by a read after its caller came

What callers saw: a text joined from two software versions (ORDER). The stream had begun at a version that joined after the listing of the entry, or of the home, that it was taken up at.

Cause: a stream without a record goes on where one version is listed; the listing could be 1.1 s old, and proves nothing of what joined since.

Change: the proof rests on reads of configuration and listing that began after the caller came. The home reads for all lookups that wait, 20 times a second at most; an entry whose home does not answer reads itself. Without a read nothing is final. A gap between listings, longer than records of ended upstreams are kept, ends what a node knows of versions. Decoding of entries moves to a module of its own.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/directory.py
@@ -206,6 +206,7 @@
 
     def mark_confirmed(self, confirmed_at: float) -> None:
         """Record a read that confirmed the rows; older reads have no effect."""
+        self.versions.record_gap(self.confirmed_at, confirmed_at)
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
 
     def serving(self, service: str) -> list[ListedUpstream]:
--- a/packages/spanfall-core/src/spanfall_core/gateway/known/version_history.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/version_history.py
@@ -31,6 +31,9 @@
 
     #: Time from which on this node knows all listings.
     known_since: float = float('inf')
+    #: Seconds between two listings within which no upstream can have joined and
+    #: gone unseen: the platform keeps the record of an ended one for longer.
+    max_gap: float = float('inf')
     _listed: dict[str, set[str | None]] = field(default_factory=dict)
     _ended_at: dict[str, dict[str | None, float]] = field(default_factory=dict)
     #: What earlier homes knew.
@@ -49,6 +52,12 @@
         self._listed = dict(listed)
         self._forget_before(now - MAX_HISTORY_SECONDS)
 
+    def record_gap(self, confirmed_before: float, confirmed_at: float) -> None:
+        """Forget the past if listings were confirmed too long after another."""
+        if NEVER < confirmed_before < confirmed_at - self.max_gap:
+            self.known_since = confirmed_at
+            self._claimed = {}
+
     def claim(self, claimed: Mapping[str, SoleVersion]) -> None:
         """Adopt what earlier homes knew of the time before this node."""
         self._claimed = claimed
@@ -76,7 +85,7 @@
         if len(listed) != 1 or version is None:
             return None
         ended = self._ended_at.get(service, {}).values()
-        since = max(ended, default=self.known_since)
+        since = max([self.known_since, *ended])
         claimed = self._claimed.get(service)
         if claimed is not None and claimed.version == version and not ended:
             since = min(since, claimed.since)
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/home_links.py
@@ -49,6 +49,7 @@
 )
 from spanfall_node.gateway.net.open_links import MESSAGE_BYTES
 from spanfall_node.gateway.net.sockets import BACKLOG
+from spanfall_node.gateway.store.fresh_reads import FreshReads
 from spanfall_node.gateway.tables.scheduling import Feature
 from spanfall_node.gateway.tables.state import GatewayState
 from spanfall_node.gateway.upstreams.admitting import (
@@ -59,10 +60,6 @@
     merge_rejections,
 )
 from spanfall_node.gateway.upstreams.hearing import merge_statements
-from spanfall_node.gateway.upstreams.stream_lookup import (
-    answer_question,
-    merge_origins,
-)
 
 logger = logging.getLogger(__name__)
 
@@ -73,10 +70,10 @@
 class HomeLinks:
     """Answer messages of entries while this node is the home."""
 
-    def __init__(self, state: GatewayState) -> None:
-        """Use the state of the node."""
+    def __init__(self, state: GatewayState, reads: FreshReads) -> None:
+        """Use the state of the node, and reads of the store for lookups."""
         self._state = state
-        self._tables = LinkTables(state)
+        self._tables = LinkTables(state, reads)
         self._configuration_sender = ConfigurationSender(
             state.cfg.host.link_megabits
         )
@@ -146,7 +143,7 @@
             case StatementsReport():
                 merge_statements(self._state, message.words)
             case OriginsMessage():
-                merge_origins(self._state, message)
+                self._tables.lookups.merge(message)
             case _:
                 return self._reply(message, link, now)
         return None
@@ -169,7 +166,7 @@
             case CrashReport():
                 return self._tables.quarantine.answer(message, now)
             case OriginQuestion():
-                return encode(answer_question(self._state, message))
+                return self._tables.lookups.answer(message, link)
         self._tables.record(link, message)
         return encode(self._table(message, link, now))
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/home/link_tables.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/home/link_tables.py
@@ -4,24 +4,27 @@
 from websockets.asyncio.server import ServerConnection
 
 from spanfall_node.gateway.home.origin_links import OriginLinks
+from spanfall_node.gateway.home.origin_lookups import OriginLookups
 from spanfall_node.gateway.home.peer_links import PeerLinks
 from spanfall_node.gateway.home.quarantine_links import QuarantineLinks
 from spanfall_node.gateway.home.succession import Succession
 from spanfall_node.gateway.home.turns import Turns
 from spanfall_node.gateway.links.messages import ReportMessage
+from spanfall_node.gateway.store.fresh_reads import FreshReads
 from spanfall_node.gateway.tables.state import GatewayState
 
 
 class LinkTables:
     """Hold the tables of links, each for one purpose."""
 
-    def __init__(self, state: GatewayState) -> None:
-        """Use the state of the node."""
+    def __init__(self, state: GatewayState, reads: FreshReads) -> None:
+        """Use the state of the node, and reads of the store for lookups."""
         self.succession = Succession(state)
         self.quarantine = QuarantineLinks(state)
         self.turns = Turns(state)
         self.peers = PeerLinks(state)
         self.origins = OriginLinks(state)
+        self.lookups = OriginLookups(state, reads)
 
     def add(self, link: ServerConnection) -> None:
         """Add the link of an entry."""
@@ -50,4 +53,5 @@
             tasks.start_soon(self.quarantine.run)
             tasks.start_soon(self.turns.run)
             tasks.start_soon(self.origins.run)
+            tasks.start_soon(self.lookups.run)
             await self.succession.run()
--- a/packages/spanfall-node/src/spanfall_node/gateway/program.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/program.py
@@ -33,6 +33,7 @@
 from spanfall_node.gateway.net.ports import PlatformAdapter
 from spanfall_node.gateway.settings_watch import SettingsWatch
 from spanfall_node.gateway.store.crash_record import CrashRecord
+from spanfall_node.gateway.store.fresh_reads import FreshReads
 from spanfall_node.gateway.store.home_records import HomeRecords
 from spanfall_node.gateway.store.needs_record import NeedsRecord
 from spanfall_node.gateway.store.quota_record import QuotaRecord
@@ -125,7 +126,7 @@
     sync = Sync(state, store)
     units = UnitClient(state)
     paths = UpstreamPaths(state, dial)
-    access = _reach_upstreams(state, paths, tasks)
+    access = _reach_upstreams(state, paths, sync.reads, tasks)
     callers = Callers(state, access, units)
     records = _home_records(state, store)
     leadership = Leadership(state, store, records)
@@ -133,7 +134,7 @@
     listeners = _listeners(state, callers, gate, dial)
     parts = [
         *[listener.run for listener in listeners],
-        HomeLinks(state).run,
+        HomeLinks(state, sync.reads).run,
         state.timers.run,
         gate.run,
         sync.run,
@@ -165,11 +166,13 @@
 def _reach_upstreams(
     state: GatewayState,
     paths: UpstreamPaths,
+    reads: FreshReads,
     tasks: TaskGroup,
 ) -> UpstreamAccess:
     pool = ConnectionPool(tasks, paths.open, paths.may_reuse)
     watch = CrashDetector(state, pool, paths.open)
-    return UpstreamAccess(pool, GrantClient(state), watch, OriginClient(state))
+    origins = OriginClient(state, reads)
+    return UpstreamAccess(pool, GrantClient(state), watch, origins)
 
 
 def _home_records(state: GatewayState, store: StoreClient) -> HomeRecords:
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
@@ -9,12 +9,13 @@
 
 import anyio
 from spanfall_core.gateway.known.lifetimes import Lifetime
-from spanfall_core.gateway.known.listed import ListedUpstream, UnusableRecord
+from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.reporting import report_period
 
 from spanfall_node.gateway.links.succession_messages import HomeRecord
-from spanfall_node.gateway.net.ports import InvalidRecordError, StoredItem
+from spanfall_node.gateway.net.ports import InvalidRecordError
 from spanfall_node.gateway.store.configuration_sync import ConfigurationSync
+from spanfall_node.gateway.store.fresh_reads import FreshReads
 from spanfall_node.gateway.store.store_client import (
     MAX_OUTAGE_READ_PERIOD,
     StoreClient,
@@ -22,6 +23,7 @@
 from spanfall_node.gateway.store.store_errors import (
     StoreError,
 )
+from spanfall_node.gateway.store.upstream_entries import UpstreamEntries
 from spanfall_node.gateway.tables.state import GatewayState
 
 logger = logging.getLogger(__name__)
@@ -81,8 +83,9 @@
         """Use the state and the store client of the node."""
         self._state = state
         self._store = store
-        #: Revision of each unusable entry, by upstream.
-        self._unusable: dict[str, int] = {}
+        #: Reads that others want besides the regular ones.
+        self.reads = FreshReads(state)
+        self._entries = UpstreamEntries(state)
         #: Ended lifetimes that the last listing contained.
         self._ignored: set[Lifetime] = set()
         self.configuration = ConfigurationSync(state, store)
@@ -92,9 +95,10 @@
         with anyio.move_on_after(STARTUP_WAIT_SECONDS):
             await self._wait_for_first_table()
         while True:
-            if self._must_read():
+            is_wanted = self.reads.take()
+            if is_wanted or self._must_read():
                 await self.read_all()
-            await anyio.sleep(self._read_period())
+            await self.reads.pause(self._read_period())
 
     async def _wait_for_first_table(self) -> None:
         """Wait for the first table from the home.
@@ -260,7 +264,7 @@
         began_at = state.timers.now()
         prefix = state.platform.store.upstream_prefix
         listing = await self._store.list_items(prefix)
-        rows, unusable = self._parse_entries(listing.items)
+        rows, unusable = self._entries.read(listing.items)
         self.apply_listing(
             listing.revision,
             rows,
@@ -268,32 +272,3 @@
             self._store.outages.ended_at,
             unusable,
         )
-
-    def _parse_entries(
-        self,
-        items: tuple[StoredItem, ...],
-    ) -> tuple[list[ListedUpstream], set[str]]:
-        """Return the listed upstreams and the ids of those with invalid entries."""
-        rows: list[ListedUpstream] = []
-        unusable: dict[str, int] = {}
-        for item in items:
-            entry = self._state.platform.read_upstream(item)
-            if isinstance(entry, UnusableRecord):
-                unusable[entry.upstream_id] = item.revision
-                self._report_unusable(entry, item.revision)
-            else:
-                rows.append(entry)
-        self._unusable = unusable
-        return rows, set(unusable)
-
-    def _report_unusable(self, entry: UnusableRecord, revision: int) -> None:
-        """Log and count an unusable entry once per change of it."""
-        if self._unusable.get(entry.upstream_id) == revision:
-            return
-        self._state.counters.listing.unusable_entries.inc()
-        logger.warning(
-            'Unusable entry of upstream %s, revision %s: %s',
-            entry.upstream_id,
-            revision,
-            entry.reason,
-        )
--- a/packages/spanfall-node/src/spanfall_node/gateway/tables/new_state.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/tables/new_state.py
@@ -1,6 +1,7 @@
 """Build the state of a node that starts."""
 
 from spanfall_api.gateway_settings import GatewaySettings
+from spanfall_core.gateway.crashes.crash_signs import MISSED_HEARTBEATS
 from spanfall_core.gateway.known.directory import Directory
 from spanfall_core.gateway.known.freshness import Freshness
 from spanfall_core.gateway.known.true_time import TrueTime
@@ -58,6 +59,8 @@
         directory=Directory(words.table.leaving),
         memory=MemoryBudget(cfg.host.body_bytes),
     )
+    lapse_seconds = MISSED_HEARTBEATS * cfg.upstream_heartbeat_seconds
+    state.directory.versions.max_gap = lapse_seconds
     state.counters.open_requests.set_function(lambda: state.open_requests)
     _observe_held(state)
     state.crashes.is_judge = lambda: state.tenure is not None
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/stream_lookup.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/stream_lookup.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 import anyio
+from msgspec import structs
 from spanfall_core.gateway.known.listed import ListedUpstream
 from spanfall_core.gateway.known.origins import Origin
 from spanfall_core.gateway.known.stream_origins import (
@@ -23,6 +24,7 @@
     OriginsMessage,
 )
 from spanfall_node.gateway.links.pending_requests import PendingRequests, Send
+from spanfall_node.gateway.store.fresh_reads import FreshReads
 from spanfall_node.gateway.store.sync import max_confirmation_age
 from spanfall_node.gateway.tables.counters import ResumeOutcome
 from spanfall_node.gateway.tables.state import GatewayState
@@ -39,6 +41,9 @@
 LOOKUP_SECONDS = 0.5
 #: Seconds between two attempts.
 LOOKUP_PERIOD = 0.05
+#: Seconds for which a read of the store is awaited: less than a node waits for
+#: the answer of its home.
+PROOF_SECONDS = 0.12
 
 
 def record_grant(
@@ -70,17 +75,32 @@
     return OriginsMessage(group_records(state.streams.table.records(now), now))
 
 
-def find_origin(state: GatewayState, question: OriginQuestion) -> Origin | None:
-    """Return what began a stream, as far as this node knows."""
+def find_record(state: GatewayState, question: OriginQuestion) -> Origin | None:
+    """Return what began a stream, if this node has a record of it."""
     now = state.timers.now()
-    streams = state.streams
-    origin = streams.table.find(question.stream, now)
-    if origin is None:
-        return sole_origin(state, question.route, question.age)
-    streams.table.defer(question.stream, now + question.seconds)
+    origin = state.streams.table.find(question.stream, now)
+    if origin is not None:
+        state.streams.table.defer(question.stream, now + question.seconds)
     return origin
 
 
+async def prove_origin(
+    state: GatewayState,
+    reads: FreshReads,
+    question: OriginQuestion,
+    asked_at: float,
+) -> tuple[Origin | None, bool]:
+    """Return the only origin that a stream can have, and whether that is final.
+
+    It is if the store was read after the caller came: what another version has
+    begun since the last listing is unknown here.
+    """
+    is_final = await reads.confirmed_since(asked_at, PROOF_SECONDS)
+    if not is_final:
+        return None, False
+    return sole_origin(state, question.route, question.age), True
+
+
 def sole_origin(state: GatewayState, route: str, age: float) -> Origin | None:
     """Return the only origin that a stream of a route can have, if there is one.
 
@@ -101,14 +121,34 @@
 def answer_question(
     state: GatewayState, question: OriginQuestion
 ) -> OriginAnswer:
-    """Answer another node."""
-    tenure = state.tenure
+    """Answer another node by the records of this one."""
     now = state.timers.now()
     return OriginAnswer(
         question.number,
-        find_origin(state, question),
-        tenure is not None and _is_settled(state, tenure, now),
-        state.streams.table.has_begun(question.stream, now),
+        find_record(state, question),
+        is_begun=state.streams.table.has_begun(question.stream, now),
+    )
+
+
+async def answer_as_home(
+    state: GatewayState,
+    reads: FreshReads,
+    question: OriginQuestion,
+    asked_at: float,
+) -> OriginAnswer:
+    """Answer a node by the records of the home, or by what it can prove."""
+    answer = answer_question(state, question)
+    is_final = True
+    origin = answer.origin
+    if origin is None:
+        origin, is_final = await prove_origin(state, reads, question, asked_at)
+    tenure, now = state.tenure, state.timers.now()
+    is_settled = tenure is not None and _is_settled(state, tenure, now)
+    return OriginAnswer(
+        question.number,
+        origin,
+        is_settled=is_final and is_settled,
+        is_begun=answer.is_begun,
     )
 
 
@@ -131,6 +171,7 @@
     """Ask the home, or nodes with copies, what began a stream."""
 
     state: GatewayState
+    reads: FreshReads
     _pending: PendingRequests[OriginAnswer] = field(
         default_factory=PendingRequests
     )
@@ -176,25 +217,42 @@
     async def find(self, question: OriginQuestion) -> Lookup:
         """Return what began a stream; wait a bounded time for who may know."""
         state = self.state
-        until = state.timers.now() + LOOKUP_SECONDS
-        if state.streams.table.has_begun(question.stream, state.timers.now()):
-            return Lookup(ResumeOutcome.FOUND, find_origin(state, question))
+        asked_at = state.timers.now()
+        until = asked_at + LOOKUP_SECONDS
+        if state.streams.table.has_begun(question.stream, asked_at):
+            return Lookup(ResumeOutcome.FOUND, find_record(state, question))
         while True:
-            answer = await self._ask_home(question)
-            if not (answer.is_begun or answer.is_settled):
-                answer = await self._keepers.ask(question, answer)
-            origin = answer.origin or find_origin(state, question)
-            if origin is not None:
-                return Lookup(ResumeOutcome.FOUND, origin)
+            answer = await self._ask_all(question, asked_at)
+            if answer.origin is not None:
+                return Lookup(ResumeOutcome.FOUND, answer.origin)
             if answer.is_settled:
                 return Lookup(ResumeOutcome.UNKNOWN)
             if state.timers.now() + LOOKUP_PERIOD > until:
                 return Lookup(ResumeOutcome.NO_HOME)
             await anyio.sleep(LOOKUP_PERIOD)
 
-    async def _ask_home(self, question: OriginQuestion) -> OriginAnswer:
+    async def _ask_all(
+        self, question: OriginQuestion, asked_at: float
+    ) -> OriginAnswer:
+        """Return what the home, nodes with copies or this node can tell."""
+        state = self.state
+        answer = await self._ask_home(question, asked_at)
+        if not (answer.is_begun or answer.is_settled):
+            answer = await self._keepers.ask(question, answer)
+        origin = answer.origin or find_record(state, question)
+        if origin is None and not answer.is_settled:
+            origin, _ = await prove_origin(
+                state, self.reads, question, asked_at
+            )
+        return structs.replace(answer, origin=origin)
+
+    async def _ask_home(
+        self, question: OriginQuestion, asked_at: float
+    ) -> OriginAnswer:
         if self.state.tenure is not None:
-            return answer_question(self.state, question)
+            return await answer_as_home(
+                self.state, self.reads, question, asked_at
+            )
         pending = await self._pending.ask(
             lambda number: OriginQuestion(
                 number,
--- a/tests/test_gateway_home.py
+++ b/tests/test_gateway_home.py
@@ -21,6 +21,7 @@
     FarewellMessage,
     HomeRecord,
 )
+from spanfall_node.gateway.store.fresh_reads import FreshReads
 from spanfall_node.gateway.store.sync import (
     MAX_CONFIRMATION_AGE,
     READ_PERIOD,
@@ -193,7 +194,7 @@
         other.incarnation,
         home.tenure.epoch + 1,
     )
-    links = HomeLinks(home)
+    links = HomeLinks(home, FreshReads(home))
     links._answer(encode(FarewellMessage(earlier)))
     assert home.is_home(home.timers.now())
     links._answer(encode(FarewellMessage(later)))
--- a/tests/test_gateway_resumed_streams.py
+++ b/tests/test_gateway_resumed_streams.py
@@ -322,7 +322,7 @@
             cfg=SimpleNamespace(listen=SimpleNamespace(links='a')),
             streams=SimpleNamespace(keepers=()),
         )
-        client = OriginClient(state)
+        client = OriginClient(state, None)
         client.connect(send)
         await client.announce(granted_epoch, StreamRecord(1, ORIGIN, 9))
 
--- a/tests/test_gateway_version_history.py
+++ b/tests/test_gateway_version_history.py
@@ -46,6 +46,20 @@
     ]
 
 
+# Guards against one text of two versions, at a node that was cut off for long
+# enough for another version to come and go.
+@pytest.mark.parametrize(('gap', 'is_known'), [(3, True), (4, False)])
+def test_a_gap_between_listings(gap, is_known):
+    known = VersionHistory(max_gap=3.6)
+    known.claim({'s': SoleVersion('v1', NEVER)})
+    known.record_gap(NEVER, 10)
+    known.apply(listing('v1'), 10)
+    known.record_gap(10, 10 + gap)
+    known.apply(listing('v1'), 10 + gap)
+    assert bool(known.sole_version('s', 8, 20)) is is_known
+    assert known.sole_version('s', 5, 20) == 'v1'
+
+
 def routes_to(*services):
     shares = tuple(ServiceShare(service, 1) for service in services)
     return [Route('r', 'h', '/', RouteKind.STREAM, 1, 1, shares)]
--- /dev/null
+++ b/tests/test_gateway_versions_out_of_step.py
@@ -0,0 +1,119 @@
+"""Test takes-up of streams at a node that lacks the newest listing.
+
+That one version is listed proves nothing of a version that has joined since.
+"""
+
+import anyio
+import pytest
+from gateway_world import in_world
+from spanfall_node.gateway.home.home_links import HomeLinks
+from support import wait_until
+from test_gateway_stored_streams import is_version_proved
+from versions_world import (
+    NEW,
+    OLD,
+    REST,
+    Fleet,
+    add_upstreams,
+    all_listed,
+    ids_of,
+    take_up,
+    versions_of,
+)
+
+#: Seconds that a listing is old, all of them less than a healthy node's may be.
+AGES = (0.0, 0.3)
+
+
+async def start_fleet(world, size):
+    """Start gateways that know the whole history of one version."""
+    await add_upstreams(world, OLD, count=2)
+    fleet = Fleet(world)
+    await fleet.start(size)
+    await all_listed(world, *fleet.states())
+    await wait_until(lambda: all(map(is_version_proved, fleet.states())))
+    return fleet
+
+
+async def wait_for_listing(state, age):
+    """Wait until the node's listing has just been read, and some time more."""
+    known_at = state.directory.confirmed_at
+    await wait_until(lambda: state.directory.confirmed_at > known_at)
+    await anyio.sleep(age)
+
+
+def keep_silent(monkeypatch):
+    """Let the home answer nothing more, with its links open."""
+    monkeypatch.setattr(HomeLinks, '_answer', lambda *_: None)
+
+
+# Guards against one text of two versions: the stream began elsewhere at a
+# version that has joined since this node's listing was read.
+@pytest.mark.parametrize('is_silent', [False, True])
+@pytest.mark.parametrize('age', AGES)
+@pytest.mark.parametrize('size', [1, 2])
+def test_no_take_up_by_an_older_listing(size, age, is_silent, monkeypatch):
+    @in_world
+    async def play(world):
+        fleet = await start_fleet(world, size)
+        state = [*fleet.entries(), fleet.home()][0]
+        if is_silent:
+            keep_silent(monkeypatch)
+        else:
+            await wait_for_listing(state, age)
+        await add_upstreams(world, NEW)
+        answer = await take_up(state, 'elsewhere', 1, attempt='second')
+        assert answer.status == 503
+
+    play()
+
+
+# Guards against refusals where the proof can be had: no other version joined.
+@pytest.mark.parametrize('is_silent', [False, True])
+@pytest.mark.parametrize('size', [1, 2])
+def test_take_up_by_a_new_listing(size, is_silent, monkeypatch):
+    @in_world
+    async def play(world):
+        fleet = await start_fleet(world, size)
+        state = [*fleet.entries(), fleet.home()][0]
+        if is_silent:
+            keep_silent(monkeypatch)
+        for number in range(3):
+            answer = await take_up(state, 'elsewhere', 1, attempt=f'a{number}')
+            assert answer.status == 200
+            assert versions_of(answer.body) == [OLD]
+            assert ids_of(answer.body) == REST
+
+    play()
+
+
+# Guards against a listing that is read for each of many callers.
+def test_many_takes_up_share_reads():
+    @in_world
+    async def play(world):
+        fleet = await start_fleet(world, 1)
+        state = fleet.home()
+        listings = world.store.listings
+        began_at = anyio.current_time()
+        async with anyio.create_task_group() as tasks:
+            for number in range(30):
+                tasks.start_soon(take_up, state, f'a{number}', 1)
+        seconds = anyio.current_time() - began_at
+        assert world.store.listings - listings <= 3 + seconds * 25
+
+    play()
+
+
+# Guards against a call to the store for a stream whose beginning is known to
+# the node, and against one without an end while the store is away.
+@in_world
+async def test_no_take_up_while_the_store_is_away(world):
+    fleet = await start_fleet(world, 1)
+    world.store.error_status = 503
+    calls = len(world.store.calls)
+    began_at = anyio.current_time()
+    answer = await take_up(fleet.home(), 'elsewhere', 1, attempt='second')
+    assert answer.status == 503
+    assert float(answer.headers['retry-after']) > 0
+    assert anyio.current_time() - began_at < 2
+    assert len(world.store.calls) - calls < 40
