Report an address that no socket takes as one that was not reached

What callers saw: with two gateways, requests without an answer while an entry whose address is none is listed. The address went to a peer as the target of a CONNECT, which HTTP cannot express, or to a lookup of a name, which stops the event loop and fails with a type error.

Cause: the errors of an invalid address are none that a call may raise.

Evidence: on four rows of test_invalid_address_fails_no_request fail, and 8 of 17 of test_an_invalid_address_is_not_connected_to.

Change: host and port are checked before a socket gets them, names are not looked up; a request that HTTP cannot express is one that was not sent.

Result: 17 and 4 pass.

--- a/packages/spanfall-node/src/spanfall_node/gateway/net/bounded_stream.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/bounded_stream.py
@@ -24,6 +24,8 @@
 
 logger = logging.getLogger(__name__)
 
+MAX_PORT = 65535
+
 _RESET = select.POLLHUP | select.POLLERR
 _HANG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -171,12 +173,13 @@
     """Connect to an IPv4 address and port.
 
     Raises:
-        OSError: the connection was not established.
+        OSError: the address is invalid, or the connection was not established.
     """
+    host, port = _endpoint(address)
     sock = socket.socket()
     is_open = False
     try:
-        await _connect(sock, address)
+        await _connect(sock, host, port)
         is_open = True
     finally:
         if not is_open:
@@ -184,13 +187,26 @@
     return BoundedStream(sock)
 
 
-async def _connect(sock: socket.socket, address: str) -> None:
+def _endpoint(address: str) -> tuple[str, int]:
+    """Return the host and the port of an address; a name is not looked up."""
     host, _, port = address.rpartition(':')
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+        number = int(port)
+    except (OSError, TypeError, ValueError) as exc:
+        reason = f'not an IPv4 address and port: {address!r}'
+        raise OSError(errno.EINVAL, reason) from exc
+    if not 0 < number <= MAX_PORT:
+        raise OSError(errno.EINVAL, f'port {number} out of range')
+    return host, number
+
+
+async def _connect(sock: socket.socket, host: str, port: int) -> None:
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    code = sock.connect_ex((host, int(port)))
+    code = sock.connect_ex((host, port))
     if code == errno.EINPROGRESS:
         await anyio.wait_writable(sock)
         code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
     if code:
-        raise OSError(code, f'no connection to {address}')
+        raise OSError(code, f'no connection to {host}:{port}')
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
@@ -23,6 +23,7 @@
 from spanfall_node.gateway.net.bounded_stream import BoundedStream
 from spanfall_node.gateway.net.errors import BrokenCallError
 from spanfall_node.gateway.net.ports import HttpCall
+from spanfall_node.gateway.net.request_heads import framed_request
 from spanfall_node.gateway.net.response_bounds import ResponseBounds
 from spanfall_node.gateway.net.response_heads import ResponseHead, check_head
 from spanfall_node.gateway.net.sockets import (
@@ -93,6 +94,7 @@
         """Send a request with its whole body.
 
         Raises:
+            NotSentError: HTTP cannot express the request.
             BrokenCallError: the connection ended; the request may be
                 processed all the same.
         """
@@ -100,14 +102,10 @@
 
     def _begin(self, call: HttpCall, host: str) -> bytes:
         """Begin a request; return the bytes of its head."""
-        headers = call.framed_headers(host)
-        request = h11.Request(
-            method=call.method, target=call.target, headers=headers
-        )
-        self._sent_request = request
+        self._sent_request = framed_request(call, host)
         self._encoder = self.protocol
         self._body_sent = False
-        return self._encoder.send(request)
+        return self._encoder.send(self._sent_request)
 
     async def _send_rest(self, head: bytes, body: bytes) -> None:
         pieces = [head]
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/connecting.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/connecting.py
@@ -68,7 +68,7 @@
     """Return what an error of connect says of the host."""
     if isinstance(exc, ConnectionRefusedError):
         return NobodyListensError('nobody listens there')
-    reason = f'no connection: {type(exc).__name__}'
+    reason = f'no connection: {type(exc).__name__}: {exc}'
     if exc.errno in NO_ROOM_ERRORS:
-        return PathUnknownError(f'{reason}: {exc}')
+        return PathUnknownError(reason)
     return NotSentError(reason)
--- a/tests/test_gateway_client.py
+++ b/tests/test_gateway_client.py
@@ -132,6 +132,40 @@
     assert by_probes >= 2 * MIN_SILENCE_SECONDS
 
 
+# Guards against an error that no caller expects, and against the lookup of a
+# name, which would stop the event loop.
+@pytest.mark.parametrize(
+    'address',
+    [
+        '',
+        ':',
+        '127.0.0.1',
+        '127.0.0.1:',
+        '127.0.0.1:x',
+        '127.0.0.1:0',
+        '127.0.0.1:65536',
+        '127.0.0.1:-1',
+        '12\u0667.0.0.1:80',
+        '\uff1127.0.0.1:80',
+        '\u0627.0.0.1:80',
+        '127.0.0.1\0:80',
+        '127.1:80',
+        'localhost:80',
+        'a..b:80',
+        f'{"x" * 70}.0.0.1:80',
+        '[::1]:80',
+    ],
+)
+def test_an_invalid_address_is_not_connected_to(address, monkeypatch):
+    monkeypatch.setattr(socket, 'getaddrinfo', None)
+
+    async def main() -> None:
+        with pytest.raises(NotSentError):
+            await connecting.connect(address, CONNECT_SECONDS)
+
+    run_async(main)
+
+
 # Guards against upstreams that count as unreachable because this process has
 # as many connections as it may.
 @pytest.mark.parametrize('number', [errno.EMFILE, errno.ENOBUFS])
--- a/tests/test_gateway_lifetimes.py
+++ b/tests/test_gateway_lifetimes.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 import msgspec
+import pytest
 from gateway_world import SERVICE, ask, in_world
 from hypothesis import given
 from hypothesis import strategies as st
@@ -177,6 +178,29 @@
     assert (answer.status, counted) == (200, 1)
 
 
+# Guards against requests without an answer while the address of one of several
+# upstreams is none, with a peer that is asked as well.
+@pytest.mark.parametrize(
+    'address', ['12\u0667.0.0.1:9', '\u0627.0.0.1:9', '127.0.0.1:99999', 'x']
+)
+def test_invalid_address_fails_no_request(address, caplog):
+    @in_world
+    async def play(world):
+        await world.add_upstream(complete_response())
+        other = await world.add_upstream(complete_response())
+        world.change_entry(other, address=address)
+        states = [await world.add_gateway(), await world.add_gateway()]
+        await wait_until(lambda: all(state.reach.peers for state in states))
+        answers = [
+            await ask(states[number % 2], '/once/7', attempt=f'a{number}')
+            for number in range(12)
+        ]
+        assert {answer.status for answer in answers} == {200}
+        assert 'Unexpected' not in caplog.text
+
+    play()
+
+
 @in_world
 async def test_restarted_upstream_serves(world):
     """Test an upstream that is listed, removed and listed again with its id."""
