Keep nothing of an ended request until the garbage collector runs

What callers saw: nothing yet; memory. Requests that were refused, or whose answer broke, stayed with their bodies and with what was read of the answers until the collector ran, which goes by the number of objects and not by their size. Beside upstreams that send without end that adds to what a host of 160 MB may hold.

Cause: an error that a frame holds in a variable and raises refers to that frame by its traceback, so both refer to each other: refusals and broken calls that are handed out of a task group, and failed paths through peers.

Evidence: with the collector stopped, 26 of 36 tests of test_gateway_ended_requests.py find requests kept on.

Change: such an error is taken out of its list as it is raised.

Result: 36 of 36.

--- a/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/callers/callers.py
@@ -217,7 +217,7 @@
             tasks.cancel_scope.cancel()
         if refusals:
             self._return_units(admitted, refusals[0])
-            raise refusals[0]
+            raise refusals.pop()
         if caller.gone:
             raise CallerGoneError
 
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/client.py
@@ -146,7 +146,7 @@
                 ends.append(exc)
             tasks.cancel_scope.cancel()
         if isinstance(ends[0], BrokenCallError):
-            raise ends[0]
+            raise ends.pop()
         return ends[0]
 
     async def _send_logging_errors(self, head: bytes, body: bytes) -> None:
--- a/packages/spanfall-node/src/spanfall_node/gateway/net/idle_connections.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/net/idle_connections.py
@@ -1,5 +1,7 @@
 """Watch connections on which no response is awaited."""
 
+from collections.abc import Iterable
+
 import anyio
 
 from spanfall_node.gateway.net.client import Connection
@@ -23,3 +25,9 @@
         except SOCKET_ERRORS:
             return True
     return False
+
+
+async def close_all(connections: Iterable[Connection]) -> None:
+    """Close connections one after the other."""
+    for conn in connections:
+        await conn.close()
--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/paths.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/paths.py
@@ -21,6 +21,7 @@
     PathUnknownError,
     PeerUnavailableError,
 )
+from spanfall_node.gateway.net.idle_connections import close_all
 from spanfall_node.gateway.net.pool import ConnectionPool, Dial
 from spanfall_node.gateway.net.tunnels import connect_through
 from spanfall_node.gateway.tables.counters import PathKind
@@ -134,7 +135,7 @@
                 tasks.start_soon(go_through_peer)
             is_over = True
         finally:
-            await _close_all(opened[1:] if is_over else opened)
+            await close_all(opened[1:] if is_over else opened)
         if not opened:
             raise await self._verdict(address, errors)
         if not opened[0].is_direct:
@@ -153,7 +154,9 @@
         self, address: str, errors: dict[PathKind, NotSentError]
     ) -> NotSentError:
         """Return what two failed connections say of an upstream."""
-        direct, through_peer = errors[PathKind.DIRECT], errors[PathKind.PEER]
+        # An error that its own frames hold would outlive the request.
+        direct = errors.pop(PathKind.DIRECT)
+        through_peer = errors.pop(PathKind.PEER)
         if not isinstance(through_peer, PathUnknownError):
             return through_peer
         if await reaches_another(self.state, self.dial, address):
@@ -169,7 +172,7 @@
             PathUnknownError: no peer tells whether the host is up.
             NotSentError: a peer does not reach it either, and no other does.
         """
-        failure: NotSentError = PeerUnavailableError('no peer is known')
+        failures: list[NotSentError] = [PeerUnavailableError('no known peer')]
         for peer in peers:
             try:
                 return await connect_through(
@@ -179,14 +182,14 @@
                 until = self.state.timers.now() + PEER_PAUSE_SECONDS
                 self._paused[peer] = until
                 logger.info('%s', exc.reason)
-                if isinstance(failure, PeerUnavailableError):
-                    failure = exc
+                if isinstance(failures[0], PeerUnavailableError):
+                    failures[0] = exc
             except NotSentError as exc:
-                failure = exc
-        if isinstance(failure, PeerUnavailableError):
-            raise PathUnknownError(failure.reason)
+                failures[0] = exc
+        if isinstance(failures[0], PeerUnavailableError):
+            raise PathUnknownError(failures.pop().reason)
         self.state.reach.own.blocked.pop(address, None)
-        raise failure
+        raise failures.pop()
 
     def _ranked_peers(self) -> tuple[Peer, ...]:
         """Return the peers, those that did not answer lately at the end."""
@@ -293,8 +296,3 @@
                 now - self._cut_since,
             )
             self._cut_since = None
-
-
-async def _close_all(connections: Iterable[Connection]) -> None:
-    for conn in connections:
-        await conn.close()
