Count each return of an upstream once

What operators saw: nothing yet; by reading. A listing that is older than the current one changes no rows, but the upstreams that the one before had brought back were logged and counted again.

Change: what came back is taken when it is logged.

--- a/packages/spanfall-core/src/spanfall_core/gateway/known/past_lifetimes.py
+++ b/packages/spanfall-core/src/spanfall_core/gateway/known/past_lifetimes.py
@@ -41,7 +41,7 @@
     ended: dict[Lifetime, EndedLifetime] = field(default_factory=dict)
     #: Ended lifetimes that the last listing contains all the same.
     ignored: set[Lifetime] = field(default_factory=set)
-    #: Ended lifetimes that the last listing has brought back.
+    #: Ended lifetimes that a listing has brought back, until they are taken.
     returned: set[Lifetime] = field(default_factory=set)
     #: Lifetimes that were listed as leaving; a backup from which the store was
     #: restored may still list them as serving.
@@ -57,7 +57,6 @@
         listing, is one as of this listing.
         """
         self.ignored.clear()
-        self.returned.clear()
         is_restored = timeline_of(revision) > self._timeline
         self._timeline = timeline_of(revision)
         outdated = [
@@ -83,6 +82,12 @@
             self.seen_leaving.add(lifetime)
         return True
 
+    def take_returned(self) -> set[Lifetime]:
+        """Return the ended lifetimes that came back, once."""
+        returned = self.returned
+        self.returned = set()
+        return returned
+
     def is_before_latest(self, row: ListedUpstream) -> bool:
         """Return whether a later start of the upstream is known."""
         return is_earlier(row.born, self.latest_start.get(row.upstream_id))
--- a/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/store/sync.py
@@ -198,13 +198,12 @@
         past = self._state.directory.past
         for lifetime in past.ignored - self._ignored:
             logger.warning(
-                'Ignored the entry of upstream %s in listing %s: it was found '
-                'to have ended as of revision %s and has not been written since',
+                'Ignored the entry of upstream %s in listing %s: it has not been '
+                'written since the upstream was found to have ended',
                 lifetime,
                 revision,
-                past.ended[lifetime].as_of,
             )
-        for back in past.returned:
+        for back in past.take_returned():
             self._state.counters.listing.returned_upstreams.inc()
             self._state.crashes.table.record_alive(back)
             logger.warning(
--- a/tests/test_gateway_returned_upstreams.py
+++ b/tests/test_gateway_returned_upstreams.py
@@ -45,7 +45,8 @@
 def test_upstream_that_writes_again_serves():
     known = known_after((5, ROW), (20,))
     assert apply(known, 31, written(30))
-    assert known.past.returned == {ROW.lifetime}
+    assert known.past.take_returned() == {ROW.lifetime}
+    assert not known.past.take_returned()
 
 
 def test_upstream_returns_after_each_lapse():
@@ -164,6 +165,9 @@
     for following in states:
         await wait_until_serving(following, len(upstreams))
         assert (await ask(following, '/any/1')).status == 200
+        registry = following.counters.registry
+        counted = registry.get_sample_value('spanfall_returned_upstreams_total')
+        assert counted == len(upstreams)
 
 
 # Guards against requests that are refused as the cause of ends that were none.
