Name the parts of a proof of what began a stream

A pair of an origin and a flag told whether nothing was proved or nothing could be read; a type of its own says so.

--- a/packages/spanfall-node/src/spanfall_node/gateway/upstreams/stream_lookup.py
+++ b/packages/spanfall-node/src/spanfall_node/gateway/upstreams/stream_lookup.py
@@ -84,21 +84,28 @@
     return origin
 
 
+@dataclass(frozen=True, slots=True)
+class Proof:
+    """Hold the only origin that a stream can have, if there is only one."""
+
+    origin: Origin | None
+    #: Whether the store was read after the caller came: what another version
+    #: has begun since the last listing is unknown here.
+    is_final: bool
+
+
 async def prove_origin(
     state: GatewayState,
     reads: FreshReads,
     question: OriginQuestion,
     asked_at: float,
-) -> tuple[Origin | None, bool]:
-    """Return the only origin that a stream can have, and whether that is final.
-
-    It is if the store was read after the caller came: what another version has
-    begun since the last listing is unknown here.
-    """
+) -> Proof:
+    """Return what can have begun a stream whose caller came at a time."""
     is_final = await reads.confirmed_since(asked_at, PROOF_SECONDS)
-    if not is_final:
-        return None, False
-    return sole_origin(state, question.route, question.age), True
+    origin = None
+    if is_final:
+        origin = sole_origin(state, question.route, question.age)
+    return Proof(origin, is_final)
 
 
 def sole_origin(state: GatewayState, route: str, age: float) -> Origin | None:
@@ -138,16 +145,15 @@
 ) -> OriginAnswer:
     """Answer a node by the records of the home, or by what it can prove."""
     answer = answer_question(state, question)
-    is_final = True
-    origin = answer.origin
-    if origin is None:
-        origin, is_final = await prove_origin(state, reads, question, asked_at)
+    proof = Proof(answer.origin, is_final=True)
+    if answer.origin is None:
+        proof = await prove_origin(state, reads, question, asked_at)
     tenure, now = state.tenure, state.timers.now()
     is_settled = tenure is not None and _is_settled(state, tenure, now)
     return OriginAnswer(
         question.number,
-        origin,
-        is_settled=is_final and is_settled,
+        proof.origin,
+        is_settled=proof.is_final and is_settled,
         is_begun=answer.is_begun,
     )
 
@@ -244,9 +250,8 @@
         # The home may still be reading the store for all who wait.
         is_left_alone = not answer.number or waited > LOOKUP_SECONDS / 2
         if origin is None and not answer.is_settled and is_left_alone:
-            origin, _ = await prove_origin(
-                state, self.reads, question, asked_at
-            )
+            proof = await prove_origin(state, self.reads, question, asked_at)
+            origin = proof.origin
         return structs.replace(answer, origin=origin)
 
     async def _ask_home(
